--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,140 @@
+"""Callers: live requests whose every answer is checked against the truth."""
+
+import json
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass
+
+import gevent
+
+from briarbeam.kernel.errors import NetworkError
+from briarbeam.kernel.network import HttpRequest
+from standins.engine import token_of
+
+
+@dataclass
+class Outcome:
+    """What came of one request.
+
+    :param result: ``ok``, ``wrong``, ``partial``, ``refused`` or ``failed``.
+    :param ran: what the refusal said.
+    """
+
+    result: str
+    started_s: float
+    first_token_s: float | None = None
+    took_s: float = 0.0
+    target: str = ""
+    version: str = ""
+    ran: str = ""
+    code: str = ""
+
+
+class Callers:
+    """Sends streamed completions at a rate, spread over the entries.
+
+    :param site: the `Site` to call.
+    :param rate_per_s: requests a second in all.
+    """
+
+    def __init__(self, site, rate_per_s, max_tokens=8, team="default"):
+        self._site = site
+        self._rate_per_s = rate_per_s
+        self._max_tokens = max_tokens
+        self._team = team
+        self._entries = site.entries()
+        self._running = []
+        self._sender = None
+        self.outcomes = []
+
+    def start(self):
+        """Begin to send."""
+        self._sender = gevent.spawn(self._send)
+
+    def stop(self):
+        """Stop sending and wait for the answers that are still out."""
+        self._sender.kill()
+        gevent.joinall(self._running)
+
+    def counts(self):
+        """Return the number of outcomes by result."""
+        return Counter(outcome.result for outcome in self.outcomes)
+
+    def first_token_p95_s(self, since_s=0.0, until_s=float("inf")):
+        """Return the 95th percentile of the time to the first token."""
+        times = sorted(
+            outcome.first_token_s
+            for outcome in self.outcomes
+            if outcome.first_token_s and since_s <= outcome.started_s < until_s
+        )
+        return times[int(len(times) * 0.95)] if times else float("nan")
+
+    def _send(self):
+        next_s = time.monotonic()
+        while True:
+            entry = random.choice(self._entries)
+            self._running = [task for task in self._running if not task.dead]
+            self._running.append(gevent.spawn(self._one, entry))
+            next_s += random.expovariate(self._rate_per_s)
+            gevent.sleep(max(0.0, next_s - time.monotonic()))
+
+    def _one(self, entry):
+        prompt = f"prompt {random.randrange(1000)}"
+        outcome = self.complete(entry, prompt)
+        self.outcomes.append(outcome)
+
+    def complete(self, entry, prompt):
+        """Send one streamed completion and check each token of its answer."""
+        outcome = Outcome("failed", time.monotonic())
+        body = {
+            "model": self._site.model,
+            "prompt": prompt,
+            "max_tokens": self._max_tokens,
+            "stream": True,
+        }
+        headers = {"content-type": "application/json", "x-team": self._team}
+        request = HttpRequest(
+            "POST", "/v1/completions", json.dumps(body).encode(), headers, 30.0, True
+        )
+        try:
+            response = self._site.network.send(entry.http, request)
+            try:
+                self._read(response, outcome, prompt)
+            finally:
+                response.close()
+        except NetworkError as error:
+            outcome.code = error.code
+        outcome.took_s = time.monotonic() - outcome.started_s
+        return outcome
+
+    def _read(self, response, outcome, prompt):
+        if response.status != 200:
+            error = json.loads(response.read())["error"]
+            outcome.result = "refused"
+            outcome.ran, outcome.code = error["ran"], error["code"]
+            return
+        texts, ended = [], False
+        for line in response.lines():
+            data = line.removeprefix(b"data: ")
+            if line.startswith(b"event: error"):
+                outcome.code = "stream_error"
+            if not line.startswith(b"data: ") or outcome.code:
+                continue
+            if data == b"[DONE]":
+                ended = True
+                break
+            event = json.loads(data)
+            if outcome.first_token_s is None:
+                outcome.first_token_s = time.monotonic() - outcome.started_s
+            outcome.version = event["briarbeam"]["version"]
+            outcome.target = event["briarbeam"]["target"]
+            texts.append(event["choices"][0]["text"])
+        if not ended:
+            outcome.result = "failed" if outcome.code else "partial"
+            return
+        digest = self._site.weights_digests.get(outcome.version)
+        expected = " ".join(
+            token_of(digest, None, prompt, index) for index in range(self._max_tokens)
+        )
+        outcome.result = "ok" if "".join(texts) == expected else "wrong"
--- /dev/null
+++ b/bench/site.py
@@ -0,0 +1,437 @@
+"""A site on one machine: stand-ins, entry daemons and target daemons as processes.
+
+Every instance has a loopback IP number of its own. Daemons advertise addresses on
+which the link stand-in listens, so all traffic between instances passes through it.
+"""
+
+import contextlib
+import hashlib
+import json
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import tomli_w
+
+from briarbeam.kernel.errors import NetworkError
+from briarbeam.kernel.network import Address, HttpNetwork, HttpRequest, fetch
+
+HTTP_PORT, CONTROL_PORT, BACKEND_PORT = 8080, 8081, 8090
+ADVERTISED_HTTP_PORT, ADVERTISED_CONTROL_PORT = 9080, 9081
+OPERATOR_TOKEN = "operator-token"
+START_TIMEOUT_S = 60.0
+
+
+@dataclass
+class Domain:
+    """A failure domain's instances."""
+
+    name: str
+    region: str
+    entries: int = 1
+    engines: int = 1
+    services: int = 0
+
+
+@dataclass
+class Instance:
+    """One instance: a daemon and, for targets, its back end."""
+
+    name: str
+    role: str
+    region: str
+    failure_domain: str
+    host: str
+    backend: str | None = None
+    processes: list = field(default_factory=list)
+
+    @property
+    def http(self):
+        """The daemon's own HTTP address."""
+        return Address(self.host, HTTP_PORT)
+
+    @property
+    def backend_address(self):
+        """The back end's address."""
+        return Address(self.host, BACKEND_PORT)
+
+
+KHANGAI = (
+    Domain("ulaanbaatar", "central", entries=3, engines=2, services=1),
+    Domain("darkhan", "central", entries=3, engines=2, services=1),
+    Domain("oyu-gobi", "south", entries=3, engines=1, services=1),
+)
+DERWENT = (
+    Domain("hobart", "south", entries=3, engines=3, services=1),
+    Domain("launceston", "north", entries=3, engines=3, services=1),
+    Domain("burnie", "north", entries=3, engines=2, services=1),
+)
+
+
+class Site:
+    """Starts, disturbs and stops the processes of a site.
+
+    :param domains: the failure domains to lay out.
+    :param link_bytes_per_s: each instance's link, each way; None for no limit.
+    :param region_bytes_per_s: the link between two regions, each way.
+    :param origin_bytes_per_s: the origin's link.
+    :param overrides: settings by section, laid over those of each daemon.
+    """
+
+    def __init__(
+        self,
+        domains,
+        link_bytes_per_s=None,
+        region_bytes_per_s=None,
+        origin_bytes_per_s=None,
+        overrides=None,
+        model="chat",
+        service="ledger",
+    ):
+        self.model = model
+        self.service = service
+        self.network = HttpNetwork()
+        self._domains = domains
+        self._rates = (link_bytes_per_s, region_bytes_per_s)
+        self._origin_rate = origin_bytes_per_s
+        self._overrides = overrides or {}
+        self._folder = tempfile.TemporaryDirectory(prefix="briarbeam-")
+        self.folder = Path(self._folder.name)
+        self._prefix, self._guard = _take_prefix()
+        self.object_api = Address(f"{self._prefix}.0.1", 7000)
+        self.origin = Address(f"{self._prefix}.0.2", 7001)
+        self.links = Address(f"{self._prefix}.0.3", 7002)
+        self.weights_digests = {}
+        self.instances = {}
+        self._standins = {}
+        self._lay_out()
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+
+    def start(self):
+        """Start all processes and wait until they answer."""
+        rate = [] if self._origin_rate is None else [str(self._origin_rate)]
+        self._standin("object_api", self.object_api)
+        self._standin(
+            "origin", self.origin, *(["--rate-bytes-per-s", *rate] if rate else [])
+        )
+        plan = self.folder / "links.json"
+        plan.write_text(json.dumps(self._plan()))
+        self._standin("link", self.links, "--plan", str(plan))
+        for address in (self.object_api, self.origin, self.links):
+            self.wait_for(lambda address=address: self._answers(address))
+        for instance in self.instances.values():
+            self.announce(instance)
+            self.start_backend(instance)
+            self.start_daemon(instance)
+        for instance in self.instances.values():
+            self.wait_for(lambda instance=instance: self._answers(instance.http))
+
+    def stop(self):
+        """End every process that this site started."""
+        processes = list(self._standins.values())
+        for instance in self.instances.values():
+            processes.extend(instance.processes)
+        for process in processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in processes:
+            process.wait()
+        self._guard.close()
+        self._folder.cleanup()
+
+    def entries(self):
+        """Return the entry instances."""
+        return [item for item in self.instances.values() if item.role == "entry"]
+
+    def targets(self, backend="engine"):
+        """Return the target instances with that kind of back end."""
+        return [item for item in self.instances.values() if item.backend == backend]
+
+    def start_backend(self, instance):
+        """Start an instance's back end."""
+        if instance.backend is None:
+            return
+        truth = self.folder / f"{instance.name}.truth"
+        process = self._spawn(
+            instance.name,
+            f"standins.{instance.backend}",
+            "--listen",
+            str(instance.backend_address),
+            "--truth",
+            str(truth),
+        )
+        instance.processes.append(process)
+
+    def start_daemon(self, instance):
+        """Start an instance's daemon."""
+        path = self.folder / f"{instance.name}.toml"
+        path.write_text(tomli_w.dumps(self._settings(instance)))
+        process = self._spawn(
+            instance.name, "briarbeam.daemon", "--settings", str(path)
+        )
+        instance.processes.append(process)
+        instance.daemon = process
+
+    def announce(self, instance, state="live"):
+        """Put an instance on the platform's list."""
+        entry = {
+            "name": instance.name,
+            "role": instance.role,
+            "region": instance.region,
+            "failure_domain": instance.failure_domain,
+            "http": f"{instance.host}:{ADVERTISED_HTTP_PORT}",
+            "control": f"{instance.host}:{ADVERTISED_CONTROL_PORT}",
+            "state": state,
+            "models": [self.model] if instance.backend == "engine" else [],
+            "service": self.service if instance.backend == "service" else None,
+        }
+        self.ask(self.object_api, "PUT", f"/instances/{instance.name}", entry)
+
+    def signal(self, name, number):
+        """Send a signal to an instance's daemon."""
+        self.instances[name].daemon.send_signal(number)
+
+    def faults(self, address, **switches):
+        """Set fault switches of a stand-in."""
+        return self.ask(address, "POST", "/faults", switches)
+
+    def ask(self, address, method, path, value=None, headers=None, timeout_s=30.0):
+        """Call a process and return its JSON answer."""
+        body = b"" if value is None else json.dumps(value).encode()
+        request = HttpRequest(method, path, body, headers or {}, timeout_s)
+        _, _, answer = fetch(self.network, address, request)
+        return json.loads(answer)
+
+    def publish(self, version, size_bytes=1_000_000, chunk_bytes=65536, **how):
+        """Make a version at the origin and return its resource."""
+        asked = {"size_bytes": size_bytes, "chunk_bytes": chunk_bytes, **how}
+        made = self.ask(self.origin, "PUT", f"/versions/{self.model}/{version}", asked)
+        self.weights_digests[version] = made["weights_digest"]
+        return {
+            "kind": "version",
+            "name": f"{self.model}@{version}",
+            "spec": {"model": self.model, **made},
+        }
+
+    def apply(self, *resources, entry=None):
+        """Declare resources through an entry daemon and return the revision."""
+        entry = entry or self.entries()[0]
+        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+        answer = self.ask(
+            entry.http,
+            "POST",
+            "/operator/v1/apply",
+            {"resources": list(resources)},
+            headers,
+        )
+        if "revision" not in answer:
+            raise RuntimeError(f"apply failed: {answer}")
+        return answer["revision"]
+
+    def declare(self, version="v1", **how):
+        """Declare the model, the service and a first version; return the revision."""
+        return self.apply(
+            {"kind": "model", "name": self.model, "spec": {}},
+            {"kind": "service", "name": self.service, "spec": {}},
+            self.publish(version, **how),
+            self.rollout(version),
+        )
+
+    def rollout(self, version, **spec):
+        """Return the resource that asks for a version."""
+        return {
+            "kind": "rollout",
+            "name": self.model,
+            "spec": {"version": version, **spec},
+        }
+
+    def domain(self, name, in_service):
+        """Return the resource that takes a failure domain out or back in."""
+        spec = {"in_service": in_service}
+        return {"kind": "failure-domain", "name": name, "spec": spec}
+
+    def loaded(self, version, instances=None):
+        """Return how many engines serve a version."""
+        count = 0
+        for instance in instances or self.targets():
+            with contextlib.suppress(NetworkError):
+                status = self.ask(instance.backend_address, "GET", "/status")
+                found = status["loaded"].get(self.model, {})
+                count += found.get("version") == version
+        return count
+
+    def ready(self, instances=None):
+        """Return how many daemons are ready."""
+        count = 0
+        for instance in instances or self.instances.values():
+            with contextlib.suppress(NetworkError):
+                count += self.ask(instance.http, "GET", "/readyz")["ready"]
+        return count
+
+    def truth(self, instance):
+        """Return what the instance's back end recorded, over all its processes."""
+        path = self.folder / f"{instance.name}.truth"
+        if not path.exists():
+            return []
+        return [json.loads(line) for line in path.read_text().splitlines()]
+
+    def wait_for(self, condition, timeout_s=START_TIMEOUT_S, pause_s=0.1):
+        """Wait until `condition()` holds.
+
+        :raises TimeoutError: if it doesn't within `timeout_s` seconds.
+        """
+        until_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > until_s:
+                raise TimeoutError(f"not so within {timeout_s} s: {condition}")
+            time.sleep(pause_s)
+
+    def _answers(self, address):
+        try:
+            return self.ask(address, "GET", "/healthz", timeout_s=2.0)["ok"]
+        except NetworkError:
+            return False
+
+    def _lay_out(self):
+        for number, domain in enumerate(self._domains, start=1):
+            wanted = [("entry", None)] * domain.entries
+            wanted += [("target", "engine")] * domain.engines
+            wanted += [("target", "service")] * domain.services
+            for index, (role, backend) in enumerate(wanted, start=1):
+                name = f"{domain.name}-{backend or role}-{index}"
+                self.instances[name] = Instance(
+                    name=name,
+                    role=role,
+                    region=domain.region,
+                    failure_domain=domain.name,
+                    host=f"{self._prefix}.{number}.{index}",
+                    backend=backend,
+                )
+
+    def _plan(self):
+        first = self._domains[0]
+        platform = {"region": first.region, "failure_domain": first.name}
+        instances = [
+            {"name": "object_api", "host": self.object_api.host, **platform},
+            {"name": "origin", "host": self.origin.host, **platform},
+        ]
+        for item in instances:
+            item["link_bytes_per_s"] = None
+        relays = [
+            _relay(self.object_api.host, 9000, 7000, "object_api"),
+            _relay(self.origin.host, 9001, 7001, "origin"),
+        ]
+        for item in self.instances.values():
+            instances.append(
+                {
+                    "name": item.name,
+                    "host": item.host,
+                    "region": item.region,
+                    "failure_domain": item.failure_domain,
+                }
+            )
+            relays.append(_relay(item.host, ADVERTISED_HTTP_PORT, HTTP_PORT, item.name))
+            relays.append(
+                _relay(item.host, ADVERTISED_CONTROL_PORT, CONTROL_PORT, item.name)
+            )
+        link, region = self._rates
+        return {
+            "instances": instances,
+            "relays": relays,
+            "link_bytes_per_s": link,
+            "region_bytes_per_s": region,
+        }
+
+    def _settings(self, instance):
+        settings = {
+            "role": instance.role,
+            "instance": {
+                "name": instance.name,
+                "region": instance.region,
+                "failure_domain": instance.failure_domain,
+            },
+            "listen": {
+                "http": str(instance.http),
+                "control": f"{instance.host}:{CONTROL_PORT}",
+                "advertised_http": f"{instance.host}:{ADVERTISED_HTTP_PORT}",
+                "advertised_control": f"{instance.host}:{ADVERTISED_CONTROL_PORT}",
+                "source_host": instance.host,
+            },
+            "platform": {
+                "object_api": f"{self.object_api.host}:9000",
+                "origin": f"{self.origin.host}:9001",
+            },
+        }
+        if instance.role == "entry":
+            digest = hashlib.sha256(OPERATOR_TOKEN.encode()).hexdigest()
+            settings["entry"] = {"operator_tokens": {"operator": digest}}
+        elif instance.backend == "engine":
+            settings["target"] = {
+                "backend": "engine",
+                "backend_address": str(instance.backend_address),
+                "models": [self.model],
+            }
+        else:
+            settings["target"] = {
+                "backend": "service",
+                "backend_address": str(instance.backend_address),
+                "service": self.service,
+            }
+        for section, values in self._overrides.items():
+            if section in settings or section not in ("entry", "target"):
+                settings[section] = {**settings.get(section, {}), **values}
+        return settings
+
+    def _standin(self, name, address, *arguments):
+        self._standins[name] = self._spawn(
+            name, f"standins.{name}", "--listen", str(address), *arguments
+        )
+
+    def _spawn(self, name, module, *arguments):
+        with open(self.folder / f"{name}.{module}.log", "ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+
+def _relay(host, from_port, to_port, instance):
+    return {
+        "from_host": host,
+        "from_port": from_port,
+        "to_host": host,
+        "to_port": to_port,
+        "instance": instance,
+    }
+
+
+def _take_prefix():
+    """Return a free range of loopback addresses and the socket that guards it."""
+    while True:
+        prefix = f"127.{random.randrange(16, 250)}"
+        guard = socket.socket()
+        try:
+            guard.bind((f"{prefix}.0.1", 6999))
+        except OSError:
+            guard.close()
+            continue
+        return prefix, guard
--- /dev/null
+++ b/briarbeam/cli/application.py
@@ -0,0 +1,66 @@
+"""``briarbeam``: the command-line tool."""
+
+import json
+import sys
+
+import tomli_w
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from .. import settings as settings_module
+from ..kernel.errors import SettingsError
+
+EXIT_USAGE = 2
+
+
+class SettingsCheckCommand(Command):
+    name = "settings check"
+    description = "Check a settings file without starting anything"
+    arguments = [argument("file", "The settings file")]
+
+    def handle(self):
+        try:
+            settings_module.load(self.argument("file"))
+        except SettingsError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        self.line("ok")
+        return 0
+
+
+class SettingsShowCommand(Command):
+    name = "settings show"
+    description = "Print the settings in force, with defaults"
+    arguments = [argument("file", "The settings file")]
+    options = [option("json", None, "Print JSON instead of TOML", flag=True)]
+
+    def handle(self):
+        try:
+            settings = settings_module.load(self.argument("file"))
+        except SettingsError as error:
+            self.line_error(str(error))
+            return EXIT_USAGE
+        shown = _to_plain(settings.model_dump())
+        if self.option("json"):
+            self.line(json.dumps(shown, indent=2))
+        else:
+            self.line(tomli_w.dumps(shown))
+        return 0
+
+
+def _to_plain(value):
+    """Return `value` as TOML can hold it: addresses as text, nothing absent."""
+    if hasattr(value, "_fields"):
+        return str(value)
+    if isinstance(value, dict):
+        return {k: _to_plain(v) for k, v in value.items() if v is not None}
+    return value
+
+
+def main():
+    """Run the command line."""
+    application = Application("briarbeam")
+    application.add(SettingsCheckCommand())
+    application.add(SettingsShowCommand())
+    sys.exit(application.run())
--- /dev/null
+++ b/briarbeam/configuration/resources.py
@@ -0,0 +1,159 @@
+"""The resource kinds that operators declare, and the snapshot that holds them all.
+
+All resources live in one object of the platform, the head. Its version orders every
+change, so a daemon's configuration is one number and one value.
+"""
+
+import json
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..kernel.errors import InvalidRequestError
+from ..kernel.registry import Registry
+
+HEAD_KIND = "configuration"
+HEAD_NAME = "head"
+
+kinds = Registry("resource kind")
+
+Fraction = Annotated[float, Field(ge=0, le=1)]
+
+
+class Spec(BaseModel):
+    """Base of what operators declare about a resource."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+@kinds.register("model")
+class ModelSpec(Spec):
+    """A model, or an adapter if it names its base."""
+
+    base: str | None = None
+
+
+@kinds.register("version")
+class VersionSpec(Spec):
+    """One version of a model's weights; its name is MODEL@VERSION."""
+
+    model: str
+    manifest_digest: str = Field(pattern="^[0-9a-f]{64}$")
+    weights_digest: str = Field(pattern="^[0-9a-f]{64}$")
+    size_bytes: int = Field(gt=0)
+    base_version: str | None = None
+
+
+@kinds.register("rollout")
+class RolloutSpec(Spec):
+    """The version that a model's targets shall serve; named like the model."""
+
+    version: str
+    previous_version: str | None = None
+    paused: bool = False
+    capacity_floor: Fraction = 0.5
+
+
+@kinds.register("failure-domain")
+class FailureDomainSpec(Spec):
+    """Whether a failure domain takes new work."""
+
+    in_service: bool = True
+
+
+@kinds.register("team")
+class TeamSpec(Spec):
+    """A team of callers, its share and its rank under overload."""
+
+    weight: float = Field(1.0, gt=0)
+    priority: int = Field(0, ge=0, le=9)
+    key_digest: str | None = None
+
+
+@kinds.register("service")
+class ServiceSpec(Spec):
+    """A plain service; only calls with these methods are idempotent."""
+
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
+
+
+@dataclass(frozen=True)
+class Resource:
+    """A declared resource.
+
+    :param generation: the head's version at which the spec last changed.
+    """
+
+    kind: str
+    name: str
+    spec: Spec
+    generation: int = 0
+
+
+@dataclass(frozen=True)
+class Configuration:
+    """A consistent snapshot of all resources.
+
+    :param revision: the head's version; 0 is the empty configuration.
+    """
+
+    revision: int = 0
+    resources: dict = field(default_factory=dict)
+
+    @classmethod
+    def from_head(cls, revision, value):
+        """Return the snapshot kept in the head's value."""
+        resources = {}
+        for key, item in value.get("resources", {}).items():
+            kind, _, name = key.partition("/")
+            generation = item.get("generation") or revision
+            spec = parse_spec(kind, item["spec"])
+            resources[kind, name] = Resource(kind, name, spec, generation)
+        return cls(revision, resources)
+
+    @classmethod
+    def from_document(cls, revision, body):
+        """Return the snapshot passed on by a peer."""
+        return cls.from_head(revision, json.loads(body))
+
+    def get(self, kind, name):
+        """Return the spec of a resource, or None."""
+        resource = self.resources.get((kind, name))
+        return resource.spec if resource else None
+
+    def of_kind(self, kind):
+        """Return the resources of `kind` by name."""
+        return {
+            name: resource
+            for (its_kind, name), resource in self.resources.items()
+            if its_kind == kind
+        }
+
+    def in_service(self, failure_domain):
+        """Return whether a failure domain takes new work."""
+        spec = self.get("failure-domain", failure_domain)
+        return spec is None or spec.in_service
+
+    def wanted_version(self, model):
+        """Return the `VersionSpec` that `model` shall serve and its name, or None."""
+        rollout = self.get("rollout", model)
+        if rollout is None:
+            return None
+        spec = self.get("version", f"{model}@{rollout.version}")
+        return (rollout.version, spec) if spec else None
+
+
+def parse_spec(kind, raw):
+    """Return the validated spec of a resource.
+
+    :raises InvalidRequestError: naming each field at fault.
+    """
+    try:
+        return kinds.get(kind).model_validate(raw)
+    except ValidationError as error:
+        faults = "; ".join(
+            f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
+            for fault in error.errors()
+        )
+        raise InvalidRequestError(f"{kind}: {faults}") from error
--- /dev/null
+++ b/briarbeam/kernel/http.py
@@ -0,0 +1,197 @@
+"""The HTTP server of a daemon: a router over gevent's WSGI server."""
+
+import json
+import re
+import select
+import socket
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs
+
+import structlog
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from prometheus_client import Counter
+
+from .errors import BriarbeamError, InvalidRequestError, NotFoundError
+
+BODY_MAX_BYTES = 4 * 1024 * 1024
+_REASONS = {
+    200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
+    400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 409: "Conflict",
+    429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
+    503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+_REQUESTS = Counter("briarbeam_http_requests", "HTTP replies", ["route", "status"])
+_log = structlog.get_logger()
+
+
+@dataclass
+class Request:
+    """One received request."""
+
+    method: str
+    path: str
+    headers: dict
+    query: dict
+    body: bytes
+    peer_host: str
+    connection: socket.socket | None = None
+
+    def json(self):
+        """Return the body as a JSON object.
+
+        :raises InvalidRequestError: if it is not one.
+        """
+        try:
+            value = json.loads(self.body or b"{}")
+        except ValueError as error:
+            raise InvalidRequestError(f"the body is not JSON: {error}") from error
+        if not isinstance(value, dict):
+            raise InvalidRequestError("the body must be a JSON object")
+        return value
+
+    def caller_gone(self):
+        """Return whether the caller closed its side of the connection."""
+        if self.connection is None:
+            return False
+        try:
+            readable, _, _ = select.select([self.connection], [], [], 0)
+            if not readable:
+                return False
+            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+            return self.connection.recv(1, flags) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+
+@dataclass
+class Response:
+    """One reply; `body` is bytes, or an iterable of bytes that is streamed."""
+
+    status: int = 200
+    body: object = b""
+    headers: dict = field(default_factory=dict)
+
+    @classmethod
+    def of_json(cls, value, status=200, **headers):
+        """Return a reply that carries `value` as JSON."""
+        named = {k.replace("_", "-"): str(v) for k, v in headers.items()}
+        body = json.dumps(value).encode()
+        return cls(status, body, {"content-type": "application/json", **named})
+
+    @classmethod
+    def of_error(cls, error):
+        """Return the reply for an error of the tree."""
+        response = cls.of_json(error.to_dict(), error.status)
+        response.headers["x-briarbeam-ran"] = str(error.ran)
+        if error.retry_after_s is not None:
+            response.headers["retry-after"] = str(max(1, round(error.retry_after_s)))
+        return response
+
+
+class Router:
+    """Maps methods and paths to handlers; a WSGI application.
+
+    A path may hold names in braces; their values are passed to the handler as
+    keyword arguments.
+    """
+
+    def __init__(self):
+        self._routes = []
+
+    def add(self, method, path, handler):
+        """Serve `method` on `path` by ``handler(request, **names)``."""
+        pattern = re.sub(r"\{(\w+)\.\.\.\}", r"(?P<\1>.+)", path)
+        pattern = re.sub(r"\{(\w+)\}", r"(?P<\1>[^/]+)", pattern)
+        self._routes.append((method, re.compile(pattern + r"\Z"), path, handler))
+
+    def handle(self, request):
+        """Return the reply to `request`; failures become typed replies."""
+        route = "none"
+        try:
+            route, handler, names = self._find(request)
+            response = handler(request, **names)
+        except BriarbeamError as error:
+            response = Response.of_error(error)
+        except Exception as error:
+            _log.error("handler_failed", route=route, error=repr(error), exc_info=True)
+            response = Response.of_error(BriarbeamError(repr(error)))
+        _REQUESTS.labels(route, response.status).inc()
+        return response
+
+    def _find(self, request):
+        for method, pattern, path, handler in self._routes:
+            match = pattern.match(request.path)
+            if match and method == request.method:
+                return path, handler, match.groupdict()
+        raise NotFoundError(f"no such path: {request.method} {request.path}")
+
+    def __call__(self, environ, start_response):
+        try:
+            request = _read_request(environ)
+        except BriarbeamError as error:
+            response = Response.of_error(error)
+        else:
+            response = self.handle(request)
+        headers = list(response.headers.items())
+        body = response.body
+        if isinstance(body, bytes):
+            headers.append(("content-length", str(len(body))))
+            body = [body]
+        reason = _REASONS.get(response.status, "Status")
+        start_response(f"{response.status} {reason}", headers)
+        return body
+
+
+class HttpServer:
+    """Serves a router on an address."""
+
+    def __init__(self, address, router):
+        self._server = WSGIServer(
+            tuple(address), router, handler_class=_Handler, log=None, error_log=None
+        )
+
+    def start(self):
+        """Bind and serve in the background."""
+        self._server.start()
+
+    def stop(self, timeout_s=1.0):
+        """Stop listening and end the connections after `timeout_s` seconds."""
+        self._server.stop(timeout=timeout_s)
+
+
+class _Handler(WSGIHandler):
+    """Sends without Nagle's delay and shows the socket to the application."""
+
+    def __init__(self, sock, address, server, rfile=None):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(sock, address, server, rfile)
+
+    def get_environ(self):
+        environ = super().get_environ()
+        environ["briarbeam.socket"] = self.socket
+        return environ
+
+
+def _read_request(environ):
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > BODY_MAX_BYTES:
+        raise InvalidRequestError(f"body of {length} bytes, at most {BODY_MAX_BYTES}")
+    headers = {
+        key[5:].replace("_", "-").lower(): value
+        for key, value in environ.items()
+        if key.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    query = parse_qs(environ.get("QUERY_STRING", ""))
+    return Request(
+        method=environ["REQUEST_METHOD"],
+        path=environ["PATH_INFO"],
+        headers=headers,
+        query={key: values[-1] for key, values in query.items()},
+        body=environ["wsgi.input"].read(length) if length else b"",
+        peer_host=environ.get("REMOTE_ADDR", ""),
+        connection=environ.get("briarbeam.socket"),
+    )
--- /dev/null
+++ b/briarbeam/kernel/network.py
@@ -0,0 +1,232 @@
+"""HTTP between processes, as an interface and over geventhttpclient.
+
+A connection that still has a reply outstanding is closed and never reused, so a
+late reply can't be read as the answer to the next request. A failure tells
+whether bytes may have left: `ConnectError` (none did) or `ExchangeError`.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import NamedTuple, Protocol
+
+import gevent
+from geventhttpclient import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
+
+from .errors import ConnectError, ExchangeError, SettingsError
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS_MAX = 32
+READ_BLOCK_BYTES = 65536
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text):
+        """Return the address written as ``IP:PORT``.
+
+        :raises SettingsError: if the text is not of that form.
+        """
+        host, _, port = text.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            raise SettingsError(f"expected IP:PORT, got {text!r}")
+        return cls(host, int(port))
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+
+@dataclass
+class HttpRequest:
+    """One request to a peer.
+
+    :param timeout_s: seconds until the reply's head must be there, and the longest
+        silence allowed afterwards.
+    :param fresh: use a new connection and close it afterwards; for what must not
+        be sent twice.
+    """
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: dict = field(default_factory=dict)
+    timeout_s: float = 5.0
+    fresh: bool = False
+
+
+class HttpResponse(Protocol):
+    """A reply whose body is read by its receiver."""
+
+    status: int
+    headers: dict
+
+    def read(self, size_bytes=None) -> bytes:
+        """Return up to `size_bytes` of the body, or all that is left."""
+
+    def lines(self):
+        """Yield the body's lines as they come, without their end."""
+
+    def close(self) -> None:
+        """Give the connection up; closes it unless the body was read whole."""
+
+
+class Network(Protocol):
+    """What a decision may do with the network."""
+
+    def send(self, address: Address, request: HttpRequest) -> HttpResponse:
+        """Send `request` and return the reply once its head is there.
+
+        :raises ConnectError: if nothing was sent.
+        :raises ExchangeError: if bytes may have left and no reply came.
+        """
+
+
+def fetch(network, address, request):
+    """Send `request` and return its status, headers and whole body."""
+    response = network.send(address, request)
+    try:
+        return response.status, response.headers, response.read()
+    finally:
+        response.close()
+
+
+class HttpNetwork:
+    """The real network.
+
+    :param source_host: the IP number that connections leave from, or None.
+    """
+
+    def __init__(self, source_host=None):
+        self._source_host = source_host
+        self._idle = defaultdict(list)
+
+    def send(self, address, request):
+        client = self._take(address, request.fresh)
+        try:
+            with gevent.Timeout(request.timeout_s):
+                raw = client.request(
+                    request.method, request.path, request.body, request.headers
+                )
+        except ConnectError:
+            client.close()
+            raise
+        except gevent.Timeout as error:
+            client.close()
+            raise ExchangeError(
+                f"no reply from {address} to {request.method} {request.path} "
+                f"within {request.timeout_s} s"
+            ) from error
+        except Exception as error:
+            client.close()
+            raise ExchangeError(
+                f"{request.method} {request.path} to {address} broke: {error!r}"
+            ) from error
+        except BaseException:
+            client.close()
+            raise
+        return _PooledResponse(self, address, client, raw, request)
+
+    def _take(self, address, fresh):
+        if not fresh:
+            idle = self._idle[address]
+            if idle:
+                return idle.pop()
+        client = HTTPClient(
+            address.host, address.port, concurrency=1, block_size=READ_BLOCK_BYTES
+        )
+        client._connection_pool = _SourcePool(
+            address.host,
+            address.port,
+            address.host,
+            address.port,
+            size=1,
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=None,
+        )
+        client._connection_pool.source_host = self._source_host
+        return client
+
+    def _give_back(self, address, client):
+        idle = self._idle[address]
+        if len(idle) < IDLE_CONNECTIONS_MAX:
+            idle.append(client)
+        else:
+            client.close()
+
+
+class _SourcePool(ConnectionPool):
+    """A pool whose sockets leave from `source_host`; failed connects are typed."""
+
+    source_host = None
+
+    def _create_tcp_socket(self, *args, **kwargs):
+        sock = super()._create_tcp_socket(*args, **kwargs)
+        if self.source_host:
+            sock.bind((self.source_host, 0))
+        return sock
+
+    def _connect_socket(self, sock, address):
+        try:
+            return super()._connect_socket(sock, address)
+        except OSError as error:
+            raise ConnectError(f"no connection to {address}: {error}") from error
+
+
+class _PooledResponse:
+    """A reply on a connection that goes back to the network once read whole."""
+
+    def __init__(self, network, address, client, raw, request):
+        self.status = raw.status_code
+        self.headers = {str(k).lower(): v for k, v in raw.items()}
+        self._network = network
+        self._address = address
+        self._client = client
+        self._raw = raw
+        self._request = request
+        self._complete = False
+
+    def read(self, size_bytes=None):
+        data = self._guard(
+            self._raw.read, *(() if size_bytes is None else (size_bytes,))
+        )
+        if size_bytes is None or not data:
+            self._complete = True
+        return bytes(data)
+
+    def lines(self):
+        while True:
+            line = self._guard(self._raw.readline, b"\n")
+            if not line:
+                self._complete = True
+                return
+            if line.strip():
+                yield bytes(line).rstrip(b"\n")
+
+    def close(self):
+        client, self._client = self._client, None
+        if client is None:
+            return
+        keep = (
+            self._complete and not self._request.fresh and not self._raw.should_close()
+        )
+        self._raw.release()
+        if keep:
+            self._network._give_back(self._address, client)
+        else:
+            client.close()
+
+    def _guard(self, function, *args):
+        try:
+            with gevent.Timeout(self._request.timeout_s):
+                return function(*args)
+        except gevent.Timeout as error:
+            raise ExchangeError(
+                f"{self._address} went silent for {self._request.timeout_s} s"
+            ) from error
+        except Exception as error:
+            raise ExchangeError(f"reply of {self._address} broke: {error!r}") from error
--- /dev/null
+++ b/briarbeam/kernel/rpc.py
@@ -0,0 +1,127 @@
+"""Control calls between daemons: grpclib on an asyncio loop inside gevent.
+
+The loop runs in one greenlet. Callers in other greenlets hand their coroutine over
+with ``call_soon_threadsafe``, which wakes the loop, and wait on an ``AsyncResult``.
+"""
+
+import asyncio
+
+import asyncio_gevent
+import gevent
+from gevent.event import AsyncResult
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server
+
+from .errors import ConnectError, ExchangeError
+
+CALL_TIMEOUT_S = 2.0
+
+
+class RpcLoop:
+    """The asyncio loop of a process, with the channels to its peers.
+
+    :param source_host: the IP number that connections leave from, or None.
+    """
+
+    def __init__(self, source_host=None):
+        self._loop = asyncio_gevent.EventLoop()
+        self._source_host = source_host
+        self._channels = {}
+        self._servers = []
+        self._greenlet = None
+
+    def start(self):
+        """Run the loop in a greenlet of its own."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self):
+        """Close servers and channels and end the loop."""
+        for server in self._servers:
+            server.close()
+        for channel in self._channels.values():
+            channel.close()
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        if self._greenlet is not None:
+            self._greenlet.join(timeout=1.0)
+
+    def serve(self, address, services):
+        """Serve `services` on `address`."""
+        server = Server(services, loop=self._loop)
+        self._servers.append(server)
+        self.wait(server.start(address.host, address.port))
+
+    def call(self, address, stub, method, message, timeout_s=CALL_TIMEOUT_S):
+        """Call ``stub.method`` at `address` with `message` and return the reply.
+
+        :param timeout_s: seconds until the call is given up.
+        :raises ConnectError: if no connection was made.
+        :raises ExchangeError: if the call failed after that, or took too long.
+        """
+        channel = self._channel(address)
+        try:
+            return self.wait(
+                getattr(stub(channel), method)(message, timeout=timeout_s),
+                timeout_s + 0.5,
+            )
+        except ConnectionRefusedError as error:
+            raise ConnectError(f"no connection to {address}: {error}") from error
+        except (
+            GRPCError,
+            StreamTerminatedError,
+            OSError,
+            TimeoutError,
+            gevent.Timeout,
+        ) as error:
+            self._drop(address)
+            raise ExchangeError(f"{method} at {address} failed: {error!r}") from error
+
+    def wait(self, coroutine, timeout_s=None):
+        """Run `coroutine` on the loop and return its result."""
+        result = AsyncResult()
+
+        def start():
+            task = self._loop.create_task(coroutine)
+            task.add_done_callback(lambda done: _settle(done, result))
+
+        self._loop.call_soon_threadsafe(start)
+        return result.get(timeout=timeout_s)
+
+    def _run(self):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    def _channel(self, address):
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = _SourceChannel(address.host, address.port, loop=self._loop)
+            channel.source_host = self._source_host
+            self._channels[address] = channel
+        return channel
+
+    def _drop(self, address):
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            self._loop.call_soon_threadsafe(channel.close)
+
+
+class _SourceChannel(Channel):
+    """A channel whose connections leave from `source_host`."""
+
+    source_host = None
+
+    async def _create_connection(self):
+        local = (self.source_host, 0) if self.source_host else None
+        _, protocol = await self._loop.create_connection(
+            self._protocol_factory, self._host, self._port, local_addr=local
+        )
+        return protocol
+
+
+def _settle(task, result):
+    if task.cancelled():
+        result.set_exception(TimeoutError("the call was cancelled"))
+    elif task.exception() is not None:
+        result.set_exception(task.exception())
+    else:
+        result.set(task.result())
--- /dev/null
+++ b/briarbeam/membership/members.py
@@ -0,0 +1,56 @@
+"""The instances of the system, as the platform lists them."""
+
+import hashlib
+import json
+from dataclasses import dataclass
+
+from ..kernel.network import Address
+
+
+@dataclass(frozen=True)
+class Member:
+    """One daemon of the system."""
+
+    name: str
+    role: str
+    region: str
+    failure_domain: str
+    http: Address
+    control: Address
+    leaving: bool = False
+    models: tuple[str, ...] = ()
+    service: str | None = None
+
+    @classmethod
+    def from_dict(cls, raw):
+        """Return the member that an entry of the instance list describes."""
+        return cls(
+            name=raw["name"],
+            role=raw["role"],
+            region=raw["region"],
+            failure_domain=raw["failure_domain"],
+            http=Address.parse(raw["http"]),
+            control=Address.parse(raw["control"]),
+            leaving=raw.get("state") == "leaving",
+            models=tuple(raw.get("models", ())),
+            service=raw.get("service"),
+        )
+
+
+def parse_members(body):
+    """Return the members in the body of the instances document, by name."""
+    members = map(Member.from_dict, json.loads(body).get("instances", []))
+    return {member.name: member for member in members}
+
+
+def rendezvous_order(key, names):
+    """Return `names` in the order that `key` gives them.
+
+    Every daemon computes the same order without agreement, and a name that comes
+    or goes moves no other name past its neighbours.
+    """
+
+    def weight(name):
+        return hashlib.blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+
+    return sorted(names, key=weight)
--- /dev/null
+++ b/briarbeam/platform/client.py
@@ -0,0 +1,168 @@
+"""Clients of the platform: object API, origin of weights and instance list.
+
+A call is bounded in time. `PlatformUnavailableError` means that it took no effect,
+`PlatformUnknownError` that a write may have, and has to be read back.
+"""
+
+import json
+from dataclasses import dataclass
+
+from prometheus_client import Counter
+
+from ..kernel.errors import (
+    ChunkUnavailableError,
+    ConflictError,
+    ConnectError,
+    ExchangeError,
+    NotFoundError,
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+)
+from ..kernel.network import HttpRequest, fetch
+
+_CALLS = Counter("briarbeam_platform_calls", "Calls to the platform", ["kind"])
+_FAILURES = Counter("briarbeam_platform_failures", "Failed platform calls", ["kind"])
+WATCH_SLACK_S = 2.0
+
+
+@dataclass
+class StoredObject:
+    """An object as the platform holds it.
+
+    :param version: grows with every write of any object; 0 means absent.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: dict
+
+
+class ObjectApi:
+    """The platform's object API: versions, conditional updates, watches.
+
+    :param timeout_s: seconds until a call is given up.
+    """
+
+    def __init__(self, network, address, timeout_s=2.0):
+        self._network = network
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def get(self, kind, name):
+        """Return the object, or raise `NotFoundError`."""
+        status, body = self._call("get", "GET", f"/objects/{kind}/{name}")
+        if status == 404:
+            raise NotFoundError(f"no {kind} is called {name!r}")
+        return StoredObject(kind, name, body["version"], body["value"])
+
+    def list(self, kind):
+        """Return all objects of `kind`."""
+        _, body = self._call("list", "GET", f"/objects/{kind}")
+        return [
+            StoredObject(kind, item["name"], item["version"], item["value"])
+            for item in body["items"]
+        ]
+
+    def put(self, kind, name, value, if_version=None):
+        """Write an object and return its new version.
+
+        :param if_version: the version it must have now; 0 for absent, None for any.
+        :raises ConflictError: if it has another version.
+        :raises PlatformUnknownError: if the write may have taken effect.
+        """
+        condition = "" if if_version is None else f"?if_version={if_version}"
+        status, body = self._call(
+            "put", "PUT", f"/objects/{kind}/{name}{condition}", value
+        )
+        if status == 409:
+            raise ConflictError(f"{kind} {name!r} has version {body['version']}")
+        return body["version"]
+
+    def delete(self, kind, name, if_version=None):
+        """Delete an object.
+
+        :raises ConflictError: if it has another version than `if_version`.
+        """
+        condition = "" if if_version is None else f"?if_version={if_version}"
+        status, body = self._call(
+            "delete", "DELETE", f"/objects/{kind}/{name}{condition}"
+        )
+        if status == 409:
+            raise ConflictError(f"{kind} {name!r} has version {body['version']}")
+
+    def watch(self, kind, name, after_version, wait_s):
+        """Return the object once its version is above `after_version`.
+
+        :param wait_s: seconds to wait for a change.
+        :returns: the object, or None if nothing changed.
+        """
+        path = f"/watch/{kind}/{name}?after={after_version}&wait_s={wait_s}"
+        status, body = self._call(
+            "watch", "GET", path, timeout_s=wait_s + WATCH_SLACK_S
+        )
+        if status == 404 or body.get("version", 0) <= after_version:
+            return None
+        return StoredObject(kind, name, body["version"], body["value"])
+
+    def instances(self):
+        """Return the lagging instance list: its revision and its entries."""
+        _, body = self._call("instances", "GET", "/instances")
+        return body["revision"], body["instances"]
+
+    def _call(self, kind, method, path, value=None, timeout_s=None):
+        _CALLS.labels(kind).inc()
+        body = b"" if value is None else json.dumps(value).encode()
+        writes = method != "GET"
+        request = HttpRequest(
+            method, path, body, {}, timeout_s or self._timeout_s, fresh=writes
+        )
+        try:
+            status, headers, raw = fetch(self._network, self._address, request)
+            if status < 500 and status != 429:
+                return status, json.loads(raw or b"{}")
+        except ConnectError as error:
+            _FAILURES.labels(kind).inc()
+            raise PlatformUnavailableError(str(error), retry_after_s=1.0) from error
+        except (ExchangeError, ValueError) as error:
+            _FAILURES.labels(kind).inc()
+            kind_of_error = PlatformUnknownError if writes else PlatformUnavailableError
+            raise kind_of_error(str(error), retry_after_s=1.0) from error
+        _FAILURES.labels(kind).inc()
+        if status in (429, 503):
+            retry_after_s = float(headers.get("retry-after", 1.0))
+            raise PlatformUnavailableError(
+                f"{method} {path}: status {status}", retry_after_s=retry_after_s
+            )
+        raise PlatformError(f"{method} {path}: status {status}")
+
+
+class Origin:
+    """The origin of weights: manifests and chunks by their digest."""
+
+    def __init__(self, network, address, timeout_s=5.0):
+        self._network = network
+        self._address = address
+        self._timeout_s = timeout_s
+
+    def read(self, digest):
+        """Return the bytes stored under `digest`, unverified.
+
+        :raises ChunkUnavailableError: if the origin doesn't give them now.
+        """
+        _CALLS.labels("origin").inc()
+        request = HttpRequest("GET", f"/blobs/{digest}", timeout_s=self._timeout_s)
+        try:
+            status, headers, body = fetch(self._network, self._address, request)
+        except (ConnectError, ExchangeError) as error:
+            _FAILURES.labels("origin").inc()
+            raise ChunkUnavailableError(str(error), retry_after_s=1.0) from error
+        if status != 200:
+            _FAILURES.labels("origin").inc()
+            retry_after_s = float(headers.get("retry-after", 1.0))
+            raise ChunkUnavailableError(
+                f"the origin answered {status} for {digest}",
+                retry_after_s=retry_after_s,
+            )
+        return body
--- /dev/null
+++ b/briarbeam/settings.py
@@ -0,0 +1,177 @@
+"""Settings: one TOML file a process, checked before anything starts."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import (
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    Field,
+    ValidationError,
+    model_validator,
+)
+
+from .kernel.errors import SettingsError
+from .kernel.network import Address
+
+
+def _to_address(value):
+    if isinstance(value, Address):
+        return value
+    try:
+        return Address.parse(value)
+    except (SettingsError, AttributeError) as error:
+        raise ValueError(f"expected IP:PORT as text, got {value!r}") from error
+
+
+AddressField = Annotated[Address, BeforeValidator(_to_address)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class InstanceSettings(_Section):
+    """Who and where this process is."""
+
+    name: str
+    region: str
+    failure_domain: str
+
+
+class ListenSettings(_Section):
+    """Where this process listens, and where its peers reach it."""
+
+    http: AddressField
+    control: AddressField
+    advertised_http: AddressField | None = None
+    advertised_control: AddressField | None = None
+    source_host: str | None = None
+
+    @property
+    def peers_http(self):
+        """The HTTP address that peers use."""
+        return self.advertised_http or self.http
+
+    @property
+    def peers_control(self):
+        """The control address that peers use."""
+        return self.advertised_control or self.control
+
+
+class PlatformSettings(_Section):
+    """Where the platform's services are."""
+
+    object_api: AddressField
+    origin: AddressField
+    call_timeout_s: float = Field(2.0, gt=0)
+
+
+class SpreadSettings(_Section):
+    """How configuration and membership reach this process."""
+
+    exchange_interval_s: float = Field(1.0, gt=0)
+    watch_timeout_s: float = Field(10.0, gt=0)
+    stale_after_s: float = Field(3.0, gt=0)
+
+
+class EntrySettings(_Section):
+    """An entry daemon's share of the policy."""
+
+    operator_tokens: dict[str, str] = Field(default_factory=dict)
+    default_deadline_s: float = Field(30.0, gt=0)
+    attempts_max: int = Field(3, ge=1)
+    retry_budget_ratio: float = Field(0.2, ge=0)
+
+
+class TargetSettings(_Section):
+    """A target daemon's back end and its limits."""
+
+    backend: Literal["engine", "service"]
+    backend_address: AddressField
+    models: list[str] = Field(default_factory=list)
+    service: str | None = None
+    cold_concurrency: int = Field(2, ge=1)
+    warm_concurrency: int = Field(16, ge=1)
+    queue_max: int = Field(16, ge=0)
+    order_timeout_s: float = Field(30.0, gt=0)
+    engine_checks_fencing: bool = True
+
+    @model_validator(mode="after")
+    def _check_backend(self):
+        if self.backend == "engine" and not self.models:
+            raise ValueError("an engine needs 'models', a list of model names")
+        if self.backend == "service" and not self.service:
+            raise ValueError("a service needs 'service', its name")
+        return self
+
+
+class WeightsSettings(_Section):
+    """How weights are moved and held."""
+
+    memory_max_bytes: int = Field(8 * 1024**3, gt=0)
+    link_bytes_per_s: float | None = Field(None, gt=0)
+    fetchers: int = Field(4, ge=1)
+    step_in_delay_s: float = Field(2.0, gt=0)
+    stall_after_s: float = Field(3.0, gt=0)
+
+
+class TelemetrySettings(_Section):
+    """Logs, metrics and traces."""
+
+    log_format: Literal["json", "console"] = "json"
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+    trace_sample_ratio: float = Field(0.01, ge=0, le=1)
+
+
+class Settings(_Section):
+    """All settings of one process."""
+
+    role: Literal["entry", "target"]
+    instance: InstanceSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    spread: SpreadSettings = SpreadSettings()
+    entry: EntrySettings | None = None
+    target: TargetSettings | None = None
+    weights: WeightsSettings = WeightsSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+    drain_timeout_s: float = Field(60.0, gt=0)
+
+    @model_validator(mode="after")
+    def _check_role(self):
+        if getattr(self, self.role) is None:
+            raise ValueError(f"role {self.role!r} needs a section [{self.role}]")
+        return self
+
+
+def load(path):
+    """Read and check the settings file at `path`.
+
+    :raises SettingsError: naming each key at fault, its value and what is expected.
+    """
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+    return check(raw, str(path))
+
+
+def check(raw, source="settings"):
+    """Return the validated settings made from the mapping `raw`."""
+    try:
+        return Settings.model_validate(raw)
+    except ValidationError as error:
+        lines = [f"{source}: {_explain(fault)}" for fault in error.errors()]
+        raise SettingsError("\n".join(lines)) from error
+
+
+def _explain(fault):
+    key = ".".join(str(part) for part in fault["loc"]) or "(file)"
+    value = fault["input"]
+    shown = "" if isinstance(value, dict) else f" = {value!r}"
+    return f"{key}{shown}: {fault['msg']}"
--- /dev/null
+++ b/standins/object_api.py
@@ -0,0 +1,168 @@
+"""A stand-in of the platform's object API and its lagging instance list."""
+
+from .base import Faults, new_router, parser, serve  # isort: skip
+
+import time
+from collections import Counter
+
+import gevent
+from gevent.event import Event
+
+from briarbeam.kernel.http import Response
+
+VALUE_MAX_BYTES = 1_000_000
+
+
+class ObjectApi:
+    """Objects with versions, conditional updates and watches, all in memory.
+
+    Faults: ``mode`` is ``ok``, ``down`` (503), ``silent`` (no answer) or ``lose``
+    (writes take effect and their answers are lost); ``delay_s`` slows every call;
+    ``rate_per_s`` refuses calls above it; ``list_lag_s`` holds the instance list
+    back; ``stale_reads`` serves each object's previous version.
+    """
+
+    def __init__(self):
+        self.faults = Faults(
+            mode="ok", delay_s=0.0, rate_per_s=0, list_lag_s=1.0, stale_reads=False
+        )
+        self._objects = {}
+        self._previous = {}
+        self._revision = 0
+        self._changed = Event()
+        self._instances = {}
+        self._list_history = [(0.0, 0, [])]
+        self._counts = Counter()
+        self._second = (0, 0)
+
+    def router(self):
+        """Return the router that serves this object."""
+        router = new_router(self.faults)
+        router.add("GET", "/objects/{kind}", self._guard(self.list))
+        router.add("GET", "/objects/{kind}/{name}", self._guard(self.get))
+        router.add("PUT", "/objects/{kind}/{name}", self._guard(self.put))
+        router.add("DELETE", "/objects/{kind}/{name}", self._guard(self.delete))
+        router.add("GET", "/watch/{kind}/{name}", self._guard(self.watch))
+        router.add("GET", "/instances", self._guard(self.instances))
+        router.add("PUT", "/instances/{name}", self.put_instance)
+        router.add("DELETE", "/instances/{name}", self.delete_instance)
+        router.add("GET", "/counts", self.counts)
+        return router
+
+    def get(self, request, kind, name):
+        source = self._previous if self.faults.stale_reads else self._objects
+        item = source.get((kind, name)) or self._objects.get((kind, name))
+        if item is None:
+            return Response.of_json({"version": 0}, 404)
+        return Response.of_json({"version": item[0], "value": item[1]})
+
+    def list(self, request, kind):
+        items = [
+            {"name": name, "version": version, "value": value}
+            for (its_kind, name), (version, value) in sorted(self._objects.items())
+            if its_kind == kind
+        ]
+        return Response.of_json({"revision": self._revision, "items": items})
+
+    def put(self, request, kind, name):
+        if len(request.body) > VALUE_MAX_BYTES:
+            return Response.of_json({"error": "value too large"}, 413)
+        held = self._objects.get((kind, name))
+        conflict = self._conflict(request, held)
+        if conflict:
+            return conflict
+        self._revision += 1
+        if held:
+            self._previous[kind, name] = held
+        self._objects[kind, name] = (self._revision, request.json())
+        self._wake()
+        return Response.of_json({"version": self._revision})
+
+    def delete(self, request, kind, name):
+        held = self._objects.get((kind, name))
+        conflict = self._conflict(request, held)
+        if conflict:
+            return conflict
+        self._revision += 1
+        self._objects.pop((kind, name), None)
+        self._wake()
+        return Response.of_json({"version": self._revision})
+
+    def watch(self, request, kind, name):
+        after = int(request.query["after"])
+        until_s = time.monotonic() + float(request.query["wait_s"])
+        while time.monotonic() < until_s and self.faults.mode == "ok":
+            held = self._objects.get((kind, name))
+            if held and held[0] > after:
+                return Response.of_json({"version": held[0], "value": held[1]})
+            self._changed.wait(min(0.5, until_s - time.monotonic()))
+        return Response.of_json({"version": 0}, 404)
+
+    def instances(self, request):
+        visible_s = time.monotonic() - self.faults.list_lag_s
+        shown = [entry for entry in self._list_history if entry[0] <= visible_s]
+        _, revision, instances = (shown or self._list_history[:1])[-1]
+        return Response.of_json({"revision": revision, "instances": instances})
+
+    def put_instance(self, request, name):
+        self._instances[name] = request.json()
+        return self._note_instances()
+
+    def delete_instance(self, request, name):
+        self._instances.pop(name, None)
+        return self._note_instances()
+
+    def counts(self, request):
+        return Response.of_json(dict(self._counts))
+
+    def _note_instances(self):
+        revision = self._list_history[-1][1] + 1
+        snapshot = [self._instances[name] for name in sorted(self._instances)]
+        self._list_history.append((time.monotonic(), revision, snapshot))
+        return Response.of_json({"revision": revision})
+
+    def _conflict(self, request, held):
+        wanted = request.query.get("if_version")
+        version = held[0] if held else 0
+        if wanted is None or int(wanted) == version:
+            return None
+        return Response.of_json({"version": version}, 409)
+
+    def _wake(self):
+        self._changed.set()
+        self._changed.clear()
+
+    def _guard(self, handler):
+        """Wrap `handler` with call counts, rate limit and faults."""
+
+        def guarded(request, **names):
+            self._counts[handler.__name__] += 1
+            if self._over_rate():
+                return Response.of_json({}, 429, retry_after=1)
+            gevent.sleep(self.faults.delay_s)
+            if self.faults.mode == "down":
+                return Response.of_json({}, 503, retry_after=1)
+            if self.faults.mode == "silent":
+                gevent.sleep(60)
+            response = handler(request, **names)
+            if self.faults.mode == "lose" and request.method != "GET":
+                request.connection.close()
+                raise ConnectionResetError("answer lost on purpose")
+            return response
+
+        return guarded
+
+    def _over_rate(self):
+        second, count = self._second
+        now = int(time.monotonic())
+        self._second = (now, count + 1 if second == now else 1)
+        return self.faults.rate_per_s and self._second[1] > self.faults.rate_per_s
+
+
+def main():
+    arguments = parser(__doc__).parse_args()
+    serve(arguments.listen, ObjectApi().router())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,70 @@
+"""A stand-in of a plain service with an append-only record of what ran."""
+
+from .base import Faults, Truth, new_router, parser, serve  # isort: skip
+
+import hashlib
+import uuid
+
+import gevent
+
+from briarbeam.kernel.http import Response
+
+INCARNATION_HEADER = "x-incarnation"
+
+
+class Service:
+    """Records what is sent to it and answers lookups.
+
+    Faults: ``delay_s`` slows every call; ``lose_answers`` runs a call and closes
+    the connection; ``silent`` runs a call and never answers.
+    """
+
+    def __init__(self, truth):
+        self.faults = Faults(delay_s=0.0, lose_answers=False, silent=False)
+        self._truth = truth
+        self._incarnation = uuid.uuid4().hex
+
+    def router(self):
+        """Return the router that serves this object."""
+        router = new_router(self.faults)
+        router.add("GET", "/status", self.status)
+        router.add("GET", "/truth", self._truth.show)
+        router.add("GET", "/call/{path...}", self.call)
+        router.add("POST", "/call/{path...}", self.call)
+        return router
+
+    def status(self, request):
+        return Response.of_json({"incarnation": self._incarnation})
+
+    def call(self, request, path):
+        gevent.sleep(self.faults.delay_s)
+        request_id = request.headers.get("x-request-id", "")
+        body = request.body.decode()
+        self._truth.add(
+            event="ran",
+            method=request.method,
+            path=path,
+            request_id=request_id,
+            body=body,
+        )
+        if self.faults.silent:
+            gevent.sleep(60)
+        if self.faults.lose_answers:
+            request.connection.close()
+            raise ConnectionResetError("answer lost on purpose")
+        receipt = hashlib.sha256(f"{path}/{body}".encode()).hexdigest()
+        answer = {"receipt": receipt, "request_id": request_id}
+        response = Response.of_json(answer)
+        response.headers[INCARNATION_HEADER] = self._incarnation
+        return response
+
+
+def main():
+    arguments = parser(__doc__)
+    arguments.add_argument("--truth", default=None)
+    options = arguments.parse_args()
+    serve(options.listen, Service(Truth(options.truth)).router())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,40 @@
+"""Settings are checked before anything starts."""
+
+import pytest
+
+from briarbeam.kernel.errors import SettingsError
+from briarbeam.settings import check
+
+
+def _raw(**changes):
+    raw = {
+        "role": "entry",
+        "instance": {"name": "e1", "region": "south", "failure_domain": "hobart"},
+        "listen": {"http": "127.0.0.1:8080", "control": "127.0.0.1:8081"},
+        "platform": {"object_api": "127.0.0.1:7000", "origin": "127.0.0.1:7001"},
+        "entry": {},
+    }
+    raw.update(changes)
+    return raw
+
+
+def test_defaults_work():
+    assert check(_raw()).entry.attempts_max == 3
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"colour": "red"}, "colour = 'red'"),
+        ({"drain_timeout": 3}, "drain_timeout = 3"),
+        (
+            {"listen": {"http": "here", "control": "127.0.0.1:1"}},
+            "listen.http = 'here'",
+        ),
+        ({"entry": None}, "role 'entry' needs a section"),
+    ],
+)
+def test_fault_is_named(changes, named):
+    with pytest.raises(SettingsError) as caught:
+        check(_raw(**changes))
+    assert named in str(caught.value)
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,43 @@
+"""The whole path, with separate processes."""
+
+from bench.callers import Callers
+from bench.site import Domain, Site
+
+DOMAINS = (
+    Domain("hobart", "south", entries=1, engines=2, services=1),
+    Domain("burnie", "north", entries=1, engines=1),
+)
+
+
+def test_version_reaches_engines_and_requests_are_answered():
+    with Site(DOMAINS) as site:
+        site.declare("v1")
+        site.wait_for(lambda: site.loaded("v1") == 3)
+        site.wait_for(lambda: site.ready() == len(site.instances))
+        callers = Callers(site, rate_per_s=20)
+        for number in range(10):
+            entry = site.entries()[number % 2]
+            outcome = callers.complete(entry, f"prompt {number}")
+            assert outcome.result == "ok"
+            assert outcome.version == "v1"
+        answer = site.ask(
+            site.entries()[0].http,
+            "POST",
+            "/services/ledger/settlements",
+            {"amount": 1},
+            {"idempotency-key": "k1"},
+        )
+        again = site.ask(
+            site.entries()[1].http,
+            "POST",
+            "/services/ledger/settlements",
+            {"amount": 1},
+            {"idempotency-key": "k1"},
+        )
+        assert again == answer
+        ran = [
+            record
+            for record in site.truth(site.targets("service")[0])
+            if record["event"] == "ran"
+        ]
+        assert len(ran) == 1
