Trace each hop, and stop a daemon without cutting a request

Cause: no spans existed, and a stop slept one second and closed whatever still ran. Ruled out: spans written by each plug-in (the HTTP border sees every hop once); the sampler's ratio alone, since a caller may ask for every trace to be sampled. Before: no /traces; streams that outlast the stop were cut. Conclusion: the border is the right place for both.

--- a/briarbeam/daemon.py
+++ b/briarbeam/daemon.py
@@ -6,6 +6,7 @@
 
 import argparse  # noqa: E402
 import importlib  # noqa: E402
+import os  # noqa: E402
 import signal  # noqa: E402
 import sys  # noqa: E402
 
@@ -21,7 +22,7 @@
 from .kernel.plugin import Kernel  # noqa: E402
 from .kernel.rpc import RpcLoop  # noqa: E402
 from .kernel.tasks import TaskGroup  # noqa: E402
-from .telemetry.plugin import configure_logs  # noqa: E402
+from .telemetry.logs import configure_logs  # noqa: E402
 
 PLUGIN_MODULES = (
     "telemetry.plugin",
@@ -33,8 +34,8 @@
     "entry.plugin",
     "operators.plugin",
 )
+EXIT_SECOND_SIGNAL = 1
 EXIT_SETTINGS = 2
-GRACE_BEFORE_CLOSE_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -77,23 +78,28 @@
         self._stop()
 
     def _stop(self):
+        """Stop so that no request is cut: readiness first, the listener last.
+
+        A balancer goes on sending for a while; what still comes in is served.
+        """
+        kernel = self._kernel
         _log.info("draining")
-        self._kernel.find("telemetry").set_draining()
-        for plugin in reversed(self._kernel.built()):
-            plugin.drain()
-        self._kernel.clock.sleep(GRACE_BEFORE_CLOSE_S)
-        for plugin in reversed(self._kernel.built()):
+        kernel.router.draining = True
+        for plugin in reversed(kernel.built()):
             plugin.drain()
-        for plugin in reversed(self._kernel.built()):
+        kernel.clock.sleep(self._settings.stop_notice_s)
+        if not kernel.router.wait_idle(self._settings.drain_timeout_s):
+            _log.warning("drain_timed_out", timeout_s=self._settings.drain_timeout_s)
+        for plugin in reversed(kernel.built()):
             plugin.stop()
         self._server.stop()
-        self._kernel.tasks.stop()
+        kernel.tasks.stop()
         self._rpc.stop()
         _log.info("stopped")
 
     def _on_signal(self):
         if self._stopping.is_set():
-            sys.exit(1)
+            os._exit(EXIT_SECOND_SIGNAL)
         self._stopping.set()
 
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -8,7 +8,9 @@
 from urllib.parse import parse_qs
 
 import structlog
+from gevent.event import Event
 from gevent.pywsgi import WSGIHandler, WSGIServer
+from opentelemetry import propagate, trace
 from prometheus_client import Counter
 
 from .errors import BriarbeamError, InvalidRequestError, NotFoundError
@@ -22,6 +24,7 @@
 }  # fmt: skip
 _REQUESTS = Counter("briarbeam_http_requests", "HTTP replies", ["route", "status"])
 _log = structlog.get_logger()
+_tracer = trace.get_tracer(__name__)
 
 
 @dataclass
@@ -98,7 +101,15 @@
     """
 
     def __init__(self):
+        self.draining = False
         self._routes = []
+        self._running = 0
+        self._idle = Event()
+        self._idle.set()
+
+    def wait_idle(self, timeout_s):
+        """Wait until no request is being answered and return whether that is so."""
+        return self._idle.wait(timeout_s)
 
     def add(self, method, path, handler):
         """Serve `method` on `path` by ``handler(request, **names)``."""
@@ -111,7 +122,7 @@
         route = "none"
         try:
             route, handler, names = self._find(request)
-            response = handler(request, **names)
+            response = self._traced(route, handler, request, names)
         except BriarbeamError as error:
             response = Response.of_error(error)
         except Exception as error:
@@ -120,6 +131,17 @@
         _REQUESTS.labels(route, response.status).inc()
         return response
 
+    def __call__(self, environ, start_response):
+        self._running += 1
+        self._idle.clear()
+        try:
+            response = self._respond(environ)
+            body = self._begin(response, start_response)
+        except BaseException:
+            self._leave()
+            raise
+        return _Body(body, self._leave)
+
     def _find(self, request):
         for method, pattern, path, handler in self._routes:
             match = pattern.match(request.path)
@@ -127,22 +149,66 @@
                 return path, handler, match.groupdict()
         raise NotFoundError(f"no such path: {request.method} {request.path}")
 
-    def __call__(self, environ, start_response):
+    def _traced(self, route, handler, request, names):
+        with _tracer.start_as_current_span(
+            f"{request.method} {route}",
+            context=propagate.extract(request.headers),
+            kind=trace.SpanKind.SERVER,
+        ) as span:
+            response = handler(request, **names)
+            span.set_attribute("http.response.status_code", response.status)
+            return response
+
+    def _respond(self, environ):
         try:
             request = _read_request(environ)
         except BriarbeamError as error:
-            response = Response.of_error(error)
-        else:
-            response = self.handle(request)
+            return Response.of_error(error)
+        return self.handle(request)
+
+    def _begin(self, response, start_response):
         headers = list(response.headers.items())
         body = response.body
         if isinstance(body, bytes):
             headers.append(("content-length", str(len(body))))
             body = [body]
+        if self.draining:
+            headers.append(("connection", "close"))
         reason = _REASONS.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
         return body
 
+    def _leave(self):
+        self._running -= 1
+        if not self._running:
+            self._idle.set()
+
+
+class _Body:
+    """A reply's body that tells when it was sent or given up.
+
+    The server closes it even if it never began to read it.
+    """
+
+    def __init__(self, pieces, on_close):
+        self._pieces = pieces
+        self._on_close = on_close
+
+    def __iter__(self):
+        return iter(self._pieces)
+
+    def close(self):
+        """Close what is underneath, then tell."""
+        on_close, self._on_close = self._on_close, None
+        if on_close is None:
+            return
+        try:
+            close = getattr(self._pieces, "close", None)
+            if close is not None:
+                close()
+        finally:
+            on_close()
+
 
 class HttpServer:
     """Serves a router on an address."""
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -12,6 +12,7 @@
 import gevent
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from opentelemetry import propagate, trace
 
 from .errors import ConnectError, ExchangeError, SettingsError
 
@@ -19,6 +20,8 @@
 IDLE_CONNECTIONS_MAX = 32
 READ_BLOCK_BYTES = 65536
 
+_tracer = trace.get_tracer(__name__)
+
 
 class Address(NamedTuple):
     """An IP number and a port."""
@@ -106,11 +109,21 @@
         self._idle = defaultdict(list)
 
     def send(self, address, request):
+        with _tracer.start_as_current_span(
+            f"{request.method} {address}",
+            context=_context_of(request),
+            kind=trace.SpanKind.CLIENT,
+        ):
+            return self._send(address, request)
+
+    def _send(self, address, request):
         client = self._take(address, request.fresh)
+        headers = dict(request.headers)
+        propagate.inject(headers)
         try:
             with gevent.Timeout(request.timeout_s):
                 raw = client.request(
-                    request.method, request.path, request.body, request.headers
+                    request.method, request.path, request.body, headers
                 )
         except ConnectError:
             client.close()
@@ -159,6 +172,13 @@
             client.close()
 
 
+def _context_of(request):
+    """Return the trace context to send in: the task's own, or the request's."""
+    if trace.get_current_span().get_span_context().is_valid:
+        return None
+    return propagate.extract(request.headers)
+
+
 class _SourcePool(ConnectionPool):
     """A pool whose sockets leave from `source_host`; failed connects are typed."""
 
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -124,6 +124,8 @@
     log_format: Literal["json", "console"] = "json"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     trace_sample_ratio: float = Field(0.01, ge=0, le=1)
+    trace_spans_per_s_max: float = Field(50.0, ge=0)
+    trace_spans_kept: int = Field(500, ge=0)
 
 
 class Settings(_Section):
@@ -138,6 +140,7 @@
     target: TargetSettings | None = None
     weights: WeightsSettings = WeightsSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    stop_notice_s: float = Field(1.0, ge=0)
     drain_timeout_s: float = Field(60.0, gt=0)
 
     @model_validator(mode="after")
--- /dev/null
+++ b/briarbeam/telemetry/logs.py
@@ -0,0 +1,28 @@
+"""Logs: structured lines, written on changes of state."""
+
+import logging
+
+import structlog
+
+
+def configure_logs(settings):
+    """Set the process's logs up.
+
+    :param settings: the `TelemetrySettings` to follow.
+    """
+    renderer = (
+        structlog.processors.JSONRenderer()
+        if settings.log_format == "json"
+        else structlog.dev.ConsoleRenderer(colors=False)
+    )
+    level = getattr(logging, settings.log_level.upper())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+    )
--- a/briarbeam/telemetry/plugin.py
+++ b/briarbeam/telemetry/plugin.py
@@ -1,48 +1,25 @@
-"""Logs, metrics, health and traces."""
+"""What a daemon shows of itself: metrics, health, readiness and traces."""
 
-import logging
-
-import structlog
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
-
-
-def configure_logs(settings):
-    """Set the process's logs up as the settings say."""
-    renderer = (
-        structlog.processors.JSONRenderer()
-        if settings.log_format == "json"
-        else structlog.dev.ConsoleRenderer(colors=False)
-    )
-    level = getattr(logging, settings.log_level.upper())
-    structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            renderer,
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(level),
-    )
+from .traces import install_tracer
 
 
 @plugins.register("telemetry")
 class TelemetryPlugin(Plugin):
-    """Serves ``/metrics``, ``/healthz`` and ``/readyz``."""
+    """Serves ``/metrics``, ``/healthz``, ``/readyz`` and ``/traces``."""
 
     def __init__(self, kernel):
         super().__init__(kernel)
-        self._draining = False
+        self._ring = install_tracer(
+            self.settings.telemetry, self.settings.instance, self.clock
+        )
         kernel.router.add("GET", "/metrics", self._metrics)
         kernel.router.add("GET", "/healthz", self._healthz)
         kernel.router.add("GET", "/readyz", self._readyz)
-
-    def set_draining(self):
-        """Say from now on that this process is not ready."""
-        self._draining = True
+        kernel.router.add("GET", "/traces", self._traces)
 
     def _metrics(self, request):
         return Response(200, generate_latest(), {"content-type": CONTENT_TYPE_LATEST})
@@ -56,6 +33,10 @@
             for plugin in self.kernel.built()
             if not plugin.ready()
         ]
-        ready = not waiting and not self._draining
-        body = {"ready": ready, "draining": self._draining, "waiting": waiting}
+        draining = self.kernel.router.draining
+        ready = not waiting and not draining
+        body = {"ready": ready, "draining": draining, "waiting": waiting}
         return Response.of_json(body, 200 if ready else 503)
+
+    def _traces(self, request):
+        return Response.of_json({"spans": self._ring.to_list()})
