--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -9,6 +9,7 @@
 import json
 import random
 
+import gevent
 from prometheus_client import Counter, Gauge
 
 from ..kernel.errors import NetworkError, NotFoundError, PlatformError
@@ -77,8 +78,23 @@
         for member in self._peers(PUSH_FANOUT):
             self.kernel.tasks.spawn(self.exchange, member)
 
+    def refresh(self):
+        """Ask the platform and a few peers at once what is in force.
+
+        :returns: whether any of them answered.
+        """
+        asked = [gevent.spawn(self.exchange, peer) for peer in self._peers(PUSH_FANOUT)]
+        asked.append(gevent.spawn(self._ask_platform))
+        try:
+            return any(done.value for done in gevent.iwait(asked))
+        finally:
+            gevent.killall(asked, block=False)
+
     def exchange(self, member):
-        """Exchange digests with `member` and fetch what is newer there."""
+        """Exchange digests with `member` and fetch what is newer there.
+
+        :returns: whether it answered.
+        """
         message = self.digest_exchange()
         call = self.kernel.rpc.call
         stub = control_grpc.ControlStub
@@ -98,8 +114,18 @@
                 )
         except NetworkError:
             _EXCHANGES.labels("failed").inc()
-            return
+            return False
         _EXCHANGES.labels("done").inc()
+        return True
+
+    def _ask_platform(self):
+        try:
+            self._read_head()
+        except PlatformError:
+            return False
+        except NotFoundError:
+            return True
+        return True
 
     def digest_exchange(self):
         """Return the digests of what this daemon holds."""
--- a/briarbeam/gate/admission.py
+++ b/briarbeam/gate/admission.py
@@ -1,11 +1,13 @@
 """Admission: how much work a target takes, decided in the one place all work passes.
 
-A cold back end gets a small limit that grows with each finished request. Waiting
-requests are served by priority, then by each team's share.
+A request first gets a place, of which there are as many as the limit, and then its
+turn to be sent. A cold back end has a small limit that grows with each finished
+request. A back end may turn cold without a word; therefore no more requests than a
+cold one bears are ever on their way without having been seen by the incarnation
+that the limit was learnt from.
 """
 
-import itertools
-from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from gevent.event import Event
@@ -15,32 +17,51 @@
     DeadlineExpiredError,
     DrainingError,
     OverloadedError,
+    StalledError,
     UnavailableError,
+    WithdrawnError,
 )
 from ..kernel.registry import Registry
+from .waiting import FairQueue
 
 closed_reasons = Registry("reason to be closed")
 closed_reasons.register("changing")(ChangingVersionError)
 closed_reasons.register("leaving")(DrainingError)
 closed_reasons.register("out_of_service")(DrainingError)
 closed_reasons.register("backend")(UnavailableError)
+closed_reasons.register("stalled")(StalledError)
 
 RETRY_AFTER_S = 0.5
+RETRY_AFTER_MIN_S = 0.05
+RETRY_AFTER_MAX_S = 10.0
+SETTLE_S = 0.05
+SMOOTHING = 0.2
+
+
+def _never_gone():
+    return False
 
 
 @dataclass(eq=False)
 class Ticket:
-    """One request's place in a target.
+    """One request's way through a target.
 
     :param deadline_s: monotonic time after which the request must not be sent.
+    :param gone: returns whether the caller is gone.
+    :param seen: whether the back end's present incarnation is known to have it.
     """
 
     team: str
     priority: int
     deadline_s: float
     weight: float = 1.0
-    granted: Event = field(default_factory=Event)
+    gone: Callable[[], bool] = _never_gone
     refusal: Exception | None = None
+    sent_at_s: float | None = None
+    seen: bool = False
+    epoch: int | None = None
+    placed: Event = field(default_factory=Event)
+    turn: Event = field(default_factory=Event)
 
 
 @dataclass(frozen=True)
@@ -76,14 +97,17 @@
     def __init__(self, clock, cold_limit, warm_limit, queue_max):
         self._clock = clock
         self._cold_limit = cold_limit
-        self._warm_limit = warm_limit
+        self._warm_limit = max(cold_limit, warm_limit)
         self._queue_max = queue_max
         self._limit = cold_limit
-        self._running = set()
-        self._waiting = []
-        self._served = defaultdict(float)
-        self._order = itertools.count()
+        self._epoch = 0
+        self._waiting = FairQueue()
+        self._places = set()
+        self._ready = []
+        self._started = set()
+        self._service_s = None
         self._closed = {"backend": "not yet seen"}
+        self._doubted = False
         self._idle = Event()
         self._idle.set()
 
@@ -91,104 +115,231 @@
         """Return the present load."""
         closed = next(iter(self._closed), "")
         cold = self._limit < self._warm_limit
-        running = len(self._running)
-        return Load(running, self._limit, len(self._waiting), cold, closed)
+        return Load(len(self._places), self._limit, len(self._waiting), cold, closed)
 
     def enter(self, ticket):
         """Return once `ticket` has a place; raise a typed "not run" otherwise.
 
-        :raises OverloadedError: if the queue is full.
+        :raises OverloadedError: if the queue is full or too slow for the deadline.
         :raises DeadlineExpiredError: if the deadline passes first.
+        :raises WithdrawnError: if the caller goes first.
         """
         self._refuse_if_closed()
-        if len(self._waiting) >= self._queue_max + self._free_places():
-            raise OverloadedError(
-                "the target's queue is full", retry_after_s=RETRY_AFTER_S
-            )
-        self._waiting.append((next(self._order), ticket))
-        self._grant()
-        remaining_s = ticket.deadline_s - self._clock.monotonic_s()
-        ticket.granted.wait(max(0.0, remaining_s))
-        if ticket.refusal is not None:
-            raise ticket.refusal
-        if ticket not in self._running:
-            self._forget(ticket)
-            raise DeadlineExpiredError("no place became free before the deadline")
+        self._refuse_if_hopeless(ticket)
+        self._make_room(ticket)
+        self._waiting.push(ticket)
+        self._advance()
+        self._await(ticket, ticket.placed)
+
+    def start(self, ticket):
+        """Return once `ticket` may be sent; raise a typed "not run" otherwise."""
+        try:
+            self._refuse_if_closed()
+            self._refuse_if_late(ticket)
+        except Exception:
+            self.leave(ticket, finished=False)
+            raise
+        self._ready.append(ticket)
+        self._advance()
+        self._await(ticket, ticket.turn)
         self.check(ticket)
 
     def check(self, ticket):
         """Raise if `ticket` must not be sent now; call it right before the send."""
         try:
             self._refuse_if_closed()
-            if self._clock.monotonic_s() >= ticket.deadline_s:
-                raise DeadlineExpiredError("the deadline passed before the send")
+            self._refuse_if_late(ticket)
         except Exception:
             self.leave(ticket, finished=False)
             raise
 
+    def note_seen(self, ticket, present=True):
+        """Note that the back end named itself in its answer to `ticket`.
+
+        :param present: whether it is the incarnation that answers now; a request of
+            an earlier one is no load on this one and says nothing about it.
+        """
+        if ticket.seen:
+            return
+        ticket.seen = True
+        ticket.epoch = self._epoch if present else None
+        self._advance()
+
+    def note_probe(self, started_s):
+        """Note that the present incarnation answered a probe begun at `started_s`.
+
+        What was sent well before is taken as seen by it.
+        """
+        for ticket in self._started:
+            if not ticket.seen and ticket.sent_at_s + SETTLE_S <= started_s:
+                ticket.seen = True
+                ticket.epoch = self._epoch
+        self._doubted = False
+        self._advance()
+
     def leave(self, ticket, finished):
-        """Give the place back.
+        """Give the place back; harmless if there is none.
 
         :param finished: whether the back end finished the request whole.
         """
-        if ticket not in self._running:
+        if ticket not in self._places:
             return
-        self._running.discard(ticket)
-        if finished:
-            self._limit = min(self._warm_limit, self._limit + 1)
-        if not self._running:
-            self._idle.set()
-        self._grant()
+        if finished and ticket in self._started:
+            self._learn(ticket)
+        self._discard(ticket)
+        self._advance()
 
     def turn_cold(self):
         """Start over with the cold limit."""
         self._limit = self._cold_limit
+        self._epoch += 1
+
+    def shrink(self):
+        """Halve the limit, after the back end refused or fell silent."""
+        self._limit = max(self._cold_limit, self._limit // 2)
+
+    def doubt(self):
+        """Send nothing until a probe has shown who is there."""
+        self._doubted = True
 
     def close(self, reason, detail=""):
-        """Take no new work; waiting requests are refused at once."""
+        """Take no new work; what was not sent is refused at once."""
         closed_reasons.get(reason)
         self._closed[reason] = detail
-        refused, self._waiting = self._waiting, []
-        for _, ticket in refused:
-            ticket.refusal = self._refusal()
-            ticket.granted.set()
+        for ticket in [*self._waiting, *self._ready]:
+            self._refuse(ticket, self._refusal())
 
     def open(self, reason):
         """Lift one reason to be closed."""
         self._closed.pop(reason, None)
-        self._grant()
+        self._advance()
 
     def wait_idle(self, timeout_s):
         """Wait until nothing runs and return whether that is so."""
         return self._idle.wait(timeout_s)
 
+    def sweep(self):
+        """Refuse waiting requests that have become pointless; call it often."""
+        for ticket in [*self._waiting, *self._ready]:
+            try:
+                self._refuse_if_late(ticket)
+            except DeadlineExpiredError as error:
+                self._refuse(ticket, error)
+                continue
+            if ticket.gone():
+                self._refuse(ticket, WithdrawnError("the caller went while queued"))
+        self._advance()
+
+    def wants_probe(self):
+        """Return whether requests wait for the back end to show who it is."""
+        blocked = self._doubted or self._unseen() >= self._cold_limit
+        return bool(self._ready) and blocked
+
+    def retry_after_s(self):
+        """Return when a place is likely to be free, by the measured rate."""
+        if self._service_s is None:
+            return RETRY_AFTER_S
+        wait_s = (len(self._waiting) + 1) * self._service_s / self._limit
+        return min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
+
+    def _advance(self):
+        """Give out free places, then turns."""
+        while self._waiting and not self._closed and self._free_places():
+            ticket = self._waiting.pop(self._places)
+            self._places.add(ticket)
+            self._idle.clear()
+            ticket.placed.set()
+        while self._ready and self._may_start():
+            ticket = max(self._ready, key=lambda ticket: ticket.priority)
+            self._ready.remove(ticket)
+            self._started.add(ticket)
+            ticket.sent_at_s = self._clock.monotonic_s()
+            ticket.turn.set()
+
+    def _may_start(self):
+        return (
+            not self._closed
+            and not self._doubted
+            and len(self._started) < self._limit
+            and self._unseen() < self._cold_limit
+        )
+
+    def _unseen(self):
+        return sum(not ticket.seen for ticket in self._started)
+
     def _free_places(self):
-        return max(0, self._limit - len(self._running))
+        return max(0, self._limit - len(self._places))
+
+    def _await(self, ticket, event):
+        try:
+            event.wait()
+        except BaseException:
+            self._drop(ticket)
+            raise
+        if ticket.refusal is not None:
+            raise ticket.refusal
+
+    def _make_room(self, ticket):
+        if len(self._waiting) < self._queue_max + self._free_places():
+            return
+        full = OverloadedError(
+            "the target's queue is full", retry_after_s=self.retry_after_s()
+        )
+        victim = self._waiting.victim_of(ticket)
+        if victim is None:
+            raise full
+        self._refuse(victim, full)
+
+    def _refuse(self, ticket, error):
+        ticket.refusal = error
+        self._drop(ticket)
+        ticket.placed.set()
+        ticket.turn.set()
+
+    def _drop(self, ticket):
+        self._waiting.remove(ticket)
+        if ticket in self._ready:
+            self._ready.remove(ticket)
+        if ticket in self._places:
+            self._discard(ticket)
+            self._advance()
+
+    def _discard(self, ticket):
+        self._places.discard(ticket)
+        self._started.discard(ticket)
+        if not self._places:
+            self._idle.set()
+
+    def _learn(self, ticket):
+        """Take the finished request as a measure of what the back end bears."""
+        took_s = self._clock.monotonic_s() - ticket.sent_at_s
+        held_s = took_s if self._service_s is None else self._service_s
+        self._service_s = held_s + SMOOTHING * (took_s - held_s)
+        if ticket.epoch == self._epoch:
+            self._limit = min(self._warm_limit, self._limit + 1)
 
     def _refuse_if_closed(self):
         if self._closed:
             raise self._refusal()
 
+    def _refuse_if_late(self, ticket):
+        if self._clock.monotonic_s() >= ticket.deadline_s:
+            raise DeadlineExpiredError("the deadline passed before the send")
+
+    def _refuse_if_hopeless(self, ticket):
+        self._refuse_if_late(ticket)
+        if self._free_places() > len(self._waiting) or self._service_s is None:
+            return
+        ahead = self._waiting.ahead_of(ticket)
+        wait_s = (ahead + 1) * self._service_s / self._limit
+        end_s = self._clock.monotonic_s() + wait_s + self._service_s
+        if end_s > ticket.deadline_s:
+            raise OverloadedError(
+                f"{wait_s:.2f} s to wait, too long for the deadline",
+                retry_after_s=self.retry_after_s(),
+            )
+
     def _refusal(self):
         reason, detail = next(iter(self._closed.items()))
         error = closed_reasons.get(reason)
         return error(f"{reason} {detail}".strip(), retry_after_s=RETRY_AFTER_S)
-
-    def _grant(self):
-        while self._waiting and self._free_places() and not self._closed:
-            place = min(self._waiting, key=self._rank)
-            self._waiting.remove(place)
-            ticket = place[1]
-            self._served[ticket.team] += 1 / ticket.weight
-            self._running.add(ticket)
-            self._idle.clear()
-            ticket.granted.set()
-
-    def _rank(self, place):
-        order, ticket = place
-        running = Counter(other.team for other in self._running)
-        share = running[ticket.team] / ticket.weight
-        return (-ticket.priority, share, self._served[ticket.team], order)
-
-    def _forget(self, ticket):
-        self._waiting = [place for place in self._waiting if place[1] is not ticket]
--- a/briarbeam/gate/backends.py
+++ b/briarbeam/gate/backends.py
@@ -9,6 +9,7 @@
     ExchangeError,
     OrderError,
     OutcomeUnknownError,
+    OverloadedError,
     UnavailableError,
 )
 from ..kernel.network import HttpRequest, fetch
@@ -18,6 +19,13 @@
 
 STATUS_TIMEOUT_S = 1.0
 STREAM_SILENCE_S = 10.0
+# Statuses by which an engine says that it did not take a request.
+REFUSED_STATUSES = {
+    404: UnavailableError,
+    409: UnavailableError,
+    429: OverloadedError,
+    503: OverloadedError,
+}
 
 
 @dataclass(frozen=True)
@@ -25,10 +33,12 @@
     """What a back end says about itself.
 
     :param loaded: the version served, by model or adapter.
+    :param running: requests that run, as far as it reports that.
     """
 
     incarnation: str
     loaded: dict = field(default_factory=dict)
+    running: int = 0
 
 
 class Backend:
@@ -68,12 +78,14 @@
         body = self._get_status()
         entries = {**body["loaded"], **body["adapters"]}
         loaded = {name: entry["version"] for name, entry in entries.items()}
-        return BackendStatus(body["incarnation"], loaded)
+        return BackendStatus(body["incarnation"], loaded, body.get("running", 0))
 
-    def generate(self, body):
+    def generate(self, body, guard=None):
         """Send a generation and return its stream of frames.
 
-        :raises UnavailableError: if nothing was sent.
+        :param guard: called right before the first byte.
+        :raises UnavailableError: if nothing was sent, or the engine did not take it.
+        :raises OverloadedError: if the engine refused for load.
         :raises OutcomeUnknownError: if the engine may have started.
         """
         request = HttpRequest(
@@ -82,6 +94,7 @@
             json.dumps(body).encode(),
             timeout_s=STREAM_SILENCE_S,
             fresh=True,
+            guard=guard,
         )
         try:
             response = self._network.send(self._address, request)
@@ -89,22 +102,29 @@
             raise UnavailableError(str(error)) from error
         except ExchangeError as error:
             raise OutcomeUnknownError(str(error)) from error
-        if response.status == 404:
-            response.close()
-            raise UnavailableError("the engine has not loaded what was asked for")
-        if response.status != 200:
-            response.close()
-            raise BackendError(f"the engine answered {response.status}")
-        return response
+        if response.status == 200:
+            return response
+        response.close()
+        if response.status in REFUSED_STATUSES:
+            refusal = f"the engine refused with {response.status}"
+            raise REFUSED_STATUSES[response.status](refusal)
+        raise BackendError(f"the engine answered {response.status}")
 
     def cancel(self, request_id):
-        """Tell the engine that nobody waits for `request_id` any more."""
+        """Tell the engine that nobody waits for `request_id` any more.
+
+        :returns: whether the request is known not to run: the engine answered, or
+            nothing listens at its address.
+        """
         body = json.dumps({"request_id": request_id}).encode()
         request = HttpRequest("POST", "/cancel", body, timeout_s=STATUS_TIMEOUT_S)
         try:
-            fetch(self._network, self._address, request)
-        except (ConnectError, ExchangeError):
-            return
+            status, _, _ = fetch(self._network, self._address, request)
+        except ConnectError:
+            return True
+        except ExchangeError:
+            return False
+        return status == 200
 
     def order(self, body, timeout_s):
         """Send an order and return the engine's answer.
@@ -131,9 +151,10 @@
 class ServiceBackend(Backend):
     """A plain service."""
 
-    def call(self, method, path, body, request_id, timeout_s):
+    def call(self, method, path, body, request_id, timeout_s, guard=None):
         """Pass a call on and return status, headers and body.
 
+        :param guard: called right before the first byte.
         :raises UnavailableError: if nothing was sent.
         :raises OutcomeUnknownError: if the service may have run it.
         """
@@ -142,8 +163,9 @@
             f"/call/{path}",
             body,
             {"x-request-id": request_id},
-            timeout_s,
+            max(0.001, timeout_s),
             fresh=True,
+            guard=guard,
         )
         try:
             return fetch(self._network, self._address, request)
--- /dev/null
+++ b/briarbeam/gate/calls.py
@@ -0,0 +1,94 @@
+"""Calls to a plain service, at most once for each idempotency key."""
+
+import gevent
+
+from ..kernel.errors import BriarbeamError, Ran, UnavailableError
+from .claims import Claim, Claims, claim_name
+from .envelope import encode_body
+
+RELEASE_WAIT_S = 0.25
+SETTLE_INTERVAL_S = 1.0
+SETTLE_TIMEOUT_S = 5.0
+
+
+class Calls:
+    """Runs the calls that come to one gate.
+
+    :param gate: the `GatePlugin`.
+    :param objects: the platform's `ObjectApi`.
+    """
+
+    def __init__(self, gate, objects):
+        self._gate = gate
+        self._claims = Claims(objects, gate.clock)
+
+    def start(self):
+        """Settle in the background what could not be settled at once."""
+        self._gate.kernel.tasks.repeat(
+            self._claims.settle, SETTLE_INTERVAL_S, self._gate.clock
+        )
+
+    def drain(self):
+        """Wait for a while until nothing is left to settle."""
+        clock = self._gate.clock
+        until_s = clock.monotonic_s() + SETTLE_TIMEOUT_S
+        while self._claims.settle() and clock.monotonic_s() < until_s:
+            clock.sleep(RELEASE_WAIT_S)
+
+    def run(self, envelope, ticket):
+        """Run the call, or return the answer of the earlier run under its key."""
+        key = envelope.get("idempotency_key")
+        if not key or self._idempotent(envelope):
+            return self._send(envelope, ticket)
+        name = claim_name(envelope.get("service"), envelope.get("team"), key)
+        claim = self._claims.take(
+            name, envelope.request_id, envelope.call_digest(), ticket.deadline_s
+        )
+        if not isinstance(claim, Claim):
+            return claim
+        return self._run_claimed(envelope, ticket, claim)
+
+    def _run_claimed(self, envelope, ticket, claim):
+        try:
+            answer = self._send(envelope, ticket)
+        except BriarbeamError as error:
+            if error.ran is Ran.NO:
+                self._claims.release(claim)
+                gevent.spawn(self._claims.settle, claim.name).join(RELEASE_WAIT_S)
+            else:
+                self._claims.leave(claim)
+            raise
+        except BaseException:
+            self._claims.leave(claim)
+            raise
+        self._claims.finish(claim, answer)
+        self._gate.kernel.tasks.spawn(self._claims.settle, claim.name)
+        return answer
+
+    def _idempotent(self, envelope):
+        spec = self._gate.configuration.get("service", envelope.get("service"))
+        return spec is not None and envelope.get("method") in spec.idempotent_methods
+
+    def _send(self, envelope, ticket):
+        gate = self._gate
+        gate.admission.start(ticket)
+        try:
+            status, headers, body = gate.backend.call(
+                envelope.get("method"),
+                envelope.get("path"),
+                envelope.body(),
+                envelope.request_id,
+                envelope.remaining_s(),
+                gate.guard_of(ticket),
+            )
+        except BriarbeamError as error:
+            if error.ran is not Ran.NO:
+                gate.admission.shrink()
+            if error.ran is not Ran.NO or isinstance(error, UnavailableError):
+                gate.suspect()
+            raise
+        if "x-incarnation" in headers:
+            present = gate.note_incarnation(headers["x-incarnation"])
+            gate.admission.note_seen(ticket, present)
+        content_type = headers.get("content-type", "")
+        return {"status": status, "content_type": content_type, **encode_body(body)}
--- /dev/null
+++ b/briarbeam/gate/envelope.py
@@ -0,0 +1,82 @@
+"""What an entry sends along with a request, and bodies that survive JSON."""
+
+import base64
+import binascii
+import hashlib
+import json
+
+from ..kernel.errors import InvalidRequestError
+
+_ENGINE_FIELDS = (
+    "request_id",
+    "model",
+    "adapter",
+    "prompt",
+    "max_tokens",
+    "resume_from",
+    "priority",
+)
+
+
+def encode_body(body):
+    """Return the fields that carry the bytes `body` through JSON unchanged."""
+    try:
+        return {"body": body.decode()}
+    except UnicodeDecodeError:
+        return {"body_base64": base64.b64encode(body).decode()}
+
+
+def decode_body(fields):
+    """Return the bytes in the fields made by `encode_body`.
+
+    :raises InvalidRequestError: if they are not of that form.
+    """
+    if "body_base64" not in fields:
+        return fields.get("body", "").encode()
+    try:
+        return base64.b64decode(fields["body_base64"], validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
+        raise InvalidRequestError(f"body_base64 is not base64: {error}") from error
+
+
+class Envelope:
+    """A request as an entry passes it on.
+
+    :raises InvalidRequestError: if a field that every request has is missing.
+    """
+
+    def __init__(self, raw, clock):
+        self._raw = raw
+        self._clock = clock
+        for name in ("request_id", "deadline_unix_s"):
+            if name not in raw:
+                raise InvalidRequestError(f"the envelope has no {name!r}")
+        self.request_id = raw["request_id"]
+
+    def get(self, name, default=None):
+        """Return a field."""
+        return self._raw.get(name, default)
+
+    def remaining_s(self):
+        """Return the seconds left until the deadline."""
+        return self._raw["deadline_unix_s"] - self._clock.now().timestamp()
+
+    def body(self):
+        """Return the call's body."""
+        return decode_body(self._raw)
+
+    def engine_body(self, expected):
+        """Return what the engine is sent.
+
+        :param expected: the versions that it has to have loaded.
+        """
+        chosen = {
+            name: self._raw[name] for name in _ENGINE_FIELDS if self._raw.get(name)
+        }
+        return {**chosen, "expected_versions": expected}
+
+    def call_digest(self):
+        """Return a digest of what shall run."""
+        parts = [self._raw.get(name, "") for name in ("service", "method", "path")]
+        parts.append(hashlib.sha256(self.body()).hexdigest())
+        return hashlib.sha256(json.dumps(parts).encode()).hexdigest()
--- a/briarbeam/gate/plugin.py
+++ b/briarbeam/gate/plugin.py
@@ -1,31 +1,43 @@
 """The gate: the only way to a target's back end."""
 
-import hashlib
-import json
+from collections import deque
 
 import gevent
+from gevent.event import Event
 from prometheus_client import Counter, Gauge
 
+from ..configuration.documents import CONFIGURATION
 from ..kernel.errors import (
     BriarbeamError,
     DeadlineExpiredError,
-    InvalidRequestError,
     OutcomeUnknownError,
+    OverloadedError,
     UnavailableError,
 )
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
 from .admission import Admission, Ticket
 from .backends import backends
-from .claims import Claims, claim_name
+from .calls import Calls
+from .envelope import Envelope
+from .stall import StallWatch
+from .stream import AnswerStream
 
 LOAD_HEADER = "x-briarbeam-load"
+REQUEST_ID_HEADER = "x-briarbeam-request-id"
+VERSION_HEADER = "x-briarbeam-version"
 PROBE_INTERVAL_S = 0.25
-CALLER_POLL_S = 0.1
+TICK_S = 0.05
+REFRESH_PAUSE_S = 0.1
+ALONE_AFTER_S = 3.0
+LEFTOVER_MAX_S = 10.0
+INCARNATIONS_KEPT = 16
 
 _ADMITTED = Counter("briarbeam_admitted", "Requests sent to the back end")
 _REFUSED = Counter("briarbeam_refused", "Requests refused", ["code"])
 _LIMIT = Gauge("briarbeam_admission_limit", "Requests admitted at once")
+_RUNNING = Gauge("briarbeam_admission_running", "Requests that hold a place")
+_QUEUED = Gauge("briarbeam_admission_queued", "Requests that wait for a place")
 _COLD = Counter("briarbeam_turned_cold", "Changes of the back end's incarnation")
 
 
@@ -49,14 +61,32 @@
         )
         self.loaded = {}
         self._incarnation = None
-        self._claims = Claims(kernel.find("platform").objects)
+        self._earlier_incarnations = deque(maxlen=INCARNATIONS_KEPT)
+        self._probe_wanted = Event()
+        self._probes = 0
+        self._newest_probe = 0
+        self._leftovers_until_s = None
+        self._stalled_at_s = None
+        self._stalls = StallWatch(kernel.clock, self._on_stall)
         self._configuration = kernel.find("configuration")
+        self._calls = Calls(self, kernel.find("platform").objects)
+        self._configuration.documents.subscribe(CONFIGURATION, self._follow_domain)
         kernel.router.add("POST", "/gate/generate", self._generate)
         kernel.router.add("POST", "/gate/call", self._call)
         _LIMIT.set_function(lambda: self.admission.load().limit)
+        _RUNNING.set_function(lambda: self.admission.load().running)
+        _QUEUED.set_function(lambda: self.admission.load().queued)
+
+    @property
+    def configuration(self):
+        """The configuration in force."""
+        return self._configuration.configuration
 
     def start(self):
-        self.kernel.tasks.repeat(self.probe, PROBE_INTERVAL_S, self.clock)
+        self._follow_domain()
+        self.kernel.tasks.repeat(self._watch_backend, 0.0, self.clock)
+        self.kernel.tasks.repeat(self._tick, TICK_S, self.clock)
+        self._calls.start()
 
     def ready(self):
         return not self.admission.load().closed
@@ -64,125 +94,114 @@
     def drain(self):
         self.admission.close("leaving")
         self.admission.wait_idle(self.settings.drain_timeout_s)
+        self._calls.drain()
 
     def probe(self):
-        """Look at the back end and at the configuration."""
-        domain = self.settings.instance.failure_domain
-        if self._configuration.configuration.in_service(domain):
-            self.admission.open("out_of_service")
-        else:
-            self.admission.close("out_of_service", domain)
+        """Look at the back end and take in which one it is and what it has loaded."""
+        self._probes += 1
+        number = self._probes
+        started_s = self.clock.monotonic_s()
         try:
             status = self.backend.status()
         except UnavailableError as error:
-            self.admission.close("backend", str(error))
+            if number > self._newest_probe:
+                self.admission.close("backend", str(error))
+            return
+        if number < self._newest_probe:
+            return
+        self._newest_probe = number
+        known = status.incarnation == self._incarnation
+        if not self.note_incarnation(status.incarnation):
             return
-        self.note_incarnation(status.incarnation)
         self.loaded = status.loaded
+        if self._finishes_leftovers(status.running):
+            self.admission.close("backend", "finishes work of an earlier daemon")
+            return
+        if known:
+            self.admission.note_probe(started_s)
         self.admission.open("backend")
 
+    def suspect(self):
+        """Send nothing more until a probe has shown who is there."""
+        self.admission.doubt()
+        self._probe_wanted.set()
+
     def note_incarnation(self, incarnation):
-        """Start cold if the back end is not the one seen last."""
+        """Start cold if the back end is not the one seen last.
+
+        :returns: whether it is the present one, rather than one of the past.
+        """
         if incarnation == self._incarnation:
-            return
+            return True
+        if incarnation in self._earlier_incarnations:
+            return False
+        if self._incarnation is not None:
+            self._earlier_incarnations.append(self._incarnation)
         self._incarnation = incarnation
         self.admission.turn_cold()
         _COLD.inc()
+        return True
+
+    def guard_of(self, ticket):
+        """Return what is called right before the first byte of a request leaves.
+
+        It raises a typed "not run" if the request must not be sent any more.
+        """
+
+        def guard():
+            self._stalls.check()
+            self.admission.check(ticket)
+            _ADMITTED.inc()
+
+        return guard
 
     def _generate(self, request):
-        envelope = _Envelope(request.json(), self.clock)
-        ticket = self._enter(envelope)
+        return self._serve(request, self._start_generation)
+
+    def _call(self, request):
+        return self._serve(request, self._run_call)
+
+    def _serve(self, request, run):
+        """Return the reply to a request, with its id and the present load."""
+        envelope = Envelope(request.json(), self.clock)
         try:
-            version = self._check_version(envelope)
-            self.admission.check(ticket)
-            response = self.backend.generate(envelope.backend_body())
+            self._stalls.check()
+            response = run(envelope, request)
         except BriarbeamError as error:
-            self.admission.leave(ticket, finished=False)
-            return self._refuse(error)
-        _ADMITTED.inc()
-        frames = self._frames(response, envelope, ticket, request)
-        headers = {**self._load_headers(), "x-briarbeam-version": version}
-        return Response(200, frames, headers)
+            _REFUSED.labels(error.code).inc()
+            response = Response.of_error(error)
+        response.headers[REQUEST_ID_HEADER] = envelope.request_id
+        response.headers[LOAD_HEADER] = str(self.admission.load())
+        return response
 
-    def _frames(self, response, envelope, ticket, request):
-        finished = False
-        watcher = gevent.spawn(self._cancel_when_gone, request, envelope, response)
+    def _start_generation(self, envelope, request):
+        ticket = self._enter(envelope, request)
+        self.admission.start(ticket)
         try:
-            for line in response.lines():
-                frame = json.loads(line)
-                self.note_incarnation(frame["incarnation"])
-                finished = bool(frame.get("done"))
-                if finished:
-                    frame["load"] = str(self.admission.load())
-                yield json.dumps(frame).encode() + b"\n"
+            expected = self._expected_versions(envelope)
+            body = envelope.engine_body(expected)
+            response = self.backend.generate(body, self.guard_of(ticket))
         except BriarbeamError as error:
-            unknown = OutcomeUnknownError(f"the engine's stream broke: {error}")
-            yield json.dumps(unknown.to_dict()).encode() + b"\n"
-        finally:
-            watcher.kill(block=False)
-            response.close()
-            if not finished:
-                gevent.spawn(self.backend.cancel, envelope.request_id)
-            self.admission.leave(ticket, finished)
-
-    def _cancel_when_gone(self, request, envelope, response):
-        while not request.caller_gone():
-            gevent.sleep(CALLER_POLL_S)
-        self.backend.cancel(envelope.request_id)
+            self._give_back(ticket, envelope, error)
+            raise
+        except BaseException:
+            self.admission.leave(ticket, finished=False)
+            raise
+        stream = AnswerStream(self, response, envelope, ticket, request, expected)
+        version = expected.get("adapter_version") or expected["version"]
+        return Response(200, stream, {VERSION_HEADER: version})
 
-    def _call(self, request):
-        envelope = _Envelope(request.json(), self.clock)
-        ticket = self._enter(envelope)
+    def _run_call(self, envelope, request):
+        ticket = self._enter(envelope, request)
         finished = False
         try:
-            answer = self._run_call(envelope, ticket)
+            answer = self._calls.run(envelope, ticket)
             finished = True
-        except BriarbeamError as error:
-            return self._refuse(error)
         finally:
             self.admission.leave(ticket, finished)
-        return Response.of_json(answer, 200, **self._load_headers())
+        return Response.of_json(answer)
 
-    def _run_call(self, envelope, ticket):
-        key = envelope.get("idempotency_key")
-        if not key:
-            self.admission.check(ticket)
-            return self._send_call(envelope)
-        name = claim_name(envelope.get("service"), envelope.get("team"), key)
-        call_digest = envelope.call_digest()
-        earlier = self._claims.take(name, envelope.request_id, call_digest)
-        if earlier is not None:
-            return earlier
-        try:
-            self.admission.check(ticket)
-            answer = self._send_call(envelope)
-        except OutcomeUnknownError:
-            self._claims.leave(name)
-            raise
-        except BriarbeamError:
-            self._claims.release(name)
-            raise
-        self._claims.finish(name, envelope.request_id, call_digest, answer)
-        return answer
-
-    def _send_call(self, envelope):
-        _ADMITTED.inc()
-        status, headers, body = self.backend.call(
-            envelope.get("method"),
-            envelope.get("path"),
-            envelope.get("body", "").encode(),
-            envelope.request_id,
-            envelope.remaining_s(),
-        )
-        if "x-incarnation" in headers:
-            self.note_incarnation(headers["x-incarnation"])
-        return {
-            "status": status,
-            "content_type": headers.get("content-type", ""),
-            "body": body.decode("utf-8", "replace"),
-        }
-
-    def _enter(self, envelope):
+    def _enter(self, envelope, request):
         remaining_s = envelope.remaining_s()
         if remaining_s <= 0:
             raise DeadlineExpiredError("the deadline passed on the way")
@@ -191,68 +210,94 @@
             priority=envelope.get("priority", 0),
             weight=envelope.get("weight", 1.0),
             deadline_s=self.clock.monotonic_s() + remaining_s,
+            gone=request.caller_gone,
         )
-        try:
-            self.admission.enter(ticket)
-        except BriarbeamError as error:
-            _REFUSED.labels(error.code).inc()
-            raise
+        self.admission.enter(ticket)
         return ticket
 
-    def _check_version(self, envelope):
-        model = envelope.get("adapter") or envelope.get("model")
-        version = self.loaded.get(model)
-        if version is None:
-            raise UnavailableError(f"no version of {model!r} is loaded")
+    def _give_back(self, ticket, envelope, error):
+        """End what could not be started; one that may run is cancelled first."""
+        if isinstance(error, OverloadedError | OutcomeUnknownError):
+            self.admission.shrink()
+        if isinstance(error, UnavailableError | OutcomeUnknownError):
+            self.suspect()
+        if isinstance(error, OutcomeUnknownError):
+            self.kernel.tasks.spawn(self._cancel, ticket, envelope)
+        else:
+            self.admission.leave(ticket, finished=False)
+
+    def _cancel(self, ticket, envelope):
+        while not self.backend.cancel(envelope.request_id):
+            self.clock.sleep(PROBE_INTERVAL_S)
+        self.admission.leave(ticket, finished=False)
+
+    def _expected_versions(self, envelope):
+        """Return the versions that the answer's frames have to name, by field."""
+        model, adapter = envelope.get("model"), envelope.get("adapter")
+        expected = {"version": self._loaded_version(model)}
+        if adapter:
+            expected["adapter_version"] = self._loaded_version(adapter)
         wanted = envelope.get("version")
-        if wanted and wanted != version:
-            raise UnavailableError(f"{model!r} is at {version!r}, not {wanted!r}")
+        found = expected.get("adapter_version") or expected["version"]
+        if wanted and wanted != found:
+            raise UnavailableError(f"{adapter or model!r} is at {found!r}")
+        return expected
+
+    def _loaded_version(self, name):
+        version = self.loaded.get(name)
+        if version is None:
+            raise UnavailableError(f"no version of {name!r} is loaded")
         return version
 
-    def _refuse(self, error):
-        _REFUSED.labels(error.code).inc()
-        response = Response.of_error(error)
-        response.headers.update(self._load_headers())
-        return response
+    def _finishes_leftovers(self, running):
+        """Return whether work that another daemon started is still running.
 
-    def _load_headers(self):
-        return {LOAD_HEADER: str(self.admission.load())}
-
-
-class _Envelope:
-    """What an entry sends along with a request."""
-
-    def __init__(self, raw, clock):
-        self._raw = raw
-        self._clock = clock
-        for name in ("request_id", "deadline_unix_s"):
-            if name not in raw:
-                raise InvalidRequestError(f"the envelope has no {name!r}")
-        self.request_id = raw["request_id"]
-
-    def get(self, name, default=None):
-        """Return a field."""
-        return self._raw.get(name, default)
-
-    def remaining_s(self):
-        """Return the seconds left until the deadline."""
-        return self._raw["deadline_unix_s"] - self._clock.now().timestamp()
-
-    def backend_body(self):
-        """Return what the engine is sent."""
-        names = (
-            "request_id",
-            "model",
-            "adapter",
-            "prompt",
-            "max_tokens",
-            "resume_from",
-        )
-        return {name: self._raw[name] for name in names if self._raw.get(name)}
-
-    def call_digest(self):
-        """Return a digest of what shall run."""
-        parts = [
-            self._raw.get(name, "") for name in ("service", "method", "path", "body")
-        ]
-        return hashlib.sha256(json.dumps(parts).encode()).hexdigest()
+        Only a daemon that has just started can meet it; it gets the back end's
+        whole room only afterwards.
+        """
+        now_s = self.clock.monotonic_s()
+        if self._leftovers_until_s is None:
+            self._leftovers_until_s = now_s + LEFTOVER_MAX_S
+        if running and now_s < self._leftovers_until_s:
+            return True
+        self._leftovers_until_s = now_s
+        return False
+
+    def _watch_backend(self):
+        self._probe_wanted.wait(PROBE_INTERVAL_S)
+        self._probe_wanted.clear()
+        self.probe()
+
+    def _tick(self):
+        self._stalls.check()
+        self.admission.sweep()
+        if self.admission.wants_probe():
+            self._probe_wanted.set()
+
+    def _follow_domain(self, document=None):
+        """Put in force whether this failure domain is in service."""
+        domain = self.settings.instance.failure_domain
+        if not self.configuration.revision:
+            self.admission.close("out_of_service", "no configuration yet")
+        elif not self.configuration.in_service(domain):
+            self.admission.close("out_of_service", domain)
+        else:
+            self.admission.open("out_of_service")
+
+    def _on_stall(self):
+        """Take no work until someone has confirmed what is in force now."""
+        self.admission.close("stalled")
+        self._stalled_at_s = self.clock.monotonic_s()
+        self.suspect()
+        self.kernel.tasks.spawn(self._refresh, self._stalled_at_s)
+
+    def _refresh(self, stalled_at_s):
+        """Ask platform and peers; a target that reaches nobody goes on after a while."""
+        while self._stalled_at_s == stalled_at_s:
+            alone_s = self.clock.monotonic_s() - stalled_at_s
+            if self._configuration.refresh() or alone_s >= ALONE_AFTER_S:
+                break
+            gevent.sleep(REFRESH_PAUSE_S)
+        if self._stalled_at_s == stalled_at_s:
+            self._stalled_at_s = None
+            self.admission.open("stalled")
--- /dev/null
+++ b/briarbeam/gate/stream.py
@@ -0,0 +1,106 @@
+"""The streamed answer of an engine on its way to the entry."""
+
+import json
+
+import gevent
+
+from ..kernel.errors import (
+    BriarbeamError,
+    DeadlinePassedError,
+    OutcomeUnknownError,
+)
+
+CALLER_POLL_S = 0.05
+CANCEL_RETRY_S = 0.25
+
+
+class AnswerStream:
+    """Frames of one answer, all of one version and one incarnation.
+
+    The server closes it also when nothing was ever read from it. The place at the
+    target is given back once the engine is known to have ended the request.
+
+    :param expected: the versions that each frame has to name, by the frame's field.
+    """
+
+    def __init__(self, gate, response, envelope, ticket, request, expected):
+        self._gate = gate
+        self._response = response
+        self._envelope = envelope
+        self._ticket = ticket
+        self._request = request
+        self._expected = expected
+        self._incarnation = None
+        self._finished = False
+        self._late = False
+        self._closed = False
+        self._watcher = gevent.spawn(self._watch)
+
+    def __iter__(self):
+        try:
+            for line in self._response.lines():
+                frame = json.loads(line)
+                self._check(frame)
+                if frame.get("started"):
+                    continue
+                self._finished = bool(frame.get("done"))
+                if self._finished:
+                    frame["load"] = str(self._gate.admission.load())
+                yield json.dumps(frame).encode() + b"\n"
+                if self._finished:
+                    return
+            raise OutcomeUnknownError("the stream ended without its end marker")
+        except BriarbeamError as error:
+            self._gate.suspect()
+            yield json.dumps(self._error(error).to_dict()).encode() + b"\n"
+        except (ValueError, KeyError, TypeError) as error:
+            unknown = OutcomeUnknownError(f"a frame was not readable: {error!r}")
+            yield json.dumps(unknown.to_dict()).encode() + b"\n"
+
+    def close(self):
+        """End the request at the engine and give its place back."""
+        if self._closed:
+            return
+        self._closed = True
+        self._watcher.kill(block=False)
+        self._response.close()
+        if self._finished:
+            self._gate.admission.leave(self._ticket, finished=True)
+        else:
+            self._gate.kernel.tasks.spawn(self._cancel)
+
+    def _check(self, frame):
+        """Take in who answers; raise if it is not who began."""
+        incarnation = frame["incarnation"]
+        if self._incarnation is None:
+            self._incarnation = incarnation
+            present = self._gate.note_incarnation(incarnation)
+            self._gate.admission.note_seen(self._ticket, present)
+        if incarnation != self._incarnation:
+            self._gate.note_incarnation(incarnation)
+            raise OutcomeUnknownError("the engine was replaced during the answer")
+        for name, version in self._expected.items():
+            if frame[name] != version:
+                raise OutcomeUnknownError(
+                    f"an answer of {name} {version!r} met {frame[name]!r}"
+                )
+
+    def _error(self, error):
+        if self._late:
+            return DeadlinePassedError("the deadline passed during the answer")
+        return OutcomeUnknownError(f"the engine's stream broke: {error}")
+
+    def _watch(self):
+        """Break the stream off when nobody waits for it any more."""
+        while not self._request.caller_gone():
+            if self._envelope.remaining_s() <= 0:
+                self._late = True
+                break
+            gevent.sleep(CALLER_POLL_S)
+        self._response.close()
+
+    def _cancel(self):
+        gate = self._gate
+        while not gate.backend.cancel(self._envelope.request_id):
+            gate.clock.sleep(CANCEL_RETRY_S)
+        gate.admission.leave(self._ticket, finished=False)
--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -81,7 +81,20 @@
     status = 409
 
 
-class InProgressError(NotRunError):
+class WithdrawnError(NotRunError):
+    """The caller closed its connection before the request was sent."""
+
+    code = "withdrawn"
+    status = 499
+
+
+class StalledError(NotRunError):
+    """The process stood still and has not confirmed its configuration since."""
+
+    code = "stalled"
+
+
+class InProgressError(BriarbeamError):
     """Another attempt with the same idempotency key is running now."""
 
     code = "in_progress"
@@ -135,6 +148,21 @@
     ran = Ran.YES
 
 
+class AnswerNotKeptError(BackendError):
+    """A call with this idempotency key has run; its answer was not kept."""
+
+    code = "answer_not_kept"
+    status = 409
+
+
+class DeadlinePassedError(BriarbeamError):
+    """The deadline passed while the back end ran the request."""
+
+    code = "deadline_passed"
+    status = 504
+    ran = Ran.YES
+
+
 class NetworkError(BriarbeamError):
     """Base of failures between two processes."""
 
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -14,11 +15,13 @@
 from geventhttpclient.connectionpool import ConnectionPool
 from opentelemetry import propagate, trace
 
-from .errors import ConnectError, ExchangeError, SettingsError
+from .errors import ConnectError, ExchangeError, NotRunError, SettingsError
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_MAX = 32
 READ_BLOCK_BYTES = 65536
+# geventhttpclient resends PUT and DELETE by itself, "size of the pool + 1" times.
+_NO_RESEND = -1
 
 _tracer = trace.get_tracer(__name__)
 
@@ -52,6 +55,8 @@
         silence allowed afterwards.
     :param fresh: use a new connection and close it afterwards; for what must not
         be sent twice.
+    :param guard: called once a fresh connection stands, with no wait between it and
+        the first byte; what it raises ends the request unsent.
     """
 
     method: str
@@ -60,6 +65,7 @@
     headers: dict = field(default_factory=dict)
     timeout_s: float = 5.0
     fresh: bool = False
+    guard: Callable[[], None] | None = None
 
 
 class HttpResponse(Protocol):
@@ -117,7 +123,7 @@
             return self._send(address, request)
 
     def _send(self, address, request):
-        client = self._take(address, request.fresh)
+        client = self._take(address, request)
         headers = dict(request.headers)
         propagate.inject(headers)
         try:
@@ -125,7 +131,7 @@
                 raw = client.request(
                     request.method, request.path, request.body, headers
                 )
-        except ConnectError:
+        except (ConnectError, NotRunError):
             client.close()
             raise
         except gevent.Timeout as error:
@@ -144,8 +150,8 @@
             raise
         return _PooledResponse(self, address, client, raw, request)
 
-    def _take(self, address, fresh):
-        if not fresh:
+    def _take(self, address, request):
+        if not request.fresh:
             idle = self._idle[address]
             if idle:
                 return idle.pop()
@@ -162,6 +168,9 @@
             network_timeout=None,
         )
         client._connection_pool.source_host = self._source_host
+        if request.fresh:
+            client._connection_pool.guard = request.guard
+            client._connection_pool.size = _NO_RESEND
         return client
 
     def _give_back(self, address, client):
@@ -183,6 +192,7 @@
     """A pool whose sockets leave from `source_host`; failed connects are typed."""
 
     source_host = None
+    guard = None
 
     def _create_tcp_socket(self, *args, **kwargs):
         sock = super()._create_tcp_socket(*args, **kwargs)
@@ -192,9 +202,12 @@
 
     def _connect_socket(self, sock, address):
         try:
-            return super()._connect_socket(sock, address)
+            connected = super()._connect_socket(sock, address)
         except OSError as error:
             raise ConnectError(f"no connection to {address}: {error}") from error
+        if self.guard is not None:
+            self.guard()
+        return connected
 
 
 class _PooledResponse:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -77,6 +77,13 @@
             return Response.of_json({"error": "not loaded"}, 404)
         if self.faults.silent:
             gevent.sleep(60)
+        if request.caller_gone():
+            raise ConnectionResetError("the caller went before the start")
+        found = {"version": model["version"]}
+        if adapter:
+            found["adapter_version"] = adapter["version"]
+        if asked.get("expected_versions", found) != found:
+            return Response.of_json({"error": "other version", **found}, 409)
         self._admit(asked)
         return Response(200, self._stream(asked, model, adapter))
 
@@ -148,6 +155,7 @@
         start = asked.get("resume_from", 0)
         self._truth.add(event="ran", request_id=request_id, **stamp)
         try:
+            yield json.dumps({"started": True, **stamp}).encode() + b"\n"
             for index in range(start, asked["max_tokens"]):
                 gevent.sleep(self.faults.step_s)
                 if self._broken(request_id, incarnation, index - start):
@@ -161,10 +169,14 @@
             self._truth.add(event="finished", request_id=request_id)
             if incarnation == self._incarnation:
                 self._bearable = min(WARM_CONCURRENCY, self._bearable + 1)
+            self._forget(asked)
             yield json.dumps(end).encode() + b"\n"
         finally:
-            if self._running.get(request_id) is asked:
-                del self._running[request_id]
+            self._forget(asked)
+
+    def _forget(self, asked):
+        if self._running.get(asked["request_id"]) is asked:
+            del self._running[asked["request_id"]]
 
     def _broken(self, request_id, incarnation, sent):
         if incarnation != self._incarnation or request_id not in self._running:
--- /dev/null
+++ b/tests/test_gate_claims.py
@@ -0,0 +1,320 @@
+"""A call with a key runs at most once over all gates, and "not run" is true."""
+
+import json
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from briarbeam.gate.claims import (
+    ANSWER_MAX_BYTES,
+    CLAIM_KIND,
+    LATE_WRITE_MAX_S,
+    Claim,
+    Claims,
+)
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.errors import (
+    AnswerNotKeptError,
+    BriarbeamError,
+    ConflictError,
+    InvalidRequestError,
+    NotFoundError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    Ran,
+    UnavailableError,
+)
+from briarbeam.platform.client import StoredObject
+
+DIGEST = "digest of the call"
+FAR_S = 1e9
+MODES = ("ok", "down", "lost before", "lost after", "late")
+
+
+class FakeObjects:
+    """The object API, whose answers get lost before or after the effect, or late.
+
+    :param plan: the mode of each coming call; "ok" once it is used up.
+    """
+
+    def __init__(self):
+        self.plan = []
+        self.late = []
+        self.before_write = None
+        self.calls = 0
+        self._held = {}
+        self._revision = 0
+
+    def get(self, kind, name):
+        if self._next() != "ok":
+            raise PlatformUnavailableError("no answer")
+        if name not in self._held:
+            raise NotFoundError(name)
+        version, value = self._held[name]
+        return StoredObject(kind, name, version, json.loads(value))
+
+    def put(self, kind, name, value, if_version=None):
+        text = json.dumps(value)
+        return self._write(lambda: self._put(name, text, if_version))
+
+    def delete(self, kind, name, if_version=None):
+        self._write(lambda: self._delete(name, if_version))
+
+    def land(self, index=0):
+        """Let a write that was on its way take effect now."""
+        write = self.late.pop(index % len(self.late))
+        try:
+            write()
+        except ConflictError:
+            return
+
+    def _write(self, write):
+        before, self.before_write = self.before_write, None
+        if before is not None:
+            before()
+        mode = self._next()
+        if mode == "down":
+            raise PlatformUnavailableError("down")
+        if mode == "lost before":
+            raise PlatformUnknownError("lost before the effect")
+        if mode == "late":
+            self.late.append(write)
+            raise PlatformUnknownError("still on its way")
+        result = write()
+        if mode == "lost after":
+            raise PlatformUnknownError("lost after the effect")
+        return result
+
+    def _next(self):
+        self.calls += 1
+        return self.plan.pop(0) if self.plan else "ok"
+
+    def _check(self, name, if_version):
+        version = self._held.get(name, (0, None))[0]
+        if if_version is not None and version != if_version:
+            raise ConflictError(f"version {version}")
+
+    def _put(self, name, text, if_version):
+        self._check(name, if_version)
+        self._revision += 1
+        self._held[name] = (self._revision, text)
+        return self._revision
+
+    def _delete(self, name, if_version):
+        self._check(name, if_version)
+        self._held.pop(name, None)
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Two gates get the same keys; writes are lost, late, refused; gates die."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.objects = FakeObjects()
+        self.gates = [Claims(self.objects, self.clock) for _ in range(2)]
+        self.running = []
+        self.ran = {"k1": 0, "k2": 0}
+        self.attempts = 0
+
+    @rule(
+        gate=st.integers(0, 1),
+        key=st.sampled_from(["k1", "k2"]),
+        plan=st.lists(st.sampled_from(MODES), max_size=6),
+    )
+    def come(self, gate, key, plan):
+        self.attempts += 1
+        self.objects.plan = list(plan)
+        try:
+            taken = self.gates[gate].take(key, f"a{self.attempts}", DIGEST, FAR_S)
+        except OutcomeUnknownError:
+            assert self.attempts > 1
+        except BriarbeamError:
+            pass
+        else:
+            if isinstance(taken, Claim):
+                self.running.append((gate, key, taken))
+            else:
+                assert self.ran[key] == 1
+                assert taken == {"answer of": key}
+        self.objects.plan = []
+
+    @precondition(lambda self: self.running)
+    @rule(
+        index=st.integers(0, 9),
+        end=st.sampled_from(["ran", "ran", "not run", "answer lost", "gate died"]),
+        plan=st.lists(st.sampled_from(MODES), max_size=4),
+    )
+    def end(self, index, end, plan):
+        gate, key, claim = self.running.pop(index % len(self.running))
+        claims = self.gates[gate]
+        self.objects.plan = list(plan)
+        if end != "not run":
+            self.ran[key] += 1
+        if end == "ran":
+            claims.finish(claim, {"answer of": key})
+        elif end == "not run":
+            claims.release(claim)
+        elif end == "answer lost":
+            claims.leave(claim)
+        else:
+            self._replace(gate)
+        claims.settle(key)
+        self.objects.plan = []
+
+    @rule(gate=st.integers(0, 1), plan=st.lists(st.sampled_from(MODES), max_size=4))
+    def settle(self, gate, plan):
+        self.objects.plan = list(plan)
+        self.gates[gate].settle()
+        self.objects.plan = []
+
+    @precondition(lambda self: self.objects.late)
+    @rule(index=st.integers(0, 9))
+    def land_late(self, index):
+        self.objects.land(index)
+
+    @rule(duration_s=st.sampled_from([1.0, LATE_WRITE_MAX_S + 1]))
+    def wait(self, duration_s):
+        """No write is on its way for longer than the bound."""
+        if duration_s > LATE_WRITE_MAX_S:
+            while self.objects.late:
+                self.objects.land()
+        self.clock.advance(duration_s)
+
+    @invariant()
+    def runs_at_most_once(self):
+        for key, count in self.ran.items():
+            running = sum(its_key == key for _, its_key, _ in self.running)
+            assert count + running <= 1
+
+    def _replace(self, gate):
+        """Start the gate over with an empty memory; what it ran is cut."""
+        self.gates[gate] = Claims(self.objects, self.clock)
+        kept = []
+        for item in self.running:
+            if item[0] == gate:
+                self.ran[item[1]] += 1
+            else:
+                kept.append(item)
+        self.running = kept
+
+
+ClaimsMachine.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
+TestClaims = ClaimsMachine.TestCase
+
+
+def _two_gates():
+    clock = ManualClock()
+    objects = FakeObjects()
+    return clock, objects, Claims(objects, clock), Claims(objects, clock)
+
+
+def _refusal_of(gate, attempt, call_digest=DIGEST):
+    try:
+        return gate.take("k", attempt, call_digest, FAR_S)
+    except BriarbeamError as error:
+        return error
+
+
+def test_lost_answer_of_the_claim_is_resolved_by_reading_back():
+    for mode in ("lost before", "lost after", "late"):
+        _, objects, gate, other = _two_gates()
+        objects.plan = [mode]
+        assert isinstance(gate.take("k", "a", DIGEST, FAR_S), Claim)
+        assert isinstance(_refusal_of(other, "b"), OutcomeUnknownError)
+
+
+def test_released_claim_frees_the_key_at_both_gates():
+    _, _, gate, other = _two_gates()
+    gate.release(gate.take("k", "a", DIGEST, FAR_S))
+    gate.settle()
+    assert isinstance(_refusal_of(other, "b"), Claim)
+
+
+def test_claim_that_could_not_be_released_is_taken_over_by_its_gate():
+    _, objects, gate, other = _two_gates()
+    claim = gate.take("k", "a", DIGEST, FAR_S)
+    gate.release(claim)
+    objects.plan = ["late"] * 2
+    objects.plan.insert(0, "ok")
+    gate.settle()
+    assert len(objects.late) == 1
+    assert isinstance(_refusal_of(other, "b"), OutcomeUnknownError)
+    assert isinstance(_refusal_of(gate, "c"), Claim)
+    objects.land()
+    assert isinstance(_refusal_of(other, "d"), OutcomeUnknownError)
+
+
+def test_creation_that_lands_late_is_void_and_goes_away():
+    _, objects, gate, other = _two_gates()
+    objects.plan = ["late", "ok"] + ["lost before", "ok"] * 2
+    refusal = _refusal_of(gate, "a")
+    assert isinstance(refusal, UnavailableError)
+    assert refusal.ran is Ran.NO
+    objects.land()
+    assert isinstance(_refusal_of(other, "b"), OutcomeUnknownError)
+    assert gate.settle() == 0
+    assert isinstance(_refusal_of(other, "c"), Claim)
+
+
+def test_void_claim_that_another_gate_gets_first_is_not_taken_over():
+    _, objects, gate, other = _two_gates()
+    gate.release(gate.take("k", "a", DIGEST, FAR_S))
+
+    def lose_the_race():
+        objects.before_write = race
+
+    def race():
+        gate.settle()
+        assert isinstance(_refusal_of(other, "b"), Claim)
+
+    objects.before_write = lose_the_race
+    assert isinstance(_refusal_of(gate, "c"), OutcomeUnknownError)
+
+
+def test_answer_is_given_again_also_while_the_platform_is_out():
+    _, objects, gate, other = _two_gates()
+    claim = gate.take("k", "a", DIGEST, FAR_S)
+    gate.finish(claim, {"status": 200})
+    objects.plan = ["down"]
+    assert gate.settle() == 1
+    objects.plan = ["down"] * 3
+    assert _refusal_of(gate, "b") == {"status": 200}
+    assert isinstance(_refusal_of(gate, "b", "other call"), InvalidRequestError)
+    objects.plan = []
+    assert gate.settle() == 0
+    assert _refusal_of(other, "c") == {"status": 200}
+
+
+def test_large_answer_is_recorded_as_run():
+    _, _, gate, other = _two_gates()
+    claim = gate.take("k", "a", DIGEST, FAR_S)
+    gate.finish(claim, {"body": "x" * ANSWER_MAX_BYTES})
+    gate.settle()
+    for asked in (gate, other):
+        refusal = _refusal_of(asked, "b")
+        assert isinstance(refusal, AnswerNotKeptError)
+        assert refusal.ran is Ran.YES
+
+
+def test_second_attempt_at_the_running_gate_is_not_called_not_run():
+    _, objects, gate, _ = _two_gates()
+    gate.take("k", "a", DIGEST, FAR_S)
+    calls = objects.calls
+    assert _refusal_of(gate, "b").ran is Ran.UNKNOWN
+    assert objects.calls == calls
+
+
+def test_record_outlives_its_gate():
+    clock, objects, gate, _ = _two_gates()
+    gate.take("k", "a", DIGEST, FAR_S)
+    successor = Claims(objects, clock)
+    assert isinstance(_refusal_of(successor, "a"), OutcomeUnknownError)
+    assert objects.get(CLAIM_KIND, "k").value["state"] == "claimed"
