Bound silence and idle time on HTTP connections

Cause: a peer that sent half a request held a connection and its task for ever, and an idle connection that the server had closed was taken for the next request, which then failed as 'bytes may have left'. Ruled out: a retry inside the network, which would be a hidden resend. Conclusion: both bounds belong to the border, where every connection passes.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -16,6 +16,7 @@
 from .errors import BriarbeamError, InvalidRequestError, NotFoundError
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
+SILENCE_MAX_S = 60.0
 _REASONS = {
     200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
     400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 409: "Conflict",
@@ -228,10 +229,14 @@
 
 
 class _Handler(WSGIHandler):
-    """Sends without Nagle's delay and shows the socket to the application."""
+    """Sends without Nagle's delay and shows the socket to the application.
+
+    A peer that neither sends nor reads for `SILENCE_MAX_S` loses its connection.
+    """
 
     def __init__(self, sock, address, server, rfile=None):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(SILENCE_MAX_S)
         super().__init__(sock, address, server, rfile)
 
     def get_environ(self):
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -5,6 +5,7 @@
 whether bytes may have left: `ConnectError` (none did) or `ExchangeError`.
 """
 
+import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
@@ -18,6 +19,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_MAX = 32
+IDLE_MAX_S = 15.0
 READ_BLOCK_BYTES = 65536
 
 _tracer = trace.get_tracer(__name__)
@@ -146,9 +148,9 @@
 
     def _take(self, address, fresh):
         if not fresh:
-            idle = self._idle[address]
-            if idle:
-                return idle.pop()
+            client = self._take_idle(address)
+            if client is not None:
+                return client
         client = HTTPClient(
             address.host, address.port, concurrency=1, block_size=READ_BLOCK_BYTES
         )
@@ -164,12 +166,22 @@
         client._connection_pool.source_host = self._source_host
         return client
 
-    def _give_back(self, address, client):
+    def _take_idle(self, address):
+        """Return the connection used last, unless the peer may have closed it."""
         idle = self._idle[address]
-        if len(idle) < IDLE_CONNECTIONS_MAX:
-            idle.append(client)
-        else:
+        while idle:
+            client, since_s = idle.pop()
+            if time.monotonic() - since_s < IDLE_MAX_S:
+                return client
             client.close()
+        return None
+
+    def _give_back(self, address, client):
+        idle = self._idle[address]
+        idle.append((client, time.monotonic()))
+        if len(idle) > IDLE_CONNECTIONS_MAX:
+            oldest, _ = idle.pop(0)
+            oldest.close()
 
 
 def _context_of(request):
--- /dev/null
+++ b/tests/test_kernel_http.py
@@ -0,0 +1,120 @@
+"""The HTTP border: connections, replies and their ends."""
+
+import socket
+
+import gevent
+import pytest
+
+from briarbeam.kernel import http, network
+from briarbeam.kernel.errors import ConnectError, ExchangeError
+from briarbeam.kernel.http import HttpServer, Response, Router
+from briarbeam.kernel.network import Address, HttpNetwork, HttpRequest, fetch
+
+
+@pytest.fixture
+def address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(*probe.getsockname())
+
+
+@pytest.fixture
+def router(address):
+    router = Router()
+    server = HttpServer(address, router)
+    server.start()
+    yield router
+    server.stop(timeout_s=0)
+
+
+def _stream(count, pause_s):
+    for number in range(count):
+        gevent.sleep(pause_s)
+        yield b"%d\n" % number
+
+
+def test_no_connection_is_told_from_a_broken_one(address):
+    with pytest.raises(ConnectError):
+        fetch(HttpNetwork(), address, HttpRequest("GET", "/"))
+    with socket.socket() as listener:
+        listener.bind(tuple(address))
+        listener.listen()
+        with pytest.raises(ExchangeError):
+            fetch(HttpNetwork(), address, HttpRequest("GET", "/", timeout_s=0.1))
+
+
+def test_connection_with_a_reply_outstanding_is_not_reused(address, router):
+    slow = gevent.event.Event()
+
+    def answer(request, name):
+        if name == "slow":
+            slow.wait()
+        return Response.of_json({"name": name})
+
+    router.add("GET", "/{name}", answer)
+    caller = HttpNetwork()
+    with pytest.raises(ExchangeError):
+        fetch(caller, address, HttpRequest("GET", "/slow", timeout_s=0.1))
+    slow.set()
+    for _ in range(3):
+        _, _, body = fetch(caller, address, HttpRequest("GET", "/quick"))
+        assert body == b'{"name": "quick"}'
+
+
+def test_reply_that_breaks_off_is_an_error(address, router):
+    def answer(request):
+        def body():
+            yield b"one\n"
+            request.connection.shutdown(socket.SHUT_RDWR)
+            gevent.sleep(0)
+            yield b"two\n"
+
+        return Response(200, body())
+
+    router.add("GET", "/", answer)
+    response = HttpNetwork().send(address, HttpRequest("GET", "/", timeout_s=1.0))
+    with pytest.raises(ExchangeError):
+        list(response.lines())
+    response.close()
+
+
+def test_router_is_idle_once_each_body_is_closed(address, router):
+    router.add("GET", "/", lambda request: Response(200, _stream(1000, 0.01)))
+    response = HttpNetwork().send(address, HttpRequest("GET", "/"))
+    next(response.lines())
+    assert not router.wait_idle(0)
+    response.close()
+    assert router.wait_idle(10)
+
+
+def test_draining_router_serves_and_ends_connections(address, router):
+    router.add("GET", "/", lambda request: Response.of_json({}))
+    router.draining = True
+    status, headers, _ = fetch(HttpNetwork(), address, HttpRequest("GET", "/"))
+    assert status == 200
+    assert headers["connection"] == "close"
+
+
+def test_silent_peer_loses_its_connection(address, router, monkeypatch):
+    monkeypatch.setattr(http, "SILENCE_MAX_S", 0.1)
+    with socket.create_connection(tuple(address)) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\n")
+        caller.settimeout(10)
+        assert caller.recv(1000) == b""
+
+
+def test_idle_connection_is_dropped_in_time(address, router, monkeypatch):
+    peers = set()
+
+    def answer(request):
+        peers.add(request.connection.getpeername())
+        return Response.of_json({})
+
+    router.add("GET", "/", answer)
+    caller = HttpNetwork()
+    for _ in range(2):
+        fetch(caller, address, HttpRequest("GET", "/"))
+    assert len(peers) == 1
+    monkeypatch.setattr(network, "IDLE_MAX_S", 0.0)
+    fetch(caller, address, HttpRequest("GET", "/"))
+    assert len(peers) == 2
