Read a silent connection to its end, and wait for the version in the trace test

The silence test took the server's 400 for an open connection, and the trace test asked a target that was ready with no version loaded. Ruled out: the bound itself and the spans (both hold once the tests wait for what they mean). Before: 2 failed, 13 passed. After: make test, 15 passed; with the two bounds switched off, 2 failed, 5 passed in tests/test_kernel_http.py.

--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -100,7 +100,8 @@
     with socket.create_connection(tuple(address)) as caller:
         caller.sendall(b"GET / HTTP/1.1\r\n")
         caller.settimeout(10)
-        assert caller.recv(1000) == b""
+        while caller.recv(1000):
+            continue
 
 
 def test_idle_connection_is_dropped_in_time(address, router, monkeypatch):
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -23,6 +23,7 @@
     domains = (Domain("hobart", "south", entries=1, engines=1),)
     with Site(domains) as site:
         site.declare("v1")
+        site.wait_for(lambda: site.loaded("v1") == 1)
         site.wait_for(lambda: site.ready() == len(site.instances))
         entry, target = site.entries()[0], site.targets()[0]
         body = {"model": site.model, "prompt": "x", "max_tokens": 2}
