Change targets over in waves with permits, each order fenced

Cause: all targets changed at once, so the thin path's demo refused live requests; the fence was the configuration's revision, which a replaced daemon shares with its predecessor; a newer wish killed the task in mid-order. Ruled out: a wave leader (a lease lapses while its holder is paused), a fence per daemon (two orders of one daemon share it). Conclusion: one task a target gives orders; permits by conditional update of one object a failure domain; a fence number an order, settled after the read-back.

--- a/briarbeam/configuration/resources.py
+++ b/briarbeam/configuration/resources.py
@@ -53,6 +53,9 @@
     previous_version: str | None = None
     paused: bool = False
     capacity_floor: Fraction = 0.5
+    domains_at_once: int = Field(1, ge=1)
+    failures_max: int = Field(0, ge=0)
+    attempt: int = Field(0, ge=0)
 
 
 @kinds.register("failure-domain")
--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -198,3 +198,51 @@
     """An engine refused or failed an order."""
 
     code = "order"
+
+
+class ChangeoverFailedError(OrderError):
+    """The engine does not serve the ordered version after the order."""
+
+    code = "changeover_failed"
+
+
+class OrderUnderWayError(WeightsError):
+    """An earlier order may still be under way at the engine."""
+
+    code = "order_under_way"
+
+
+class SupersededError(WeightsError):
+    """Another version is wanted by now, or another daemon orders the engine."""
+
+    code = "superseded"
+
+
+class NotIdleError(WeightsError):
+    """Running requests did not end in time, so nothing was ordered."""
+
+    code = "not_idle"
+
+
+class RolloutStoppedError(WeightsError):
+    """The rollout is paused, or too many changeovers of it failed."""
+
+    code = "rollout_stopped"
+
+
+class WaitingForPermitError(WeightsError):
+    """Other targets change first."""
+
+    code = "waiting_for_permit"
+
+
+class BaseVersionError(WeightsError):
+    """An adapter's base model is not at the version that the adapter needs."""
+
+    code = "base_version"
+
+
+class MemoryBoundError(WeightsError):
+    """The chunks of a version do not fit into the memory bound."""
+
+    code = "memory_bound"
--- a/briarbeam/operators/plugin.py
+++ b/briarbeam/operators/plugin.py
@@ -65,7 +65,10 @@
     def _change(self, changes, operator):
         for _ in range(RACES_MAX):
             head = self._read_head()
-            resources = dict(head.value.get("resources", {}))
+            resources = {
+                key: {"generation": head.version, **item}
+                for key, item in head.value.get("resources", {}).items()
+            }
             before = dict(resources)
             for change in changes:
                 _merge(resources, change)
--- a/briarbeam/weights/changeover.py
+++ b/briarbeam/weights/changeover.py
@@ -3,70 +3,117 @@
 import structlog
 from prometheus_client import Counter
 
-from ..kernel.errors import OrderError
+from ..kernel.errors import (
+    BriarbeamError,
+    ChangeoverFailedError,
+    ConnectError,
+    NetworkError,
+    NotIdleError,
+    OrderError,
+    SupersededError,
+    UnavailableError,
+)
+
+READ_BACK_S = 5.0
+READ_BACK_PAUSE_S = 0.2
 
 _CHANGEOVERS = Counter("briarbeam_changeovers", "Changeovers", ["result"])
 _log = structlog.get_logger()
 
 
 class Changeover:
-    """One change of an engine to one version.
+    """One change of an engine to one version, never cut short by a newer wish.
 
-    :param manifest: the manifest of weights that are held whole and verified.
+    :param fences: the `Fences` of this target.
+    :param order: what the engine is sent, without its fencing number.
+    :param is_wanted: a function that tells whether the version is still wanted.
     """
 
-    def __init__(self, kernel, model, version, spec, manifest):
-        self._kernel = kernel
-        self._model = model
-        self._version = version
-        self._spec = spec
-        self._manifest = manifest
+    def __init__(self, kernel, fences, order, is_wanted):
+        self._clock = kernel.clock
         self._gate = kernel.find("gate")
-        self._settings = kernel.settings
+        self._fences = fences
+        self._body = order
+        self._is_wanted = is_wanted
+        self._drain_timeout_s = kernel.settings.drain_timeout_s
+        self._order_timeout_s = kernel.settings.target.order_timeout_s
 
     def run(self):
         """Stop admitting, drain, order, read back and admit as cold.
 
-        :raises OrderError: if the engine does not serve the version afterwards.
+        :raises SupersededError: if another version is wanted by now.
+        :raises NotIdleError: if running requests did not end in time.
+        :raises ChangeoverFailedError: if the engine serves another version afterwards.
+        :raises PlatformError: if no fencing number could be taken.
         """
-        gate = self._gate
-        if gate.backend.status().loaded.get(self._model) == self._version:
-            return
-        gate.admission.close("changing", self._model)
+        admission = self._gate.admission
+        admission.close("changing", self._body["name"])
         try:
-            if not gate.admission.wait_idle(self._settings.drain_timeout_s):
-                raise OrderError("the running requests did not end in time")
-            gate.backend.order(self._order(), self._settings.target.order_timeout_s)
-            self._read_back()
-        except Exception:
+            if not admission.wait_idle(self._drain_timeout_s):
+                raise NotIdleError(f"not idle after {self._drain_timeout_s} s")
+            self._order()
+        except BriarbeamError:
             _CHANGEOVERS.labels("failed").inc()
             raise
         finally:
-            gate.probe()
-            gate.admission.open("changing")
+            self._reopen()
         _CHANGEOVERS.labels("done").inc()
 
-    def _read_back(self):
-        status = self._gate.backend.status()
-        found = status.loaded.get(self._model)
-        if found != self._version:
-            raise OrderError(f"ordered {self._version!r}, the engine serves {found!r}")
-        self._gate.note_incarnation(status.incarnation)
-
     def _order(self):
-        address = self._settings.listen.http
-        body = {
-            "kind": "model",
-            "name": self._model,
-            "version": self._version,
-            "weights_digest": self._spec.weights_digest,
-            "weights_url": f"{address}/weights/{self._spec.manifest_digest}",
-            "fence": self._kernel.find("configuration").configuration.revision,
-        }
-        configuration = self._kernel.find("configuration").configuration
-        model = configuration.get("model", self._model)
-        if model is not None and model.base:
-            body.update(
-                kind="adapter", base=model.base, base_version=self._spec.base_version
+        if self._loaded() == self._body["version"]:
+            return
+        fence = self._fences.take()
+        if not self._is_wanted():
+            self._fences.settle(fence)
+            raise SupersededError(f"{self._body['version']!r} is no longer wanted")
+        failure = self._send(fence)
+        self._gate.admission.turn_cold()
+        found = self._read_back()
+        if found != self._body["version"]:
+            if not self._fences.owns(fence):
+                raise SupersededError("another daemon orders this engine")
+            self._fences.settle(fence)
+            raise ChangeoverFailedError(
+                f"ordered {self._body['version']!r}, the engine serves {found!r}"
+                + (f": {failure}" if failure else "")
             )
-        return body
+        self._fences.settle(fence)
+
+    def _send(self, fence):
+        """Send the order, outlast it if its answer is lost, and return the failure."""
+        body = {**self._body, "fence": fence.number}
+        self._fences.check(fence)
+        sent_at_s = self._clock.monotonic_s()
+        try:
+            self._gate.backend.order(body, self._order_timeout_s)
+        except OrderError as error:
+            cause = error.__cause__
+            lost = isinstance(cause, NetworkError)
+            if lost and not isinstance(cause, ConnectError):
+                until_s = sent_at_s + self._order_timeout_s
+                self._clock.sleep(max(0.0, until_s - self._clock.monotonic_s()))
+            return error
+        return None
+
+    def _read_back(self):
+        """Return the version served, or None if the engine went silent."""
+        until_s = self._clock.monotonic_s() + READ_BACK_S
+        while True:
+            try:
+                return self._loaded()
+            except UnavailableError:
+                if self._clock.monotonic_s() >= until_s:
+                    return None
+                self._clock.sleep(READ_BACK_PAUSE_S)
+
+    def _loaded(self):
+        return self._gate.backend.status().loaded.get(self._body["name"])
+
+    def _reopen(self):
+        """Admit again; the gate reports the version that it reads back here."""
+        try:
+            self._gate.probe()
+        except Exception as error:
+            _log.warning("probe_failed", error=repr(error))
+            self._gate.admission.close("backend", "its status can't be read")
+        self._gate.admission.open("changing")
--- /dev/null
+++ b/briarbeam/weights/fence.py
@@ -0,0 +1,121 @@
+"""Fencing numbers: at most one order under way at an engine, over all its daemons.
+
+Each order takes a number by a conditional update of the target's record. The record
+stays unsettled until the outcome was read back; a daemon that finds an unsettled
+record of a predecessor outlasts the longest time that its order may take.
+"""
+
+import uuid
+from dataclasses import dataclass
+
+from ..kernel.errors import (
+    ConflictError,
+    NotFoundError,
+    OrderError,
+    OrderUnderWayError,
+    PlatformError,
+    PlatformUnknownError,
+)
+
+FENCE_KIND = "fence"
+FRESH_S = 1.0
+
+
+@dataclass(frozen=True)
+class Fence:
+    """One order's number.
+
+    :param version: the version of the record that holds it.
+    :param taken_at_s: monotonic time before it was taken.
+    """
+
+    number: int
+    version: int
+    taken_at_s: float
+
+
+class Fences:
+    """Takes the fencing numbers of one target.
+
+    :param objects: the platform's `ObjectApi`.
+    :param target: the target's name.
+    :param order_timeout_s: the longest that an order may be under way.
+    """
+
+    def __init__(self, clock, objects, target, order_timeout_s):
+        self._clock = clock
+        self._objects = objects
+        self._target = target
+        self._order_timeout_s = order_timeout_s
+        self._owner = uuid.uuid4().hex
+        self._foreign = None
+
+    def take(self):
+        """Return a number above every one taken before.
+
+        :raises OrderUnderWayError: until a predecessor's order has been outlasted.
+        :raises PlatformError: if the record can't be updated now.
+        :raises ConflictError: if another daemon took a number at the same time.
+        """
+        taken_at_s = self._clock.monotonic_s()
+        held_version, held = self._read()
+        self._outlast(held_version, held)
+        number = held.get("fence", 0) + 1
+        attempt = uuid.uuid4().hex
+        value = {
+            "fence": number,
+            "owner": self._owner,
+            "attempt": attempt,
+            "settled": False,
+        }
+        try:
+            version = self._objects.put(FENCE_KIND, self._target, value, held_version)
+        except PlatformUnknownError:
+            version, found = self._read()
+            if found.get("attempt") != attempt:
+                raise
+        return Fence(number, version, taken_at_s)
+
+    def check(self, fence):
+        """Raise if too long has passed since `fence` was taken; call before the send.
+
+        A daemon that was paused after it took a number must not use it.
+        """
+        age_s = self._clock.monotonic_s() - fence.taken_at_s
+        if age_s > FRESH_S:
+            raise OrderError(f"fence {fence.number} is {age_s:.1f} s old, not sent")
+
+    def settle(self, fence):
+        """Note that nothing is under way any more; failures are harmless."""
+        value = {"fence": fence.number, "owner": self._owner, "settled": True}
+        try:
+            self._objects.put(FENCE_KIND, self._target, value, fence.version)
+        except (PlatformError, ConflictError):
+            return
+
+    def owns(self, fence):
+        """Return whether `fence` is still the newest."""
+        try:
+            return self._read()[1].get("fence") == fence.number
+        except PlatformError:
+            return False
+
+    def _read(self):
+        try:
+            found = self._objects.get(FENCE_KIND, self._target)
+        except NotFoundError:
+            return 0, {}
+        return found.version, found.value
+
+    def _outlast(self, version, held):
+        if held.get("settled", True) or held.get("owner") == self._owner:
+            return
+        now_s = self._clock.monotonic_s()
+        if self._foreign is None or self._foreign[0] != version:
+            self._foreign = version, now_s
+        left_s = self._foreign[1] + self._order_timeout_s - now_s
+        if left_s > 0:
+            raise OrderUnderWayError(
+                f"a predecessor's order may be under way for {left_s:.1f} s",
+                retry_after_s=left_s,
+            )
--- a/briarbeam/weights/plugin.py
+++ b/briarbeam/weights/plugin.py
@@ -9,8 +9,8 @@
 from ..kernel.errors import BriarbeamError, NotFoundError, WeightsError
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
-from .changeover import Changeover
 from .manifest import Manifest
+from .reconcile import Reconciler
 from .store import ChunkStore
 from .transfer import Transfer
 
@@ -32,13 +32,17 @@
         self._configuration = kernel.find("configuration")
         self._transfers = {}
         self._following = {}
+        self._whole = set()
+        self.reconciler = Reconciler(kernel, self._whole.__contains__)
         kernel.router.add("GET", "/chunks/{digest}", self._serve_chunk)
         kernel.router.add("GET", "/weights/{digest}", self._serve_weights)
 
     def start(self):
-        for model in self.settings.target.models:
-            self._follow(model)
-        self._configuration.documents.subscribe(CONFIGURATION, self._restart_changed)
+        self._follow_all()
+        self._configuration.documents.subscribe(
+            CONFIGURATION, lambda document: self._follow_all()
+        )
+        self.kernel.tasks.spawn(self.reconciler.run)
 
     def holdings(self, manifest_digest):
         """Return bitmaps of the chunks held and being drawn."""
@@ -64,27 +68,28 @@
             and member.name != instance.name
         ]
 
-    def _follow(self, model):
-        wanted = self._configuration.configuration.wanted_version(model)
-        self._following[model] = (wanted, self.kernel.tasks.spawn(self._reach, model))
-
-    def _restart_changed(self, document):
-        for model, (wanted, task) in list(self._following.items()):
-            if self._configuration.configuration.wanted_version(model) != wanted:
+    def _follow_all(self):
+        """Fetch what is wanted now; a superseded version's transfer stops at once."""
+        snapshot = self._configuration.configuration
+        wanted = {model: snapshot.wanted_version(model) for model in self._models()}
+        for model, (version, task) in list(self._following.items()):
+            if wanted.get(model) != version:
                 task.kill(block=False)
-                self._follow(model)
-
-    def _reach(self, model):
-        """Bring `model` to its wanted version, however often it takes."""
-        wanted = self._configuration.configuration.wanted_version(model)
-        if wanted is None:
-            return
-        version, spec = wanted
+                del self._following[model]
+        for model, version in wanted.items():
+            if version is not None and model not in self._following:
+                task = self.kernel.tasks.spawn(self._reach, model, version[1])
+                self._following[model] = version, task
+
+    def _models(self):
+        return self.reconciler.models()
+
+    def _reach(self, model, spec):
+        """Hold a version's weights whole, however often it takes."""
         while True:
             try:
-                manifest = self._fetch(model, spec)
-                Changeover(self.kernel, model, version, spec, manifest).run()
-                _log.info("version_in_force", model=model, version=version)
+                self._fetch(model, spec)
+                self._whole.add(spec.manifest_digest)
                 return
             except BriarbeamError as error:
                 _log.warning("version_delayed", model=model, error=str(error))
--- /dev/null
+++ b/briarbeam/weights/waves.py
@@ -0,0 +1,232 @@
+"""Waves: which targets may change over now, so that enough go on serving.
+
+There is no leader. Each failure domain has a record in the platform's object API
+that lists the holders of a permit and the targets that have changed. A target takes
+a permit by a conditional update. Permits expire, so a dead holder blocks nobody; one
+holder too many costs a little capacity and no answer.
+"""
+
+import math
+import random
+from dataclasses import dataclass, field
+
+from prometheus_client import Counter
+
+from ..kernel.errors import (
+    ConflictError,
+    NotFoundError,
+    PlatformError,
+    RolloutStoppedError,
+    WaitingForPermitError,
+)
+from ..membership.members import rendezvous_order
+
+PERMIT_KIND = "permit"
+ROLLOUT_STATUS_KIND = "rollout-status"
+RELEASE_TRIES_MAX = 10
+RETRY_PAUSE_S = 0.05
+FAILURES_KEPT = 20
+REASON_MAX_CHARACTERS = 300
+
+_PERMITS = Counter("briarbeam_changeover_permits", "Permits", ["result"])
+
+
+@dataclass(frozen=True)
+class Wave:
+    """One rollout's order of failure domains.
+
+    :param generation: the generation of the rollout; a newer one starts afresh.
+    :param targets: the targets that need the model, by failure domain.
+    """
+
+    model: str
+    generation: int
+    spec: object
+    targets: dict
+
+    @property
+    def domains(self):
+        """The failure domains in the order in which they change."""
+        return rendezvous_order(f"{self.model}/{self.generation}", self.targets)
+
+    def limit(self, domain):
+        """Return how many targets of `domain` may change at once."""
+        count = len(self.targets[domain])
+        return max(1, math.floor((1 - self.spec.capacity_floor) * count + 1e-9))
+
+    def before(self, domain):
+        """Return the failure domain that must have changed before `domain`, or None."""
+        index = self.domains.index(domain) - self.spec.domains_at_once
+        return self.domains[index] if index >= 0 else None
+
+
+@dataclass
+class _Record:
+    version: int = 0
+    generation: int = 0
+    holders: dict = field(default_factory=dict)
+    changed: list = field(default_factory=list)
+
+    def to_value(self):
+        return {
+            "generation": self.generation,
+            "holders": self.holders,
+            "changed": sorted(self.changed),
+        }
+
+
+class Permits:
+    """Takes and releases the permits of one target.
+
+    :param objects: the platform's `ObjectApi`.
+    :param expiry_s: seconds after which a permit lapses.
+    :param patience_s: seconds without a change after which a failure domain no
+        longer holds up the next one.
+    """
+
+    def __init__(self, clock, objects, instance, expiry_s, patience_s):
+        self._clock = clock
+        self._objects = objects
+        self._instance = instance
+        self._expiry_s = expiry_s
+        self._patience_s = patience_s
+        self._seen = {}
+
+    def take(self, wave):
+        """Take a permit of this target's failure domain.
+
+        :raises RolloutStoppedError: if the rollout is paused or has failed.
+        :raises WaitingForPermitError: if other targets change first.
+        :raises PlatformError: if the platform can't be asked.
+        """
+        if wave.spec.paused:
+            self._seen.clear()
+            raise RolloutStoppedError("the rollout is paused")
+        domain = self._instance.failure_domain
+        self._check_before(wave, domain)
+        record = self._read(wave, domain)
+        own = self._instance.name
+        limit = 1 if self._is_first(wave, domain, record) else wave.limit(domain)
+        if own not in record.holders and len(record.holders) >= limit:
+            raise WaitingForPermitError(
+                f"{len(record.holders)} of {domain} change now, at most {limit}"
+            )
+        self._check_failures(wave)
+        record.holders[own] = self._now_unix_s() + self._expiry_s
+        try:
+            self._write(wave, domain, record)
+        except ConflictError as error:
+            _PERMITS.labels("lost").inc()
+            raise WaitingForPermitError("another target was quicker") from error
+        _PERMITS.labels("taken").inc()
+
+    def release(self, wave, changed):
+        """Give the permit back.
+
+        :param changed: whether the target serves the wanted version now.
+        """
+        domain, own = self._instance.failure_domain, self._instance.name
+        for attempt in range(RELEASE_TRIES_MAX):
+            try:
+                record = self._read(wave, domain)
+                record.holders.pop(own, None)
+                if changed and own not in record.changed:
+                    record.changed.append(own)
+                self._write(wave, domain, record)
+                return
+            except (ConflictError, PlatformError):
+                self._clock.sleep(RETRY_PAUSE_S * random.uniform(1, 2 + attempt))
+        _PERMITS.labels("not_released").inc()
+
+    def fail(self, wave, reason):
+        """Record that this target's changeover failed, which stops the rollout."""
+        name = self._instance.name
+        for attempt in range(RELEASE_TRIES_MAX):
+            try:
+                version, failures = self._failures(wave)
+                failures = [item for item in failures if item["target"] != name]
+                failures.append(
+                    {"target": name, "reason": reason[:REASON_MAX_CHARACTERS]}
+                )
+                value = {
+                    "generation": wave.generation,
+                    "failures": failures[-FAILURES_KEPT:],
+                }
+                self._objects.put(ROLLOUT_STATUS_KIND, wave.model, value, version)
+                return
+            except (ConflictError, PlatformError):
+                self._clock.sleep(RETRY_PAUSE_S * random.uniform(1, 2 + attempt))
+
+    def _check_before(self, wave, domain):
+        needed = wave.before(domain)
+        if needed is not None and not self._is_done(wave, needed):
+            raise WaitingForPermitError(f"{needed} changes first")
+        first = wave.domains[0]
+        if domain == first or needed == first:
+            return
+        if not self._read(wave, first).changed and not self._is_quiet(wave, first):
+            raise WaitingForPermitError(f"the first target of {first} changes first")
+
+    def _is_done(self, wave, domain):
+        record = self._read(wave, domain)
+        left = set(wave.targets[domain]) - set(record.changed)
+        return not left or self._is_quiet(wave, domain, record)
+
+    def _is_quiet(self, wave, domain, record=None):
+        """Return whether nothing has changed there for longer than the patience."""
+        record = record or self._read(wave, domain)
+        key = wave.model, domain
+        state = wave.generation, record.version
+        now_s = self._clock.monotonic_s()
+        if self._seen.get(key, (None,))[0] != state:
+            self._seen[key] = state, now_s
+        waited_s = now_s - self._seen[key][1]
+        return not record.holders and waited_s >= self._patience_s
+
+    def _is_first(self, wave, domain, record):
+        if record.changed:
+            return False
+        first = wave.domains[0]
+        return domain == first or not self._read(wave, first).changed
+
+    def _check_failures(self, wave):
+        _, failures = self._failures(wave)
+        if len(failures) > wave.spec.failures_max:
+            self._seen.clear()
+            reasons = "; ".join(f"{f['target']}: {f['reason']}" for f in failures[-3:])
+            raise RolloutStoppedError(f"changeovers failed: {reasons}")
+
+    def _failures(self, wave):
+        try:
+            found = self._objects.get(ROLLOUT_STATUS_KIND, wave.model)
+        except NotFoundError:
+            return 0, []
+        if found.value["generation"] != wave.generation:
+            return found.version, []
+        return found.version, found.value["failures"]
+
+    def _read(self, wave, domain):
+        """Return the record of a failure domain as it stands for this rollout."""
+        try:
+            found = self._objects.get(PERMIT_KIND, f"{wave.model}.{domain}")
+        except NotFoundError:
+            return _Record(generation=wave.generation)
+        value = found.value
+        if value["generation"] > wave.generation:
+            raise WaitingForPermitError("a newer rollout has begun")
+        now_s = self._now_unix_s()
+        holders = {
+            name: until_s
+            for name, until_s in value["holders"].items()
+            if until_s > now_s
+        }
+        same = value["generation"] == wave.generation
+        changed = list(value["changed"]) if same else []
+        return _Record(found.version, wave.generation, holders, changed)
+
+    def _write(self, wave, domain, record):
+        name = f"{wave.model}.{domain}"
+        self._objects.put(PERMIT_KIND, name, record.to_value(), record.version)
+
+    def _now_unix_s(self):
+        return self._clock.now().timestamp()
