Spread by scatter and all-gather with budgets, pacing and step-in

Cause: peers were asked chunk by chunk without knowing what they hold, a stalled link held a fetcher for its whole timeout, out-bytes of a target had no bound, and a second daemon drew from the origin by time alone. Ruled out: Held calls to every peer at an interval (n calls a second and target); the bitmaps ride on the chunk replies, and calls go to few peers only. A rotation by position (a list that differs by one name moves every owner).

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -194,6 +194,25 @@
     code = "chunk_unavailable"
 
 
+class OriginRefusedError(ChunkUnavailableError):
+    """The origin answered that it does not give the chunk now."""
+
+    code = "origin_refused"
+
+
+class BudgetSpentError(ChunkUnavailableError):
+    """A peer has given its share; others hold the chunk too."""
+
+    code = "budget_spent"
+    status = 429
+
+
+class StalledError(ChunkUnavailableError):
+    """A source gave too few bytes in an interval."""
+
+    code = "stalled"
+
+
 class OrderError(WeightsError):
     """An engine refused or failed an order."""
 
--- a/briarbeam/platform/client.py
+++ b/briarbeam/platform/client.py
@@ -14,7 +14,9 @@
     ConflictError,
     ConnectError,
     ExchangeError,
+    NetworkError,
     NotFoundError,
+    OriginRefusedError,
     PlatformError,
     PlatformUnavailableError,
     PlatformUnknownError,
@@ -146,23 +148,27 @@
         self._address = address
         self._timeout_s = timeout_s
 
-    def read(self, digest):
+    def read(self, digest, read_body=lambda response: response.read()):
         """Return the bytes stored under `digest`, unverified.
 
-        :raises ChunkUnavailableError: if the origin doesn't give them now.
+        :param read_body: reads the reply's body, so that it can be paced.
+        :raises OriginRefusedError: if the origin answers that it doesn't give them.
+        :raises ChunkUnavailableError: if it doesn't answer.
         """
         _CALLS.labels("origin").inc()
         request = HttpRequest("GET", f"/blobs/{digest}", timeout_s=self._timeout_s)
         try:
-            status, headers, body = fetch(self._network, self._address, request)
-        except (ConnectError, ExchangeError) as error:
+            response = self._network.send(self._address, request)
+            try:
+                if response.status == 200:
+                    return read_body(response)
+            finally:
+                response.close()
+        except NetworkError as error:
             _FAILURES.labels("origin").inc()
             raise ChunkUnavailableError(str(error), retry_after_s=1.0) from error
-        if status != 200:
-            _FAILURES.labels("origin").inc()
-            retry_after_s = float(headers.get("retry-after", 1.0))
-            raise ChunkUnavailableError(
-                f"the origin answered {status} for {digest}",
-                retry_after_s=retry_after_s,
-            )
-        return body
+        _FAILURES.labels("origin").inc()
+        raise OriginRefusedError(
+            f"the origin answered {response.status} for {digest}",
+            retry_after_s=float(response.headers.get("retry-after", 1.0)),
+        )
--- /dev/null
+++ b/briarbeam/weights/library.py
@@ -0,0 +1,126 @@
+"""The versions that this target holds or is about to hold, and what it gives of them."""
+
+import hashlib
+
+from ..kernel.errors import NotFoundError, WeightsError
+from .bitmap import Bitmap
+from .manifest import Manifest
+
+HOLDINGS_FRESH_S = 0.1
+
+
+class Library:
+    """Knows each manifest's transfer and which weights are whole.
+
+    :param store: the `ChunkStore`.
+    """
+
+    def __init__(self, clock, store):
+        self._clock = clock
+        self._store = store
+        self._manifests = {}
+        self._transfers = {}
+        self._whole = set()
+        self._told = {}
+
+    def begin(self, manifest_digest, transfer):
+        """Note that a transfer begins."""
+        self._transfers[manifest_digest] = transfer
+
+    def transfer(self, manifest_digest):
+        """Return the newest transfer of a manifest, or None."""
+        return self._transfers.get(manifest_digest)
+
+    def is_whole(self, manifest_digest):
+        """Return whether the weights are held whole and were verified as a whole."""
+        return manifest_digest in self._whole
+
+    def verify(self, manifest, manifest_digest, weights_digest):
+        """Check the weights as a whole, before any engine is offered them.
+
+        :raises WeightsError: if they don't match, or a chunk is missing.
+        """
+        whole = hashlib.sha256()
+        for chunk in manifest.chunks:
+            data = self._store.get(chunk.digest)
+            if data is None:
+                raise WeightsError(f"chunk {chunk.digest} is not held")
+            whole.update(data)
+            self._clock.sleep(0)
+        if whole.hexdigest() != weights_digest:
+            raise WeightsError(
+                f"expected the whole {weights_digest}, got {whole.hexdigest()}"
+            )
+        self._whole.add(manifest_digest)
+
+    def chunks(self, manifest_digest):
+        """Return the size of the weights and their chunks in order.
+
+        :raises NotFoundError: if they are not held whole.
+        """
+        if manifest_digest not in self._whole:
+            raise NotFoundError(f"manifest {manifest_digest} is not held whole")
+        manifest = self._manifest(manifest_digest)
+        chunks = [self._store.get(chunk.digest) for chunk in manifest.chunks]
+        return manifest.size_bytes, chunks
+
+    def holdings(self, manifest_digest):
+        """Return bitmaps of the chunks held and of those drawn with progress."""
+        now_s = self._clock.monotonic_s()
+        told_at_s, told = self._told.get(manifest_digest, (now_s - 1, None))
+        if told is not None and now_s - told_at_s < HOLDINGS_FRESH_S:
+            return told
+        told = self._look(manifest_digest)
+        self._told[manifest_digest] = now_s, told
+        return told
+
+    def expects(self, manifest_digest, digest):
+        """Return whether a chunk is about to be held, so that a peer may wait."""
+        transfer = self._transfers.get(manifest_digest)
+        return transfer is not None and transfer.expects(digest)
+
+    def budget_bytes(self, manifest_digest):
+        """Return what this target gives of a version before others are asked.
+
+        It is one target's share when each chunk goes once to every target.
+        """
+        transfer = self._transfers.get(manifest_digest)
+        if transfer is None or transfer.manifest is None:
+            return None
+        manifest = transfer.manifest
+        others = (transfer.targets - 1) / transfer.targets
+        largest_bytes = max(chunk.size_bytes for chunk in manifest.chunks)
+        return manifest.size_bytes * others + largest_bytes
+
+    def keep_only(self, manifest_digests):
+        """Drop what belongs to no manifest in `manifest_digests`."""
+        kept = set(manifest_digests)
+        for known in (self._manifests, self._transfers, self._told):
+            for digest in set(known) - kept:
+                del known[digest]
+        self._whole &= kept
+        digests = set(kept)
+        for manifest_digest in kept:
+            manifest = self._manifest(manifest_digest)
+            if manifest is not None:
+                digests.update(chunk.digest for chunk in manifest.chunks)
+        self._store.keep_only(digests)
+
+    def _manifest(self, manifest_digest):
+        if manifest_digest not in self._manifests:
+            data = self._store.get(manifest_digest)
+            if data is None:
+                return None
+            self._manifests[manifest_digest] = Manifest.from_bytes(data)
+        return self._manifests[manifest_digest]
+
+    def _look(self, manifest_digest):
+        manifest = self._manifest(manifest_digest)
+        if manifest is None:
+            return Bitmap(), Bitmap()
+        transfer = self._transfers.get(manifest_digest)
+        held = Bitmap.of(chunk.digest in self._store for chunk in manifest.chunks)
+        if transfer is None:
+            return held, Bitmap()
+        count = len(manifest.chunks)
+        return held, Bitmap.of(transfer.drawing(index) for index in range(count))
--- /dev/null
+++ b/briarbeam/weights/origin.py
@@ -0,0 +1,146 @@
+"""Draws from the origin of weights, with one backoff for the whole process."""
+
+import math
+import random
+
+from prometheus_client import Counter, Gauge
+
+from ..kernel.errors import (
+    BriarbeamError,
+    ChunkUnavailableError,
+    OriginRefusedError,
+    StalledError,
+)
+
+BACKOFF_START_S = 0.5
+BACKOFF_MAX_S = 4.0
+PIECE_BYTES = 16384
+PROGRESS_MIN_BYTES = 1024
+
+_BYTES = Counter("briarbeam_weights_bytes", "Verified bytes taken in", ["source"])
+_WAITING = Gauge("briarbeam_origin_backoff", "Whether draws from the origin wait")
+
+
+class Reader:
+    """Reads bodies at a pace and gives up a source that makes no progress.
+
+    :param pace: the `Pace` of what this target takes in.
+    :param stall_after_s: the interval in which at least `PROGRESS_MIN_BYTES` must come.
+    """
+
+    def __init__(self, clock, pace, stall_after_s):
+        self._clock = clock
+        self._pace = pace
+        self._stall_after_s = stall_after_s
+
+    def read(self, response, size_bytes, on_progress=None):
+        """Return a body of `size_bytes`.
+
+        :raises StalledError: if an interval brought too little.
+        :raises ChunkUnavailableError: if the body is shorter or longer.
+        """
+        pieces, got_bytes = [], 0
+        interval_bytes, waited_s = 0, 0.0
+        while True:
+            began_s = self._clock.monotonic_s()
+            piece = response.read(PIECE_BYTES)
+            waited_s += self._clock.monotonic_s() - began_s
+            if not piece:
+                break
+            pieces.append(piece)
+            got_bytes += len(piece)
+            interval_bytes += len(piece)
+            if got_bytes > size_bytes:
+                raise ChunkUnavailableError(f"more than {size_bytes} bytes")
+            if waited_s >= self._stall_after_s:
+                if interval_bytes < PROGRESS_MIN_BYTES:
+                    raise StalledError(f"{interval_bytes} bytes in {waited_s:.1f} s")
+                interval_bytes, waited_s = 0, 0.0
+            if on_progress is not None:
+                on_progress()
+            self._pace.pass_bytes(len(piece))
+        if got_bytes != size_bytes:
+            raise ChunkUnavailableError(f"{got_bytes} bytes, expected {size_bytes}")
+        return b"".join(pieces)
+
+
+class OriginSource:
+    """The origin as this process sees it.
+
+    :param origin: the platform's `Origin`.
+    :param reader: the `Reader` of bodies.
+    :param progress_s: seconds without progress after which a draw counts as stalled.
+    """
+
+    def __init__(self, clock, origin, reader, progress_s, jitter=None):
+        self._clock = clock
+        self._origin = origin
+        self._reader = reader
+        self._progress_s = progress_s
+        self._jitter = jitter or random.Random()
+        self._retry_at_s = -math.inf
+        self._progress_at_s = clock.monotonic_s()
+        self._failures = 0
+        self.drawn_bytes = 0
+        self.recovered_at_s = -math.inf
+
+    @property
+    def failing(self):
+        """Whether the last draw failed."""
+        return self._failures > 0
+
+    def ready(self):
+        """Return whether a draw may be tried now."""
+        return self._clock.monotonic_s() >= self._retry_at_s
+
+    def makes_progress(self):
+        """Return whether draws progress, or wait only because the origin refuses."""
+        return self._clock.monotonic_s() - self._progress_at_s < self._progress_s
+
+    def begin(self):
+        """Note that draws begin; until the first progress they count as progressing."""
+        if not self.failing:
+            self._note_progress()
+
+    def draw(self, digest, size_bytes, take):
+        """Draw a blob and hand it to `take`, which verifies it.
+
+        :param size_bytes: the size expected, or None for any.
+        """
+        try:
+            data = self._origin.read(
+                digest, lambda response: self._read(response, size_bytes)
+            )
+            take(digest, data)
+        except BriarbeamError as error:
+            self._fail(error)
+            raise
+        self._succeed()
+        self.drawn_bytes += len(data)
+        _BYTES.labels("origin").inc(len(data))
+
+    def _read(self, response, size_bytes):
+        if size_bytes is None:
+            return response.read()
+        return self._reader.read(response, size_bytes, self._note_progress)
+
+    def _note_progress(self):
+        self._progress_at_s = self._clock.monotonic_s()
+
+    def _succeed(self):
+        if self.failing:
+            self.recovered_at_s = self._clock.monotonic_s()
+        self._failures = 0
+        self._note_progress()
+        _WAITING.set(0)
+
+    def _fail(self, error):
+        if isinstance(error, OriginRefusedError):
+            self._note_progress()
+        pause_s = min(BACKOFF_MAX_S, BACKOFF_START_S * 2**self._failures)
+        pause_s *= self._jitter.uniform(0.5, 1.5)
+        self._failures += 1
+        self._retry_at_s = self._clock.monotonic_s() + max(
+            pause_s, (error.retry_after_s or 0.0) * self._jitter.uniform(1.0, 1.5)
+        )
+        _WAITING.set(1)
--- /dev/null
+++ b/briarbeam/weights/pace.py
@@ -0,0 +1,23 @@
+"""Pacing, so that transfers leave room for live traffic."""
+
+
+class Pace:
+    """Lets bytes through at a rate shared by all its users.
+
+    :param rate_bytes_per_s: bytes a second, or None for no limit.
+    """
+
+    def __init__(self, clock, rate_bytes_per_s):
+        self._clock = clock
+        self._rate_bytes_per_s = rate_bytes_per_s
+        self._free_at_s = 0.0
+
+    def pass_bytes(self, size_bytes):
+        """Return once `size_bytes` may pass."""
+        if self._rate_bytes_per_s is None:
+            return
+        now_s = self._clock.monotonic_s()
+        start_s = max(now_s, self._free_at_s)
+        self._free_at_s = start_s + size_bytes / self._rate_bytes_per_s
+        if start_s > now_s:
+            self._clock.sleep(start_s - now_s)
--- a/briarbeam/weights/plan.py
+++ b/briarbeam/weights/plan.py
@@ -1,27 +1,139 @@
-"""Who draws which chunk from the origin, without agreement."""
+"""Which target draws which chunk from the origin, without agreement.
 
+A plan covers the targets of one region. Every target computes the same one; where
+views of the instance list differ, few chunks have another owner.
+"""
+
+import hashlib
+import math
+
+from ..kernel.registry import Registry
 from ..membership.members import rendezvous_order
 
+plans = Registry("source order")
+
+BREATHE_EVERY = 16
+_MASK = 2**64 - 1
+_ODD = 0x9E3779B97F4A7C15
+
 
+@plans.register("scatter")
 class Plan:
-    """The order of the targets of one region for each chunk of a version.
+    """Scatter, then all-gather: each chunk has one owner that draws it.
 
-    The targets stand in one rendezvous order for the version; chunk i starts at the
-    i-th of them, so that every target draws the same share.
+    Owners come from rendezvous hashing with bounded loads, so each has an equal
+    share, and a name more or less moves few chunks.
 
     :param key: names the version.
-    :param names: the targets of the region that need it.
+    :param own: this target.
+    :param names: the targets of the region that need the version.
+    :param count: the number of chunks.
+    :param breathe: called now and then, so that other tasks run meanwhile.
     """
 
-    def __init__(self, key, names):
-        self._order = rendezvous_order(key, names)
+    def __init__(self, key, own, names, count, breathe=lambda: None):
+        self._own = own
+        self._count = count
+        self._order = rendezvous_order(key, set(names) | {own})
+        self._positions = {name: index for index, name in enumerate(self._order)}
+        self._hashes = [_hash64(f"{key}/{name}") for name in self._order]
+        self._ranked = {}
+        self._place(breathe)
+
+    def _place(self, breathe):
+        """Find each chunk's owner and the next in line, by position."""
+        size = len(self._order)
+        room = [math.ceil(self._count / size)] * size
+        self._owners, self._seconds = [], []
+        for index in range(self._count):
+            if index % BREATHE_EVERY == 0:
+                breathe()
+            weights = self._weights(index)
+            order = sorted(range(size), key=weights.__getitem__)
+            owner = next(position for position in order if room[position])
+            room[owner] -= 1
+            self._owners.append(owner)
+            second = next((other for other in order if other != owner), owner)
+            self._seconds.append(second)
+
+    def _weights(self, index):
+        salt = _salt(index)
+        return [_weight(name_hash, salt) for name_hash in self._hashes]
+
+    @property
+    def names(self):
+        """The targets of the region in rendezvous order."""
+        return self._order
+
+    def owner(self, index):
+        """Return the target that draws chunk `index`."""
+        return self._order[self._owners[index]]
+
+    def holders(self, index):
+        """Return the targets in their order for chunk `index`, its owner first."""
+        if index not in self._ranked:
+            weights = self._weights(index)
+            order = sorted(range(len(self._order)), key=weights.__getitem__)
+            owner = self._owners[index]
+            ranked = [owner, *(other for other in order if other != owner)]
+            self._ranked[index] = [self._order[position] for position in ranked]
+        return self._ranked[index]
+
+    def second(self, index):
+        """Return the target that steps in first for the owner of chunk `index`."""
+        return self._order[self._seconds[index]]
 
     def rank(self, name, index):
         """Return the rank of a target for chunk `index`; rank 0 draws it."""
+        return self.holders(index).index(name)
+
+    def pull_order(self):
+        """Return the chunks in the order in which this target asks for them.
+
+        Each target begins at another owner, so owners are asked evenly.
+        """
         count = len(self._order)
-        return (self._order.index(name) - index) % count
+        own = self._positions[self._own]
+        return sorted(
+            range(self._count), key=lambda index: (own - self._owners[index]) % count
+        )
+
+    def manifest_parents(self, fanout):
+        """Return whom to ask for the manifest: the way up a tree over the region."""
+        position = self._positions[self._own]
+        parents = []
+        while position > 0:
+            position = (position - 1) // fanout
+            parents.append(self._order[position])
+        return parents
+
+
+@plans.register("origin")
+class OriginPlan(Plan):
+    """The baseline: every target draws every chunk from the origin."""
+
+    def owner(self, index):
+        return self._own
 
     def holders(self, index):
-        """Return the targets in their order for chunk `index`."""
-        start = index % len(self._order)
-        return self._order[start:] + self._order[:start]
+        return [self._own]
+
+    def pull_order(self):
+        return list(range(self._count))
+
+    def manifest_parents(self, fanout):
+        return []
+
+
+def _hash64(text):
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest())
+
+
+def _salt(index):
+    return (index + 1) * _ODD & _MASK
+
+
+def _weight(name_hash, salt):
+    mixed = (name_hash ^ salt) * _ODD & _MASK
+    mixed ^= mixed >> 29
+    return mixed * _ODD & _MASK
--- a/briarbeam/weights/plugin.py
+++ b/briarbeam/weights/plugin.py
@@ -1,21 +1,22 @@
 """The plug-in that brings wanted versions to this target and its engine."""
 
-import hashlib
+import random
 
-import gevent
 import structlog
 
 from ..configuration.documents import CONFIGURATION
-from ..kernel.errors import BriarbeamError, NotFoundError, WeightsError
+from ..kernel.errors import BriarbeamError
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
-from .manifest import Manifest
+from .library import Library
+from .origin import OriginSource, Reader
+from .pace import Pace
 from .reconcile import Reconciler
+from .serving import PIECE_BYTES, Serving
 from .store import ChunkStore
 from .transfer import Transfer
 
 RETRY_PAUSE_S = 0.5
-PIECE_BYTES = 64 * 1024
 
 _log = structlog.get_logger()
 
@@ -28,13 +29,23 @@
 
     def __init__(self, kernel):
         super().__init__(kernel)
-        self.store = ChunkStore(self.settings.weights.memory_max_bytes)
+        chosen = self.settings.weights
+        clock = kernel.clock
+        self.store = ChunkStore(chosen.memory_max_bytes)
+        self.library = Library(clock, self.store)
         self._configuration = kernel.find("configuration")
-        self._transfers = {}
+        self._reader = Reader(clock, self._pace(), chosen.stall_after_s)
+        self.origin = OriginSource(
+            clock,
+            kernel.find("platform").origin,
+            self._reader,
+            2 * chosen.stall_after_s,
+        )
+        self._serving = Serving(clock, self.store, self._pace(), self.library)
         self._following = {}
-        self._whole = set()
-        self.reconciler = Reconciler(kernel, self._whole.__contains__)
-        kernel.router.add("GET", "/chunks/{digest}", self._serve_chunk)
+        self.delays = {}
+        self.reconciler = Reconciler(kernel, self.library.is_whole)
+        kernel.router.add("GET", "/chunks/{digest}", self._serving.chunk)
         kernel.router.add("GET", "/weights/{digest}", self._serve_weights)
 
     def start(self):
@@ -45,93 +56,108 @@
         self.kernel.tasks.spawn(self.reconciler.run)
 
     def holdings(self, manifest_digest):
-        """Return bitmaps of the chunks held and being drawn."""
-        data = self.store.get(manifest_digest)
-        if data is None:
-            return b"", b""
-        manifest = Manifest.from_bytes(data)
-        transfer = self._transfers.get(manifest_digest)
-        drawing = transfer.drawing if transfer else ()
-        return (
-            _bitmap(chunk.digest in self.store for chunk in manifest.chunks),
-            _bitmap(chunk.digest in drawing for chunk in manifest.chunks),
-        )
+        """Return bitmaps, as bytes, of the chunks held and being drawn."""
+        held, drawing = self.library.holdings(manifest_digest)
+        return bytes(held), bytes(drawing)
 
-    def peers(self, model):
-        """Return the other members of this region that serve `model`."""
-        instance = self.settings.instance
+    def members(self, model):
+        """Return the members that serve `model`, an adapter's those of its base."""
+        snapshot = self._configuration.configuration
+        spec = snapshot.get("model", model)
+        base = (spec and spec.base) or model
         return [
             member
             for member in self._configuration.members.values()
-            if model in member.models
-            and member.region == instance.region
-            and member.name != instance.name
+            if base in member.models
         ]
 
+    def _pace(self):
+        """Return a pace that leaves a share of the link to live traffic."""
+        chosen = self.settings.weights
+        if chosen.link_bytes_per_s is None:
+            return Pace(self.clock, None)
+        return Pace(self.clock, chosen.link_bytes_per_s * chosen.link_share)
+
     def _follow_all(self):
         """Fetch what is wanted now; a superseded version's transfer stops at once."""
         snapshot = self._configuration.configuration
-        wanted = {model: snapshot.wanted_version(model) for model in self._models()}
+        models = self.reconciler.models()
+        wanted = {model: snapshot.wanted_version(model) for model in models}
         for model, (version, task) in list(self._following.items()):
             if wanted.get(model) != version:
                 task.kill(block=False)
                 del self._following[model]
+                self.delays.pop(model, None)
         for model, version in wanted.items():
             if version is not None and model not in self._following:
                 task = self.kernel.tasks.spawn(self._reach, model, version[1])
                 self._following[model] = version, task
 
-    def _models(self):
-        return self.reconciler.models()
-
     def _reach(self, model, spec):
         """Hold a version's weights whole, however often it takes."""
         while True:
             try:
                 self._fetch(model, spec)
-                self._whole.add(spec.manifest_digest)
+                self.delays.pop(model, None)
                 return
             except BriarbeamError as error:
-                _log.warning("version_delayed", model=model, error=str(error))
-                gevent.sleep(RETRY_PAUSE_S)
+                if model not in self.delays:
+                    _log.warning("version_delayed", model=model, error=str(error))
+                self.delays[model] = f"{error.code}: {error}"
+                self.clock.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.5))
 
     def _fetch(self, model, spec):
         digest = spec.manifest_digest
-        transfer = Transfer(self.kernel, self.store, digest, lambda: self.peers(model))
-        self._transfers[digest] = transfer
+        self._make_room()
+        transfer = Transfer(
+            self.kernel,
+            self.store,
+            digest,
+            lambda: self.members(model),
+            self.origin,
+            self._reader,
+        )
+        self.library.begin(digest, transfer)
         manifest = transfer.run()
-        whole = hashlib.sha256()
-        for chunk in manifest.chunks:
-            whole.update(self.store.get(chunk.digest))
-        if whole.hexdigest() != spec.weights_digest:
-            raise WeightsError(f"{model}: the whole does not match its digest")
-        return manifest
-
-    def _serve_chunk(self, request, digest):
-        data = self.store.get(digest)
-        if data is None:
-            raise NotFoundError(f"chunk {digest} is not held")
-        return Response(200, _pieces([data]), {"content-length": str(len(data))})
+        self.library.verify(manifest, digest, spec.weights_digest)
+
+    def _make_room(self):
+        """Keep the wanted and the served versions, and previous ones while they fit."""
+        needed, previous = set(), set()
+        snapshot = self._configuration.configuration
+        for model in self.reconciler.models():
+            rollout = snapshot.get("rollout", model)
+            if rollout is None:
+                continue
+            for version in (rollout.version, self.reconciler.loaded(model)):
+                needed.add(_manifest_of(snapshot, model, version))
+            previous.add(_manifest_of(snapshot, model, rollout.previous_version))
+        needed.discard(None)
+        previous.discard(None)
+        bound_bytes = self.settings.weights.memory_max_bytes
+        sizes = [self._size_bytes(snapshot, digest) for digest in needed | previous]
+        kept = needed | previous if sum(sizes) <= bound_bytes else needed
+        self.library.keep_only(kept)
+        self._serving.forget(kept)
+
+    def _size_bytes(self, snapshot, manifest_digest):
+        for resource in snapshot.of_kind("version").values():
+            if resource.spec.manifest_digest == manifest_digest:
+                return resource.spec.size_bytes
+        return 0
 
     def _serve_weights(self, request, digest):
-        data = self.store.get(digest)
-        if data is None:
-            raise NotFoundError(f"manifest {digest} is not held")
-        manifest = Manifest.from_bytes(data)
-        chunks = [self.store.get(chunk.digest) for chunk in manifest.chunks]
-        if None in chunks:
-            raise NotFoundError(f"manifest {digest} is not held whole")
-        size_bytes = str(manifest.size_bytes)
-        return Response(200, _pieces(chunks), {"content-length": size_bytes})
+        """Give the engine its weights, which were verified as a whole."""
+        size_bytes, chunks = self.library.chunks(digest)
+        return Response(200, _pieces(chunks), {"content-length": str(size_bytes)})
+
+
+def _manifest_of(snapshot, model, version):
+    spec = snapshot.get("version", f"{model}@{version}")
+    return spec.manifest_digest if spec else None
 
 
 def _pieces(chunks):
     for chunk in chunks:
         for start in range(0, len(chunk), PIECE_BYTES):
             yield chunk[start : start + PIECE_BYTES]
-
-
-def _bitmap(flags):
-    bits = "".join("1" if flag else "0" for flag in flags)
-    size_bytes = (len(bits) + 7) // 8
-    return int(bits.ljust(size_bytes * 8, "0") or "0", 2).to_bytes(size_bytes, "big")
--- /dev/null
+++ b/briarbeam/weights/serving.py
@@ -0,0 +1,110 @@
+"""Giving chunks to peers: paced, within a budget, and with what else is held."""
+
+from collections import defaultdict, deque
+
+from prometheus_client import Counter
+
+from ..kernel.errors import BudgetSpentError, NotFoundError
+from ..kernel.http import Response
+
+MANIFEST_HEADER = "x-briarbeam-manifest"
+SENDER_HEADER = "x-briarbeam-sender"
+MUST_HEADER = "x-briarbeam-must"
+WAIT_HEADER = "x-briarbeam-wait-s"
+HELD_HEADER = "x-briarbeam-held"
+DRAWING_HEADER = "x-briarbeam-drawing"
+REFERRAL_HEADER = "x-briarbeam-referral"
+
+PIECE_BYTES = 16384
+WAIT_MAX_S = 2.0
+WAIT_POLL_S = 0.05
+REFERRALS_MAX = 4
+BITMAP_HEADER_MAX_BYTES = 4096
+
+_SERVED = Counter("briarbeam_weights_served_bytes", "Bytes given to peers")
+_REFERRED = Counter("briarbeam_weights_referrals", "Peers sent on to another holder")
+
+
+class Serving:
+    """Answers the chunk requests of peers.
+
+    :param store: the `ChunkStore`.
+    :param pace: the `Pace` of what this target gives.
+    :param view: tells of a manifest's transfer: ``holdings``, ``expects`` and
+        ``budget_bytes``.
+    """
+
+    def __init__(self, clock, store, pace, view):
+        self._clock = clock
+        self._store = store
+        self._pace = pace
+        self._view = view
+        self._given_bytes = defaultdict(int)
+        self._given = defaultdict(lambda: deque(maxlen=REFERRALS_MAX))
+
+    def chunk(self, request, digest):
+        """Serve ``GET /chunks/{digest}``."""
+        headers = request.headers
+        manifest_digest = headers.get(MANIFEST_HEADER, "")
+        sender = headers.get(SENDER_HEADER, "")
+        data = self._await(manifest_digest, digest, headers.get(WAIT_HEADER))
+        told = self._told(manifest_digest)
+        if data is None:
+            error = NotFoundError(f"chunk {digest} is not held")
+            return _refuse(error, told)
+        if not headers.get(MUST_HEADER) and self._is_spent(manifest_digest, data):
+            _REFERRED.inc()
+            referral = ",".join(name for name in self._given[digest] if name != sender)
+            error = BudgetSpentError("this peer has given its share")
+            return _refuse(error, {**told, REFERRAL_HEADER: referral})
+        self._given_bytes[manifest_digest] += len(data)
+        told["content-length"] = str(len(data))
+        return Response(200, self._give(digest, sender, data), told)
+
+    def forget(self, manifest_digests):
+        """Forget the budgets of all manifests but these."""
+        for digest in set(self._given_bytes) - set(manifest_digests):
+            del self._given_bytes[digest]
+        for digest in [digest for digest in self._given if digest not in self._store]:
+            del self._given[digest]
+
+    def _await(self, manifest_digest, digest, wait_s):
+        """Return a chunk, waiting a little if it is about to come."""
+        try:
+            patience_s = min(WAIT_MAX_S, float(wait_s or 0))
+        except ValueError:
+            patience_s = 0.0
+        until_s = self._clock.monotonic_s() + patience_s
+        while digest not in self._store:
+            left_s = until_s - self._clock.monotonic_s()
+            if left_s <= 0 or not self._view.expects(manifest_digest, digest):
+                break
+            self._clock.sleep(WAIT_POLL_S)
+        return self._store.get(digest)
+
+    def _told(self, manifest_digest):
+        held, drawing = self._view.holdings(manifest_digest)
+        if len(bytes(held)) > BITMAP_HEADER_MAX_BYTES:
+            return {}
+        return {HELD_HEADER: str(held), DRAWING_HEADER: str(drawing)}
+
+    def _is_spent(self, manifest_digest, data):
+        budget_bytes = self._view.budget_bytes(manifest_digest)
+        if budget_bytes is None:
+            return False
+        return self._given_bytes[manifest_digest] + len(data) > budget_bytes
+
+    def _give(self, digest, sender, data):
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            self._pace.pass_bytes(len(piece))
+            _SERVED.inc(len(piece))
+            yield piece
+        if sender:
+            self._given[digest].appendleft(sender)
+
+
+def _refuse(error, headers):
+    response = Response.of_error(error)
+    response.headers.update(headers)
+    return response
--- /dev/null
+++ b/briarbeam/weights/step_in.py
@@ -0,0 +1,139 @@
+"""Stepping in for an owner that neither holds nor draws its chunk."""
+
+import math
+
+from ..kernel.errors import NetworkError
+from ..wire import control_grpc, control_pb2
+from .bitmap import Bitmap
+
+TICK_S = 0.25
+INFO_MAX_AGE_S = 1.0
+WATCH_INTERVAL_S = 2.0
+HELD_TIMEOUT_S = 1.0
+
+
+class StepIn:
+    """Watches over the owners of missing chunks and adopts what they leave.
+
+    Rank r adopts a chunk r delays after it was orphaned, unless a lower rank holds
+    or draws it by then. While the origin fails for this target as well, nobody steps
+    in, and the delays begin anew once it has recovered.
+
+    :param ask_held: a function that asks a peer what it holds.
+    :param origin: the `OriginSource`.
+    """
+
+    def __init__(self, clock, plan, peers, need, origin, own, delay_s, ask_held):
+        self._clock = clock
+        self._plan = plan
+        self._peers = peers
+        self._need = need
+        self._origin = origin
+        self._own = own
+        self._delay_s = delay_s
+        self._ask_held = ask_held
+        self._orphaned_at_s = {}
+
+    def run(self):
+        """Watch until nothing is missing."""
+        while self._need.missing:
+            self._clock.sleep(TICK_S)
+            self.tick()
+
+    def tick(self):
+        """Look once over the missing chunks."""
+        orphans = [index for index in self._need.missing if self._is_orphan(index)]
+        for index in set(self._orphaned_at_s) - set(orphans):
+            del self._orphaned_at_s[index]
+        self._ask_one(orphans)
+        for index in orphans:
+            self._consider(index)
+
+    def _is_orphan(self, index):
+        if self._need.pledged(index) or self._cares(self._plan.owner(index), index):
+            return False
+        return not self._peers.holders(index)
+
+    def _cares(self, name, index):
+        """Return whether a peer holds or draws a chunk, or has not yet been heard."""
+        if not self._peers.usable(name):
+            return False
+        if self._peers.holds(name, index) or self._peers.draws(name, index):
+            return True
+        return self._peers.age_s(name) == math.inf
+
+    def _consider(self, index):
+        now_s = self._clock.monotonic_s()
+        since_s = self._orphaned_at_s.setdefault(index, now_s)
+        since_s = max(since_s, self._origin.recovered_at_s)
+        rank = self._plan.rank(self._own, index)
+        if now_s - since_s < rank * self._delay_s:
+            return
+        if self._origin.failing or self._is_cared_for(index, rank):
+            self._orphaned_at_s[index] = now_s
+            return
+        self._need.adopted.add(index)
+
+    def _is_cared_for(self, index, rank):
+        for name in self._plan.holders(index)[:rank]:
+            if self._peers.usable(name) and self._peers.age_s(name) > INFO_MAX_AGE_S:
+                self._ask_held(name)
+            if self._cares(name, index):
+                return True
+        return False
+
+    def _ask_one(self, orphans):
+        """Ask one peer what it holds: an owner this target is next to, or a helper."""
+        wanted = {
+            self._plan.owner(index): WATCH_INTERVAL_S
+            for index in self._need.missing
+            if self._plan.second(index) == self._own
+        }
+        for index in orphans:
+            for name in self._plan.holders(index)[1:]:
+                if name != self._own and self._peers.usable(name):
+                    wanted[name] = INFO_MAX_AGE_S
+                    break
+        old = [
+            name
+            for name, age_s in wanted.items()
+            if self._peers.usable(name) and self._peers.age_s(name) > age_s
+        ]
+        if old:
+            self._ask_held(max(old, key=self._peers.age_s))
+
+
+class HeldCalls:
+    """Asks peers over the control channel what they hold.
+
+    :param members: a function that returns the members of the region by name.
+    """
+
+    def __init__(self, kernel, manifest_digest, members, peers):
+        self._rpc = kernel.rpc
+        self._sender = kernel.settings.instance.name
+        self._manifest_digest = manifest_digest
+        self._members = members
+        self._peers = peers
+
+    def ask(self, name):
+        """Ask one peer; one that doesn't answer is left alone for a while."""
+        member = self._members().get(name)
+        if member is None:
+            self._peers.fail(name)
+            return
+        request = control_pb2.HoldingsRequest(
+            sender=self._sender, manifest_digest=self._manifest_digest
+        )
+        try:
+            reply = self._rpc.call(
+                member.control,
+                control_grpc.ControlStub,
+                "Held",
+                request,
+                timeout_s=HELD_TIMEOUT_S,
+            )
+        except NetworkError:
+            self._peers.fail(name)
+            return
+        self._peers.tell(name, Bitmap(reply.held), Bitmap(reply.drawing))
--- a/briarbeam/weights/store.py
+++ b/briarbeam/weights/store.py
@@ -11,7 +11,7 @@
     """
 
     def __init__(self, max_bytes):
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._chunks = {}
         self.held_bytes = 0
 
@@ -33,9 +33,9 @@
         found = digest_of(data)
         if found != digest:
             raise CorruptChunkError(f"expected {digest}, got {found}")
-        if self.held_bytes + len(data) > self._max_bytes:
+        if self.held_bytes + len(data) > self.max_bytes:
             raise WeightsError(
-                f"{self.held_bytes + len(data)} bytes, at most {self._max_bytes}"
+                f"{self.held_bytes + len(data)} bytes, at most {self.max_bytes}"
             )
         self._chunks[digest] = data
         self.held_bytes += len(data)
--- a/briarbeam/weights/transfer.py
+++ b/briarbeam/weights/transfer.py
@@ -1,109 +1,306 @@
 """Fetching a version's chunks: each once from the origin a region, then from peers."""
 
 import gevent
-from gevent.pool import Pool
+import structlog
 from prometheus_client import Counter
 
-from ..kernel.errors import BriarbeamError, ChunkUnavailableError, NetworkError
-from ..kernel.network import HttpRequest, fetch
+from ..kernel.errors import (
+    BriarbeamError,
+    BudgetSpentError,
+    ChunkUnavailableError,
+    CorruptChunkError,
+    MemoryBoundError,
+    NetworkError,
+)
+from ..kernel.network import HttpRequest
+from . import serving
+from .bitmap import Bitmap
 from .manifest import Manifest
-from .plan import Plan
+from .need import Need
+from .peers import Peers
+from .plan import plans
+from .step_in import HeldCalls, StepIn
 
-RETRY_PAUSE_S = 0.1
-CHUNK_TIMEOUT_S = 5.0
+IDLE_PAUSE_S = 0.05
+RETRY_PAUSE_S = 0.2
+LONG_POLL_S = 1.0
+GREETED_PEERS = 2
+MANIFEST_FANOUT = 4
+MANIFEST_PATIENCE_S = 2.0
 
-_BYTES = Counter("briarbeam_weights_bytes", "Verified bytes taken in", ["source"])
-_FAULTS = Counter("briarbeam_weights_faults", "Failed draws", ["code"])
+_BYTES = Counter("briarbeam_weights_peer_bytes", "Verified bytes from peers", ["from"])
+_FAULTS = Counter("briarbeam_weights_faults", "Failed draws and pulls", ["code"])
+_log = structlog.get_logger()
 
 
 class Transfer:
     """Brings one version's chunks into the store.
 
+    :param store: the `ChunkStore`.
     :param manifest_digest: names the version's manifest.
-    :param peers: a function that returns the members which need the version too.
+    :param members: a function that returns the members which need the version too.
+    :param origin: the process's `OriginSource`.
+    :param reader: the process's `Reader` of bodies.
     """
 
-    def __init__(self, kernel, store, manifest_digest, peers):
+    def __init__(self, kernel, store, manifest_digest, members, origin, reader):
         self._kernel = kernel
+        self._clock = kernel.clock
         self._store = store
         self._manifest_digest = manifest_digest
-        self._peers = peers
+        self._members = members
+        self._origin = origin
+        self._reader = reader
         self._settings = kernel.settings.weights
-        self._origin = kernel.find("platform").origin
-        self._name = kernel.settings.instance.name
-        self._started_s = kernel.clock.monotonic_s()
-        self.drawing = set()
+        self._instance = kernel.settings.instance
+        self._own = self._instance.name
+        self.manifest = None
+        self.need = None
+        self.peers = None
+        self.targets = 1
+        self.started_at_s = kernel.clock.monotonic_s()
 
     def run(self):
-        """Return the manifest once every chunk of it is held and verified."""
+        """Return the manifest once every chunk of it is held and verified.
+
+        :raises MemoryBoundError: if the chunks do not fit into the memory bound.
+        """
+        self._origin.begin()
         manifest = Manifest.from_bytes(self._fetch_manifest())
         missing = [
             index
             for index, chunk in enumerate(manifest.chunks)
             if chunk.digest not in self._store
         ]
-        pool = Pool(self._settings.fetchers)
+        self._check_room(manifest, missing)
+        plan = self._plan(self._region(), len(manifest.chunks))
+        self.targets = len(plan.names)
+        self.peers = Peers(self._clock, self._own, plan.names)
+        self.need = Need(plan, self.peers, self._own, missing)
+        self.manifest = manifest
+        self._work(plan)
+        return manifest
+
+    def expects(self, digest):
+        """Return whether a chunk is about to be held, so that a peer may wait."""
+        if self.manifest is None:
+            return digest == self._manifest_digest
+        return self._origin.makes_progress() and any(
+            self.manifest.chunks[index].digest == digest
+            for index in self.need.missing
+            if self.need.pledged(index)
+        )
+
+    def drawing(self, index):
+        """Return whether a chunk is drawn from the origin, with progress."""
+        if self.need is None or not self._origin.makes_progress():
+            return False
+        return self.need.pledged(index)
+
+    def _work(self, plan):
+        held_calls = HeldCalls(
+            self._kernel, self._manifest_digest, self._region, self.peers
+        )
+        for name in self.peers.names[:GREETED_PEERS]:
+            held_calls.ask(name)
+        step_in = StepIn(
+            self._clock,
+            plan,
+            self.peers,
+            self.need,
+            self._origin,
+            self._own,
+            self._settings.step_in_delay_s,
+            held_calls.ask,
+        )
+        tasks = [gevent.spawn(step_in.run)]
+        tasks += [gevent.spawn(self._draw_all) for _ in range(self._settings.drawers)]
+        tasks += [gevent.spawn(self._pull_all) for _ in range(self._settings.fetchers)]
         try:
-            for _ in pool.imap_unordered(
-                lambda index: self._fetch(index, manifest.chunks[index].digest),
-                self._in_order(missing),
-            ):
-                continue
+            gevent.joinall(tasks, raise_error=True)
         finally:
-            pool.kill()
-        return manifest
+            gevent.killall(tasks)
+
+    def _region(self):
+        """Return the members of this region that need the version, by name."""
+        return {
+            member.name: member
+            for member in self._members()
+            if member.region == self._instance.region
+        }
+
+    def _plan(self, names, count):
+        plan = plans.get(self._settings.source_order)
+        key = self._manifest_digest
+        return plan(key, self._own, names, count, lambda: self._clock.sleep(0))
+
+    def _check_room(self, manifest, missing):
+        chunks = {manifest.chunks[index] for index in missing}
+        missing_bytes = sum(chunk.size_bytes for chunk in chunks)
+        needed_bytes = self._store.held_bytes + missing_bytes
+        if needed_bytes > self._store.max_bytes:
+            raise MemoryBoundError(
+                f"{needed_bytes} bytes needed, at most {self._store.max_bytes}"
+            )
+
+    def _draw_all(self):
+        while self.need.missing:
+            index = self.need.next_draw()
+            if index is None:
+                self._clock.sleep(IDLE_PAUSE_S)
+            elif self._origin.ready():
+                self._try(index, self._draw)
+            elif not self._try(index, self._pull_abroad):
+                self._clock.sleep(RETRY_PAUSE_S)
+
+    def _draw(self, index):
+        chunk = self.manifest.chunks[index]
+        self._origin.draw(chunk.digest, chunk.size_bytes, self._store.add)
+
+    def _pull_abroad(self, index):
+        """Ask another region for a chunk that the origin does not give."""
+        regions = {}
+        for member in self._members():
+            if member.region != self._instance.region:
+                regions.setdefault(member.region, {})[member.name] = member
+        for members in regions.values():
+            names = sorted(members)
+            name = names[index % len(names)]
+            try:
+                self._ask(members[name], index, must=True, wait_s=0)
+                return
+            except BriarbeamError as error:
+                _FAULTS.labels(error.code).inc()
+        raise ChunkUnavailableError("no other region gives it now")
+
+    def _pull_all(self):
+        while self.need.missing:
+            pull = self.need.next_pull()
+            if pull is None or not self._try(pull.index, self._pull, pull):
+                self._clock.sleep(IDLE_PAUSE_S)
+
+    def _try(self, index, source, pull=None):
+        """Take a chunk in from a source and return whether that worked."""
+        name = pull.name if pull else None
+        self.need.begin(index, name)
+        try:
+            source(pull or index)
+        except BriarbeamError as error:
+            _FAULTS.labels(error.code).inc()
+            return False
+        finally:
+            self.need.end(index, name)
+        self.need.got(index)
+        return True
+
+    def _pull(self, pull):
+        member = self._region().get(pull.name)
+        if member is None:
+            self.peers.fail(pull.name)
+            raise ChunkUnavailableError(f"{pull.name} is not listed any more")
+        try:
+            self._ask(member, pull.index, pull.must, LONG_POLL_S)
+        except CorruptChunkError:
+            self.peers.shun(pull.name)
+            _log.warning("corrupt_chunk", peer=pull.name)
+            raise
+        except BudgetSpentError:
+            self.need.refuse(pull.index, pull.name)
+            raise
+        except ChunkUnavailableError as error:
+            if error.status != 404:
+                self.peers.fail(pull.name)
+            raise
+        except NetworkError:
+            self.peers.fail(pull.name)
+            raise
+
+    def _ask(self, member, index, must, wait_s):
+        """Take a chunk in from a peer."""
+        chunk = self.manifest.chunks[index]
+        headers = {
+            serving.MANIFEST_HEADER: self._manifest_digest,
+            serving.SENDER_HEADER: self._own,
+            serving.WAIT_HEADER: str(wait_s),
+        }
+        if must:
+            headers[serving.MUST_HEADER] = "1"
+        response = self._send(member, chunk.digest, headers)
+        try:
+            self._note(member.name, index, response)
+            data = self._reader.read(response, chunk.size_bytes)
+        finally:
+            response.close()
+        self._store.add(chunk.digest, data)
+        own_region = member.region == self._instance.region
+        _BYTES.labels("region" if own_region else "abroad").inc(len(data))
 
-    def _in_order(self, indexes):
-        plan = self._plan()
-        return sorted(indexes, key=lambda index: plan.rank(self._name, index))
+    def _send(self, member, digest, headers):
+        timeout_s = max(self._settings.stall_after_s, 2 * LONG_POLL_S)
+        request = HttpRequest("GET", f"/chunks/{digest}", b"", headers, timeout_s)
+        return self._kernel.network.send(member.http, request)
 
-    def _plan(self):
-        names = {member.name for member in self._peers()} | {self._name}
-        return Plan(self._manifest_digest, names)
+    def _note(self, name, index, response):
+        """Take in what a reply tells of its sender.
+
+        :raises ChunkUnavailableError: if it does not bring the chunk.
+        """
+        told = response.headers
+        if serving.HELD_HEADER in told:
+            held = Bitmap.from_text(told[serving.HELD_HEADER])
+            drawing = Bitmap.from_text(told.get(serving.DRAWING_HEADER, ""))
+            self.peers.tell(name, held, drawing)
+        if response.status == 200:
+            return
+        self.peers.forget(name, index)
+        if response.status == BudgetSpentError.status:
+            for other in told.get(serving.REFERRAL_HEADER, "").split(","):
+                self.peers.refer(other, index)
+            raise BudgetSpentError(f"{name} has given its share")
+        error = ChunkUnavailableError(f"{name} answered {response.status}")
+        error.status = response.status
+        raise error
 
     def _fetch_manifest(self):
+        """Return the manifest's bytes, handed down a tree over the region."""
         digest = self._manifest_digest
         while digest not in self._store:
-            self._fetch(0, digest)
+            members = self._region()
+            parents = self._plan(members, 0).manifest_parents(MANIFEST_FANOUT)
+            waited_s = self._clock.monotonic_s() - self.started_at_s
+            asked = [members[name] for name in parents if name in members]
+            if any(self._hand_down(member) for member in asked[:2]):
+                continue
+            if not parents or waited_s > MANIFEST_PATIENCE_S:
+                self._draw_manifest()
+            self._clock.sleep(RETRY_PAUSE_S)
         return self._store.get(digest)
 
-    def _fetch(self, index, digest):
-        while digest not in self._store:
-            plan = self._plan()
-            rank = plan.rank(self._name, index)
-            elapsed_s = self._kernel.clock.monotonic_s() - self._started_s
-            if elapsed_s >= rank * self._settings.step_in_delay_s:
-                sources = [self._draw]
-            else:
-                peers = {member.name: member for member in self._peers()}
-                holders = [name for name in plan.holders(index) if name in peers]
-                sources = [
-                    lambda digest, peer=peers[name]: self._ask(peer, digest)
-                    for name in holders[:2]
-                ]
-            if not any(self._try(source, digest) for source in sources):
-                gevent.sleep(RETRY_PAUSE_S)
-
-    def _try(self, source, digest):
-        self.drawing.add(digest)
+    def _draw_manifest(self):
+        if self._origin.ready():
+            try:
+                self._origin.draw(self._manifest_digest, None, self._store.add)
+                return
+            except BriarbeamError as error:
+                _FAULTS.labels(error.code).inc()
+        others = [m for m in self._members() if m.region != self._instance.region]
+        any(self._hand_down(member) for member in others[:2])
+
+    def _hand_down(self, member):
+        """Take the manifest in from a peer and return whether that worked."""
+        headers = {
+            serving.MANIFEST_HEADER: self._manifest_digest,
+            serving.WAIT_HEADER: str(LONG_POLL_S),
+        }
         try:
-            source(digest)
-        except (BriarbeamError, NetworkError) as error:
+            response = self._send(member, self._manifest_digest, headers)
+            try:
+                if response.status != 200:
+                    return False
+                self._store.add(self._manifest_digest, response.read())
+            finally:
+                response.close()
+        except BriarbeamError as error:
             _FAULTS.labels(error.code).inc()
             return False
-        finally:
-            self.drawing.discard(digest)
         return True
-
-    def _draw(self, digest):
-        data = self._origin.read(digest)
-        self._store.add(digest, data)
-        _BYTES.labels("origin").inc(len(data))
-
-    def _ask(self, peer, digest):
-        request = HttpRequest("GET", f"/chunks/{digest}", timeout_s=CHUNK_TIMEOUT_S)
-        status, _, data = fetch(self._kernel.network, peer.http, request)
-        if status != 200:
-            raise ChunkUnavailableError(f"{peer.name} does not hold {digest}")
-        self._store.add(digest, data)
-        _BYTES.labels("peer").inc(len(data))
