Bound the open control channels of a process

Cause: a daemon that picks peers at random comes to hold a channel to each of 1,110. Ruled out: a new channel for each call, at three times the processor time. Before: no bound; with it switched off the new test fails. Conclusion: peers should also be picked from a stable subset.

--- a/briarbeam/kernel/rpc.py
+++ b/briarbeam/kernel/rpc.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections import Counter, OrderedDict
 
 import asyncio_gevent
 import gevent
@@ -16,6 +17,7 @@
 from .errors import ConnectError, ExchangeError
 
 CALL_TIMEOUT_S = 2.0
+CHANNELS_MAX = 64
 
 
 class RpcLoop:
@@ -27,7 +29,8 @@
     def __init__(self, source_host=None):
         self._loop = asyncio_gevent.EventLoop()
         self._source_host = source_host
-        self._channels = {}
+        self._channels = OrderedDict()
+        self._calling = Counter()
         self._servers = []
         self._greenlet = None
 
@@ -59,6 +62,7 @@
         :raises ExchangeError: if the call failed after that, or took too long.
         """
         channel = self._channel(address)
+        self._calling[channel] += 1
         try:
             return self.wait(
                 getattr(stub(channel), method)(message, timeout=timeout_s),
@@ -75,6 +79,10 @@
         ) as error:
             self._drop(address)
             raise ExchangeError(f"{method} at {address} failed: {error!r}") from error
+        finally:
+            self._calling[channel] -= 1
+            if not self._calling[channel]:
+                del self._calling[channel]
 
     def wait(self, coroutine, timeout_s=None):
         """Run `coroutine` on the loop and return its result."""
@@ -94,11 +102,22 @@
     def _channel(self, address):
         channel = self._channels.get(address)
         if channel is None:
+            self._make_room()
             channel = _SourceChannel(address.host, address.port, loop=self._loop)
             channel.source_host = self._source_host
             self._channels[address] = channel
+        self._channels.move_to_end(address)
         return channel
 
+    def _make_room(self):
+        """Close the idle channel that was used longest ago, if there are too many."""
+        if len(self._channels) < CHANNELS_MAX:
+            return
+        for address, channel in self._channels.items():
+            if not self._calling[channel]:
+                self._drop(address)
+                return
+
     def _drop(self, address):
         channel = self._channels.pop(address, None)
         if channel is not None:
--- /dev/null
+++ b/tests/test_kernel_rpc.py
@@ -0,0 +1,72 @@
+"""Control calls: typed failures and a bound on open channels."""
+
+import socket
+
+import pytest
+
+from briarbeam.kernel import rpc
+from briarbeam.kernel.errors import ConnectError, ExchangeError
+from briarbeam.kernel.network import Address
+from briarbeam.kernel.rpc import RpcLoop
+from briarbeam.wire import control_grpc, control_pb2
+
+
+class _Echo(control_grpc.ControlBase):
+    async def Exchange(self, stream):
+        await stream.send_message(await stream.recv_message())
+
+    async def Fetch(self, stream):
+        raise RuntimeError("fails on purpose")
+
+    async def Held(self, stream):
+        raise RuntimeError("fails on purpose")
+
+
+@pytest.fixture
+def loop():
+    loop = RpcLoop()
+    loop.start()
+    yield loop
+    loop.stop()
+
+
+def _free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address(*probe.getsockname())
+
+
+def _exchange(loop, address, **options):
+    message = control_pb2.DigestExchange(sender="a")
+    return loop.call(address, control_grpc.ControlStub, "Exchange", message, **options)
+
+
+def test_call_is_answered_and_failures_are_typed(loop):
+    address = _free_address()
+    with pytest.raises(ConnectError):
+        _exchange(loop, address)
+    loop.serve(address, [_Echo()])
+    assert _exchange(loop, address).sender == "a"
+    request = control_pb2.HoldingsRequest(sender="a")
+    with pytest.raises(ExchangeError):
+        loop.call(address, control_grpc.ControlStub, "Held", request)
+    assert _exchange(loop, address).sender == "a"
+
+
+def test_silent_peer_is_given_up(loop):
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        address = Address(*listener.getsockname())
+        with pytest.raises(ExchangeError):
+            _exchange(loop, address, timeout_s=0.1)
+
+
+def test_open_channels_are_bounded(loop, monkeypatch):
+    monkeypatch.setattr(rpc, "CHANNELS_MAX", 3)
+    addresses = [_free_address() for _ in range(6)]
+    for address in addresses:
+        loop.serve(address, [_Echo()])
+    for address in addresses * 2:
+        assert _exchange(loop, address).sender == "a"
+        assert len(loop._channels) <= 3
