Back off from a platform outage as one process and merge status writes

Cause: each caller of the platform retried by itself, so an outage ended with every process asking in the same second, a 429 was passed over, and status had no merged writes. Ruled out: a backoff in each plug-in, which multiplies the calls of a process. Conclusion: one Circuit a process, StatusWriter as platform plug-in's 'status'.

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -81,6 +81,31 @@
     status = 409
 
 
+class ResourceConflictError(ConflictError):
+    """A change to resources met another change; the message says which.
+
+    :param changed: the changes that were met, each with key, generation and operator.
+    """
+
+    code = "resource_conflict"
+
+    def __init__(self, message="", *, changed=(), retry_after_s=None):
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.changed = list(changed)
+
+    def to_dict(self):
+        body = super().to_dict()
+        body["error"]["changed"] = self.changed
+        return body
+
+
+class TooLargeError(NotRunError):
+    """A value is above the bound of what the platform holds."""
+
+    code = "too_large"
+    status = 413
+
+
 class InProgressError(NotRunError):
     """Another attempt with the same idempotency key is running now."""
 
@@ -175,6 +200,14 @@
     code = "platform_unknown"
 
 
+class PlatformBehindError(PlatformError):
+    """The platform holds an older configuration than the one in force here."""
+
+    code = "platform_behind"
+    status = 409
+    ran = Ran.NO
+
+
 class WeightsError(BriarbeamError):
     """Base of failures while weights are fetched, verified or loaded."""
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -16,7 +16,9 @@
 BODY_MAX_BYTES = 4 * 1024 * 1024
 _REASONS = {
     200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
+    304: "Not Modified",
     400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 409: "Conflict",
+    413: "Content Too Large",
     429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
--- a/briarbeam/platform/client.py
+++ b/briarbeam/platform/client.py
@@ -9,17 +9,19 @@
 
 from prometheus_client import Counter
 
+from ..kernel.clock import SystemClock
 from ..kernel.errors import (
     ChunkUnavailableError,
     ConflictError,
     ConnectError,
     ExchangeError,
     NotFoundError,
-    PlatformError,
     PlatformUnavailableError,
     PlatformUnknownError,
+    TooLargeError,
 )
 from ..kernel.network import HttpRequest, fetch
+from .circuit import Circuit
 
 _CALLS = Counter("briarbeam_platform_calls", "Calls to the platform", ["kind"])
 _FAILURES = Counter("briarbeam_platform_failures", "Failed platform calls", ["kind"])
@@ -43,12 +45,14 @@
     """The platform's object API: versions, conditional updates, watches.
 
     :param timeout_s: seconds until a call is given up.
+    :param circuit: the `Circuit` that holds calls back while the platform is out.
     """
 
-    def __init__(self, network, address, timeout_s=2.0):
+    def __init__(self, network, address, timeout_s=2.0, circuit=None):
         self._network = network
         self._address = address
         self._timeout_s = timeout_s
+        self._circuit = circuit or Circuit(SystemClock())
 
     def get(self, kind, name):
         """Return the object, or raise `NotFoundError`."""
@@ -78,6 +82,8 @@
         )
         if status == 409:
             raise ConflictError(f"{kind} {name!r} has version {body['version']}")
+        if status == 413:
+            raise TooLargeError(f"{kind} {name!r} is above the platform's bound")
         return body["version"]
 
     def delete(self, kind, name, if_version=None):
@@ -106,36 +112,55 @@
             return None
         return StoredObject(kind, name, body["version"], body["value"])
 
-    def instances(self):
-        """Return the lagging instance list: its revision and its entries."""
-        _, body = self._call("instances", "GET", "/instances")
+    def instances(self, held_revision=0):
+        """Return the lagging instance list: its revision and its entries.
+
+        :param held_revision: the revision that needs no sending.
+        :returns: the pair, or None if the list still has `held_revision`.
+        """
+        held = {"if-none-match": str(held_revision)} if held_revision else {}
+        status, body = self._call("instances", "GET", "/instances", headers=held)
+        if status == 304:
+            return None
         return body["revision"], body["instances"]
 
-    def _call(self, kind, method, path, value=None, timeout_s=None):
+    def _call(self, kind, method, path, value=None, timeout_s=None, headers=None):
+        self._circuit.enter()
         _CALLS.labels(kind).inc()
         body = b"" if value is None else json.dumps(value).encode()
         writes = method != "GET"
         request = HttpRequest(
-            method, path, body, {}, timeout_s or self._timeout_s, fresh=writes
+            method,
+            path,
+            body,
+            headers or {},
+            timeout_s or self._timeout_s,
+            fresh=writes,
         )
         try:
             status, headers, raw = fetch(self._network, self._address, request)
-            if status < 500 and status != 429:
-                return status, json.loads(raw or b"{}")
-        except ConnectError as error:
+            answer = json.loads(raw or b"{}")
+        except (ConnectError, ExchangeError, ValueError) as error:
+            self._circuit.fail()
             _FAILURES.labels(kind).inc()
-            raise PlatformUnavailableError(str(error), retry_after_s=1.0) from error
-        except (ExchangeError, ValueError) as error:
-            _FAILURES.labels(kind).inc()
-            kind_of_error = PlatformUnknownError if writes else PlatformUnavailableError
-            raise kind_of_error(str(error), retry_after_s=1.0) from error
+            reached = writes and not isinstance(error, ConnectError)
+            lost = PlatformUnknownError if reached else PlatformUnavailableError
+            raise lost(str(error), retry_after_s=1.0) from error
+        if status < 500 and status != 429:
+            self._circuit.succeed()
+            return status, answer
         _FAILURES.labels(kind).inc()
+        raise self._refusal(f"{method} {path}: status {status}", status, headers)
+
+    def _refusal(self, message, status, headers):
+        retry_after_s = float(headers.get("retry-after", 1.0))
+        if status == 429:
+            self._circuit.refuse(retry_after_s)
+        else:
+            self._circuit.fail()
         if status in (429, 503):
-            retry_after_s = float(headers.get("retry-after", 1.0))
-            raise PlatformUnavailableError(
-                f"{method} {path}: status {status}", retry_after_s=retry_after_s
-            )
-        raise PlatformError(f"{method} {path}: status {status}")
+            return PlatformUnavailableError(message, retry_after_s=retry_after_s)
+        return PlatformUnknownError(message, retry_after_s=retry_after_s)
 
 
 class Origin:
--- a/briarbeam/platform/plugin.py
+++ b/briarbeam/platform/plugin.py
@@ -1,17 +1,27 @@
 """The plug-in that holds the platform's clients."""
 
 from ..kernel.plugin import Plugin, plugins
+from .circuit import Circuit
 from .client import ObjectApi, Origin
+from .status import StatusWriter
 
 
 @plugins.register("platform")
 class PlatformPlugin(Plugin):
-    """The clients of the object API and of the origin."""
+    """The clients of the object API and of the origin, shared by all plug-ins."""
 
     def __init__(self, kernel):
         super().__init__(kernel)
         chosen = self.settings.platform
         self.objects = ObjectApi(
-            kernel.network, chosen.object_api, chosen.call_timeout_s
+            kernel.network,
+            chosen.object_api,
+            chosen.call_timeout_s,
+            Circuit(kernel.clock),
         )
         self.origin = Origin(kernel.network, chosen.origin)
+        self.status = StatusWriter(self.objects, chosen.status_interval_s)
+
+    def start(self):
+        flush = self.status.flush
+        self.kernel.tasks.repeat(flush, self.status.next_pause_s, self.clock)
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -67,6 +67,7 @@
     object_api: AddressField
     origin: AddressField
     call_timeout_s: float = Field(2.0, gt=0)
+    status_interval_s: float = Field(1.0, gt=0)
 
 
 class SpreadSettings(_Section):
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -19,13 +19,15 @@
     Faults: ``mode`` is ``ok``, ``down`` (503), ``silent`` (no answer) or ``lose``
     (writes take effect and their answers are lost); ``delay_s`` slows every call;
     ``rate_per_s`` refuses calls above it; ``list_lag_s`` holds the instance list
-    back; ``stale_reads`` serves each object's previous version.
+    back; ``stale_reads`` serves each object's previous version; ``stale_watches``
+    does the same for watches, so that answers come out of order.
     """
 
     def __init__(self):
         self.faults = Faults(
-            mode="ok", delay_s=0.0, rate_per_s=0, list_lag_s=1.0, stale_reads=False
-        )
+            mode="ok", delay_s=0.0, rate_per_s=0, list_lag_s=1.0, stale_reads=False,
+            stale_watches=False,
+        )  # fmt: skip
         self._objects = {}
         self._previous = {}
         self._revision = 0
@@ -34,6 +36,7 @@
         self._list_history = [(0.0, 0, [])]
         self._counts = Counter()
         self._second = (0, 0)
+        self._kept = ({}, 0)
 
     def router(self):
         """Return the router that serves this object."""
@@ -46,12 +49,13 @@
         router.add("GET", "/instances", self._guard(self.instances))
         router.add("PUT", "/instances/{name}", self.put_instance)
         router.add("DELETE", "/instances/{name}", self.delete_instance)
+        router.add("POST", "/snapshot", self.snapshot)
+        router.add("POST", "/restore", self.restore)
         router.add("GET", "/counts", self.counts)
         return router
 
     def get(self, request, kind, name):
-        source = self._previous if self.faults.stale_reads else self._objects
-        item = source.get((kind, name)) or self._objects.get((kind, name))
+        item = self._find(kind, name, self.faults.stale_reads)
         if item is None:
             return Response.of_json({"version": 0}, 404)
         return Response.of_json({"version": item[0], "value": item[1]})
@@ -94,6 +98,7 @@
         while time.monotonic() < until_s and self.faults.mode == "ok":
             held = self._objects.get((kind, name))
             if held and held[0] > after:
+                held = self._find(kind, name, self.faults.stale_watches)
                 return Response.of_json({"version": held[0], "value": held[1]})
             self._changed.wait(min(0.5, until_s - time.monotonic()))
         return Response.of_json({"version": 0}, 404)
@@ -102,6 +107,8 @@
         visible_s = time.monotonic() - self.faults.list_lag_s
         shown = [entry for entry in self._list_history if entry[0] <= visible_s]
         _, revision, instances = (shown or self._list_history[:1])[-1]
+        if request.headers.get("if-none-match") == str(revision):
+            return Response(304)
         return Response.of_json({"revision": revision, "instances": instances})
 
     def put_instance(self, request, name):
@@ -115,6 +122,22 @@
     def counts(self, request):
         return Response.of_json(dict(self._counts))
 
+    def snapshot(self, request):
+        """Keep the objects as they are now, for a later restore."""
+        self._kept = (dict(self._objects), self._revision)
+        return Response.of_json({"revision": self._revision})
+
+    def restore(self, request):
+        """Put the kept objects back, versions included, as a backup does."""
+        self._objects, self._revision = dict(self._kept[0]), self._kept[1]
+        self._previous = {}
+        self._wake()
+        return Response.of_json({"revision": self._revision})
+
+    def _find(self, kind, name, stale):
+        source = self._previous if stale else self._objects
+        return source.get((kind, name)) or self._objects.get((kind, name))
+
     def _note_instances(self):
         revision = self._list_history[-1][1] + 1
         snapshot = [self._instances[name] for name in sorted(self._instances)]
