Give the stand-ins truth with times, latencies, resets and a balancer

Cause: the scenarios need to know when a request started at an engine and with which prompt, and a call that undoes every fault so that one site serves several scenarios. The callers counted a stream that visibly broke off as a partial answer; only a short answer that is closed as whole is one, and it now counts as that. Ruled out: default values of the fault switches kept a second time in bench/site.py. Before: truth records had no time, links no latency, a cut only by silence.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -1,8 +1,11 @@
 """Callers: live requests whose every answer is checked against the truth."""
 
+import contextlib
+import itertools
 import json
 import random
 import time
+import uuid
 from collections import Counter
 from dataclasses import dataclass
 
@@ -13,16 +16,22 @@
 from standins.engine import token_of
 
 
+BALANCER_POLL_S = 0.25
+BALANCER_TIMEOUT_S = 1.0
+
+
 @dataclass
 class Outcome:
     """What came of one request.
 
-    :param result: ``ok``, ``wrong``, ``partial``, ``refused`` or ``failed``.
+    :param result: ``ok``, ``wrong``, ``partial`` (given as whole), ``refused`` or
+        ``failed`` (the caller can tell that the answer is not whole).
     :param ran: what the refusal said.
     """
 
     result: str
     started_s: float
+    prompt: str = ""
     first_token_s: float | None = None
     took_s: float = 0.0
     target: str = ""
@@ -31,6 +40,51 @@
     code: str = ""
 
 
+class Balancer:
+    """The platform's balancer: spreads requests over the entries that are ready.
+
+    It learns of a change at its next look, as the real one does.
+
+    :param site: the `Site` whose entries it looks at.
+    """
+
+    def __init__(self, site):
+        self._site = site
+        self._ready = list(site.entries())
+        self._looker = None
+
+    def start(self):
+        """Begin to look at the entries."""
+        self._looker = gevent.spawn(self._look)
+
+    def stop(self):
+        """Stop looking."""
+        self._looker.kill()
+
+    def choose(self):
+        """Return an entry that was ready at the last look."""
+        return random.choice(self._ready)
+
+    def _look(self):
+        while True:
+            entries = self._site.entries()
+            looks = [gevent.spawn(self._is_ready, entry) for entry in entries]
+            gevent.joinall(looks)
+            found = [
+                entry for entry, look in zip(entries, looks, strict=True) if look.value
+            ]
+            self._ready = found or entries
+            gevent.sleep(BALANCER_POLL_S)
+
+    def _is_ready(self, entry):
+        with contextlib.suppress(NetworkError):
+            answer = self._site.ask(
+                entry.http, "GET", "/readyz", timeout_s=BALANCER_TIMEOUT_S
+            )
+            return answer["ready"]
+        return False
+
+
 class Callers:
     """Sends streamed completions at a rate, spread over the entries.
 
@@ -43,18 +97,22 @@
         self._rate_per_s = rate_per_s
         self._max_tokens = max_tokens
         self._team = team
-        self._entries = site.entries()
+        self._balancer = Balancer(site)
+        self._name = uuid.uuid4().hex[:8]
+        self._numbers = itertools.count()
         self._running = []
         self._sender = None
         self.outcomes = []
 
     def start(self):
         """Begin to send."""
+        self._balancer.start()
         self._sender = gevent.spawn(self._send)
 
     def stop(self):
         """Stop sending and wait for the answers that are still out."""
         self._sender.kill()
+        self._balancer.stop()
         gevent.joinall(self._running)
 
     def counts(self):
@@ -73,20 +131,20 @@
     def _send(self):
         next_s = time.monotonic()
         while True:
-            entry = random.choice(self._entries)
+            entry = self._balancer.choose()
             self._running = [task for task in self._running if not task.dead]
             self._running.append(gevent.spawn(self._one, entry))
             next_s += random.expovariate(self._rate_per_s)
             gevent.sleep(max(0.0, next_s - time.monotonic()))
 
     def _one(self, entry):
-        prompt = f"prompt {random.randrange(1000)}"
+        prompt = f"prompt {self._name} {next(self._numbers)}"
         outcome = self.complete(entry, prompt)
         self.outcomes.append(outcome)
 
     def complete(self, entry, prompt):
         """Send one streamed completion and check each token of its answer."""
-        outcome = Outcome("failed", time.monotonic())
+        outcome = Outcome("failed", time.monotonic(), prompt)
         body = {
             "model": self._site.model,
             "prompt": prompt,
@@ -131,10 +189,16 @@
             outcome.target = event["briarbeam"]["target"]
             texts.append(event["choices"][0]["text"])
         if not ended:
-            outcome.result = "failed" if outcome.code else "partial"
+            outcome.code = outcome.code or "broken_off"
             return
         digest = self._site.weights_digests.get(outcome.version)
         expected = " ".join(
             token_of(digest, None, prompt, index) for index in range(self._max_tokens)
         )
-        outcome.result = "ok" if "".join(texts) == expected else "wrong"
+        outcome.result = _judge("".join(texts), expected)
+
+
+def _judge(text, expected):
+    if text == expected:
+        return "ok"
+    return "partial" if expected.startswith(text) else "wrong"
--- a/bench/site.py
+++ b/bench/site.py
@@ -26,6 +26,9 @@
 ADVERTISED_HTTP_PORT, ADVERTISED_CONTROL_PORT = 9080, 9081
 OPERATOR_TOKEN = "operator-token"
 START_TIMEOUT_S = 60.0
+LOG_TAIL_LINES = 15
+DOMAIN_LATENCY_S, REGION_LATENCY_S = 0.001, 0.002
+REVISION_METRIC = 'briarbeam_document_revision{document="configuration"}'
 
 
 @dataclass
@@ -50,6 +53,8 @@
     host: str
     backend: str | None = None
     processes: list = field(default_factory=list)
+    daemon: subprocess.Popen | None = None
+    backend_process: subprocess.Popen | None = None
 
     @property
     def http(self):
@@ -82,6 +87,7 @@
     :param region_bytes_per_s: the link between two regions, each way.
     :param origin_bytes_per_s: the origin's link.
     :param overrides: settings by section, laid over those of each daemon.
+    :param adapter: the name of an adapter of `model` that the engines serve too.
     """
 
     def __init__(
@@ -93,8 +99,11 @@
         overrides=None,
         model="chat",
         service="ledger",
+        adapter=None,
     ):
         self.model = model
+        self.adapter = adapter
+        self._models = [model, adapter] if adapter else [model]
         self.service = service
         self.network = HttpNetwork()
         self._domains = domains
@@ -108,6 +117,7 @@
         self.origin = Address(f"{self._prefix}.0.2", 7001)
         self.links = Address(f"{self._prefix}.0.3", 7002)
         self.weights_digests = {}
+        self.adapter_digests = {}
         self.instances = {}
         self._standins = {}
         self._lay_out()
@@ -120,7 +130,9 @@
             raise
         return self
 
-    def __exit__(self, *exc_info):
+    def __exit__(self, error_type, *exc_info):
+        if error_type is not None:
+            print(self.log_tails(), file=sys.stderr)
         self.stop()
 
     def start(self):
@@ -134,23 +146,19 @@
         plan.write_text(json.dumps(self._plan()))
         self._standin("link", self.links, "--plan", str(plan))
         for address in (self.object_api, self.origin, self.links):
-            self.wait_for(lambda address=address: self._answers(address))
+            self._await_start(address)
         for instance in self.instances.values():
             self.announce(instance)
             self.start_backend(instance)
             self.start_daemon(instance)
         for instance in self.instances.values():
-            self.wait_for(lambda instance=instance: self._answers(instance.http))
+            self._await_start(instance.http)
 
     def stop(self):
         """End every process that this site started."""
-        processes = list(self._standins.values())
-        for instance in self.instances.values():
-            processes.extend(instance.processes)
+        processes = self._processes()
         for process in processes:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.kill()
+            process.kill()
         for process in processes:
             process.wait()
         self._guard.close()
@@ -178,6 +186,7 @@
             str(truth),
         )
         instance.processes.append(process)
+        instance.backend_process = process
 
     def start_daemon(self, instance):
         """Start an instance's daemon."""
@@ -199,15 +208,81 @@
             "http": f"{instance.host}:{ADVERTISED_HTTP_PORT}",
             "control": f"{instance.host}:{ADVERTISED_CONTROL_PORT}",
             "state": state,
-            "models": [self.model] if instance.backend == "engine" else [],
+            "models": self._models if instance.backend == "engine" else [],
             "service": self.service if instance.backend == "service" else None,
         }
         self.ask(self.object_api, "PUT", f"/instances/{instance.name}", entry)
 
+    def withdraw(self, instance):
+        """Take an instance off the platform's list."""
+        self.ask(self.object_api, "DELETE", f"/instances/{instance.name}")
+
     def signal(self, name, number):
         """Send a signal to an instance's daemon."""
         self.instances[name].daemon.send_signal(number)
 
+    def kill_daemon(self, instance):
+        """End an instance's daemon at once."""
+        _end(instance.daemon)
+
+    def kill_backend(self, instance):
+        """End an instance's back end at once."""
+        _end(instance.backend_process)
+
+    def restart_backend(self, instance):
+        """Replace an instance's back end by one that has loaded nothing."""
+        self.kill_backend(instance)
+        self.start_backend(instance)
+
+    def cut(self, *pairs, mode="silence"):
+        """Cut the links between the two of each pair, and heal all others."""
+        self.faults(self.links, cut=list(pairs), mode=mode)
+
+    def heal(self):
+        """Undo every fault: switches, cuts, freezes, deaths and list entries."""
+        for address in (self.links, self.object_api, self.origin):
+            self.ask(address, "DELETE", "/faults")
+        for instance in self.instances.values():
+            self._revive(instance)
+        for instance in self.instances.values():
+            self._await_start(instance.http)
+
+    def _revive(self, instance):
+        self.announce(instance)
+        if instance.backend and instance.backend_process.poll() is not None:
+            self.start_backend(instance)
+        elif instance.backend:
+            self.ask(instance.backend_address, "DELETE", "/faults")
+        if instance.daemon.poll() is None:
+            instance.daemon.send_signal(signal.SIGCONT)
+        else:
+            self.start_daemon(instance)
+
+    def metrics(self, instance, timeout_s=2.0):
+        """Return a daemon's metrics by their name with labels.
+
+        :raises NetworkError: if it doesn't answer.
+        """
+        request = HttpRequest("GET", "/metrics", timeout_s=timeout_s)
+        _, _, body = fetch(self.network, instance.http, request)
+        lines = [line for line in body.decode().splitlines() if line and line[0] != "#"]
+        return {name: float(value) for name, _, value in map(_split_metric, lines)}
+
+    def revision(self, instance):
+        """Return the revision of the configuration in force at a daemon, or None."""
+        with contextlib.suppress(NetworkError):
+            return self.metrics(instance).get(REVISION_METRIC)
+        return None
+
+    def log_tails(self, lines=LOG_TAIL_LINES):
+        """Return the last lines of each process's log that isn't empty."""
+        tails = []
+        for path in sorted(self.folder.glob("*.log")):
+            found = path.read_text(errors="replace").splitlines()[-lines:]
+            if found:
+                tails.append("\n".join([f"--- {path.name}", *found]))
+        return "\n".join(tails)
+
     def faults(self, address, **switches):
         """Set fault switches of a stand-in."""
         return self.ask(address, "POST", "/faults", switches)
@@ -219,16 +294,26 @@
         _, _, answer = fetch(self.network, address, request)
         return json.loads(answer)
 
-    def publish(self, version, size_bytes=1_000_000, chunk_bytes=65536, **how):
-        """Make a version at the origin and return its resource."""
+    def publish(
+        self,
+        version,
+        size_bytes=1_000_000,
+        chunk_bytes=65536,
+        model=None,
+        base_version=None,
+        **how,
+    ):
+        """Make a version at the origin and return its resource.
+
+        :param base_version: for an adapter, the version of its base.
+        """
+        model = model or self.model
         asked = {"size_bytes": size_bytes, "chunk_bytes": chunk_bytes, **how}
-        made = self.ask(self.origin, "PUT", f"/versions/{self.model}/{version}", asked)
-        self.weights_digests[version] = made["weights_digest"]
-        return {
-            "kind": "version",
-            "name": f"{self.model}@{version}",
-            "spec": {"model": self.model, **made},
-        }
+        made = self.ask(self.origin, "PUT", f"/versions/{model}/{version}", asked)
+        digests = self.weights_digests if model == self.model else self.adapter_digests
+        digests[version] = made["weights_digest"]
+        spec = {"model": model, "base_version": base_version, **made}
+        return {"kind": "version", "name": f"{model}@{version}", "spec": spec}
 
     def apply(self, *resources, entry=None):
         """Declare resources through an entry daemon and return the revision."""
@@ -254,11 +339,11 @@
             self.rollout(version),
         )
 
-    def rollout(self, version, **spec):
+    def rollout(self, version, model=None, **spec):
         """Return the resource that asks for a version."""
         return {
             "kind": "rollout",
-            "name": self.model,
+            "name": model or self.model,
             "spec": {"version": version, **spec},
         }
 
@@ -303,6 +388,15 @@
                 raise TimeoutError(f"not so within {timeout_s} s: {condition}")
             time.sleep(pause_s)
 
+    def _await_start(self, address):
+        self.wait_for(lambda: self._answers(address))
+
+    def _processes(self):
+        started = list(self._standins.values())
+        for instance in self.instances.values():
+            started.extend(instance.processes)
+        return started
+
     def _answers(self, address):
         try:
             return self.ask(address, "GET", "/healthz", timeout_s=2.0)["ok"]
@@ -357,6 +451,8 @@
             "relays": relays,
             "link_bytes_per_s": link,
             "region_bytes_per_s": region,
+            "domain_latency_s": DOMAIN_LATENCY_S,
+            "region_latency_s": REGION_LATENCY_S,
         }
 
     def _settings(self, instance):
@@ -386,7 +482,7 @@
             settings["target"] = {
                 "backend": "engine",
                 "backend_address": str(instance.backend_address),
-                "models": [self.model],
+                "models": self._models,
             }
         else:
             settings["target"] = {
@@ -414,6 +510,15 @@
             )
 
 
+def _end(process):
+    process.kill()
+    process.wait()
+
+
+def _split_metric(line):
+    return line.rpartition(" ")
+
+
 def _relay(host, from_port, to_port, instance):
     return {
         "from_host": host,
--- a/standins/base.py
+++ b/standins/base.py
@@ -17,7 +17,7 @@
 
 
 class Faults:
-    """Named switches that a test sets over HTTP with ``POST /faults``."""
+    """Named switches, set with ``POST /faults`` and reset with ``DELETE /faults``."""
 
     def __init__(self, **defaults):
         self._defaults = defaults
@@ -31,6 +31,11 @@
             setattr(self, name, value)
         return Response.of_json({name: getattr(self, name) for name in self._defaults})
 
+    def reset(self, request):
+        """Set every switch back to its default."""
+        self.__dict__.update(self._defaults)
+        return Response.of_json(self._defaults)
+
 
 class Pacer:
     """Lets bytes through at a rate shared by all its users.
@@ -67,7 +72,8 @@
         self.records = []
 
     def add(self, **record):
-        """Append one record."""
+        """Append one record with the wall-clock time ``at``, in unix seconds."""
+        record["at"] = time.time()
         self.records.append(record)
         if self._path:
             with open(self._path, "a") as file:
@@ -99,4 +105,5 @@
     router.add("GET", "/healthz", lambda request: Response.of_json({"ok": True}))
     if faults is not None:
         router.add("POST", "/faults", faults.set)
+        router.add("DELETE", "/faults", faults.reset)
     return router
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -146,7 +146,8 @@
             stamp["adapter_version"] = adapter["version"]
         digests = model["weights_digest"], (adapter or {}).get("weights_digest")
         start = asked.get("resume_from", 0)
-        self._truth.add(event="ran", request_id=request_id, **stamp)
+        prompt = asked["prompt"]
+        self._truth.add(event="ran", request_id=request_id, prompt=prompt, **stamp)
         try:
             for index in range(start, asked["max_tokens"]):
                 gevent.sleep(self.faults.step_s)
--- a/standins/link.py
+++ b/standins/link.py
@@ -2,11 +2,12 @@
 
 Each instance has an IP number of its own, which its connections leave from. The
 stand-in listens on the addresses that instances advertise, so it knows both ends
-of a connection and can pace, count, stall or cut it.
+of a connection and can pace, count, delay, stall or cut it.
 """
 
 from .base import Faults, Pacer, new_router, parser, serve  # isort: skip
 
+import contextlib
 import json
 from pathlib import Path
 
@@ -16,7 +17,12 @@
 
 from briarbeam.kernel.http import Response
 
-PIECE_BYTES = 16384
+PIECE_BYTES = 65536
+PACED_PIECE_S = 0.02
+PIECE_MIN_BYTES = 4096
+POLL_S = 0.05
+CONNECT_TIMEOUT_S = 1.0
+BACKLOG = 1024
 
 
 class Links:
@@ -24,18 +30,23 @@
 
     The plan maps ``instances`` to their ``host``, ``region`` and
     ``failure_domain``, and lists ``relays`` from one address to another with the
-    ``instance`` they lead to.
+    ``instance`` they lead to. It may give rates, ``link_bytes_per_s`` and
+    ``region_bytes_per_s``, and latencies one way, ``domain_latency_s`` between
+    failure domains and ``region_latency_s`` between regions.
 
     Faults: ``cut`` lists pairs of failure domains or instances whose connections
-    stall; ``stalled`` lists instances whose link passes nothing.
+    are cut, by silence or, if ``mode`` is ``reset``, by a reset; ``stalled`` lists
+    instances whose link passes nothing.
     """
 
     def __init__(self, plan):
-        self.faults = Faults(cut=[], stalled=[])
+        self.faults = Faults(cut=[], stalled=[], mode="silence")
         self._by_host = {item["host"]: item for item in plan["instances"]}
         self._by_name = {item["name"]: item for item in plan["instances"]}
         self._rate = plan.get("link_bytes_per_s")
         self._region_rate = plan.get("region_bytes_per_s")
+        self._domain_latency_s = plan.get("domain_latency_s", 0.0)
+        self._region_latency_s = plan.get("region_latency_s", 0.0)
         self._pacers = {}
         self._bytes = {}
         for relay in plan["relays"]:
@@ -54,15 +65,16 @@
         def accept(sock, address):
             self._relay(sock, address[0], relay)
 
-        StreamServer((relay["from_host"], relay["from_port"]), accept).start()
+        address = (relay["from_host"], relay["from_port"])
+        StreamServer(address, accept, backlog=BACKLOG).start()
 
     def _relay(self, near, near_host, relay):
         source = self._by_host.get(near_host)
         target = self._by_name.get(relay["instance"])
-        while self._blocked(source, target):
-            gevent.sleep(0.05)
         try:
-            far = socket.create_connection((relay["to_host"], relay["to_port"]), 1.0)
+            self._wait_for_way(source, target)
+            address = (relay["to_host"], relay["to_port"])
+            far = socket.create_connection(address, CONNECT_TIMEOUT_S)
         except OSError:
             near.close()
             return
@@ -76,39 +88,66 @@
         far.close()
 
     def _pump(self, reader, writer, source, target):
+        links = self._links(source, target)
+        latency_s = self._latency_s(source, target)
+        size_bytes = _piece_bytes(links)
         try:
-            while data := reader.recv(PIECE_BYTES):
-                self._pass(len(data), source, target)
-                while self._blocked(source, target):
-                    gevent.sleep(0.05)
+            while data := reader.recv(size_bytes):
+                wait_s = max(latency_s, self._pass(len(data), links))
+                if wait_s:
+                    gevent.sleep(wait_s)
+                self._wait_for_way(source, target)
                 writer.sendall(data)
+            self._wait_for_way(source, target)
             writer.shutdown(socket.SHUT_WR)
         except OSError:
             for sock in (reader, writer):
-                try:
+                with contextlib.suppress(OSError):
                     sock.shutdown(socket.SHUT_RDWR)
-                except OSError:
-                    continue
 
-    def _pass(self, size_bytes, source, target):
-        keys = []
+    def _links(self, source, target):
+        """Return the names and pacers of the links on the way."""
+        rates = []
         if source:
-            keys.append((f"{source['name']}/out", self._rate_of(source)))
+            rates.append((f"{source['name']}/out", self._rate_of(source)))
         if target:
-            keys.append((f"{target['name']}/in", self._rate_of(target)))
+            rates.append((f"{target['name']}/in", self._rate_of(target)))
         if source and target and source["region"] != target["region"]:
-            keys.append((f"{source['region']}>{target['region']}", self._region_rate))
+            rates.append((f"{source['region']}>{target['region']}", self._region_rate))
+        return [(key, self._pacers.setdefault(key, Pacer(rate))) for key, rate in rates]
+
+    def _pass(self, size_bytes, links):
         wait_s = 0.0
-        for key, rate in keys:
+        for key, pacer in links:
             self._bytes[key] = self._bytes.get(key, 0) + size_bytes
-            pacer = self._pacers.setdefault(key, Pacer(rate))
             wait_s = max(wait_s, pacer.reserve(size_bytes))
-        gevent.sleep(wait_s)
+        return wait_s
 
     def _rate_of(self, item):
         return item.get("link_bytes_per_s", self._rate)
 
+    def _latency_s(self, source, target):
+        if not source or not target:
+            return 0.0
+        if source["region"] != target["region"]:
+            return self._region_latency_s
+        if source["failure_domain"] != target["failure_domain"]:
+            return self._domain_latency_s
+        return 0.0
+
+    def _wait_for_way(self, source, target):
+        """Return once the way is open.
+
+        :raises ConnectionResetError: if it is cut by a reset.
+        """
+        while self._blocked(source, target):
+            if self.faults.mode == "reset":
+                raise ConnectionResetError("cut on purpose")
+            gevent.sleep(POLL_S)
+
     def _blocked(self, source, target):
+        if not self.faults.cut and not self.faults.stalled:
+            return False
         ends = [item for item in (source, target) if item]
         if any(item["name"] in self.faults.stalled for item in ends):
             return True
@@ -124,6 +163,14 @@
         )
 
 
+def _piece_bytes(links):
+    """Return a size that the slowest link passes in a short time."""
+    rates = [pacer.rate_bytes_per_s for _, pacer in links if pacer.rate_bytes_per_s]
+    if not rates:
+        return PIECE_BYTES
+    return max(PIECE_MIN_BYTES, min(PIECE_BYTES, int(min(rates) * PACED_PIECE_S)))
+
+
 def main():
     arguments = parser(__doc__)
     arguments.add_argument("--plan", required=True, type=Path)
