--- a/bench/callers.py
+++ b/bench/callers.py
@@ -15,7 +15,6 @@
 from briarbeam.kernel.network import HttpRequest
 from standins.engine import token_of
 
-
 BALANCER_POLL_S = 0.25
 BALANCER_TIMEOUT_S = 1.0
 
