Name the key that a misspelt setting was meant to be

Cause: 'drain_timeout' without its unit was refused as 'Extra inputs are not permitted', which names neither the fault nor the cure. Before: the new cases failed. After: 6 passed in tests/test_settings.py; briarbeamd and settings check both exit 2.

--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -1,8 +1,9 @@
 """Settings: one TOML file a process, checked before anything starts."""
 
 import tomllib
+from difflib import get_close_matches
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, get_args
 
 from pydantic import (
     BaseModel,
@@ -180,8 +181,34 @@
         raise SettingsError("\n".join(lines)) from error
 
 
+def keys(section=Settings, prefix=""):
+    """Yield each key with its section, its default and its type, in order."""
+    for name, field in section.model_fields.items():
+        inner = _section_of(field.annotation)
+        if inner is not None:
+            yield from keys(inner, f"{prefix}{name}.")
+        else:
+            yield f"{prefix}{name}", field
+
+
+def _section_of(annotation):
+    """Return the section class that an annotation names, or None."""
+    for candidate in (annotation, *get_args(annotation)):
+        if isinstance(candidate, type) and issubclass(candidate, _Section):
+            return candidate
+    return None
+
+
 def _explain(fault):
     key = ".".join(str(part) for part in fault["loc"]) or "(file)"
     value = fault["input"]
     shown = "" if isinstance(value, dict) else f" = {value!r}"
-    return f"{key}{shown}: {fault['msg']}"
+    expected = fault["msg"]
+    if fault["type"] == "extra_forbidden":
+        expected = f"unknown key{_suggest(key)}"
+    return f"{key}{shown}: {expected}"
+
+
+def _suggest(key):
+    close = get_close_matches(key, [known for known, _ in keys()], n=1, cutoff=0.7)
+    return f"; did you mean {close[0]!r}?" if close else ""
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -26,7 +26,11 @@
     ("changes", "named"),
     [
         ({"colour": "red"}, "colour = 'red'"),
-        ({"drain_timeout": 3}, "drain_timeout = 3"),
+        (
+            {"drain_timeout": 3},
+            "drain_timeout = 3: unknown key; did you mean 'drain_timeout_s'?",
+        ),
+        ({"drain_timeout_s": -1}, "drain_timeout_s = -1"),
         (
             {"listen": {"http": "here", "control": "127.0.0.1:1"}},
             "listen.http = 'here'",
