--- /dev/null
+++ b/briarbeam/entry/callers.py
@@ -0,0 +1,85 @@
+"""Who calls, and on what terms: team, deadline, idempotency key, trace."""
+
+import hashlib
+import math
+import re
+import secrets
+
+from ..kernel.errors import InvalidRequestError, UnauthorizedError
+
+TEAM_HEADER = "x-team"
+DEADLINE_HEADER = "x-deadline-s"
+KEY_HEADER = "idempotency-key"
+TRACE_HEADER = "traceparent"
+DEFAULT_TEAM = "default"
+
+_TEAM_NAME = re.compile(r"[A-Za-z0-9_.-]{1,64}\Z")
+_KEY = re.compile(r"[\x21-\x7e]{1,255}\Z")
+_TRACE = re.compile(r"00-(?!0{32})([0-9a-f]{32})-(?!0{16})[0-9a-f]{16}-([0-9a-f]{2})\Z")
+
+
+def team_of(request, configuration):
+    """Return the caller's team, by its key or by its name.
+
+    :raises UnauthorizedError: if the key is unknown, or a team that has a key is
+        named without it.
+    """
+    teams = configuration.of_kind("team")
+    keyed = {
+        resource.spec.key_digest: name
+        for name, resource in teams.items()
+        if resource.spec.key_digest
+    }
+    kind, _, key = request.headers.get("authorization", "").partition(" ")
+    if keyed and kind.lower() == "bearer":
+        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        if digest not in keyed:
+            raise UnauthorizedError("no team has this key")
+        return keyed[digest]
+    name = request.headers.get(TEAM_HEADER, DEFAULT_TEAM)
+    if not _TEAM_NAME.match(name):
+        raise InvalidRequestError(f"{TEAM_HEADER} is not a team's name: {name!r}")
+    if name in keyed.values():
+        raise UnauthorizedError(f"team {name!r} calls with its key")
+    return name
+
+
+def deadline_s(request, default_s, max_s):
+    """Return the seconds that the caller waits at most.
+
+    :raises InvalidRequestError: unless it is positive, finite and at most `max_s`.
+    """
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return default_s
+    try:
+        wait_s = float(text)
+    except ValueError:
+        wait_s = math.nan
+    if not 0 < wait_s <= max_s:
+        raise InvalidRequestError(
+            f"{DEADLINE_HEADER} must be seconds above 0, at most {max_s}, got {text!r}"
+        )
+    return wait_s
+
+
+def idempotency_key(request):
+    """Return the caller's idempotency key, or None.
+
+    :raises InvalidRequestError: unless it is 1 to 255 printable ASCII characters.
+    """
+    key = request.headers.get(KEY_HEADER)
+    if key is not None and not _KEY.match(key):
+        raise InvalidRequestError(
+            f"{KEY_HEADER} must be 1 to 255 printable ASCII characters, got {key!r}"
+        )
+    return key
+
+
+def next_traceparent(request):
+    """Return a traceparent of the caller's trace with a new span, or ""."""
+    match = _TRACE.match(request.headers.get(TRACE_HEADER, ""))
+    if match is None:
+        return ""
+    trace_id, flags = match.groups()
+    return f"00-{trace_id}-{secrets.token_hex(8)}-{flags}"
--- /dev/null
+++ b/briarbeam/entry/replies.py
@@ -0,0 +1,105 @@
+"""Answers in the form that callers of language-model services know."""
+
+import json
+
+from ..kernel.errors import BackendError, BriarbeamError
+
+
+class Reply:
+    """Writes one answer as JSON or as server-sent events.
+
+    :param completion: the `Completion` that was asked for.
+    :param answer: the `Answer` to read.
+    """
+
+    def __init__(self, completion, answer):
+        self._completion = completion
+        self._answer = answer
+
+    def whole(self):
+        """Return the whole answer as one JSON value.
+
+        :raises BriarbeamError: if it can't be given whole.
+        """
+        texts, end = [], None
+        for frame in self._answer.tokens():
+            if frame is None:
+                texts = []
+            elif frame.get("done"):
+                end = frame
+            else:
+                texts.append(frame["token"])
+        if end is None or len(texts) != end["tokens"]:
+            raise BackendError("the answer is not whole")
+        return self._body(" ".join(texts), end)
+
+    def events(self):
+        """Yield the answer as server-sent events, closed by ``[DONE]``.
+
+        An answer that can't be given whole ends in an error event instead.
+        """
+        try:
+            for frame in self._answer.tokens():
+                if frame is None:
+                    continue
+                if frame.get("done"):
+                    yield _event(self._body("", frame))
+                    yield b"data: [DONE]\n\n"
+                    continue
+                lead = " " if frame["index"] else ""
+                yield _event(self._body(lead + frame["token"]))
+        except BriarbeamError as error:
+            yield b"event: error\n" + _event(error.to_dict())
+
+    def _body(self, text, end=None):
+        chat, stream = self._completion.chat, self._completion.stream
+        choice = {"index": 0, "finish_reason": "stop" if end else None}
+        if not chat:
+            choice["text"] = text
+        elif stream:
+            choice["delta"] = {"content": text}
+        else:
+            choice["message"] = {"role": "assistant", "content": text}
+        kind = "chat.completion" if chat else "text_completion"
+        version, adapter_version = self._answer.stamp
+        body = {
+            "id": self._answer.job.request_id,
+            "object": kind + (".chunk" if stream and chat else ""),
+            "model": self._completion.model,
+            "choices": [choice],
+            "briarbeam": {
+                "version": adapter_version or version,
+                "target": self._answer.target,
+            },
+        }
+        if end:
+            body["usage"] = _usage(end)
+        return body
+
+
+class EventStream:
+    """The body of a streamed reply, which releases its answer when closed."""
+
+    def __init__(self, reply, answer):
+        self._events = reply.events()
+        self._answer = answer
+
+    def __iter__(self):
+        return self._events
+
+    def close(self):
+        """Release the answer, also if nothing of it was ever read."""
+        self._events.close()
+        self._answer.close()
+
+
+def _usage(end):
+    usage = {"completion_tokens": end["tokens"]}
+    if "prompt_tokens" in end:
+        usage["prompt_tokens"] = end["prompt_tokens"]
+        usage["total_tokens"] = end["prompt_tokens"] + end["tokens"]
+    return usage
+
+
+def _event(body):
+    return b"data: " + json.dumps(body).encode() + b"\n\n"
--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -127,6 +127,12 @@
     status = 502
 
 
+class CallerGoneError(OutcomeUnknownError):
+    """The caller closed its connection; nobody reads this error."""
+
+    code = "caller_gone"
+
+
 class BackendError(BriarbeamError):
     """The back end ran the request and failed."""
 
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -45,8 +45,8 @@
 class HttpRequest:
     """One request to a peer.
 
-    :param timeout_s: seconds until the reply's head must be there, and the longest
-        silence allowed afterwards.
+    :param timeout_s: seconds until the reply's head must be there.
+    :param silence_s: the longest silence allowed afterwards; `timeout_s` if None.
     :param fresh: use a new connection and close it afterwards; for what must not
         be sent twice.
     """
@@ -57,6 +57,7 @@
     headers: dict = field(default_factory=dict)
     timeout_s: float = 5.0
     fresh: bool = False
+    silence_s: float | None = None
 
 
 class HttpResponse(Protocol):
@@ -221,12 +222,13 @@
             client.close()
 
     def _guard(self, function, *args):
+        silence_s = self._request.silence_s or self._request.timeout_s
         try:
-            with gevent.Timeout(self._request.timeout_s):
+            with gevent.Timeout(silence_s):
                 return function(*args)
         except gevent.Timeout as error:
             raise ExchangeError(
-                f"{self._address} went silent for {self._request.timeout_s} s"
+                f"{self._address} went silent for {silence_s} s"
             ) from error
         except Exception as error:
             raise ExchangeError(f"reply of {self._address} broke: {error!r}") from error
--- a/briarbeam/routing/budget.py
+++ b/briarbeam/routing/budget.py
@@ -1,8 +1,7 @@
 """Retry budgets: retries of a team are a share of its requests."""
 
-from collections import defaultdict
-
 BALANCE_MAX = 10.0
+TEAMS_MAX = 1000
 
 
 class RetryBudgets:
@@ -13,15 +12,28 @@
 
     def __init__(self, ratio):
         self._ratio = ratio
-        self._balances = defaultdict(lambda: BALANCE_MAX)
+        self._balances = {}
+
+    def balance(self, team):
+        """Return the retries that a team has left."""
+        return self._balances.get(team, BALANCE_MAX)
 
     def earn(self, team):
         """Note a request of `team`."""
-        self._balances[team] = min(BALANCE_MAX, self._balances[team] + self._ratio)
+        if len(self._balances) >= TEAMS_MAX:
+            self._forget_full()
+        self._balances[team] = min(BALANCE_MAX, self.balance(team) + self._ratio)
 
     def spend(self, team):
         """Take one retry from the budget and return whether there was one."""
-        if self._balances[team] < 1:
+        if self.balance(team) < 1:
             return False
-        self._balances[team] -= 1
+        self._balances[team] = self.balance(team) - 1
         return True
+
+    def _forget_full(self):
+        self._balances = {
+            team: balance
+            for team, balance in self._balances.items()
+            if balance < BALANCE_MAX
+        }
--- /dev/null
+++ b/briarbeam/routing/exchange.py
@@ -0,0 +1,117 @@
+"""One attempt: a request to one target, and the wait for the head of its reply.
+
+A gate sends the head of its reply as soon as it admits a request. If nothing at all
+comes from a target, not even a sign of life when asked, the request is not queued
+there but held by a stalled target or a cut link, and is given up.
+"""
+
+import json
+
+import gevent
+from gevent.event import AsyncResult
+from prometheus_client import Counter
+
+from ..kernel.errors import (
+    BriarbeamError,
+    CallerGoneError,
+    ExchangeError,
+    OutcomeUnknownError,
+)
+
+LOAD_HEADER = "x-briarbeam-load"
+REQUEST_ID_HEADER = "x-briarbeam-request-id"
+CALLER_POLL_S = 0.1
+
+_CROSSED = Counter("briarbeam_crossed_replies", "Replies to another request, dropped")
+
+
+class HeadWait:
+    """Sends in a task of its own, so that the wait can end before the reply.
+
+    :param send: function without arguments that returns the reply.
+    :param heard: function that counts what came from the target so far.
+    :param alive: function that asks the target for a sign of life.
+    :param gone: function that tells whether the caller has gone.
+    """
+
+    def __init__(self, send, heard, alive, gone):
+        self._send = send
+        self._heard = heard
+        self._alive = alive
+        self._gone = gone
+        self._result = AsyncResult()
+
+    def run(self, silence_s):
+        """Return the reply.
+
+        :raises ExchangeError: if the target was silent for `silence_s` seconds.
+        :raises CallerGoneError: if nobody waits any more.
+        """
+        task = gevent.spawn(self._run)
+        try:
+            self._wait(silence_s)
+            return self._result.get()
+        except BaseException:
+            task.kill()
+            self._drop()
+            raise
+
+    def _wait(self, silence_s):
+        heard, silent_s = self._heard(), 0.0
+        while not self._result.ready():
+            step_s = min(CALLER_POLL_S, silence_s)
+            self._result.wait(step_s)
+            if self._result.ready():
+                return
+            if self._gone():
+                raise CallerGoneError("the caller closed its connection")
+            silent_s += step_s
+            if self._heard() != heard:
+                heard, silent_s = self._heard(), 0.0
+            elif silent_s >= silence_s and not self._alive():
+                if self._result.ready():
+                    return
+                raise ExchangeError(f"nothing came from the target for {silence_s} s")
+
+    def _run(self):
+        try:
+            self._result.set(self._send())
+        except Exception as error:
+            self._result.set_exception(error)
+
+    def _drop(self):
+        if self._result.ready() and self._result.successful():
+            self._result.get().close()
+
+
+def check_echo(response, request_id):
+    """Check that a reply belongs to the request.
+
+    :raises ExchangeError: if it names another one; the reply is dropped.
+    """
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != request_id:
+        _CROSSED.inc()
+        response.close()
+        raise ExchangeError(f"a reply to {echoed} came for {request_id}")
+
+
+def read_error(response):
+    """Return the typed error in a target's refusal, and close the connection."""
+    try:
+        raw = json.loads(response.read())["error"]
+        found = _ERRORS.get(raw["code"], OutcomeUnknownError)
+        return found(raw["message"], retry_after_s=raw.get("retry_after_s"))
+    except (ValueError, KeyError, TypeError, ExchangeError) as error:
+        return OutcomeUnknownError(f"a target's refusal was not readable: {error!r}")
+    finally:
+        response.close()
+
+
+def _all_errors(base):
+    yield base
+    for subclass in base.__subclasses__():
+        yield from _all_errors(subclass)
+
+
+_ERRORS = {error.code: error for error in _all_errors(BriarbeamError)}
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -1,32 +1,57 @@
-"""Choosing a target for a request, and trying again where that is safe."""
+"""Sending a job to a target, and trying again where that is safe."""
 
-import hashlib
 import json
-import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from prometheus_client import Counter
 
 from ..kernel.errors import (
-    BackendError,
     BriarbeamError,
+    CallerGoneError,
+    ConflictError,
     ConnectError,
+    DeadlineExpiredError,
     ExchangeError,
+    InProgressError,
+    InvalidRequestError,
+    NetworkError,
+    NotFoundError,
     NotRunError,
     OutcomeUnknownError,
+    OverloadedError,
     Ran,
+    UnauthorizedError,
     UnavailableError,
 )
-from ..kernel.network import HttpRequest
+from ..kernel.network import HttpRequest, fetch
 from ..kernel.plugin import Plugin, plugins
 from .budget import RetryBudgets
+from .exchange import LOAD_HEADER, HeadWait, check_echo, read_error
+from .selection import policies
+from .shares import Shares
 from .targets import Targets
 
-LOAD_HEADER = "x-briarbeam-load"
-AFFINITY_CHARACTERS = 64
-AFFINITY_PRESSURE_MAX = 0.8
+PROBE_TIMEOUT_S = 1.0
+ALIVE_TIMEOUT_S = 0.5
+VERSION_HEADER = "x-briarbeam-version"
+FINAL = (
+    CallerGoneError,
+    ConflictError,
+    DeadlineExpiredError,
+    InProgressError,
+    InvalidRequestError,
+    NotFoundError,
+    UnauthorizedError,
+)
 
 _ATTEMPTS = Counter("briarbeam_attempts", "Attempts at targets", ["result"])
+_REFUSALS = Counter("briarbeam_entry_refusals", "Jobs given up", ["code"])
+_NO_BUDGET = Counter("briarbeam_retries_denied", "Retries without budget")
+
+
+def _never():
+    return False
 
 
 @dataclass
@@ -35,6 +60,10 @@
 
     :param deadline_unix_s: wall-clock time after which nobody waits.
     :param idempotent: whether it may run more than once.
+    :param version: the version that must answer, or "" for any.
+    :param gone: tells whether the caller has gone; asked for idempotent jobs only.
+    :param tried: names of the targets that it was sent to, in order.
+    :param may_have_run: whether an attempt may have reached a back end.
     """
 
     request_id: str
@@ -47,7 +76,12 @@
     service: str | None = None
     affinity: str = ""
     traceparent: str = ""
+    priority: int = 0
+    weight: float = 1.0
+    version: str = ""
+    gone: Callable[[], bool] = _never
     tried: list = field(default_factory=list)
+    may_have_run: bool = False
 
 
 @plugins.register("routing")
@@ -59,56 +93,22 @@
     def __init__(self, kernel):
         super().__init__(kernel)
         self.targets = Targets(kernel.clock)
+        self.shares = Shares(kernel.clock)
+        self.budgets = RetryBudgets(self.settings.entry.retry_budget_ratio)
         self._configuration = kernel.find("configuration")
-        self._budgets = RetryBudgets(self.settings.entry.retry_budget_ratio)
+        self._known = None
+        self.policy = policies.get(self.settings.entry.routing_policy)(self)
 
-    def send(self, job):
-        """Return the target's name and its reply, whose head says that it runs.
+    def view(self):
+        """Return what the order of targets depends on, to be compared."""
+        members = self._configuration.members
+        if members is not self._known:
+            self._known = members
+            self.targets.keep(members)
+        return id(members), self._configuration.configuration.revision
 
-        Another target is tried only if the last one did not run the job, or if the
-        job is idempotent, and while the team's retry budget lasts.
-
-        :raises BriarbeamError: the last failure, typed.
-        """
-        self._budgets.earn(job.team)
-        while True:
-            member = self.choose(job)
-            job.tried.append(member.name)
-            try:
-                return member, self._try(member, job)
-            except BriarbeamError as error:
-                _ATTEMPTS.labels(error.code).inc()
-                if not self._may_retry(job, error):
-                    raise
-
-    def choose(self, job):
-        """Return the member to try next.
-
-        :raises UnavailableError: if there is none in service.
-        """
-        usable = [
-            member
-            for member in self._serving(job)
-            if member.name not in job.tried and self.targets.usable(member.name)
-        ]
-        if not usable:
-            raise UnavailableError(
-                "no target in service can take it", retry_after_s=1.0
-            )
-        own = self.settings.instance.failure_domain
-        near = [
-            member
-            for member in usable
-            if member.failure_domain == own and self.targets.pressure(member.name) < 1
-        ]
-        pool = near or usable
-        favourite = self._favourite(job, pool)
-        if favourite is not None:
-            return favourite
-        pair = random.sample(pool, min(2, len(pool)))
-        return min(pair, key=lambda member: self.targets.pressure(member.name))
-
-    def _serving(self, job):
+    def serving(self, job):
+        """Yield the members that are in service and serve what `job` asks for."""
         configuration = self._configuration.configuration
         for member in self._configuration.members.values():
             serves = (
@@ -124,90 +124,189 @@
             ):
                 yield member
 
-    def _favourite(self, job, pool):
-        if not job.affinity:
-            return None
+    def send(self, job):
+        """Return the target's member and its reply, whose head says that it runs.
 
-        def weight(member):
-            return hashlib.blake2b(
-                f"{job.affinity}/{member.name}".encode(), digest_size=8
-            ).digest()
+        Another target is tried only if the last one did not run the job, or if the
+        job is idempotent, and while the team's retry budget lasts.
+
+        :raises BriarbeamError: the last failure, typed; "not run" only if no
+            attempt may have run.
+        """
+        self.budgets.earn(job.team)
+        attempts, last = 0, None
+        while True:
+            try:
+                member = self._choose(job, last)
+                attempts += 1
+                return member, self._try(member, job)
+            except BriarbeamError as error:
+                last = error
+                job.may_have_run |= error.ran is not Ran.NO
+                if not self._may_retry(job, error, attempts):
+                    raise self._final(job, error) from error
 
-        best = min(pool, key=weight)
-        calm = self.targets.pressure(best.name) < AFFINITY_PRESSURE_MAX
-        return best if calm else None
+    def finish(self, member, response, took_s=None):
+        """Give up the connection to a target after its reply.
+
+        :param took_s: the time that it took, if the answer came whole.
+        """
+        self.targets.end(member.name)
+        if took_s is not None:
+            self.targets.finish(member.name, took_s)
+        response.close()
+
+    def probe_due(self, members):
+        """Probe those of `members` that have been passed over for long enough."""
+        for member in members:
+            if self.targets.take_probe(member.name):
+                self.kernel.tasks.spawn(self._probe, member)
+
+    def _probe(self, member):
+        request = HttpRequest("GET", "/readyz", timeout_s=PROBE_TIMEOUT_S, fresh=True)
+        ready = None
+        try:
+            status, _, _ = fetch(self.kernel.network, member.http, request)
+            ready = status == 200
+        except NetworkError:
+            _ATTEMPTS.labels("probe_failed").inc()
+        finally:
+            self.targets.probed(member.name, ready)
+
+    def _answers(self, member):
+        """Return whether a target that was silent answers at all."""
+        request = HttpRequest("GET", "/healthz", timeout_s=ALIVE_TIMEOUT_S, fresh=True)
+        try:
+            fetch(self.kernel.network, member.http, request)
+        except NetworkError:
+            return False
+        self.targets.hear(member.name)
+        return True
+
+    def _choose(self, job, last):
+        """Return the next target, after which the job is sent without a wait."""
+        if job.deadline_unix_s <= self.clock.now().timestamp():
+            raise DeadlineExpiredError("the deadline passed before the send")
+        try:
+            return self.policy.choose(job)
+        except NotRunError as error:
+            raise _Exhausted(last or error) from error
 
     def _try(self, member, job):
+        job.tried.append(member.name)
+        request = self._request(job)
+        self.targets.begin(member.name)
+        try:
+            response = self._send(member, job, request)
+            check_echo(response, job.request_id)
+            return self._accept(member, job, response)
+        except ConnectError as error:
+            self.targets.end(member.name)
+            self.targets.fail(member.name)
+            _ATTEMPTS.labels("connect").inc()
+            raise UnavailableError(str(error)) from error
+        except ExchangeError as error:
+            self.targets.end(member.name)
+            self.targets.fail(member.name)
+            _ATTEMPTS.labels("exchange").inc()
+            raise OutcomeUnknownError(str(error)) from error
+        except BaseException:
+            self.targets.end(member.name)
+            raise
+
+    def _request(self, job):
         remaining_s = job.deadline_unix_s - self.clock.now().timestamp()
         body = {
             **job.envelope,
             "request_id": job.request_id,
             "team": job.team,
+            "priority": job.priority,
+            "weight": job.weight,
             "deadline_unix_s": job.deadline_unix_s,
         }
-        request = HttpRequest(
+        if job.version:
+            body["version"] = job.version
+        headers = {"content-type": "application/json"}
+        if job.traceparent:
+            headers["traceparent"] = job.traceparent
+        return HttpRequest(
             "POST",
             job.path,
             json.dumps(body).encode(),
-            {"content-type": "application/json", "traceparent": job.traceparent},
+            headers,
             timeout_s=max(0.001, remaining_s),
             fresh=not job.idempotent,
+            silence_s=min(self.settings.entry.stream_silence_s, remaining_s)
+            if job.idempotent and self.policy.bounds_silence
+            else None,
         )
+
+    def _send(self, member, job, request):
+        def send():
+            return self.kernel.network.send(member.http, request)
+
+        if not (job.idempotent and self.policy.bounds_silence):
+            return send()
         state = self.targets.state(member.name)
-        state.sent += 1
-        try:
-            response = self.kernel.network.send(member.http, request)
-        except ConnectError as error:
-            state.sent -= 1
-            self.targets.fail(member.name)
-            raise UnavailableError(str(error)) from error
-        except ExchangeError as error:
-            state.sent -= 1
-            self.targets.fail(member.name)
-            raise OutcomeUnknownError(str(error)) from error
-        except BaseException:
-            state.sent -= 1
-            raise
+        wait = HeadWait(
+            send, lambda: state.heard, lambda: self._answers(member), job.gone
+        )
+        return wait.run(self.settings.entry.head_silence_s)
+
+    def _accept(self, member, job, response):
+        """Return the reply of a target that runs the job, or raise its refusal."""
+        name = member.name
+        self.targets.hear(name)
+        self.targets.succeed(name)
         if LOAD_HEADER in response.headers:
-            self.targets.report(member.name, response.headers[LOAD_HEADER])
+            self.targets.report(name, response.headers[LOAD_HEADER])
         if response.status != 200:
-            state.sent -= 1
-            raise _read_error(response)
+            error = read_error(response)
+            _ATTEMPTS.labels(error.code).inc()
+            if isinstance(error, OverloadedError):
+                self.targets.refuse(name)
+            raise error
+        version = response.headers.get(VERSION_HEADER)
+        if version and job.model:
+            self.targets.state(name).versions[job.model] = version
         _ATTEMPTS.labels("accepted").inc()
         return response
 
-    def done(self, member, response):
-        """Give up the connection to a target after its reply."""
-        self.targets.state(member.name).sent -= 1
-        response.close()
-
-    def _may_retry(self, job, error):
-        safe = error.ran is Ran.NO or job.idempotent
-        known = isinstance(error, NotRunError | OutcomeUnknownError | BackendError)
-        if not safe or not known or error.status == 400:
+    def _may_retry(self, job, error, attempts):
+        if isinstance(error, (_Exhausted, *FINAL)):
             return False
-        if len(job.tried) >= self.settings.entry.attempts_max:
+        if error.ran is not Ran.NO and not job.idempotent:
             return False
-        return self._budgets.spend(job.team)
-
-
-def _read_error(response):
-    """Return the typed error in a target's refusal, and close the connection."""
-    try:
-        raw = json.loads(response.read())["error"]
-        retry_after_s = raw.get("retry_after_s")
-        found = _ERRORS.get(raw["code"], OutcomeUnknownError)
-        return found(raw["message"], retry_after_s=retry_after_s)
-    except (ValueError, KeyError, ExchangeError) as error:
-        return OutcomeUnknownError(f"a target's refusal was not readable: {error!r}")
-    finally:
-        response.close()
+        if attempts >= self.settings.entry.attempts_max:
+            return False
+        if not self.policy.spend_retry(job):
+            _NO_BUDGET.inc()
+            return False
+        return True
 
+    def _final(self, job, error):
+        """Return the error to answer with: what is true of all attempts."""
+        if isinstance(error, _Exhausted):
+            error = error.cause
+        _REFUSALS.labels(error.code).inc()
+        if error.ran is not Ran.NO:
+            return error
+        retry_after_s = error.retry_after_s
+        if retry_after_s is None and not isinstance(error, InvalidRequestError):
+            names = [member.name for member in self.serving(job)]
+            retry_after_s = self.targets.retry_after_s(names)
+        if job.may_have_run:
+            return OutcomeUnknownError(
+                f"an attempt may have run; then: {error}", retry_after_s=retry_after_s
+            )
+        error.retry_after_s = retry_after_s
+        return error
 
-def _all_errors(base):
-    yield base
-    for subclass in base.__subclasses__():
-        yield from _all_errors(subclass)
 
+class _Exhausted(NotRunError):
+    """No target is left; `cause` says what the caller should know."""
 
-_ERRORS = {error.code: error for error in _all_errors(BriarbeamError)}
+    def __init__(self, cause):
+        super().__init__(str(cause))
+        self.cause = cause
+        self.ran = cause.ran
--- /dev/null
+++ b/briarbeam/routing/selection.py
@@ -0,0 +1,200 @@
+"""Which target gets a request: a registry of policies.
+
+``balanced`` is the product's. ``random`` is the simplest baseline, against which
+the measurements compare: any target in service, and a fixed number of retries.
+"""
+
+import hashlib
+import random
+
+from ..kernel.errors import OverloadedError, UnavailableError
+from ..kernel.registry import Registry
+from ..membership.members import rendezvous_order
+
+AFFINITY_PRESSURE_MAX = 0.8
+
+policies = Registry("routing policy")
+
+
+class Policy:
+    """Base of the policies.
+
+    :param routing: the `RoutingPlugin` whose view of targets decides.
+    """
+
+    bounds_silence = True
+    resumes = True
+
+    def __init__(self, routing):
+        self._routing = routing
+        self._targets = routing.targets
+        self._instance = routing.settings.instance
+
+    def choose(self, job):
+        """Return the member to send `job` to.
+
+        :raises UnavailableError: if none is in service.
+        :raises OverloadedError: if all are full.
+        """
+        raise NotImplementedError
+
+    def spend_retry(self, job):
+        """Return whether `job` may be sent once more."""
+        raise NotImplementedError
+
+
+@policies.register("random")
+class RandomPolicy(Policy):
+    """Any target in service, a fixed number of retries."""
+
+    bounds_silence = False
+    resumes = False
+
+    def choose(self, job):
+        members = list(self._routing.serving(job))
+        if not members:
+            raise UnavailableError("no target is in service", retry_after_s=1.0)
+        return random.choice(members)
+
+    def spend_retry(self, job):
+        return True
+
+
+@policies.register("balanced")
+class BalancedPolicy(Policy):
+    """Near targets first, the emptier of two, the rest by stated rules.
+
+    The order of preference: near targets with a free place, the favourite for the
+    request's prefix before others; far targets known to have free places; near and
+    far targets whose queue has room; targets that are ejected but not known to be
+    closed, one trial request each.
+    """
+
+    def __init__(self, routing):
+        super().__init__(routing)
+        self._size = routing.settings.entry.subset_size
+        self._orders = {}
+        self._made_of = None
+
+    def choose(self, job):
+        near, far = self._subsets(job)
+        if not near and not far:
+            raise UnavailableError("no target is in service", retry_after_s=1.0)
+        untried = [member for member in near + far if member.name not in job.tried]
+        self._routing.probe_due(untried)
+        usable = [item for item in untried if self._targets.usable(item.name)]
+        if job.version:
+            usable = self._of_version(job, usable)
+        with_place = [item for item in usable if self._has_place(item)]
+        chosen = self._pick(job, [item for item in with_place if item in near])
+        if chosen is None:
+            chosen = self._spill([item for item in with_place if item in far])
+        if chosen is None:
+            chosen = self._queue(job, usable)
+        return chosen or self._last_resort(job, untried, usable)
+
+    def spend_retry(self, job):
+        return self._routing.budgets.spend(job.team)
+
+    def _subsets(self, job):
+        """Return the near and the far targets that this entry uses for `job`."""
+        near, far = [], []
+        own = self._instance.failure_domain
+        for member in self._order(job):
+            pool = near if member.failure_domain == own else far
+            if len(pool) < self._size and not self._targets.replaced(member.name):
+                pool.append(member)
+        return (near, far) if near or far else (self._order(job), [])
+
+    def _order(self, job):
+        """Return the members that serve `job`, those preferred by this entry first."""
+        made_of = self._routing.view()
+        if made_of != self._made_of:
+            self._orders.clear()
+            self._made_of = made_of
+        kind = (job.model, job.service)
+        if kind not in self._orders:
+            self._orders[kind] = self._make_order(job, kind)
+        return self._orders[kind]
+
+    def _make_order(self, job, kind):
+        members = {member.name: member for member in self._routing.serving(job)}
+        key = f"{self._instance.name}/{kind}"
+        ordered = [members[name] for name in rendezvous_order(key, members)]
+        return sorted(ordered, key=self._distance)
+
+    def _distance(self, member):
+        if member.failure_domain == self._instance.failure_domain:
+            return 0
+        return 1 if member.region == self._instance.region else 2
+
+    def _of_version(self, job, usable):
+        """Return the targets that may have the version an answer began with."""
+        seen = {
+            item.name: self._targets.state(item.name).versions.get(job.model)
+            for item in usable
+        }
+        known = [item for item in usable if seen[item.name] == job.version]
+        return known or [item for item in usable if seen[item.name] is None] or usable
+
+    def _has_place(self, member):
+        return self._targets.pressure(member.name) < 1
+
+    def _pick(self, job, pool):
+        favourite = self._favourite(job, pool)
+        if favourite is not None:
+            return favourite
+        return self._emptier(pool)
+
+    def _favourite(self, job, pool):
+        if not job.affinity or not pool:
+            return None
+
+        def weight(member):
+            key = f"{job.model}/{job.affinity}/{member.name}".encode()
+            return hashlib.blake2b(key, digest_size=8).digest()
+
+        best = min(pool, key=weight)
+        calm = self._targets.pressure(best.name) < AFFINITY_PRESSURE_MAX
+        return best if calm else None
+
+    def _spill(self, pool):
+        """Return a far target, weighted by the places that are known to be left."""
+        places = [self._targets.free_places(member.name) for member in pool]
+        known = [count or 0 for count in places]
+        if any(count > 0 for count in known):
+            return random.choices(pool, weights=[max(0, count) for count in known])[0]
+        return self._emptier(pool)
+
+    def _queue(self, job, usable):
+        """Return a target to wait at; a team over its share may not wait."""
+        if usable and self._routing.shares.over(job.team):
+            raise OverloadedError(
+                f"team {job.team!r} is over its share",
+                retry_after_s=self._targets.retry_after_s(i.name for i in usable),
+            )
+        return self._emptier(
+            [item for item in usable if not self._targets.full(item.name)]
+        )
+
+    def _last_resort(self, job, untried, usable):
+        if usable:
+            raise OverloadedError(
+                "every target is full",
+                retry_after_s=self._targets.retry_after_s(i.name for i in usable),
+            )
+        trials = [item for item in untried if self._targets.may_try(item.name)]
+        if not trials or not job.idempotent:
+            raise UnavailableError(
+                "no target can take it now",
+                retry_after_s=self._targets.retry_after_s(i.name for i in untried),
+            )
+        return random.choice(trials)
+
+    def _emptier(self, pool):
+        pair = random.sample(pool, min(2, len(pool)))
+        return min(
+            pair,
+            key=lambda member: self._targets.pressure(member.name),
+            default=None,
+        )
--- /dev/null
+++ b/briarbeam/routing/shares.py
@@ -0,0 +1,60 @@
+"""Fair shares of an entry's concurrency between teams, while there is overload."""
+
+from dataclasses import dataclass
+
+ACTIVE_S = 1.0
+
+
+@dataclass
+class _Team:
+    weight: float = 1.0
+    priority: int = 0
+    running: int = 0
+    active_until_s: float = 0.0
+
+
+class Shares:
+    """Counts what runs for each team.
+
+    A team over its share of what runs here is the first to be shed; as long as there
+    are free places, shares bind nobody.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._teams = {}
+
+    def begin(self, name, weight=1.0, priority=0):
+        """Note that a request of a team begins."""
+        team = self._teams.setdefault(name, _Team())
+        team.weight, team.priority = weight, priority
+        team.running += 1
+        team.active_until_s = self._clock.monotonic_s() + ACTIVE_S
+
+    def end(self, name):
+        """Note that a request of a team is over."""
+        self._teams[name].running -= 1
+
+    def over(self, name):
+        """Return whether a team, its newest request counted, is over its share.
+
+        A team of higher priority than another active one is never over.
+        """
+        active = self._active()
+        team = self._teams.get(name)
+        if team is None or len(active) < 2:
+            return False
+        if team.priority > min(other.priority for other in active):
+            return False
+        running = sum(other.running for other in active)
+        share = running * team.weight / sum(other.weight for other in active)
+        return team.running > max(1, share)
+
+    def _active(self):
+        now_s = self._clock.monotonic_s()
+        self._teams = {
+            name: team
+            for name, team in self._teams.items()
+            if team.running or now_s < team.active_until_s
+        }
+        return list(self._teams.values())
--- a/briarbeam/routing/targets.py
+++ b/briarbeam/routing/targets.py
@@ -1,30 +1,73 @@
-"""What an entry knows of each target: its place, its load and its failures."""
+"""What an entry knows of each target: its load, its failures and how it comes back."""
 
 import math
-from dataclasses import dataclass
+import random
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from prometheus_client import Counter
 
 from ..gate.admission import Load
 
 LOAD_FRESH_S = 2.0
-EJECTED_S = 1.0
+FULL_FRESH_S = 0.25
+ASSUMED_LIMIT = 2
+EJECTION_FIRST_S = 0.5
+EJECTION_MAX_S = 4.0
+CLOSED_PAUSE_S = 0.4
+JITTER = 0.25
+REPLACED_AFTER_FAILURES = 3
+SERVICE_TIME_FIRST_S = 0.5
+SERVICE_TIME_WEIGHT = 0.1
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_MAX_S = 10.0
+
+_PHASES = Counter("briarbeam_target_phases", "Targets entering a phase", ["phase"])
+
+
+class Phase(StrEnum):
+    """How far a target may be used.
+
+    A target that refuses because it is closed, or that fails, gets no request until
+    a probe finds it ready. One that failed then gets a single trial request.
+    """
+
+    SERVING = "serving"
+    CLOSED = "closed"
+    EJECTED = "ejected"
+    TRIAL = "trial"
 
 
 @dataclass
 class TargetState:
     """One target as this entry last saw it.
 
-    :param reported_at_s: monotonic time of the last reply.
-    :param ejected_until_s: monotonic time until which it is passed over.
+    :param reported_at_s: monotonic time of the last load report.
+    :param sent: requests of this entry that are out.
+    :param sent_since_report: requests that the last report can't have counted.
+    :param heard: replies and frames received, to tell a queue from a stall.
+    :param failures: failures in a row.
+    :param next_probe_s: monotonic time of the next probe, unless it serves.
+    :param queue_bound: queued requests at which it last refused, or None.
+    :param versions: the version last seen by model.
     """
 
     load: Load | None = None
     reported_at_s: float = -math.inf
-    ejected_until_s: float = -math.inf
     sent: int = 0
+    sent_since_report: int = 0
+    heard: int = 0
+    failures: int = 0
+    phase: Phase = Phase.SERVING
+    next_probe_s: float = -math.inf
+    probing: bool = False
+    queue_bound: int | None = None
+    service_time_s: float = SERVICE_TIME_FIRST_S
+    versions: dict = field(default_factory=dict)
 
 
 class Targets:
-    """The states of all targets that this entry has met."""
+    """The states of the targets that this entry has met."""
 
     def __init__(self, clock):
         self._clock = clock
@@ -34,30 +77,166 @@
         """Return the state of a target."""
         return self._states.setdefault(name, TargetState())
 
+    def keep(self, names):
+        """Forget all targets but `names` and those with requests out."""
+        self._states = {
+            name: state
+            for name, state in self._states.items()
+            if name in names or state.sent
+        }
+
+    def begin(self, name):
+        """Note that a request goes out."""
+        state = self.state(name)
+        state.sent += 1
+        state.sent_since_report += 1
+
+    def end(self, name):
+        """Note that a request is over."""
+        self.state(name).sent -= 1
+
+    def hear(self, name):
+        """Note a sign of life."""
+        self.state(name).heard += 1
+
     def report(self, name, load_text):
         """Take in the load that came with a reply."""
         state = self.state(name)
         state.load = Load.parse(load_text)
         state.reported_at_s = self._clock.monotonic_s()
+        state.sent_since_report = 0
+        if state.load.closed:
+            self._pass_over(state, Phase.CLOSED, CLOSED_PAUSE_S)
+        elif state.phase is Phase.CLOSED:
+            self._enter(state, Phase.SERVING)
+
+    def refuse(self, name):
+        """Note that a target refused because its queue is full."""
+        state = self.state(name)
+        state.queue_bound = state.load.queued if state.load else 0
+
+    def succeed(self, name):
+        """Note a reply that shows a target at work."""
+        state = self.state(name)
+        state.failures = 0
+        if state.phase in (Phase.EJECTED, Phase.TRIAL):
+            self._enter(state, Phase.SERVING)
+
+    def finish(self, name, took_s):
+        """Take in the time that a whole answer took."""
+        state = self.state(name)
+        state.service_time_s += SERVICE_TIME_WEIGHT * (took_s - state.service_time_s)
 
     def fail(self, name):
-        """Note that a target could not be reached."""
-        self.state(name).ejected_until_s = self._clock.monotonic_s() + EJECTED_S
+        """Note that a target could not be reached, broke off or went silent.
+
+        Failures of requests that were out together count as one.
+        """
+        state = self.state(name)
+        if state.phase is Phase.EJECTED and not state.probing:
+            return
+        state.failures += 1
+        growth = 2 ** min(state.failures - 1, 10)
+        pause_s = min(EJECTION_MAX_S, EJECTION_FIRST_S * growth)
+        self._pass_over(state, Phase.EJECTED, pause_s)
+
+    def take_probe(self, name):
+        """Return whether a probe is due, which the caller then has to make."""
+        state = self.state(name)
+        waits = state.phase in (Phase.CLOSED, Phase.EJECTED)
+        due = waits and self._clock.monotonic_s() >= state.next_probe_s
+        if not due or state.probing:
+            return False
+        state.probing = True
+        return True
+
+    def probed(self, name, ready):
+        """Take in a probe's result.
+
+        :param ready: whether the target takes work, or None if it didn't answer.
+        """
+        state = self.state(name)
+        if ready is None:
+            self.fail(name)
+        elif not ready:
+            self._pass_over(state, Phase.CLOSED, CLOSED_PAUSE_S)
+        elif state.failures:
+            self._enter(state, Phase.TRIAL)
+        else:
+            self._enter(state, Phase.SERVING)
+        state.probing = False
 
     def usable(self, name):
-        """Return whether a target may be tried now."""
+        """Return whether a target may be sent a request now."""
+        state = self.state(name)
+        if state.phase is Phase.TRIAL:
+            return state.sent == 0
+        return state.phase is Phase.SERVING
+
+    def may_try(self, name):
+        """Return whether an ejected target may get a trial request unprobed."""
+        state = self.state(name)
+        return state.phase is Phase.EJECTED and state.sent == 0
+
+    def replaced(self, name):
+        """Return whether a target failed so often that another takes its place."""
+        return self.state(name).failures >= REPLACED_AFTER_FAILURES
+
+    def free_places(self, name):
+        """Return the free places that a fresh report leaves, or None if unknown."""
         state = self.state(name)
-        now_s = self._clock.monotonic_s()
-        if now_s < state.ejected_until_s:
+        if not self._fresh(state, LOAD_FRESH_S):
+            return None
+        return state.load.limit - self._occupied(state)
+
+    def full(self, name):
+        """Return whether a request would find the target's queue full."""
+        state = self.state(name)
+        if state.queue_bound is None or not self._fresh(state, FULL_FRESH_S):
             return False
-        fresh = now_s - state.reported_at_s < LOAD_FRESH_S
-        return not (fresh and state.load.closed)
+        return self._occupied(state) >= state.load.limit + state.queue_bound
 
     def pressure(self, name):
         """Return how full a target is; 1 or more means that it has no free place."""
         state = self.state(name)
-        now_s = self._clock.monotonic_s()
-        if state.load is None or now_s - state.reported_at_s >= LOAD_FRESH_S:
-            return state.sent / 2
-        running = max(state.load.running, state.sent)
-        return (running + state.load.queued) / max(1, state.load.limit)
+        if self._fresh(state, LOAD_FRESH_S):
+            return self._occupied(state) / max(1, state.load.limit)
+        limit = state.load.limit if state.load else ASSUMED_LIMIT
+        return state.sent / max(1, limit)
+
+    def retry_after_s(self, names):
+        """Return the seconds until the first of these targets should have a place."""
+        waits_s = [self._wait_s(self.state(name)) for name in names]
+        wait_s = min(waits_s, default=1.0)
+        wait_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, wait_s))
+        return round(_jittered(wait_s), 3)
+
+    def _wait_s(self, state):
+        if state.phase in (Phase.CLOSED, Phase.EJECTED):
+            return state.next_probe_s - self._clock.monotonic_s()
+        if state.load is None:
+            return state.service_time_s
+        ahead = max(0, self._occupied(state) - state.load.limit) + 1
+        return ahead * state.service_time_s / max(1, state.load.limit)
+
+    def _fresh(self, state, age_max_s):
+        age_s = self._clock.monotonic_s() - state.reported_at_s
+        return state.load is not None and age_s < age_max_s
+
+    def _occupied(self, state):
+        load = state.load
+        running = max(load.running + state.sent_since_report, state.sent)
+        return running + load.queued
+
+    def _pass_over(self, state, phase, pause_s):
+        state.next_probe_s = self._clock.monotonic_s() + _jittered(pause_s)
+        self._enter(state, phase)
+
+    def _enter(self, state, phase):
+        if state.phase is not phase:
+            _PHASES.labels(phase).inc()
+        state.phase = phase
+
+
+def _jittered(duration_s):
+    return duration_s * random.uniform(1 - JITTER, 1 + JITTER)
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -84,6 +84,11 @@
     default_deadline_s: float = Field(30.0, gt=0)
     attempts_max: int = Field(3, ge=1)
     retry_budget_ratio: float = Field(0.2, ge=0)
+    deadline_max_s: float = Field(600.0, gt=0)
+    routing_policy: Literal["balanced", "random"] = "balanced"
+    subset_size: int = Field(12, ge=1)
+    head_silence_s: float = Field(1.0, gt=0)
+    stream_silence_s: float = Field(3.0, gt=0)
 
 
 class TargetSettings(_Section):
--- /dev/null
+++ b/tests/routing_fakes.py
@@ -0,0 +1,243 @@
+"""A kernel with a clock, a network and targets that a test steers."""
+
+import json
+from types import SimpleNamespace
+
+from gevent.event import Event
+
+from briarbeam.configuration.resources import Configuration
+from briarbeam.entry import plugin as entry_plugin
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.errors import (
+    BackendError,
+    ConnectError,
+    DrainingError,
+    ExchangeError,
+    OverloadedError,
+    UnavailableError,
+)
+from briarbeam.kernel.http import Router
+from briarbeam.kernel.network import Address
+from briarbeam.membership.members import Member
+from briarbeam.routing.router import Job, RoutingPlugin
+from briarbeam.settings import check
+
+OWN_DOMAIN = "hobart"
+REGIONS = {"hobart": "south", "launceston": "north", "burnie": "north"}
+
+
+def member(name, domain=OWN_DOMAIN, **fields):
+    """Return a target of the model ``chat``, or of the service in `fields`."""
+    number = int(name.strip("abcdefghijklmnopqrstuvwxyz-"))
+    address = Address(f"127.0.0.{number}", 1)
+    if "service" not in fields:
+        fields["models"] = ("chat",)
+    region = REGIONS[domain]
+    return Member(name, "target", region, domain, address, address, **fields)
+
+
+class FakeReply:
+    """A reply whose lines are given; an exception among them is raised."""
+
+    def __init__(self, status, headers, lines):
+        self.status = status
+        self.headers = headers
+        self.closed = False
+        self._lines = lines
+
+    def lines(self):
+        for line in self._lines:
+            if isinstance(line, Exception):
+                raise line
+            yield line
+
+    def read(self, size_bytes=None):
+        return b"".join(self.lines())
+
+    def close(self):
+        self.closed = True
+
+
+class FakeNetwork:
+    """Targets by address; each behaves as `behaviours` says, ``ok`` by default.
+
+    :param clock: moved on where a target lets a deadline pass.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.behaviours = {}
+        self.sent = []
+        self.got = []
+        self.replies = []
+        self.loads = {}
+        self.versions = {}
+        self.break_after = {}
+        self.probes = []
+        self.dead = set()
+
+    def send(self, address, request):
+        name = f"t{int(address.host.rpartition('.')[2])}"
+        if request.method == "GET":
+            return self._probe(name, request)
+        asked = json.loads(request.body)
+        self.sent.append((name, asked["request_id"]))
+        behaviour = self.behaviours.get(name, "ok")
+        if callable(behaviour):
+            behaviour = behaviour()
+        return getattr(self, f"_{behaviour}")(name, asked, request)
+
+    def _probe(self, name, request):
+        self.probes.append((name, request.path))
+        if name in self.dead or self.behaviours.get(name) in ("stall", "no_connect"):
+            raise ExchangeError(f"{name} is silent")
+        return FakeReply(200, {}, [b"{}"])
+
+    def _ok(self, name, asked, request):
+        self.got.append((name, asked["request_id"]))
+        wanted = asked.get("version")
+        version = self.versions.get(name, "v1")
+        if wanted and wanted != version:
+            self.got.pop()
+            return self._error(name, asked, UnavailableError("another version"))
+        return self._reply(name, asked, 200, self._frames(name, asked, version))
+
+    def _frames(self, name, asked, version):
+        if "max_tokens" not in asked:
+            answer = {"status": 200, "content_type": "text/plain", "body": "done"}
+            return [json.dumps(answer).encode()]
+        lines = []
+        start = asked.get("resume_from", 0)
+        for index in range(start, asked["max_tokens"]):
+            if index - start >= self.break_after.get(name, 10**9):
+                return [*lines, ExchangeError("the connection broke")]
+            frame = {"token": f"{version}-{index}", "index": index, "version": version}
+            lines.append(json.dumps(frame).encode())
+        end = {"done": True, "tokens": asked["max_tokens"], "version": version}
+        return [*lines, json.dumps(end).encode()]
+
+    def _reply(self, name, asked, status, lines, echo=None):
+        headers = {"x-briarbeam-request-id": echo or asked["request_id"]}
+        if name in self.loads:
+            headers["x-briarbeam-load"] = self.loads[name]
+        if status == 200:
+            headers["x-briarbeam-version"] = self.versions.get(name, "v1")
+        reply = FakeReply(status, headers, lines)
+        self.replies.append(reply)
+        return reply
+
+    def _error(self, name, asked, error):
+        body = json.dumps(error.to_dict()).encode()
+        return self._reply(name, asked, error.status, [body])
+
+    def _no_connect(self, name, asked, request):
+        raise ConnectError("refused")
+
+    def _refuse(self, name, asked, request):
+        return self._error(name, asked, OverloadedError("full", retry_after_s=0.5))
+
+    def _closed(self, name, asked, request):
+        self.loads[name] = "0/4/0/0/leaving"
+        return self._error(name, asked, DrainingError("leaving"))
+
+    def _fail(self, name, asked, request):
+        self.got.append((name, asked["request_id"]))
+        return self._error(name, asked, BackendError("failed"))
+
+    def _break_before(self, name, asked, request):
+        raise ExchangeError("broke")
+
+    def _break_after(self, name, asked, request):
+        self.got.append((name, asked["request_id"]))
+        raise ExchangeError("broke")
+
+    def _late(self, name, asked, request):
+        self.got.append((name, asked["request_id"]))
+        self.clock.advance(request.timeout_s)
+        raise ExchangeError("timed out")
+
+    def _crossed(self, name, asked, request):
+        self.got.append((name, asked["request_id"]))
+        return self._reply(name, asked, 200, [b"{}"], echo="another")
+
+    def _unreadable(self, name, asked, request):
+        self.got.append((name, asked["request_id"]))
+        return self._reply(name, asked, 500, [b"<html>"])
+
+    def _stall(self, name, asked, request):
+        Event().wait()
+
+
+class _Tasks:
+    """Runs each task at once."""
+
+    def spawn(self, function, *args):
+        function(*args)
+
+
+class Bench:
+    """An entry's routing over fake targets.
+
+    :param members: the targets on the instance list.
+    :param resources: specs by kind and name.
+    :param entry: settings of the entry.
+    """
+
+    def __init__(self, members, resources=None, **entry):
+        self.clock = ManualClock()
+        self.network = FakeNetwork(self.clock)
+        self.members = SimpleNamespace(
+            members={item.name: item for item in members},
+            configuration=Configuration(),
+        )
+        self.configure(resources or {})
+        settings = check(
+            {
+                "role": "entry",
+                "instance": {
+                    "name": "e1",
+                    "region": REGIONS[OWN_DOMAIN],
+                    "failure_domain": OWN_DOMAIN,
+                },
+                "listen": {"http": "127.0.0.1:8080", "control": "127.0.0.1:8081"},
+                "platform": {"object_api": "127.0.0.1:1", "origin": "127.0.0.1:2"},
+                "entry": {"head_silence_s": 0.02, **entry},
+            }
+        )
+        plugins = {"configuration": self.members}
+        self.kernel = SimpleNamespace(
+            settings=settings,
+            clock=self.clock,
+            network=self.network,
+            router=Router(),
+            tasks=_Tasks(),
+            find=plugins.get,
+        )
+        self.routing = plugins["routing"] = RoutingPlugin(self.kernel)
+        self.entry = entry_plugin.EntryPlugin(self.kernel)
+
+    def configure(self, resources):
+        """Put a configuration in force; it is above the last one."""
+        value = {
+            "resources": {
+                f"{kind}/{name}": {"spec": spec}
+                for (kind, name), spec in resources.items()
+            }
+        }
+        revision = self.members.configuration.revision + 1
+        self.members.configuration = Configuration.from_head(revision, value)
+
+    def job(self, idempotent=True, wait_s=30.0, **fields):
+        """Return a job for the model, or for a service if `fields` says so."""
+        if "service" not in fields:
+            fields = {"model": "chat", **fields}
+        number = len(self.network.sent)
+        return Job(
+            request_id=f"r{number}",
+            team=fields.pop("team", "one"),
+            deadline_unix_s=self.clock.now().timestamp() + wait_s,
+            idempotent=idempotent,
+            path="/gate/generate" if "model" in fields else "/gate/call",
+            envelope=fields.pop("envelope", {"max_tokens": 4}),
+            **fields,
+        )
--- /dev/null
+++ b/tests/test_entry_answers.py
@@ -0,0 +1,171 @@
+"""Answers: whole, of one version, released however they end."""
+
+import json
+
+import pytest
+
+from briarbeam.kernel.http import Request
+from tests.routing_fakes import Bench, member
+
+RESOURCES = {("model", "chat"): {}, ("service", "ledger"): {}}
+
+
+def _bench(*names, **entry):
+    members = [member(name) for name in names or ("t1", "t2", "t3")]
+    return Bench(members, RESOURCES, **entry)
+
+
+def _ask(bench, stream=True, headers=None, path="/v1/completions", **body):
+    body = {"model": "chat", "prompt": "p", "max_tokens": 4, "stream": stream, **body}
+    request = Request("POST", path, headers or {}, {}, json.dumps(body).encode(), "")
+    return bench.kernel.router.handle(request)
+
+
+def _texts(body):
+    """Return the texts of a stream and how it ended."""
+    texts, ends = [], []
+    for line in b"".join(body).decode().split("\n\n"):
+        if line == "data: [DONE]":
+            ends.append("done")
+        elif line.startswith("event: error\ndata: "):
+            ends.append(json.loads(line.partition("data: ")[2])["error"]["ran"])
+        elif line:
+            event = json.loads(line.removeprefix("data: "))
+            texts.append(event["choices"][0]["text"])
+    return "".join(texts), ends
+
+
+def test_stream_that_breaks_resumes_on_the_same_version():
+    bench = _bench()
+    bench.network.break_after = {"t1": 2, "t2": 2, "t3": 2}
+    text, ends = _texts(_ask(bench).body)
+    assert text == "v1-0 v1-1 v1-2 v1-3"
+    assert ends == ["done"]
+    assert len({name for name, _ in bench.network.sent}) == 2
+
+
+def test_stream_without_its_version_ends_in_an_error():
+    bench = _bench("t1", "t2")
+    bench.network.versions = {"t1": "v1", "t2": "v2"}
+    bench.network.break_after = {"t1": 2, "t2": 2}
+    text, ends = _texts(_ask(bench).body)
+    version = text[:2]
+    assert text == f"{version}-0 {version}-1"
+    assert ends == ["unknown"]
+
+
+def test_whole_answer_starts_over_if_its_version_is_gone():
+    bench = _bench("t1", "t2")
+    bench.network.versions = {"t1": "v1", "t2": "v2"}
+    bench.network.break_after = {"t1": 2}
+    for _ in range(10):
+        answer = json.loads(_ask(bench, stream=False).body)
+        texts = {text[:2] for text in answer["choices"][0]["text"].split()}
+        assert len(texts) == 1
+        assert answer["usage"]["completion_tokens"] == 4
+        assert answer["briarbeam"]["version"] in texts
+
+
+@pytest.mark.parametrize(
+    ("lines", "texts"),
+    [
+        (lambda frames: [frames[0], frames[0], *frames[1:]], 1),
+        (lambda frames: [frames[0], *frames[2:]], 1),
+        (lambda frames: frames[:-1], 4),
+        (lambda frames: [frames[0], *frames[-1:]], 1),
+    ],
+    ids=["doubled", "lost", "no end", "short"],
+)
+def test_frames_out_of_order_never_pass_for_an_answer(lines, texts):
+    bench = _bench("t1")
+    made = bench.network._frames
+    bench.network._frames = lambda *args: lines(made(*args))
+    text, ends = _texts(_ask(bench).body)
+    assert len(text.split()) == texts
+    assert ends == ["unknown"]
+
+
+@pytest.mark.parametrize("frames_read", [0, 1, 99])
+def test_release_however_far_it_was_read(frames_read):
+    bench = _bench("t1")
+    body = _ask(bench).body
+    assert bench.entry._running == 1
+    for _, _ in zip(range(frames_read), body, strict=False):
+        continue
+    body.close()
+    assert bench.entry._running == 0
+    assert bench.routing.targets.state("t1").sent == 0
+    assert all(reply.closed for reply in bench.network.replies)
+
+
+def test_caller_gone_ends_a_whole_answer_early():
+    bench = _bench("t1")
+    asked = iter([False, True])
+    request = Request(
+        "POST",
+        "/v1/completions",
+        {},
+        {},
+        json.dumps({"model": "chat", "prompt": "p", "max_tokens": 9}).encode(),
+        "",
+    )
+    request.caller_gone = lambda: next(asked)
+    bench.kernel.router.handle(request)
+    assert next(asked, None) is None
+    assert bench.network.replies[0].closed
+    assert len(bench.network.sent) == 1
+
+
+@pytest.mark.parametrize(
+    ("headers", "body", "status"),
+    [
+        ({"x-deadline-s": "nan"}, {}, 400),
+        ({"x-deadline-s": "-1"}, {}, 400),
+        ({"x-deadline-s": "inf"}, {}, 400),
+        ({"x-team": "a b"}, {}, 400),
+        ({}, {"max_tokens": 0}, 400),
+        ({}, {"prompt": 3}, 400),
+        ({}, {"model": "other"}, 404),
+        ({"authorization": "Bearer wrong"}, {}, 401),
+        ({"x-team": "keyed"}, {}, 401),
+        ({"authorization": "Bearer right"}, {}, 200),
+        ({"x-team": "free", "x-deadline-s": "2.5"}, {}, 200),
+    ],
+)
+def test_callers_input(headers, body, status):
+    digest = "27042f4e6eca7d0b2a7ee4026df2ecfa51d3339e6d122aa099118ecd8563bad9"
+    bench = _bench("t1")
+    bench.configure({**RESOURCES, ("team", "keyed"): {"key_digest": digest}})
+    response = _ask(bench, stream=False, headers=headers, **body)
+    assert response.status == status
+    if status != 200:
+        assert json.loads(response.body)["error"]["ran"] == "no"
+        assert not bench.network.sent
+
+
+def test_service_call_is_passed_on_as_it_came():
+    bench = Bench([member("t1", service="ledger")], RESOURCES)
+    sent = []
+    inner = bench.network._ok
+    bench.network._ok = lambda name, asked, request: (
+        sent.append((asked, request.headers)) or inner(name, asked, request)
+    )
+    trace_id, span_id = "a" * 32, "b" * 16
+    headers = {"idempotency-key": "k", "traceparent": f"00-{trace_id}-{span_id}-01"}
+    request = Request(
+        "POST", "/services/ledger/a b/c", headers, {"q": "1 2"}, b"{}", ""
+    )
+    assert bench.kernel.router.handle(request).body == b"done"
+    asked, passed = sent[0]
+    assert asked["path"] == "a%20b/c?q=1+2"
+    assert asked["idempotency_key"] == "k"
+    version, found_trace, found_span, _ = passed["traceparent"].split("-")
+    assert (version, found_trace) == ("00", trace_id)
+    assert found_span != span_id
+    for key in ("", "k" * 256, "a b"):
+        request.headers["idempotency-key"] = key
+        assert bench.kernel.router.handle(request).status == 400
+    request.headers.pop("idempotency-key")
+    request.body = b"\xff"
+    assert bench.kernel.router.handle(request).status == 400
+    assert len(sent) == 1
--- /dev/null
+++ b/tests/test_routing_send.py
@@ -0,0 +1,220 @@
+"""Attempts and retries: what is sent, how often, and what is said about it."""
+
+import socket
+import threading
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from briarbeam.kernel.errors import (
+    BriarbeamError,
+    CallerGoneError,
+    DeadlineExpiredError,
+    ExchangeError,
+    OutcomeUnknownError,
+    OverloadedError,
+    Ran,
+    UnavailableError,
+)
+from briarbeam.kernel.network import Address, HttpNetwork, HttpRequest, fetch
+from tests.routing_fakes import Bench, member
+
+TARGETS = ("t1", "t2", "t3", "t4")
+
+
+def _bench(**entry):
+    return Bench([member(name) for name in TARGETS], **entry)
+
+
+def test_silent_target_holds_no_idempotent_request():
+    bench = _bench()
+    bench.network.behaviours = {"t1": "stall", "t2": "stall"}
+    for _ in range(20):
+        chosen, response = bench.routing.send(bench.job())
+        assert chosen.name in ("t3", "t4")
+        bench.routing.finish(chosen, response)
+    stalled = [name for name, _ in bench.network.sent if name in ("t1", "t2")]
+    assert len(stalled) == len(set(stalled))
+
+
+def test_target_that_answers_others_is_waited_for():
+    """A queue is no stall: the gate gives signs of life while a request waits."""
+    bench = Bench([member("t1")])
+    checks = iter([True, True, False])
+    bench.network.behaviours["t1"] = "stall"
+    bench.routing._answers = lambda found: next(checks)
+    with pytest.raises(OutcomeUnknownError):
+        bench.routing.send(bench.job())
+    assert next(checks, None) is None
+
+
+def test_caller_gone_ends_the_wait():
+    bench = _bench()
+    bench.network.behaviours = dict.fromkeys(TARGETS, "stall")
+    with pytest.raises(CallerGoneError):
+        bench.routing.send(bench.job(gone=lambda: True))
+    assert len(bench.network.sent) == 1
+    assert bench.routing.targets.state(bench.network.sent[0][0]).sent == 0
+
+
+@pytest.mark.parametrize("behaviour", ["break_after", "late", "crossed", "unreadable"])
+def test_not_repeatable_job_is_final_once_sent(behaviour):
+    bench = _bench()
+    bench.network.behaviours = dict.fromkeys(TARGETS, behaviour)
+    with pytest.raises(OutcomeUnknownError) as caught:
+        bench.routing.send(bench.job(idempotent=False))
+    assert caught.value.ran is Ran.UNKNOWN
+    assert len(bench.network.sent) == 1
+
+
+def test_no_is_not_said_after_an_attempt_that_may_have_run():
+    bench = _bench(attempts_max=2)
+    order = iter(["break_after", "refuse"])
+    bench.network.behaviours = dict.fromkeys(TARGETS, lambda: next(order))
+    with pytest.raises(OutcomeUnknownError) as caught:
+        bench.routing.send(bench.job())
+    assert caught.value.retry_after_s == 0.5
+
+
+def test_refusals_are_retried_elsewhere_within_attempts_and_budget():
+    bench = _bench(retry_budget_ratio=0.0)
+    bench.network.behaviours = dict.fromkeys(TARGETS, "refuse")
+    with pytest.raises(OverloadedError):
+        bench.routing.send(bench.job(idempotent=False))
+    assert len({name for name, _ in bench.network.sent}) == 3
+    for _ in range(20):
+        with pytest.raises(OverloadedError):
+            bench.routing.send(bench.job())
+    assert len(bench.network.sent) == 21 + 10
+    assert bench.routing.budgets.balance("one") == 0
+
+
+def test_deadline_is_looked_at_again_before_each_send():
+    bench = _bench()
+
+    def refuse_late():
+        bench.clock.advance(31)
+        return "refuse"
+
+    bench.network.behaviours = dict.fromkeys(TARGETS, refuse_late)
+    with pytest.raises(DeadlineExpiredError):
+        bench.routing.send(bench.job())
+    assert len(bench.network.sent) == 1
+
+
+def test_configuration_is_looked_at_again_before_each_send():
+    bench = _bench()
+
+    def take_out():
+        bench.configure({("failure-domain", "hobart"): {"in_service": False}})
+        return "refuse"
+
+    bench.network.behaviours = dict.fromkeys(TARGETS, take_out)
+    with pytest.raises(OverloadedError):
+        bench.routing.send(bench.job())
+    assert len(bench.network.sent) == 1
+
+
+def test_every_refusal_has_a_retry_after():
+    bench = _bench()
+    bench.network.behaviours = dict.fromkeys(TARGETS, "no_connect")
+    with pytest.raises(UnavailableError) as caught:
+        bench.routing.send(bench.job(idempotent=False))
+    assert caught.value.retry_after_s > 0
+
+
+@pytest.mark.parametrize("reused", [False, True])
+def test_http_library_sends_a_post_once(reused):
+    """The server reads the request and closes without an answer."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = Address(*listener.getsockname())
+    got = []
+
+    def serve():
+        answered = not reused
+        while True:
+            connection, _ = listener.accept()
+            with connection:
+                while data := connection.recv(65536):
+                    got.append(data)
+                    if answered:
+                        break
+                    answered = True
+                    connection.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+    threading.Thread(target=serve, daemon=True).start()
+    network = HttpNetwork()
+    request = HttpRequest("POST", "/settle", b"once", fresh=False)
+    if reused:
+        assert fetch(network, address, HttpRequest("GET", "/"))[0] == 200
+    got.clear()
+    with pytest.raises(ExchangeError):
+        network.send(address, request)
+    with socket.create_connection(address) as probe:
+        probe.sendall(b"last")
+        assert probe.recv(1) == b""
+    assert b"".join(got).count(b"once") == 1
+
+
+class SendMachine(RuleBasedStateMachine):
+    """Any mix of failures: truth about what ran, bounds on what is sent."""
+
+    faults = st.sampled_from(
+        [
+            "ok",
+            "no_connect",
+            "refuse",
+            "closed",
+            "fail",
+            "break_before",
+            "break_after",
+            "late",
+            "crossed",
+            "unreadable",
+        ]
+    )
+
+    def __init__(self):
+        super().__init__()
+        self.bench = _bench()
+        self.network = self.bench.network
+
+    @rule(name=st.sampled_from(TARGETS), fault=faults)
+    def behave(self, name, fault):
+        self.network.behaviours[name] = fault
+        if fault != "closed":
+            self.network.loads.pop(name, None)
+
+    @rule(duration_s=st.floats(0, 5))
+    def wait(self, duration_s):
+        self.bench.clock.advance(duration_s)
+
+    @rule(idempotent=st.booleans(), wait_s=st.floats(0.1, 30))
+    def send(self, idempotent, wait_s):
+        job = self.bench.job(idempotent, wait_s)
+        before_sent, before_got = len(self.network.sent), len(self.network.got)
+        error = None
+        try:
+            chosen, response = self.bench.routing.send(job)
+            self.bench.routing.finish(chosen, response)
+        except BriarbeamError as found:
+            error = found
+        sent = self.network.sent[before_sent:]
+        got = self.network.got[before_got:]
+        assert len(sent) <= 3
+        assert idempotent or len(got) <= 1
+        if error is None:
+            assert got[-1][0] == chosen.name
+        elif error.ran is Ran.NO:
+            assert not got
+
+    @invariant()
+    def balanced(self):
+        targets = self.bench.routing.targets
+        assert self.bench.routing.budgets.balance("one") >= 0
+        assert all(targets.state(name).sent == 0 for name in TARGETS)
+        assert all(reply.closed for reply in self.network.replies)
+
+
+TestSendMachine = SendMachine.TestCase
