--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -81,6 +81,31 @@
     status = 409
 
 
+class ResourceConflictError(ConflictError):
+    """A change to resources met another change; the message says which.
+
+    :param changed: the changes that were met, each with key, generation and operator.
+    """
+
+    code = "resource_conflict"
+
+    def __init__(self, message="", *, changed=(), retry_after_s=None):
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.changed = list(changed)
+
+    def to_dict(self):
+        body = super().to_dict()
+        body["error"]["changed"] = self.changed
+        return body
+
+
+class TooLargeError(NotRunError):
+    """A value is above the bound of what the platform holds."""
+
+    code = "too_large"
+    status = 413
+
+
 class InProgressError(NotRunError):
     """Another attempt with the same idempotency key is running now."""
 
@@ -181,6 +206,14 @@
     code = "platform_unknown"
 
 
+class PlatformBehindError(PlatformError):
+    """The platform holds an older configuration than the one in force here."""
+
+    code = "platform_behind"
+    status = 409
+    ran = Ran.NO
+
+
 class WeightsError(BriarbeamError):
     """Base of failures while weights are fetched, verified or loaded."""
 
@@ -204,3 +237,51 @@
     """An engine refused or failed an order."""
 
     code = "order"
+
+
+class ChangeoverFailedError(OrderError):
+    """The engine does not serve the ordered version after the order."""
+
+    code = "changeover_failed"
+
+
+class OrderUnderWayError(WeightsError):
+    """An earlier order may still be under way at the engine."""
+
+    code = "order_under_way"
+
+
+class SupersededError(WeightsError):
+    """Another version is wanted by now, or another daemon orders the engine."""
+
+    code = "superseded"
+
+
+class NotIdleError(WeightsError):
+    """Running requests did not end in time, so nothing was ordered."""
+
+    code = "not_idle"
+
+
+class RolloutStoppedError(WeightsError):
+    """The rollout is paused, or too many changeovers of it failed."""
+
+    code = "rollout_stopped"
+
+
+class WaitingForPermitError(WeightsError):
+    """Other targets change first."""
+
+    code = "waiting_for_permit"
+
+
+class BaseVersionError(WeightsError):
+    """An adapter's base model is not at the version that the adapter needs."""
+
+    code = "base_version"
+
+
+class MemoryBoundError(WeightsError):
+    """The chunks of a version do not fit into the memory bound."""
+
+    code = "memory_bound"
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -5,6 +5,7 @@
 whether bytes may have left: `ConnectError` (none did) or `ExchangeError`.
 """
 
+import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
@@ -12,13 +13,17 @@
 import gevent
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from opentelemetry import propagate, trace
 
 from .errors import ConnectError, ExchangeError, SettingsError
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_MAX = 32
+IDLE_MAX_S = 15.0
 READ_BLOCK_BYTES = 65536
 
+_tracer = trace.get_tracer(__name__)
+
 
 class Address(NamedTuple):
     """An IP number and a port."""
@@ -107,11 +112,21 @@
         self._idle = defaultdict(list)
 
     def send(self, address, request):
+        with _tracer.start_as_current_span(
+            f"{request.method} {address}",
+            context=_context_of(request),
+            kind=trace.SpanKind.CLIENT,
+        ):
+            return self._send(address, request)
+
+    def _send(self, address, request):
         client = self._take(address, request.fresh)
+        headers = dict(request.headers)
+        propagate.inject(headers)
         try:
             with gevent.Timeout(request.timeout_s):
                 raw = client.request(
-                    request.method, request.path, request.body, request.headers
+                    request.method, request.path, request.body, headers
                 )
         except ConnectError:
             client.close()
@@ -134,9 +149,9 @@
 
     def _take(self, address, fresh):
         if not fresh:
-            idle = self._idle[address]
-            if idle:
-                return idle.pop()
+            client = self._take_idle(address)
+            if client is not None:
+                return client
         client = HTTPClient(
             address.host, address.port, concurrency=1, block_size=READ_BLOCK_BYTES
         )
@@ -152,12 +167,29 @@
         client._connection_pool.source_host = self._source_host
         return client
 
-    def _give_back(self, address, client):
+    def _take_idle(self, address):
+        """Return the connection used last, unless the peer may have closed it."""
         idle = self._idle[address]
-        if len(idle) < IDLE_CONNECTIONS_MAX:
-            idle.append(client)
-        else:
+        while idle:
+            client, since_s = idle.pop()
+            if time.monotonic() - since_s < IDLE_MAX_S:
+                return client
             client.close()
+        return None
+
+    def _give_back(self, address, client):
+        idle = self._idle[address]
+        idle.append((client, time.monotonic()))
+        if len(idle) > IDLE_CONNECTIONS_MAX:
+            oldest, _ = idle.pop(0)
+            oldest.close()
+
+
+def _context_of(request):
+    """Return the trace context to send in: the task's own, or the request's."""
+    if trace.get_current_span().get_span_context().is_valid:
+        return None
+    return propagate.extract(request.headers)
 
 
 class _SourcePool(ConnectionPool):
