--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -5,6 +5,7 @@
 whether bytes may have left: `ConnectError` (none did) or `ExchangeError`.
 """
 
+import ipaddress
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -38,9 +39,14 @@
         :raises SettingsError: if the text is not of that form.
         """
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
-            raise SettingsError(f"expected IP:PORT, got {text!r}")
-        return cls(host, int(port))
+        try:
+            ipaddress.IPv4Address(host)
+            number = int(port)
+        except ValueError as error:
+            raise SettingsError(f"expected IP:PORT, got {text!r}") from error
+        if not 0 < number < 65536:
+            raise SettingsError(f"expected a port from 1 to 65535, got {text!r}")
+        return cls(host, number)
 
     def __str__(self):
         return f"{self.host}:{self.port}"
@@ -50,8 +56,8 @@
 class HttpRequest:
     """One request to a peer.
 
-    :param timeout_s: seconds until the reply's head must be there, and the longest
-        silence allowed afterwards.
+    :param timeout_s: seconds until the reply's head must be there.
+    :param silence_s: the longest silence allowed afterwards; `timeout_s` if None.
     :param fresh: use a new connection and close it afterwards; for what must not
         be sent twice.
     """
@@ -62,6 +68,7 @@
     headers: dict = field(default_factory=dict)
     timeout_s: float = 5.0
     fresh: bool = False
+    silence_s: float | None = None
 
 
 class HttpResponse(Protocol):
@@ -253,12 +260,13 @@
             client.close()
 
     def _guard(self, function, *args):
+        silence_s = self._request.silence_s or self._request.timeout_s
         try:
-            with gevent.Timeout(self._request.timeout_s):
+            with gevent.Timeout(silence_s):
                 return function(*args)
         except gevent.Timeout as error:
             raise ExchangeError(
-                f"{self._address} went silent for {self._request.timeout_s} s"
+                f"{self._address} went silent for {silence_s} s"
             ) from error
         except Exception as error:
             raise ExchangeError(f"reply of {self._address} broke: {error!r}") from error
