--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -88,10 +88,35 @@
     status = 499
 
 
-class StalledError(NotRunError):
+class UnconfirmedError(NotRunError):
     """The process stood still and has not confirmed its configuration since."""
 
-    code = "stalled"
+    code = "unconfirmed"
+
+
+class ResourceConflictError(ConflictError):
+    """A change to resources met another change; the message says which.
+
+    :param changed: the changes that were met, each with key, generation and operator.
+    """
+
+    code = "resource_conflict"
+
+    def __init__(self, message="", *, changed=(), retry_after_s=None):
+        super().__init__(message, retry_after_s=retry_after_s)
+        self.changed = list(changed)
+
+    def to_dict(self):
+        body = super().to_dict()
+        body["error"]["changed"] = self.changed
+        return body
+
+
+class TooLargeError(NotRunError):
+    """A value is above the bound of what the platform holds."""
+
+    code = "too_large"
+    status = 413
 
 
 class InProgressError(BriarbeamError):
@@ -140,6 +165,12 @@
     status = 502
 
 
+class CallerGoneError(OutcomeUnknownError):
+    """The caller closed its connection; nobody reads this error."""
+
+    code = "caller_gone"
+
+
 class BackendError(BriarbeamError):
     """The back end ran the request and failed."""
 
@@ -203,6 +234,14 @@
     code = "platform_unknown"
 
 
+class PlatformBehindError(PlatformError):
+    """The platform holds an older configuration than the one in force here."""
+
+    code = "platform_behind"
+    status = 409
+    ran = Ran.NO
+
+
 class WeightsError(BriarbeamError):
     """Base of failures while weights are fetched, verified or loaded."""
 
@@ -222,7 +261,74 @@
     code = "chunk_unavailable"
 
 
+class OriginRefusedError(ChunkUnavailableError):
+    """The origin answered that it does not give the chunk now."""
+
+    code = "origin_refused"
+
+
+class BudgetSpentError(ChunkUnavailableError):
+    """A peer has given its share; others hold the chunk too."""
+
+    code = "budget_spent"
+    status = 429
+
+
+class StalledError(ChunkUnavailableError):
+    """A source gave too few bytes in an interval."""
+
+    code = "stalled"
+
+
 class OrderError(WeightsError):
     """An engine refused or failed an order."""
 
     code = "order"
+
+
+class ChangeoverFailedError(OrderError):
+    """The engine does not serve the ordered version after the order."""
+
+    code = "changeover_failed"
+
+
+class OrderUnderWayError(WeightsError):
+    """An earlier order may still be under way at the engine."""
+
+    code = "order_under_way"
+
+
+class SupersededError(WeightsError):
+    """Another version is wanted by now, or another daemon orders the engine."""
+
+    code = "superseded"
+
+
+class NotIdleError(WeightsError):
+    """Running requests did not end in time, so nothing was ordered."""
+
+    code = "not_idle"
+
+
+class RolloutStoppedError(WeightsError):
+    """The rollout is paused, or too many changeovers of it failed."""
+
+    code = "rollout_stopped"
+
+
+class WaitingForPermitError(WeightsError):
+    """Other targets change first."""
+
+    code = "waiting_for_permit"
+
+
+class BaseVersionError(WeightsError):
+    """An adapter's base model is not at the version that the adapter needs."""
+
+    code = "base_version"
+
+
+class MemoryBoundError(WeightsError):
+    """The chunks of a version do not fit into the memory bound."""
+
+    code = "memory_bound"
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -5,6 +5,8 @@
 whether bytes may have left: `ConnectError` (none did) or `ExchangeError`.
 """
 
+import ipaddress
+import time
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +21,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_MAX = 32
+IDLE_MAX_S = 15.0
 READ_BLOCK_BYTES = 65536
 # geventhttpclient resends PUT and DELETE by itself, "size of the pool + 1" times.
 _NO_RESEND = -1
@@ -39,9 +42,14 @@
         :raises SettingsError: if the text is not of that form.
         """
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
-            raise SettingsError(f"expected IP:PORT, got {text!r}")
-        return cls(host, int(port))
+        try:
+            ipaddress.IPv4Address(host)
+            number = int(port)
+        except ValueError as error:
+            raise SettingsError(f"expected IP:PORT, got {text!r}") from error
+        if not 0 < number < 65536:
+            raise SettingsError(f"expected a port from 1 to 65535, got {text!r}")
+        return cls(host, number)
 
     def __str__(self):
         return f"{self.host}:{self.port}"
@@ -51,8 +59,8 @@
 class HttpRequest:
     """One request to a peer.
 
-    :param timeout_s: seconds until the reply's head must be there, and the longest
-        silence allowed afterwards.
+    :param timeout_s: seconds until the reply's head must be there.
+    :param silence_s: the longest silence allowed afterwards; `timeout_s` if None.
     :param fresh: use a new connection and close it afterwards; for what must not
         be sent twice.
     :param guard: called once a fresh connection stands, with no wait between it and
@@ -65,6 +73,7 @@
     headers: dict = field(default_factory=dict)
     timeout_s: float = 5.0
     fresh: bool = False
+    silence_s: float | None = None
     guard: Callable[[], None] | None = None
 
 
@@ -152,9 +161,9 @@
 
     def _take(self, address, request):
         if not request.fresh:
-            idle = self._idle[address]
-            if idle:
-                return idle.pop()
+            client = self._take_idle(address)
+            if client is not None:
+                return client
         client = HTTPClient(
             address.host, address.port, concurrency=1, block_size=READ_BLOCK_BYTES
         )
@@ -173,12 +182,22 @@
             client._connection_pool.size = _NO_RESEND
         return client
 
-    def _give_back(self, address, client):
+    def _take_idle(self, address):
+        """Return the connection used last, unless the peer may have closed it."""
         idle = self._idle[address]
-        if len(idle) < IDLE_CONNECTIONS_MAX:
-            idle.append(client)
-        else:
+        while idle:
+            client, since_s = idle.pop()
+            if time.monotonic() - since_s < IDLE_MAX_S:
+                return client
             client.close()
+        return None
+
+    def _give_back(self, address, client):
+        idle = self._idle[address]
+        idle.append((client, time.monotonic()))
+        if len(idle) > IDLE_CONNECTIONS_MAX:
+            oldest, _ = idle.pop(0)
+            oldest.close()
 
 
 def _context_of(request):
@@ -254,12 +273,13 @@
             client.close()
 
     def _guard(self, function, *args):
+        silence_s = self._request.silence_s or self._request.timeout_s
         try:
-            with gevent.Timeout(self._request.timeout_s):
+            with gevent.Timeout(silence_s):
                 return function(*args)
         except gevent.Timeout as error:
             raise ExchangeError(
-                f"{self._address} went silent for {self._request.timeout_s} s"
+                f"{self._address} went silent for {silence_s} s"
             ) from error
         except Exception as error:
             raise ExchangeError(f"reply of {self._address} broke: {error!r}") from error
