Test the gate's replies against what its back end ran

Cause: body closed unread, version or incarnation changed midway, a domain taken out, a process that stood still and bytes that are not text had no test.

Ruled out: tests through processes only; here the stand-ins' handlers run in this process on a steered clock, so that no verdict hangs on the machine.

Callers' bytes pass the entry unchanged too (base64 where they are not UTF-8).

--- a/briarbeam/entry/plugin.py
+++ b/briarbeam/entry/plugin.py
@@ -7,9 +7,9 @@
 
 from prometheus_client import Gauge
 
+from ..gate.envelope import decode_body, encode_body
 from ..kernel.errors import (
     ExchangeError,
-    InvalidRequestError,
     NotFoundError,
     OutcomeUnknownError,
 )
@@ -118,7 +118,7 @@
             "service": service,
             "method": request.method,
             "path": _target_path(request, path),
-            "body": _text(request.body),
+            **encode_body(request.body),
             "idempotency_key": idempotency_key(request),
         }
         job = self._job(
@@ -137,7 +137,7 @@
             "content-type": answer["content_type"],
             "x-request-id": job.request_id,
         }
-        return Response(answer["status"], answer["body"].encode(), headers)
+        return Response(answer["status"], decode_body(answer), headers)
 
     def _call(self, job):
         """Return a plain service's answer.
@@ -183,14 +183,3 @@
     """Return the path of a service call, quoted, with its query."""
     query = urlencode(request.query)
     return quote(path) + (f"?{query}" if query else "")
-
-
-def _text(body):
-    """Return a caller's body as text.
-
-    :raises InvalidRequestError: if it is not UTF-8.
-    """
-    try:
-        return body.decode()
-    except UnicodeDecodeError as error:
-        raise InvalidRequestError(f"the body is not UTF-8: {error}") from error
--- a/standins/service.py
+++ b/standins/service.py
@@ -13,7 +13,7 @@
 
 
 class Service:
-    """Records what is sent to it and answers lookups.
+    """Records what is sent to it, answers lookups, and echoes bytes on ``echo``.
 
     Faults: ``delay_s`` slows every call; ``lose_answers`` runs a call and closes
     the connection; ``silent`` runs a call and never answers.
@@ -39,7 +39,7 @@
     def call(self, request, path):
         gevent.sleep(self.faults.delay_s)
         request_id = request.headers.get("x-request-id", "")
-        body = request.body.decode()
+        body = request.body.decode("utf-8", "backslashreplace")
         self._truth.add(
             event="ran",
             method=request.method,
@@ -55,6 +55,8 @@
         receipt = hashlib.sha256(f"{path}/{body}".encode()).hexdigest()
         answer = {"receipt": receipt, "request_id": request_id}
         response = Response.of_json(answer)
+        if path == "echo":
+            response.body = request.body
         response.headers[INCARNATION_HEADER] = self._incarnation
         return response
 
--- /dev/null
+++ b/tests/gate_fakes.py
@@ -0,0 +1,207 @@
+"""A gate in this process, before the stand-ins' own handlers, on a steered clock."""
+
+import json
+from types import SimpleNamespace
+
+from briarbeam.configuration.documents import CONFIGURATION, Documents
+from briarbeam.configuration.resources import Configuration
+from briarbeam.gate.plugin import GatePlugin
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.errors import ConnectError, ExchangeError
+from briarbeam.kernel.http import Request, Router
+from briarbeam.kernel.network import Address
+from briarbeam.kernel.tasks import TaskGroup
+from briarbeam.settings import check
+from standins.base import Truth
+from standins.engine import Engine
+from standins.service import Service
+
+from .test_gate_claims import FakeObjects
+
+DOMAIN = "hobart"
+BACKEND = Address("127.0.0.1", 8090)
+
+
+class InProcessNetwork:
+    """Hands requests to a stand-in's router; connections can be refused or cut.
+
+    :param connecting: called where a real network waits for the connection.
+    """
+
+    def __init__(self, router):
+        self._router = router
+        self.refused = False
+        self.cut = ()
+        self.connecting = lambda request: None
+
+    def send(self, address, request):
+        if self.refused:
+            raise ConnectError("nobody listens")
+        self.connecting(request)
+        if request.guard is not None:
+            request.guard()
+        if request.path in self.cut:
+            raise ExchangeError("cut after the request")
+        path = request.path.partition("?")[0]
+        received = Request(
+            request.method, path, request.headers, {}, request.body, "127.0.0.1"
+        )
+        return _Reply(self._router.handle(received))
+
+
+class _Reply:
+    def __init__(self, response):
+        self.status = response.status
+        self.headers = response.headers
+        self._body = response.body
+        self._reading = False
+        self._closed = False
+
+    def read(self, size_bytes=None):
+        return self._body if isinstance(self._body, bytes) else b"".join(self._body)
+
+    def lines(self):
+        self._reading = True
+        try:
+            for line in self._body:
+                if self._closed:
+                    raise ExchangeError("closed while it was read")
+                yield line
+        except ConnectionResetError as error:
+            raise ExchangeError(str(error)) from error
+        finally:
+            self._reading = False
+
+    def close(self):
+        self._closed = True
+        if hasattr(self._body, "close") and not self._reading:
+            self._body.close()
+
+
+class FakeConfiguration:
+    """The configuration plug-in as the gate sees it."""
+
+    def __init__(self, clock):
+        self.documents = Documents(clock)
+        self.configuration = Configuration()
+        self.reachable = True
+        self.refreshed = 0
+        self.documents.subscribe(CONFIGURATION, self._take)
+
+    def refresh(self):
+        self.refreshed += 1
+        return self.reachable
+
+    def apply(self, resources):
+        """Put resources, given by ``kind/name``, in force."""
+        revision = self.documents.get(CONFIGURATION).revision + 1
+        value = {"resources": {key: {"spec": spec} for key, spec in resources.items()}}
+        self.documents.offer(CONFIGURATION, revision, json.dumps(value).encode())
+
+    def _take(self, document):
+        self.configuration = Configuration.from_document(
+            document.revision, document.body
+        )
+
+
+class GateBench:
+    """A gate with its back end.
+
+    :param backend: ``engine`` or ``service``.
+    :param objects: the platform's object API, to share among gates.
+    """
+
+    def __init__(self, backend="engine", objects=None, **target):
+        self.clock = ManualClock()
+        self.truth = Truth(None)
+        self.objects = objects or FakeObjects()
+        if backend == "engine":
+            self.backend = Engine(2, self.truth)
+            self.backend.faults.step_s = 0.0
+            self.load("v1")
+            target["models"] = ["chat"]
+        else:
+            self.backend = Service(self.truth)
+            target["service"] = "ledger"
+        self.network = InProcessNetwork(self.backend.router())
+        self.configuration = FakeConfiguration(self.clock)
+        self.router = Router()
+        self.gate = GatePlugin(self._kernel(backend, target))
+        self.configuration.apply({"service/ledger": {}})
+        self.gate.probe()
+
+    def load(self, version):
+        """Give the engine a version behind the gate's back."""
+        entry = {"version": version, "weights_digest": f"digest of {version}"}
+        self.backend._loaded["chat"] = entry
+
+    def post(self, url, fields):
+        """Send an envelope to the gate and return its reply."""
+        envelope = {
+            "request_id": "r1",
+            "deadline_unix_s": self.clock.now().timestamp() + 30.0,
+            **fields,
+        }
+        body = json.dumps(envelope).encode()
+        return self.router.handle(Request("POST", url, {}, {}, body, "127.0.0.1"))
+
+    def generate(self, **fields):
+        """Send a generation to the gate."""
+        asked = {"model": "chat", "prompt": "p", "max_tokens": 3}
+        return self.post("/gate/generate", {**asked, **fields})
+
+    def call(self, **fields):
+        """Send a call that may not be repeated to the gate."""
+        asked = {"service": "ledger", "method": "POST", "path": "settlements"}
+        return self.post("/gate/call", {**asked, **fields})
+
+    def ran(self):
+        """Return how many requests the back end ran."""
+        return sum(record["event"] == "ran" for record in self.truth.records)
+
+    def _kernel(self, backend, target):
+        settings = check(
+            {
+                "role": "target",
+                "instance": {
+                    "name": "t1",
+                    "region": "south",
+                    "failure_domain": DOMAIN,
+                },
+                "listen": {"http": "127.0.0.1:8080", "control": "127.0.0.1:8081"},
+                "platform": {
+                    "object_api": "127.0.0.1:7000",
+                    "origin": "127.0.0.1:7001",
+                },
+                "target": {
+                    "backend": backend,
+                    "backend_address": str(BACKEND),
+                    **target,
+                },
+            }
+        )
+        plugins = {
+            "configuration": self.configuration,
+            "platform": SimpleNamespace(objects=self.objects),
+        }
+        return SimpleNamespace(
+            settings=settings,
+            clock=self.clock,
+            network=self.network,
+            router=self.router,
+            tasks=TaskGroup(),
+            find=plugins.get,
+        )
+
+
+def frames_of(response):
+    """Return the frames of a reply and close it, as the server does."""
+    try:
+        return [json.loads(line) for line in response.body]
+    finally:
+        response.body.close()
+
+
+def error_of(response):
+    """Return the typed error in a refusal."""
+    return json.loads(response.body)["error"]
