--- a/tests/test_gate_plugin.py
+++ b/tests/test_gate_plugin.py
@@ -91,7 +91,7 @@
     assert frames[-1]["error"]["code"] == "outcome_unknown"
     bench.backend.faults.break_after = 0
     bench.gate.probe()
-    response = bench.generate()
+    response = bench.generate(request_id="r2")
     whole = list(response.body._response.lines())
     response.body._response.lines = lambda: iter(whole[:-1])
     frames = frames_of(response)
