Measure what each way to run at most once costs

Cause: claims at the platform were chosen without a figure beside the alternative.

Ruled out: shipping the home table; it is a trial in the bench only.

--- /dev/null
+++ b/bench/measure_once.py
@@ -0,0 +1,199 @@
+"""What each way to run a call at most once costs, side by side.
+
+One JSON line a case: platform calls a request, and the share of requests that are
+answered, refused as not run, or unknown, while the platform or a target is gone.
+The first way is the product's claims; the second, a table in the memory of a home
+target chosen by rendezvous, is a trial that lives only here.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import random  # noqa: E402
+from collections import Counter  # noqa: E402
+
+from briarbeam.gate.claims import Claim, Claims  # noqa: E402
+from briarbeam.kernel.clock import ManualClock  # noqa: E402
+from briarbeam.kernel.errors import (  # noqa: E402
+    BriarbeamError,
+    ConflictError,
+    NotFoundError,
+    OutcomeUnknownError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    Ran,
+    UnavailableError,
+)
+from briarbeam.membership.members import rendezvous_order  # noqa: E402
+from briarbeam.platform.client import StoredObject  # noqa: E402
+
+TARGETS = tuple(f"target-{number}" for number in range(3))
+REQUESTS = 1000
+REPEATED_SHARE = 0.02
+LOST_SHARE = 0.05
+
+
+class Objects:
+    """The object API in memory; calls are counted.
+
+    :param mode: ``ok``, ``down``, or ``losing``: some writes' answers are lost.
+    """
+
+    def __init__(self, mode, rng):
+        self.mode = mode
+        self.calls = 0
+        self._rng = rng
+        self._held = {}
+        self._revision = 0
+
+    def get(self, kind, name):
+        """Return an object."""
+        self._begin()
+        if name not in self._held:
+            raise NotFoundError(name)
+        return StoredObject(kind, name, *self._held[name])
+
+    def put(self, kind, name, value, if_version=None):
+        """Write an object and return its version."""
+        self._begin()
+        self._check(name, if_version)
+        self._revision += 1
+        self._held[name] = (self._revision, value)
+        self._end()
+        return self._revision
+
+    def delete(self, kind, name, if_version=None):
+        """Delete an object."""
+        self._begin()
+        self._check(name, if_version)
+        self._held.pop(name, None)
+        self._end()
+
+    def _begin(self):
+        self.calls += 1
+        if self.mode == "down":
+            raise PlatformUnavailableError("down")
+
+    def _check(self, name, if_version):
+        version = self._held.get(name, (0, None))[0]
+        if if_version is not None and version != if_version:
+            raise ConflictError(f"version {version}")
+
+    def _end(self):
+        if self.mode == "losing" and self._rng.random() < LOST_SHARE:
+            raise PlatformUnknownError("the answer was lost")
+
+
+class ClaimWay:
+    """Any target may run a call once it holds its claim at the platform."""
+
+    def __init__(self, clock, objects):
+        self._clock = clock
+        self._objects = objects
+        self._gates = {name: Claims(objects, clock) for name in TARGETS}
+
+    def run(self, key, alive, rng, service):
+        """Run a call at any target that is alive."""
+        gate = self._gates[rng.choice(alive)]
+        deadline_s = self._clock.monotonic_s() + 30.0
+        taken = gate.take(key, key, key, deadline_s)
+        if not isinstance(taken, Claim):
+            return taken
+        answer = service(key)
+        gate.finish(taken, answer)
+        gate.settle(key)
+        return answer
+
+    def replace(self, name):
+        """Put a target with an empty memory in place of `name`."""
+        self._gates[name] = Claims(self._objects, self._clock)
+
+
+class HomeWay:
+    """Only a key's home runs it, and remembers what it ran.
+
+    A home can't tell a new key from one that its predecessor ran, so keys carry the
+    time of their making, and a home refuses those made before its own start.
+    """
+
+    def __init__(self, clock, objects):
+        self._clock = clock
+        self._started_s = dict.fromkeys(TARGETS, clock.monotonic_s())
+        self._answers = {name: {} for name in TARGETS}
+        self._made_s = {}
+
+    def run(self, key, alive, rng, service):
+        """Run a call at its home, if that is alive."""
+        made_s = self._made_s.setdefault(key, self._clock.monotonic_s())
+        home = rendezvous_order(key, TARGETS)[0]
+        if home not in alive:
+            raise UnavailableError("the key's home is gone")
+        if made_s <= self._started_s[home]:
+            raise OutcomeUnknownError("the key is older than its home")
+        answers = self._answers[home]
+        if key not in answers:
+            answers[key] = service(key)
+        return answers[key]
+
+    def replace(self, name):
+        """Put a target with an empty memory in place of `name`."""
+        self._answers[name] = {}
+        self._started_s[name] = self._clock.monotonic_s()
+
+
+WAYS = {"claims": ClaimWay, "home": HomeWay}
+CASES = ("calm", "platform_losing", "platform_down", "one_target_gone", "replaced")
+
+
+def measure(way, case):
+    """Return the figures of one way in one case."""
+    rng = random.Random(case)
+    clock = ManualClock()
+    modes = {"platform_losing": "losing", "platform_down": "down"}
+    objects = Objects(modes.get(case, "ok"), rng)
+    runner = WAYS[way](clock, objects)
+    alive = TARGETS[1:] if case == "one_target_gone" else TARGETS
+    runs, results, keys = Counter(), Counter(), []
+
+    def service(key):
+        runs[key] += 1
+        return {"answer": key}
+
+    for number in range(REQUESTS):
+        clock.advance(0.01)
+        if case == "replaced" and number % 100 == 99:
+            runner.replace(TARGETS[number // 100 % len(TARGETS)])
+        repeats = keys and rng.random() < REPEATED_SHARE
+        key = rng.choice(keys) if repeats else f"key {number}"
+        keys.append(key)
+        results[_outcome(runner, key, alive, rng, service)] += 1
+    return {
+        "case": case,
+        "way": way,
+        "requests": REQUESTS,
+        "platform_calls_per_request": round(objects.calls / REQUESTS, 3),
+        "answered_ratio": results["answered"] / REQUESTS,
+        "not_run_ratio": results[Ran.NO] / REQUESTS,
+        "unknown_ratio": results[Ran.UNKNOWN] / REQUESTS,
+        "doubled": sum(count > 1 for count in runs.values()),
+    }
+
+
+def _outcome(runner, key, alive, rng, service):
+    try:
+        answer = runner.run(key, alive, rng, service)
+    except BriarbeamError as error:
+        return error.ran
+    return "answered" if answer == {"answer": key} else "wrong"
+
+
+def main():
+    for case in CASES:
+        for way in WAYS:
+            print(json.dumps(measure(way, case)))
+
+
+if __name__ == "__main__":
+    main()
