Measure rollouts with and without failures, beside the baseline

Cause: nothing measured the time to all replicas against the physical limit. The link stand-in can change a byte in what an instance sends.

--- /dev/null
+++ b/bench/measure_rollout.py
@@ -0,0 +1,248 @@
+"""``make measure-rollout``: bursts of new weights, one JSON line a case.
+
+Links are paced by the stand-ins, so ``ratio`` compares the time until every reachable
+engine serves the new version with the physical limit. Copies are bytes on a link
+over the payload, less what the same link carried in the same time before the rollout.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from dataclasses import dataclass, replace  # noqa: E402
+
+import gevent  # noqa: E402
+
+from .callers import Callers  # noqa: E402
+from .rollout_failures import Trial, failures  # noqa: E402
+from .site import Domain, Site  # noqa: E402
+
+SIZES = (8, 16, 32, 64)
+FAILURE_SIZE = 16
+PAYLOAD_BYTES = 32_000_000
+BASELINE_PAYLOAD_BYTES = 8_000_000
+CHUNK_BYTES = 62_500
+FIRST_BYTES = 250_000
+LINK_BYTES_PER_S = 1_000_000
+ORIGIN_BYTES_PER_S = 4_000_000
+REGION_BYTES_PER_S = 1_250_000
+LINK_SHARE = 0.95
+TOKEN_S = 0.4
+TOKENS = 2
+REQUESTS_PER_S = 12.0
+AMBIENT_S = 10.0
+SETTLE_S = 3.0
+TIMEOUT_S = 180.0
+POLL_S = 0.5
+
+
+@dataclass(frozen=True)
+class Case:
+    """One measurement.
+
+    :param source_order: which plan the targets follow.
+    :param failure: what disturbs the rollout, or None.
+    """
+
+    name: str
+    targets: int
+    source_order: str = "scatter"
+    failure: str | None = None
+    payload_bytes: int = PAYLOAD_BYTES
+
+
+def cases(sizes, failure_sizes, names):
+    """Return the cases asked for."""
+    found = []
+    for targets in sizes:
+        found.append(Case("scatter", targets))
+        found.append(Case("baseline-origin", targets, "origin"))
+    for targets in failure_sizes:
+        found += [Case(name, targets, failure=name) for name in failures.names()]
+    return [case for case in found if not names or case.name in names]
+
+
+def domains(targets):
+    """Return three failure domains in two regions with so many targets in all."""
+    share = targets * 3 // 8
+    return (
+        Domain("hobart", "south", entries=2, engines=share),
+        Domain("launceston", "north", entries=2, engines=share),
+        Domain("burnie", "north", entries=2, engines=targets - 2 * share),
+    )
+
+
+class Measurement:
+    """Runs one case.
+
+    :param case: the `Case`.
+    """
+
+    def __init__(self, case):
+        self._case = case
+        overrides = {
+            "weights": {
+                "link_bytes_per_s": LINK_BYTES_PER_S,
+                "link_share": LINK_SHARE,
+                "source_order": case.source_order,
+            },
+            "target": {"order_timeout_s": 10.0},
+        }
+        self._site = Site(
+            domains(case.targets),
+            LINK_BYTES_PER_S,
+            REGION_BYTES_PER_S,
+            ORIGIN_BYTES_PER_S,
+            overrides,
+        )
+
+    def run(self):
+        """Return the case's line."""
+        with self._site as site:
+            self._prepare()
+            callers = Callers(site, REQUESTS_PER_S, TOKENS)
+            callers.start()
+            gevent.sleep(SETTLE_S)
+            ambient_s, ambient = time.monotonic(), self._counts()
+            gevent.sleep(AMBIENT_S)
+            before = self._counts()
+            rates = _rates(ambient, before, time.monotonic() - ambient_s)
+            drawn = self._drawn_bytes()
+            start_s, start_unix_s = time.monotonic(), time.time()
+            trial = self._roll_out()
+            done = self._wait(trial)
+            end_s = time.monotonic()
+            after = self._counts()
+            callers.stop()
+            took_s = self._last_order_unix_s(trial) - start_unix_s
+            copies = _copies(rates, before, after, end_s - start_s)
+            quiet = callers.first_token_p95_s(ambient_s, start_s)
+            busy = callers.first_token_p95_s(start_s, end_s)
+            counts = callers.counts()
+        payload = self._case.payload_bytes
+        limit_s = payload / min(LINK_BYTES_PER_S, ORIGIN_BYTES_PER_S)
+        return {
+            "case": self._case.name,
+            "targets": self._case.targets,
+            "time_s": round(took_s, 2) if done else None,
+            "limit_s": round(limit_s, 2),
+            "ratio": round(took_s / limit_s, 3) if done else None,
+            "origin_copies": round((self._origin_bytes - drawn) / payload, 3),
+            "link_copies_max": round(copies["link"] / payload, 3),
+            "region_copies_max": round(copies["region"] / payload, 3),
+            "wrong_answers": counts["wrong"] + counts["partial"],
+            "failed_requests": counts["refused"] + counts["failed"],
+            "ttft_ratio_p95": round(busy / quiet, 3),
+        }
+
+    def _prepare(self):
+        site = self._site
+        for instance in site.targets():
+            site.faults(instance.backend_address, step_s=TOKEN_S)
+        site.declare("v1", size_bytes=FIRST_BYTES, chunk_bytes=CHUNK_BYTES)
+        site.wait_for(lambda: site.loaded("v1") == len(site.targets()), TIMEOUT_S, 1.0)
+        site.wait_for(lambda: site.ready() == len(site.instances), TIMEOUT_S, 1.0)
+
+    def _roll_out(self):
+        site, case = self._site, self._case
+        trial = Trial(site, case.payload_bytes)
+        version = site.publish(
+            "v2", size_bytes=case.payload_bytes, chunk_bytes=CHUNK_BYTES
+        )
+        site.apply(version, site.rollout("v2", previous_version="v1"))
+        if case.failure is not None:
+            gevent.spawn(failures.get(case.failure), trial)
+        return trial
+
+    def _wait(self, trial):
+        """Wait until every reachable engine serves the wanted version."""
+        until_s = time.monotonic() + TIMEOUT_S * max(1, self._case.targets / 16)
+        settled = 0
+        while time.monotonic() < until_s:
+            gevent.sleep(POLL_S)
+            settled = settled + 1 if self._is_done(trial) else 0
+            if settled > 1:
+                self._origin_bytes = self._drawn_bytes()
+                return True
+        self._origin_bytes = self._drawn_bytes()
+        return False
+
+    def _is_done(self, trial):
+        changes = self._case.failure in ("version-follows", "rolled-back")
+        if changes and trial.wanted == "v2":
+            return False
+        return all(
+            self._served(instance)[0] == trial.wanted
+            for instance in self._site.targets()
+            if instance.name not in trial.dead
+        )
+
+    def _served(self, instance):
+        """Return the version that an engine was ordered to last, and when."""
+        orders = [
+            (record["version"], record["at"])
+            for record in self._site.truth(instance)
+            if record["event"] == "order"
+        ]
+        return orders[-1] if orders else (None, 0.0)
+
+    def _last_order_unix_s(self, trial):
+        return max(
+            self._served(instance)[1]
+            for instance in self._site.targets()
+            if instance.name not in trial.dead
+        )
+
+    def _counts(self):
+        return self._site.ask(self._site.links, "GET", "/counts")
+
+    def _drawn_bytes(self):
+        return self._site.ask(self._site.origin, "GET", "/counts")["sent_bytes"]
+
+
+def _rates(before, after, duration_s):
+    """Return bytes a second on each link."""
+    return {key: (after[key] - before.get(key, 0)) / duration_s for key in after}
+
+
+def _copies(rates, before, after, duration_s):
+    """Return the most bytes on an instance's link, both ways, and between regions."""
+    links, regions = {}, {}
+    for key, value in after.items():
+        net = value - before.get(key, 0) - rates.get(key, 0.0) * duration_s
+        name, _, way = key.partition("/")
+        if ">" in key:
+            regions[key] = net
+        elif way and name not in ("origin", "object_api"):
+            links[name] = links.get(name, 0.0) + net
+    return {"link": max(links.values()), "region": max(regions.values(), default=0.0)}
+
+
+def _numbers(text):
+    return [int(number) for number in text.split(",") if number]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=_numbers, default=list(SIZES))
+    parser.add_argument("--failure-sizes", type=_numbers, default=[FAILURE_SIZE])
+    parser.add_argument("--cases", default="", help="names, separated by commas")
+    parser.add_argument("--payload-bytes", type=int, default=PAYLOAD_BYTES)
+    options = parser.parse_args()
+    names = [name for name in options.cases.split(",") if name]
+    for case in cases(options.sizes, options.failure_sizes, names):
+        case = replace(case, payload_bytes=options.payload_bytes)
+        try:
+            line = Measurement(case).run()
+        except TimeoutError as error:
+            print(f"{case.name} at {case.targets}: {error}", file=sys.stderr)
+            continue
+        print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/rollout_failures.py
@@ -0,0 +1,181 @@
+"""The failures that a rollout is measured with: a registry of disturbances."""
+
+import time
+from contextlib import suppress
+
+import gevent
+
+from briarbeam.kernel.errors import NetworkError
+from briarbeam.kernel.registry import Registry
+
+failures = Registry("rollout failure")
+
+POLL_S = 0.2
+OUTAGE_S = 4.0
+STALL_S = 8.0
+
+
+class Trial:
+    """What a failure may disturb.
+
+    :param site: the running `Site`.
+    :param payload_bytes: the size of the new version.
+    """
+
+    def __init__(self, site, payload_bytes):
+        self.site = site
+        self.payload_bytes = payload_bytes
+        self.dead = set()
+        self.wanted = "v2"
+        self._start_bytes = self._in_bytes()
+
+    def wait_for_share(self, share):
+        """Return once targets have taken in that share of the payload, on average."""
+        targets = self.site.targets()
+        while True:
+            came = self._in_bytes()
+            gained = [
+                came.get(item.name, 0) - self._start_bytes.get(item.name, 0)
+                for item in targets
+            ]
+            if sum(gained) >= share * self.payload_bytes * len(targets):
+                return
+            time.sleep(POLL_S)
+
+    def victim(self, number=0):
+        """Return a target in the middle of the list."""
+        targets = self.site.targets()
+        return targets[(len(targets) // 2 + number) % len(targets)]
+
+    def kill(self, instance):
+        """End a target's daemon and engine for good."""
+        self.site.kill_daemon(instance)
+        self.site.kill_backend(instance)
+        self.dead.add(instance.name)
+
+    def _in_bytes(self):
+        counts = self.site.ask(self.site.links, "GET", "/counts")
+        return {
+            key.removesuffix("/in"): value
+            for key, value in counts.items()
+            if key.endswith("/in")
+        }
+
+
+def _killed_at(share):
+    def disturb(trial):
+        trial.wait_for_share(share)
+        trial.kill(trial.victim())
+
+    return disturb
+
+
+for _percent in (10, 50, 90):
+    failures.register(f"seeder-killed-{_percent}")(_killed_at(_percent / 100))
+
+
+@failures.register("link-stalled")
+def _stall_link(trial):
+    trial.wait_for_share(0.3)
+    site = trial.site
+    site.faults(site.links, stalled=[trial.victim().name])
+    gevent.sleep(STALL_S)
+    site.faults(site.links, stalled=[])
+
+
+@failures.register("peer-corrupts")
+def _corrupt_peer(trial):
+    trial.site.faults(trial.site.links, corrupt=[trial.victim().name])
+
+
+@failures.register("origin-down")
+def _stop_origin(trial):
+    trial.wait_for_share(0.2)
+    site = trial.site
+    site.faults(site.origin, mode="down")
+    gevent.sleep(OUTAGE_S)
+    site.faults(site.origin, mode="ok")
+
+
+@failures.register("origin-short")
+def _shorten_origin(trial):
+    trial.wait_for_share(0.05)
+    site = trial.site
+    site.faults(site.origin, mode="short")
+    gevent.sleep(OUTAGE_S)
+    site.faults(site.origin, mode="ok")
+
+
+@failures.register("origin-refuses-rate")
+def _limit_origin(trial):
+    trial.wait_for_share(0.05)
+    site = trial.site
+    site.faults(site.origin, mode="limit")
+    gevent.sleep(OUTAGE_S)
+    site.faults(site.origin, mode="ok")
+
+
+@failures.register("list-lags")
+def _list_dead_members(trial):
+    """Two listed members are dead from the start."""
+    for number in range(2):
+        trial.kill(trial.victim(2 * number))
+
+
+@failures.register("domain-cut")
+def _cut_domain(trial):
+    trial.wait_for_share(0.4)
+    site = trial.site
+    domains = sorted({item.failure_domain for item in site.targets()})
+    away = site.targets()[-1].failure_domain
+    pairs = [[away, other] for other in domains if other != away]
+    site.cut(*pairs)
+    gevent.sleep(STALL_S)
+    site.cut()
+
+
+@failures.register("version-follows")
+def _follow_version(trial):
+    trial.wait_for_share(0.3)
+    site = trial.site
+    site.apply(
+        site.publish("v3", size_bytes=trial.payload_bytes, keep=0.5),
+        site.rollout("v3", previous_version="v1"),
+    )
+    trial.wanted = "v3"
+
+
+@failures.register("rolled-back")
+def _roll_back(trial):
+    trial.wait_for_share(0.5)
+    trial.site.apply(trial.site.rollout("v1", previous_version="v2"))
+    trial.wanted = "v1"
+
+
+@failures.register("daemon-replaced")
+def _replace_daemon(trial):
+    trial.wait_for_share(0.5)
+    instance = trial.victim()
+    trial.site.kill_daemon(instance)
+    trial.site.start_daemon(instance)
+
+
+@failures.register("killed-and-stalled")
+def _kill_and_stall(trial):
+    trial.wait_for_share(0.4)
+    trial.kill(trial.victim())
+    site = trial.site
+    site.faults(site.links, stalled=[trial.victim(1).name])
+    gevent.sleep(STALL_S)
+    site.faults(site.links, stalled=[])
+
+
+@failures.register("killed-and-origin-down")
+def _kill_without_origin(trial):
+    trial.wait_for_share(0.3)
+    site = trial.site
+    site.faults(site.origin, mode="down")
+    with suppress(NetworkError):
+        trial.kill(trial.victim())
+    gevent.sleep(OUTAGE_S)
+    site.faults(site.origin, mode="ok")
--- a/briarbeam/weights/plugin.py
+++ b/briarbeam/weights/plugin.py
@@ -120,6 +120,8 @@
         self.library.begin(digest, transfer)
         manifest = transfer.run()
         self.library.verify(manifest, digest, spec.weights_digest)
+        took_s = self.clock.monotonic_s() - transfer.started_at_s
+        _log.info("weights_held", model=model, digest=digest, took_s=took_s)
 
     def _make_room(self):
         """Keep the wanted and the served versions, and previous ones while they fit."""
--- a/briarbeam/weights/reconcile.py
+++ b/briarbeam/weights/reconcile.py
@@ -69,12 +69,13 @@
 
     def models(self):
         """Return the models that this target serves, then the adapters on them."""
-        bases = list(self._settings.target.models)
-        adapters = [
-            name
+        served = self._settings.target.models
+        specs = {
+            name: resource.spec
             for name, resource in self._snapshot().of_kind("model").items()
-            if resource.spec.base in bases
-        ]
+        }
+        bases = [name for name in served if name in specs and not specs[name].base]
+        adapters = [name for name, spec in specs.items() if spec.base in bases]
         return bases + sorted(adapters)
 
     def loaded(self, model):
--- a/standins/link.py
+++ b/standins/link.py
@@ -21,6 +21,7 @@
 PACED_PIECE_S = 0.02
 PIECE_MIN_BYTES = 4096
 POLL_S = 0.05
+CORRUPT_MIN_BYTES = 2048
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG = 1024
 
@@ -36,11 +37,12 @@
 
     Faults: ``cut`` lists pairs of failure domains or instances whose connections
     are cut, by silence or, if ``mode`` is ``reset``, by a reset; ``stalled`` lists
-    instances whose link passes nothing.
+    instances whose link passes nothing; ``corrupt`` lists instances of whose large
+    pieces one byte is changed on the way out.
     """
 
     def __init__(self, plan):
-        self.faults = Faults(cut=[], stalled=[], mode="silence")
+        self.faults = Faults(cut=[], stalled=[], corrupt=[], mode="silence")
         self._by_host = {item["host"]: item for item in plan["instances"]}
         self._by_name = {item["name"]: item for item in plan["instances"]}
         self._rate = plan.get("link_bytes_per_s")
@@ -97,7 +99,7 @@
                 if wait_s:
                     gevent.sleep(wait_s)
                 self._wait_for_way(source, target)
-                writer.sendall(data)
+                writer.sendall(self._spoil(data, source))
             self._wait_for_way(source, target)
             writer.shutdown(socket.SHUT_WR)
         except OSError:
@@ -123,6 +125,13 @@
             wait_s = max(wait_s, pacer.reserve(size_bytes))
         return wait_s
 
+    def _spoil(self, data, source):
+        if not source or source["name"] not in self.faults.corrupt:
+            return data
+        if len(data) < CORRUPT_MIN_BYTES:
+            return data
+        return data[:-1] + bytes([data[-1] ^ 1])
+
     def _rate_of(self, item):
         return item.get("link_bytes_per_s", self._rate)
 
