Spread configuration so that it neither reverts nor waits for the platform

Cause: the entry that accepted a write did not offer it to its own documents, so with the platform out right after the write nobody learned of it; a daemon was ready without having asked enough; one silent peer held up the loop; a held watch confirmed only every 10 s while standbys stepped in after 3 s; a listener's fault rose into the transport; peers were drawn from all members, so every daemon opened a connection to every other. Not shown by a test of its own: that the wakening of a suspected neighbour (the neighbours' recalculation) is needed; switching it off stayed green.

--- a/briarbeam/configuration/documents.py
+++ b/briarbeam/configuration/documents.py
@@ -1,18 +1,35 @@
 """Documents that every daemon holds, each with a revision that never goes back."""
 
+import json
 import math
-from dataclasses import dataclass
+import zlib
+from dataclasses import dataclass, field
+
+import structlog
+from prometheus_client import Counter
 
 from ..kernel.clock import Clock
+from ..membership.members import parse_members
+from .resources import Configuration
 
 CONFIGURATION = "configuration"
 INSTANCES = "instances"
+COMPRESSION_LEVEL = 3
+
+_REFUSED = Counter(
+    "briarbeam_document_refused", "Unreadable bodies refused", ["document"]
+)
+_LISTENER_FAILURES = Counter(
+    "briarbeam_document_listener_failures", "Failed listeners", ["document"]
+)
+_log = structlog.get_logger()
 
 
 @dataclass
 class Document:
     """A document as this daemon holds it.
 
+    :param value: what the body says, parsed.
     :param confirmed_at_s: monotonic time at which the platform last confirmed the
         revision, as far as this daemon has heard.
     """
@@ -20,7 +37,20 @@
     name: str
     revision: int = 0
     body: bytes = b"{}"
+    value: object = None
     confirmed_at_s: float = -math.inf
+    _packed: bytes = field(default=b"", repr=False)
+
+    def packed(self):
+        """Return the body as it is sent to peers, compressed."""
+        if not self._packed:
+            self._packed = zlib.compress(self.body, COMPRESSION_LEVEL)
+        return self._packed
+
+    def step(self, revision, body, value):
+        """Take the next revision in."""
+        self.revision, self.body, self.value = revision, body, value
+        self._packed = b""
 
 
 class Documents:
@@ -28,9 +58,16 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._held = {name: Document(name) for name in (CONFIGURATION, INSTANCES)}
+        self._parsers = {
+            CONFIGURATION: Configuration.from_document,
+            INSTANCES: lambda revision, body: parse_members(body),
+        }
+        self._held = {name: Document(name) for name in self._parsers}
         self._listeners = []
 
+    def __contains__(self, name):
+        return name in self._held
+
     def get(self, name):
         """Return the document called `name`."""
         return self._held[name]
@@ -44,32 +81,65 @@
         self._listeners.append((name, listener))
 
     def offer(self, name, revision, body, confirmed_age_s=math.inf):
-        """Take a revision in if it is above the one held.
+        """Take a revision in if it is above the one held and its body can be read.
 
         :param confirmed_age_s: seconds since the platform confirmed the revision.
         :returns: whether the document stepped forward.
         """
-        held = self._held[name]
-        if revision < held.revision:
+        held = self._held.get(name)
+        if held is None or revision < held.revision:
             return False
         newer = revision > held.revision
         if newer:
-            held.revision = revision
-            held.body = body
+            try:
+                value = self._parsers[name](revision, body)
+            except Exception as error:
+                _REFUSED.labels(name).inc()
+                _log.warning("document_refused", document=name, revision=revision,
+                             error=repr(error))  # fmt: skip
+                return False
+            held.step(revision, body, value)
         self.confirm(name, revision, confirmed_age_s)
         if newer:
-            for its_name, listener in self._listeners:
-                if its_name == name:
-                    listener(held)
+            self._tell(held)
         return newer
 
+    def offer_packed(self, name, revision, packed, confirmed_age_s=math.inf):
+        """Take in a revision as a peer sent it, compressed."""
+        held = self._held.get(name)
+        if held is None or revision <= held.revision:
+            return False
+        try:
+            body = zlib.decompress(packed)
+        except zlib.error:
+            _REFUSED.labels(name).inc()
+            return False
+        return self.offer(name, revision, body, confirmed_age_s)
+
     def confirm(self, name, revision, confirmed_age_s):
         """Note that the platform held `revision` as its newest so many seconds ago."""
-        held = self._held[name]
-        if revision == held.revision:
+        held = self._held.get(name)
+        if held is not None and revision == held.revision:
             confirmed_at_s = self._clock.monotonic_s() - confirmed_age_s
             held.confirmed_at_s = max(held.confirmed_at_s, confirmed_at_s)
 
     def confirmed_age_s(self, name):
         """Return seconds since the platform confirmed what is held."""
         return self._clock.monotonic_s() - self._held[name].confirmed_at_s
+
+    def _tell(self, document):
+        """Call the listeners; the fault of one is counted and stops nothing."""
+        for name, listener in self._listeners:
+            if name != document.name:
+                continue
+            try:
+                listener(document)
+            except Exception as error:
+                _LISTENER_FAILURES.labels(name).inc()
+                _log.error("listener_failed", document=name, error=repr(error),
+                           exc_info=True)  # fmt: skip
+
+
+def canonical(value):
+    """Return the bytes that stand for `value`, the same at every daemon."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
--- a/briarbeam/configuration/resources.py
+++ b/briarbeam/configuration/resources.py
@@ -6,6 +6,7 @@
 
 import json
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -127,11 +128,14 @@
 
     def of_kind(self, kind):
         """Return the resources of `kind` by name."""
-        return {
-            name: resource
-            for (its_kind, name), resource in self.resources.items()
-            if its_kind == kind
-        }
+        return self._by_kind.get(kind, {})
+
+    @cached_property
+    def _by_kind(self):
+        found = {}
+        for (kind, name), resource in self.resources.items():
+            found.setdefault(kind, {})[name] = resource
+        return found
 
     def in_service(self, failure_domain):
         """Return whether a failure domain takes new work."""
--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -1,31 +1,41 @@
 """How documents reach every daemon with few calls to the platform.
 
-In each failure domain the first members in rendezvous order watch the platform.
-Every daemon exchanges digests with one peer at a time and fetches a body only when
-the peer's revision is higher; a daemon that learns something new tells a few peers
-at once. When nobody has confirmed a document for a while, the next rank steps in.
+Every daemon exchanges digests with one peer at a time. Whichever side is behind gets
+the body: the caller fetches it or hands it over, so news also passes between two
+daemons of which only one can reach the other. A daemon that learns something new
+tells a few peers at once.
 """
 
-import json
 import random
 
+import structlog
+from gevent.event import Event
 from prometheus_client import Counter, Gauge
 
 from ..kernel.errors import NetworkError, NotFoundError, PlatformError
 from ..kernel.plugin import Plugin, plugins
-from ..membership.members import parse_members, rendezvous_order
+from ..membership.view import Membership
 from ..wire import control_grpc, control_pb2
 from .documents import CONFIGURATION, INSTANCES, Documents
-from .resources import HEAD_KIND, HEAD_NAME, Configuration
-
-WATCHERS_PER_DOMAIN = 2
-PUSH_FANOUT = 3
-LIST_INTERVAL_S = 1.0
+from .resources import Configuration
+from .watcher import WATCHERS_PER_DOMAIN, Watcher
+
+PUSH_OWN_DOMAIN = 2
+PUSH_OTHER_DOMAINS = 1
+FIRST_OWN_DOMAIN = 3
+FIRST_OTHER_DOMAINS = 3
+FIRST_ANSWERS_MIN = 2
+FIRST_PATIENCE_S = 15.0
+FIRST_PAUSE_S = 0.5
+OTHER_DOMAIN_EVERY = 4
+STANDBYS = 2
+EXCHANGE_TIMEOUT_S = 1.0
 AGE_MAX_MS = 2**32 - 1
 
 _EXCHANGES = Counter("briarbeam_exchanges", "Digest exchanges", ["result"])
 _REVISION = Gauge("briarbeam_document_revision", "Revision in force", ["document"])
 _AGE = Gauge("briarbeam_document_age_s", "Seconds since confirmed", ["document"])
+_log = structlog.get_logger()
 
 
 @plugins.register("configuration")
@@ -35,10 +45,20 @@
     def __init__(self, kernel):
         super().__init__(kernel)
         self.documents = Documents(kernel.clock)
+        self.membership = Membership(kernel.clock, self.settings.instance)
         self.configuration = Configuration()
-        self.members = {}
-        self._objects = kernel.find("platform").objects
-        self._asked = False
+        self.watcher = Watcher(
+            kernel.find("platform").objects,
+            self.documents,
+            self.membership,
+            kernel.clock,
+            self.settings.spread,
+        )
+        self.settled = False
+        self._started_s = kernel.clock.monotonic_s()
+        self._rounds = 0
+        self._busy = set()
+        self._changed = Event()
         self.documents.subscribe(CONFIGURATION, self._configure)
         self.documents.subscribe(INSTANCES, self._list_members)
         for document in self.documents.all():
@@ -46,178 +66,221 @@
                 lambda name=document.name: self.documents.confirmed_age_s(name)
             )
 
+    @property
+    def members(self):
+        """The listed members by name."""
+        return self.membership.members
+
     def start(self):
         listen = self.settings.listen
         self.kernel.rpc.serve(listen.control, [ControlService(self.kernel)])
-        self._first_read()
-        spread = self.settings.spread
+        self.settle_once()
         tasks = self.kernel.tasks
-        tasks.repeat(self._exchange_once, self._exchange_interval_s, self.clock)
-        tasks.repeat(self._watch_once, 0.2, self.clock)
-        tasks.repeat(self._list_once, LIST_INTERVAL_S, self.clock)
-        self._stale_after_s = spread.stale_after_s
+        tasks.spawn(self._settle)
+        tasks.repeat(self.exchange_once, self._exchange_interval_s, self.clock)
+        self.watcher.start(tasks)
 
     def ready(self):
-        return self._asked and self.documents.get(CONFIGURATION).revision > 0
+        return self.settled and self.documents.get(CONFIGURATION).revision > 0
 
     def member(self):
         """Return this daemon's own entry in the instance list, or None."""
         return self.members.get(self.settings.instance.name)
 
-    def watches(self, document):
-        """Return whether this daemon should ask the platform for `document`."""
-        rank = self._rank()
-        if rank < WATCHERS_PER_DOMAIN:
-            return True
-        patience_s = self.settings.spread.stale_after_s * (1 + rank / 4)
-        return self.documents.confirmed_age_s(document) > patience_s
+    def adopt(self, head):
+        """Put an accepted change in force here and tell peers at once.
+
+        :param head: the `Head` that the platform took.
+        """
+        self.documents.offer(CONFIGURATION, head.revision, head.body(), 0.0)
+
+    def wait_above(self, revision, wait_s):
+        """Return the configuration once its revision is above `revision`, or None."""
+        deadline_s = self.clock.monotonic_s() + wait_s
+        while self.configuration.revision <= revision:
+            remaining_s = deadline_s - self.clock.monotonic_s()
+            if remaining_s <= 0:
+                return None
+            self._changed.wait(remaining_s)
+        return self.configuration
 
     def push(self):
         """Tell a few peers at once about what this daemon holds."""
-        for member in self._peers(PUSH_FANOUT):
-            self.kernel.tasks.spawn(self.exchange, member)
+        for member in self.membership.choose(PUSH_OWN_DOMAIN, PUSH_OTHER_DOMAINS):
+            self.kernel.tasks.spawn(self.exchange, member.name, member.control)
 
-    def exchange(self, member):
-        """Exchange digests with `member` and fetch what is newer there."""
-        message = self.digest_exchange()
-        call = self.kernel.rpc.call
-        stub = control_grpc.ControlStub
+    def exchange_once(self):
+        """Exchange with one peer, in a task of its own so that none is waited for."""
+        member = self._next_peer()
+        if member is None or member.name in self._busy:
+            return
+        self.kernel.tasks.spawn(self._exchange_alone, member)
+
+    def exchange(self, name, address):
+        """Exchange digests with a peer and bring the side that is behind up to date.
+
+        :returns: whether the peer answered.
+        """
         try:
-            reply = call(member.control, stub, "Exchange", message)
-            for digest in self.newer_digests(reply):
-                request = control_pb2.DocumentRequest(
-                    document=digest.document,
-                    above_revision=self.documents.get(digest.document).revision,
-                )
-                found = call(member.control, stub, "Fetch", request)
-                self.documents.offer(
-                    found.document,
-                    found.revision,
-                    found.body,
-                    digest.confirmed_age_ms / 1000,
-                )
+            reply = self._call(address, "Exchange", self.digest_exchange())
+            for digest in reply.digests:
+                self._settle_difference(address, digest)
         except NetworkError:
             _EXCHANGES.labels("failed").inc()
-            return
+            self.membership.fail(name)
+            return False
         _EXCHANGES.labels("done").inc()
+        self.membership.succeed(name)
+        return True
 
     def digest_exchange(self):
         """Return the digests of what this daemon holds."""
-        digests = [
-            control_pb2.Digest(
-                document=document.name,
-                revision=document.revision,
-                confirmed_age_ms=int(
-                    min(
-                        self.documents.confirmed_age_s(document.name) * 1000,
-                        AGE_MAX_MS,
-                    )
-                ),
-            )
-            for document in self.documents.all()
-        ]
+        digests = [self._digest(document) for document in self.documents.all()]
         return control_pb2.DigestExchange(
             sender=self.settings.instance.name, digests=digests
         )
 
-    def newer_digests(self, exchange):
-        """Return the digests in `exchange` that are above what is held.
-
-        Those that equal what is held refresh its confirmation.
-        """
-        newer = []
+    def hear(self, exchange):
+        """Take in the digests that a peer sent."""
+        self.membership.hear(exchange.sender)
         for digest in exchange.digests:
-            held = self.documents.get(digest.document)
-            if digest.revision > held.revision:
-                newer.append(digest)
-            self.documents.confirm(
-                digest.document, digest.revision, digest.confirmed_age_ms / 1000
-            )
-        return newer
-
-    def _first_read(self):
-        for step in (self._read_list, self._read_head):
-            try:
-                step()
-            except (PlatformError, NotFoundError):
-                continue
-        for member in self._peers(PUSH_FANOUT):
-            self.exchange(member)
-        self._asked = True
+            self._confirm(digest)
+
+    def packed(self, name):
+        """Return the message that carries a whole document."""
+        document = self.documents.get(name)
+        return control_pb2.Document(
+            document=name,
+            revision=document.revision,
+            body=document.packed(),
+            confirmed_age_ms=self._age_ms(name),
+        )
 
-    def _exchange_interval_s(self):
-        return self.settings.spread.exchange_interval_s * random.uniform(0.8, 1.2)
+    def take(self, message):
+        """Take in a whole document from a peer."""
+        self.documents.offer_packed(
+            message.document,
+            message.revision,
+            message.body,
+            message.confirmed_age_ms / 1000,
+        )
 
-    def _exchange_once(self):
-        for member in self._peers(1):
-            self.exchange(member)
+    def settle_once(self):
+        """Ask the platform and several peers, and take the highest of all.
 
-    def _watch_once(self):
-        if not self.watches(CONFIGURATION):
-            return
-        held = self.documents.get(CONFIGURATION)
-        wait_s = self.settings.spread.watch_timeout_s
-        if self._rank() >= WATCHERS_PER_DOMAIN:
-            wait_s = 0.1
+        Settled is a daemon that the platform answered, or enough peers; what a single
+        peer holds may be stale, so alone it counts only after a while.
+        """
+        platform_answered = self._ask_platform()
+        answered = []
+        tasks = [
+            self.kernel.tasks.spawn(self._ask_peer, answered, *peer)
+            for peer in self._first_peers()
+        ]
+        for task in tasks:
+            task.join()
+        waited_s = self.clock.monotonic_s() - self._started_s
+        needed = 1 if waited_s > FIRST_PATIENCE_S else FIRST_ANSWERS_MIN
+        if platform_answered or len(answered) >= needed:
+            self.settled = True
+
+    def _settle(self):
+        while not self.settled:
+            self.clock.sleep(FIRST_PAUSE_S * random.uniform(0.5, 1.5))
+            self.settle_once()
+        _log.info("settled", revision=self.configuration.revision)
+
+    def _ask_platform(self):
+        answered = False
+        for read in (self.watcher.read_list, self.watcher.read_head):
+            try:
+                read()
+                answered = True
+            except NotFoundError:
+                answered = True
+            except PlatformError:
+                answered = False
+        return answered
+
+    def _ask_peer(self, answered, name, address):
+        if self.exchange(name, address):
+            answered.append(name)
+
+    def _first_peers(self):
+        chosen = self.membership.choose(FIRST_OWN_DOMAIN, FIRST_OTHER_DOMAINS)
+        peers = {member.control: member.name for member in chosen}
+        for address in self.settings.spread.bootstrap_peers:
+            peers.setdefault(address, str(address))
+        return [(name, address) for address, name in peers.items()]
+
+    def _next_peer(self):
+        """Return the peer to exchange with; standbys look at the watchers often."""
+        self._rounds += 1
+        rank = self.membership.rank - WATCHERS_PER_DOMAIN
+        if 0 <= rank < STANDBYS and self._rounds % 2:
+            watchers = self.membership.active_watchers(WATCHERS_PER_DOMAIN)
+            watchers = [w for w in watchers if not self.membership.suspected(w.name)]
+            if watchers:
+                return random.choice(watchers)
+        other = self._rounds % OTHER_DOMAIN_EVERY == 0
+        return next(iter(self.membership.choose(int(not other), int(other))), None)
+
+    def _exchange_alone(self, member):
+        self._busy.add(member.name)
         try:
-            self._read_head(wait_s if held.revision else 0)
-        except PlatformError as error:
-            self.clock.sleep((error.retry_after_s or 1.0) * random.uniform(0.5, 1.5))
-        except NotFoundError:
-            self.clock.sleep(1.0)
-
-    def _read_head(self, wait_s=0):
-        held = self.documents.get(CONFIGURATION)
-        if wait_s:
-            found = self._objects.watch(HEAD_KIND, HEAD_NAME, held.revision, wait_s)
-        else:
-            found = self._objects.get(HEAD_KIND, HEAD_NAME)
-        if found is None:
-            self.documents.confirm(CONFIGURATION, held.revision, 0.0)
+            self.exchange(member.name, member.control)
+        finally:
+            self._busy.discard(member.name)
+
+    def _settle_difference(self, address, digest):
+        if digest.document not in self.documents:
             return
-        body = json.dumps(found.value).encode()
-        self.documents.offer(CONFIGURATION, found.version, body, 0.0)
+        document = self.documents.get(digest.document)
+        if digest.revision > document.revision:
+            request = control_pb2.DocumentRequest(
+                document=document.name, above_revision=document.revision
+            )
+            self.take(self._call(address, "Fetch", request))
+        elif digest.revision < document.revision:
+            self._call(address, "Offer", self.packed(document.name))
+        self._confirm(digest)
 
-    def _list_once(self):
-        if self.watches(INSTANCES):
-            try:
-                self._read_list()
-            except PlatformError as error:
-                pause_s = error.retry_after_s or 1.0
-                self.clock.sleep(pause_s * random.uniform(0.5, 1.5))
+    def _call(self, address, method, message):
+        stub = control_grpc.ControlStub
+        return self.kernel.rpc.call(
+            address, stub, method, message, timeout_s=EXCHANGE_TIMEOUT_S
+        )
+
+    def _digest(self, document):
+        return control_pb2.Digest(
+            document=document.name,
+            revision=document.revision,
+            confirmed_age_ms=self._age_ms(document.name),
+        )
+
+    def _confirm(self, digest):
+        age_s = digest.confirmed_age_ms / 1000
+        self.documents.confirm(digest.document, digest.revision, age_s)
 
-    def _read_list(self):
-        revision, instances = self._objects.instances()
-        body = json.dumps({"instances": instances}).encode()
-        self.documents.offer(INSTANCES, revision, body, 0.0)
+    def _age_ms(self, name):
+        age_ms = self.documents.confirmed_age_s(name) * 1000
+        return int(min(age_ms, AGE_MAX_MS))
+
+    def _exchange_interval_s(self):
+        return self.settings.spread.exchange_interval_s * random.uniform(0.8, 1.2)
 
     def _configure(self, document):
-        self.configuration = Configuration.from_document(
-            document.revision, document.body
-        )
+        self.configuration = document.value
         _REVISION.labels(document.name).set(document.revision)
+        self._changed.set()
+        self._changed.clear()
         self.push()
 
     def _list_members(self, document):
-        self.members = parse_members(document.body)
+        self.membership.update(document.value)
         _REVISION.labels(document.name).set(document.revision)
         self.push()
 
-    def _rank(self):
-        instance = self.settings.instance
-        names = {
-            member.name
-            for member in self.members.values()
-            if member.failure_domain == instance.failure_domain
-        }
-        names.add(instance.name)
-        return rendezvous_order("watchers", names).index(instance.name)
-
-    def _peers(self, count):
-        own = self.settings.instance.name
-        others = [member for member in self.members.values() if member.name != own]
-        return random.sample(others, min(count, len(others)))
-
 
 class ControlService(control_grpc.ControlBase):
     """Answers the control calls of peers.
@@ -230,20 +293,21 @@
 
     async def Exchange(self, stream):
         plugin = self._kernel.find("configuration")
-        message = await stream.recv_message()
-        newer = plugin.newer_digests(message)
-        sender = plugin.members.get(message.sender)
-        if newer and sender is not None:
-            self._kernel.tasks.spawn(plugin.exchange, sender)
+        plugin.hear(await stream.recv_message())
         await stream.send_message(plugin.digest_exchange())
 
     async def Fetch(self, stream):
         message = await stream.recv_message()
-        held = self._kernel.find("configuration").documents.get(message.document)
+        plugin = self._kernel.find("configuration")
+        await stream.send_message(plugin.packed(message.document))
+
+    async def Offer(self, stream):
+        message = await stream.recv_message()
+        plugin = self._kernel.find("configuration")
+        plugin.take(message)
+        document = plugin.documents.get(message.document)
         await stream.send_message(
-            control_pb2.Document(
-                document=held.name, revision=held.revision, body=held.body
-            )
+            control_pb2.Digest(document=document.name, revision=document.revision)
         )
 
     async def Held(self, stream):
--- /dev/null
+++ b/briarbeam/configuration/watcher.py
@@ -0,0 +1,144 @@
+"""Reads the platform on behalf of a failure domain.
+
+The first members in rendezvous order hold the watch and read the instance list. The
+next ones step in, each later than the one before, while nobody confirms what is held;
+the pauses between them grow, so that a long outage wakes few daemons.
+"""
+
+import random
+
+import structlog
+from prometheus_client import Gauge
+
+from ..kernel.errors import NotFoundError, PlatformError
+from .documents import CONFIGURATION, INSTANCES, canonical
+from .head import Head
+from .resources import HEAD_KIND, HEAD_NAME
+
+WATCHERS_PER_DOMAIN = 2
+PATIENCE_GROWTH = 1.25
+POLL_INTERVAL_S = 0.25
+LIST_INTERVAL_S = 1.0
+WATCHES_PER_READ = 5
+
+_BEHIND = Gauge(
+    "briarbeam_platform_behind",
+    "Revisions by which the platform is behind what is in force",
+    ["document"],
+)
+_log = structlog.get_logger()
+
+
+class Watcher:
+    """Brings documents from the platform into this daemon.
+
+    :param objects: the platform's `ObjectApi`.
+    :param documents: the `Documents` of this daemon.
+    :param membership: the `Membership` that says this daemon's rank.
+    :param settings: the `SpreadSettings`.
+    """
+
+    def __init__(self, objects, documents, membership, clock, settings):
+        self._objects = objects
+        self._documents = documents
+        self._membership = membership
+        self._clock = clock
+        self._settings = settings
+        self._version = 0
+        self._revision = 0
+        self._rounds = 0
+        self._behind = set()
+
+    def start(self, tasks):
+        """Watch from now on."""
+        tasks.repeat(self.watch_once, POLL_INTERVAL_S, self._clock)
+        tasks.repeat(self.list_once, self._list_interval_s, self._clock)
+
+    def is_due(self, document):
+        """Return whether this daemon should ask the platform for `document`."""
+        later = self._membership.rank - WATCHERS_PER_DOMAIN
+        if later < 0:
+            return True
+        patience_s = self._settings.stale_after_s * PATIENCE_GROWTH**later
+        return self._documents.confirmed_age_s(document) > patience_s
+
+    def watch_once(self):
+        """Ask for the configuration if it is this daemon's turn."""
+        if not self.is_due(CONFIGURATION):
+            return
+        try:
+            self._watch()
+        except PlatformError as error:
+            self._pause(error)
+        except NotFoundError:
+            self._clock.sleep(1.0)
+
+    def list_once(self):
+        """Ask for the instance list if it is this daemon's turn."""
+        if not self.is_due(INSTANCES):
+            return
+        try:
+            self.read_list()
+        except PlatformError as error:
+            self._pause(error)
+
+    def read_head(self):
+        """Read the configuration.
+
+        :raises PlatformError: if the platform doesn't give it.
+        :raises NotFoundError: if nothing was ever declared.
+        """
+        found = self._objects.get(HEAD_KIND, HEAD_NAME, held_version=self._version)
+        self._take(found)
+
+    def read_list(self):
+        """Read the instance list.
+
+        :raises PlatformError: if the platform doesn't give it.
+        """
+        held = self._documents.get(INSTANCES)
+        found = self._objects.instances(held.revision)
+        if found is None:
+            self._documents.confirm(INSTANCES, held.revision, 0.0)
+            return
+        revision, instances = found
+        self._offer(INSTANCES, revision, canonical({"instances": instances}))
+
+    def _watch(self):
+        """Wait for a change; now and then read, which also sees a restored platform."""
+        self._rounds += 1
+        stands_by = self._membership.rank >= WATCHERS_PER_DOMAIN
+        if stands_by or not self._version or self._rounds % WATCHES_PER_READ == 0:
+            self.read_head()
+            return
+        wait_s = self._settings.watch_timeout_s
+        found = self._objects.watch(HEAD_KIND, HEAD_NAME, self._version, wait_s)
+        self._take(found)
+
+    def _take(self, stored):
+        """Take in the head; None says that it is as it was when last seen."""
+        if stored is None:
+            self._documents.confirm(CONFIGURATION, self._revision, 0.0)
+            return
+        head = Head.from_object(stored)
+        self._offer(CONFIGURATION, head.revision, head.body())
+        self._version, self._revision = head.version, head.revision
+
+    def _offer(self, name, revision, body):
+        """Offer what the platform gave; it may be older than what peers passed on."""
+        self._documents.offer(name, revision, body, 0.0)
+        missing = self._documents.get(name).revision - revision
+        _BEHIND.labels(name).set(max(0, missing))
+        if missing > 0 and name not in self._behind:
+            self._behind.add(name)
+            _log.warning("platform_behind", document=name, revision=revision,
+                         in_force=revision + missing)  # fmt: skip
+        elif missing <= 0 and name in self._behind:
+            self._behind.discard(name)
+            _log.info("platform_caught_up", document=name, revision=revision)
+
+    def _list_interval_s(self):
+        return LIST_INTERVAL_S * random.uniform(0.8, 1.2)
+
+    def _pause(self, error):
+        self._clock.sleep((error.retry_after_s or 1.0) * random.uniform(0.5, 1.5))
--- /dev/null
+++ b/briarbeam/membership/view.py
@@ -0,0 +1,183 @@
+"""What this daemon knows of each member, and which of them it talks to.
+
+The platform's list says who exists. Exchanges say who answers: a member that fails is
+suspected and asked again after growing pauses, and one that still sends to us is seen
+by one side only. Peers are a small stable subset, so that connections are reused.
+"""
+
+import random
+from dataclasses import dataclass
+from enum import StrEnum
+
+from prometheus_client import Gauge
+
+from .members import rendezvous_order
+
+NEIGHBOURS_OWN_DOMAIN = 4
+NEIGHBOURS_OTHER_DOMAIN = 1
+PAUSE_START_S = 1.0
+PAUSE_MIN_CAP_S = 2.0
+PAUSE_MAX_CAP_S = 30.0
+PAUSE_CAP_PER_MEMBER_S = 0.5
+HEARD_FRESH_S = 5.0
+EPOCH_S = 600.0
+
+_STATES = Gauge("briarbeam_members", "Members by state", ["state"])
+
+
+class MemberState(StrEnum):
+    """How a member looks from here."""
+
+    LISTED = "listed"
+    LEAVING = "leaving"
+    SUSPECTED = "suspected"
+    ONE_SIDED = "one_sided"
+    UNLISTED = "unlisted"
+
+
+@dataclass
+class _Contact:
+    failures: int = 0
+    suspected_until_s: float = float("-inf")
+    heard_at_s: float = float("-inf")
+
+
+class Membership:
+    """The members as seen by one daemon.
+
+    :param instance: the `InstanceSettings` of this daemon.
+    """
+
+    def __init__(self, clock, instance):
+        self._clock = clock
+        self._instance = instance
+        self._contacts = {}
+        self._neighbours = None
+        self._neighbours_until_s = 0.0
+        self.members = {}
+        self.rank = 0
+        self.watchers = [instance.name]
+        for state in MemberState:
+            _STATES.labels(state).set_function(lambda state=state: self.count(state))
+
+    def update(self, members):
+        """Take in the listed members, by name."""
+        self.members = members
+        domain = self._instance.failure_domain
+        names = {
+            member.name
+            for member in members.values()
+            if member.failure_domain == domain and not member.leaving
+        }
+        names.add(self._instance.name)
+        self.watchers = rendezvous_order("watchers", names)
+        self.rank = self.watchers.index(self._instance.name)
+        self._neighbours = None
+        for name in set(self._contacts) - set(members):
+            if not self._heard_lately(self._contacts[name]):
+                del self._contacts[name]
+
+    def succeed(self, name):
+        """Note that a member answered."""
+        contact = self._contacts.get(name)
+        if contact is not None and contact.failures:
+            contact.failures = 0
+            contact.suspected_until_s = float("-inf")
+            self._neighbours = None
+
+    def fail(self, name):
+        """Note that a member did not answer."""
+        contact = self._contacts.setdefault(name, _Contact())
+        contact.failures += 1
+        pause_s = min(
+            self._pause_cap_s(), PAUSE_START_S * 2 ** min(8, contact.failures)
+        )
+        pause_s *= random.uniform(0.5, 1.0)
+        contact.suspected_until_s = self._clock.monotonic_s() + pause_s
+        self._neighbours = None
+
+    def hear(self, name):
+        """Note that a member sent to this daemon; the next try may come at once."""
+        contact = self._contacts.setdefault(name, _Contact())
+        if contact.failures and not self._heard_lately(contact):
+            contact.suspected_until_s = float("-inf")
+            self._neighbours = None
+        contact.heard_at_s = self._clock.monotonic_s()
+
+    def suspected(self, name):
+        """Return whether a member is passed over for now."""
+        contact = self._contacts.get(name)
+        if contact is None:
+            return False
+        return self._clock.monotonic_s() < contact.suspected_until_s
+
+    def state(self, name):
+        """Return the `MemberState` of a member."""
+        contact = self._contacts.get(name)
+        if contact is not None and contact.failures:
+            heard = self._heard_lately(contact)
+            return MemberState.ONE_SIDED if heard else MemberState.SUSPECTED
+        member = self.members.get(name)
+        if member is None:
+            return MemberState.UNLISTED
+        return MemberState.LEAVING if member.leaving else MemberState.LISTED
+
+    def count(self, state):
+        """Return how many members are in `state`."""
+        names = set(self.members) | set(self._contacts)
+        return sum(self.state(name) is state for name in names)
+
+    def choose(self, own_domain, other_domains):
+        """Return peers to talk to: so many of the own and of other domains.
+
+        Where one side has too few, the other fills up.
+        """
+        own, others = self._present_neighbours()
+        wanted = own_domain + other_domains
+        chosen = random.sample(own, min(own_domain, len(own)))
+        chosen += random.sample(others, min(other_domains, len(others)))
+        spare = [member for member in own + others if member not in chosen]
+        missing = min(wanted - len(chosen), len(spare))
+        return chosen + random.sample(spare, missing)
+
+    def active_watchers(self, count):
+        """Return the first `count` watchers of the own domain but this daemon."""
+        names = self.watchers[:count]
+        return [self.members[name] for name in names if name in self.members
+                and name != self._instance.name]  # fmt: skip
+
+    def _present_neighbours(self):
+        now_s = self._clock.monotonic_s()
+        if self._neighbours is None or now_s >= self._neighbours_until_s:
+            self._neighbours = self._choose_neighbours()
+            pauses = [
+                contact.suspected_until_s
+                for contact in self._contacts.values()
+                if contact.suspected_until_s > now_s
+            ]
+            self._neighbours_until_s = min([now_s + EPOCH_S, *pauses])
+        return self._neighbours
+
+    def _choose_neighbours(self):
+        by_domain = {}
+        for member in self.members.values():
+            if member.name != self._instance.name and not self.suspected(member.name):
+                by_domain.setdefault(member.failure_domain, []).append(member.name)
+        own = self._first(by_domain.pop(self._instance.failure_domain, []),
+                          NEIGHBOURS_OWN_DOMAIN)  # fmt: skip
+        others = []
+        for names in by_domain.values():
+            others += self._first(names, NEIGHBOURS_OTHER_DOMAIN)
+        return own, others
+
+    def _first(self, names, count):
+        epoch = int(self._clock.monotonic_s() / EPOCH_S)
+        order = rendezvous_order(f"{self._instance.name}/{epoch}", names)
+        return [self.members[name] for name in order[:count]]
+
+    def _pause_cap_s(self):
+        cap_s = PAUSE_CAP_PER_MEMBER_S * len(self.watchers)
+        return min(PAUSE_MAX_CAP_S, max(PAUSE_MIN_CAP_S, cap_s))
+
+    def _heard_lately(self, contact):
+        return self._clock.monotonic_s() - contact.heard_at_s < HEARD_FRESH_S
--- a/briarbeam/platform/circuit.py
+++ b/briarbeam/platform/circuit.py
@@ -29,7 +29,7 @@
 
     def __init__(self, clock, jitter=None):
         self._clock = clock
-        self._jitter = jitter or random.Random()
+        self._jitter = jitter or random
         self._failures = 0
         self._pause_s = PAUSE_START_S
         self._closed_until_s = 0.0
--- a/briarbeam/platform/client.py
+++ b/briarbeam/platform/client.py
@@ -56,9 +56,16 @@
         self._timeout_s = timeout_s
         self._circuit = circuit or Circuit(SystemClock())
 
-    def get(self, kind, name):
-        """Return the object, or raise `NotFoundError`."""
-        status, body = self._call("get", "GET", f"/objects/{kind}/{name}")
+    def get(self, kind, name, held_version=0):
+        """Return the object, or raise `NotFoundError`.
+
+        :param held_version: the version that needs no sending; None is returned if
+            the object still has it.
+        """
+        held = {"if-none-match": str(held_version)} if held_version else {}
+        status, body = self._call("get", "GET", f"/objects/{kind}/{name}", headers=held)
+        if status == 304:
+            return None
         if status == 404:
             raise NotFoundError(f"no {kind} is called {name!r}")
         return StoredObject(kind, name, body["version"], body["value"])
--- a/briarbeam/platform/status.py
+++ b/briarbeam/platform/status.py
@@ -28,7 +28,7 @@
     def __init__(self, objects, interval_s=1.0, jitter=None):
         self._objects = objects
         self._interval_s = interval_s
-        self._jitter = jitter or random.Random()
+        self._jitter = jitter or random
         self._pause_s = interval_s
         self._pending = {}
         self._written = {}
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -75,8 +75,9 @@
     """How configuration and membership reach this process."""
 
     exchange_interval_s: float = Field(1.0, gt=0)
-    watch_timeout_s: float = Field(10.0, gt=0)
+    watch_timeout_s: float = Field(1.0, gt=0)
     stale_after_s: float = Field(3.0, gt=0)
+    bootstrap_peers: list[AddressField] = Field(default_factory=list)
 
 
 class EntrySettings(_Section):
--- a/briarbeam/wire/control_grpc.py
+++ b/briarbeam/wire/control_grpc.py
@@ -22,6 +22,10 @@
     async def Fetch(self, stream: 'grpclib.server.Stream[briarbeam.wire.control_pb2.DocumentRequest, briarbeam.wire.control_pb2.Document]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Offer(self, stream: 'grpclib.server.Stream[briarbeam.wire.control_pb2.Document, briarbeam.wire.control_pb2.Digest]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Held(self, stream: 'grpclib.server.Stream[briarbeam.wire.control_pb2.HoldingsRequest, briarbeam.wire.control_pb2.Holdings]') -> None:
         pass
@@ -40,6 +44,12 @@
                 briarbeam.wire.control_pb2.DocumentRequest,
                 briarbeam.wire.control_pb2.Document,
             ),
+            '/briarbeam.Control/Offer': grpclib.const.Handler(
+                self.Offer,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                briarbeam.wire.control_pb2.Document,
+                briarbeam.wire.control_pb2.Digest,
+            ),
             '/briarbeam.Control/Held': grpclib.const.Handler(
                 self.Held,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -64,6 +74,12 @@
             briarbeam.wire.control_pb2.DocumentRequest,
             briarbeam.wire.control_pb2.Document,
         )
+        self.Offer = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/briarbeam.Control/Offer',
+            briarbeam.wire.control_pb2.Document,
+            briarbeam.wire.control_pb2.Digest,
+        )
         self.Held = grpclib.client.UnaryUnaryMethod(
             channel,
             '/briarbeam.Control/Held',
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -58,6 +58,8 @@
         item = self._find(kind, name, self.faults.stale_reads)
         if item is None:
             return Response.of_json({"version": 0}, 404)
+        if request.headers.get("if-none-match") == str(item[0]):
+            return Response(304)
         return Response.of_json({"version": item[0], "value": item[1]})
 
     def list(self, request, kind):
--- a/tests/test_kernel_rpc.py
+++ b/tests/test_kernel_rpc.py
@@ -18,6 +18,9 @@
     async def Fetch(self, stream):
         raise RuntimeError("fails on purpose")
 
+    async def Offer(self, stream):
+        raise RuntimeError("fails on purpose")
+
     async def Held(self, stream):
         raise RuntimeError("fails on purpose")
 
