Draft the scenario language and its features

Cause: the nine points need proofs under failure with real processes. Before: none. Ruled out: one site a scenario, for the start's cost.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -15,7 +15,6 @@
 from briarbeam.kernel.network import HttpRequest
 from standins.engine import token_of
 
-
 BALANCER_POLL_S = 0.25
 BALANCER_TIMEOUT_S = 1.0
 
@@ -115,6 +114,11 @@
         self._balancer.stop()
         gevent.joinall(self._running)
 
+    @property
+    def sending(self):
+        """Whether requests are being sent."""
+        return self._sender is not None and not self._sender.dead
+
     def counts(self):
         """Return the number of outcomes by result."""
         return Counter(outcome.result for outcome in self.outcomes)
--- /dev/null
+++ b/bench/settlements.py
@@ -0,0 +1,146 @@
+"""Callers of a plain service whose calls may not be repeated, each under a key."""
+
+import hashlib
+import itertools
+import json
+import time
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+
+import gevent
+
+from briarbeam.kernel.errors import NetworkError
+from briarbeam.kernel.network import HttpRequest, fetch
+
+from .callers import Balancer
+
+PATH = "settlements"
+CALL_TIMEOUT_S = 15.0
+RETRY_PAUSE_S = 0.2
+
+
+@dataclass
+class Settlement:
+    """One instruction and what its caller was told, attempt by attempt.
+
+    :param attempts: ``ok``, ``wrong``, ``no``, ``yes``, ``unknown`` or ``lost``.
+    """
+
+    body: str
+    key: str
+    started_s: float
+    attempts: list = field(default_factory=list)
+    codes: list = field(default_factory=list)
+
+    @property
+    def answered(self):
+        """Whether the caller holds the right receipt."""
+        return "ok" in self.attempts
+
+    @property
+    def said_not_run(self):
+        """Whether everything that the caller was told is "not run"."""
+        return bool(self.attempts) and set(self.attempts) == {"no"}
+
+
+class Settlements:
+    """Sends instructions at a rate and repeats each under its key until answered.
+
+    :param site: the `Site` to call.
+    :param rate_per_s: instructions a second.
+    :param attempts_max: how often a caller asks under one key.
+    :param racing: send each instruction to two entries at once.
+    """
+
+    def __init__(self, site, rate_per_s, attempts_max=4, racing=False):
+        self._site = site
+        self._rate_per_s = rate_per_s
+        self._attempts_max = attempts_max
+        self._racing = racing
+        self._balancer = Balancer(site)
+        self._name = uuid.uuid4().hex[:8]
+        self._running = []
+        self._sender = None
+        self.settlements = []
+
+    def start(self):
+        """Begin to send."""
+        self._balancer.start()
+        self._sender = gevent.spawn(self._send)
+
+    def stop(self):
+        """Stop sending and wait for the answers that are still out."""
+        self._sender.kill()
+        self._balancer.stop()
+        gevent.joinall(self._running)
+
+    @property
+    def sending(self):
+        """Whether instructions are being sent."""
+        return self._sender is not None and not self._sender.dead
+
+    def ran(self):
+        """Return how often each instruction ran, as the services recorded it."""
+        return Counter(
+            record["body"]
+            for instance in self._site.targets("service")
+            for record in self._site.truth(instance)
+            if record["event"] == "ran" and self._name in record["body"]
+        )
+
+    def doubled(self):
+        """Return the instructions that ran more than once."""
+        return [body for body, count in self.ran().items() if count > 1]
+
+    def lost(self):
+        """Return the instructions that were answered and never ran."""
+        ran = self.ran()
+        return [
+            item for item in self.settlements if item.answered and not ran[item.body]
+        ]
+
+    def false_not_run(self):
+        """Return the instructions that ran although "not run" was all that was said."""
+        ran = self.ran()
+        return [
+            item for item in self.settlements if item.said_not_run and ran[item.body]
+        ]
+
+    def wrong(self):
+        """Return the instructions that got another one's receipt."""
+        return [item for item in self.settlements if "wrong" in item.attempts]
+
+    def _send(self):
+        for number in itertools.count():
+            body = json.dumps({"settlement": f"{self._name}-{number}"})
+            item = Settlement(body, uuid.uuid4().hex, time.monotonic())
+            self.settlements.append(item)
+            for _ in range(2 if self._racing else 1):
+                self._running.append(gevent.spawn(self._settle, item))
+            gevent.sleep(1 / self._rate_per_s)
+
+    def _settle(self, item):
+        for _ in range(self._attempts_max):
+            said, code = self._ask(self._balancer.choose(), item)
+            item.attempts.append(said)
+            item.codes.append(code)
+            if said in ("ok", "wrong", "yes"):
+                return
+            gevent.sleep(RETRY_PAUSE_S)
+
+    def _ask(self, entry, item):
+        headers = {"content-type": "application/json", "idempotency-key": item.key}
+        path = f"/services/{self._site.service}/{PATH}"
+        request = HttpRequest(
+            "POST", path, item.body.encode(), headers, CALL_TIMEOUT_S, fresh=True
+        )
+        try:
+            status, _, answer = fetch(self._site.network, entry.http, request)
+            value = json.loads(answer)
+        except (NetworkError, ValueError):
+            return "lost", ""
+        if status != 200:
+            return value["error"]["ran"], value["error"]["code"]
+        receipt = hashlib.sha256(f"{PATH}/{item.body}".encode()).hexdigest()
+        return ("ok" if value["receipt"] == receipt else "wrong"), ""
--- a/bench/site.py
+++ b/bench/site.py
@@ -25,6 +25,7 @@
 HTTP_PORT, CONTROL_PORT, BACKEND_PORT = 8080, 8081, 8090
 ADVERTISED_HTTP_PORT, ADVERTISED_CONTROL_PORT = 9080, 9081
 OPERATOR_TOKEN = "operator-token"
+OPERATOR_HEADERS = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
 START_TIMEOUT_S = 60.0
 LOG_TAIL_LINES = 15
 DOMAIN_LATENCY_S, REGION_LATENCY_S = 0.001, 0.002
@@ -318,18 +319,22 @@
     def apply(self, *resources, entry=None):
         """Declare resources through an entry daemon and return the revision."""
         entry = entry or self.entries()[0]
-        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
         answer = self.ask(
             entry.http,
             "POST",
             "/operator/v1/apply",
             {"resources": list(resources)},
-            headers,
+            OPERATOR_HEADERS,
         )
         if "revision" not in answer:
             raise RuntimeError(f"apply failed: {answer}")
         return answer["revision"]
 
+    def resources(self, entry):
+        """Return the resources in force at an entry daemon."""
+        path = "/operator/v1/resources"
+        return self.ask(entry.http, "GET", path, headers=OPERATOR_HEADERS)["items"]
+
     def declare(self, version="v1", **how):
         """Declare the model, the service and a first version; return the revision."""
         return self.apply(
--- /dev/null
+++ b/tests/scenarios/answers.feature
@@ -0,0 +1,44 @@
+Feature: Each caller receives the whole answer, and "not run" is true
+
+  Background:
+    Given the site derwent
+    And version v1 in force everywhere
+
+  Scenario: Engines break their streams in the middle
+    Given 20 callers a second
+    When the back end of hobart has break_after set to 3
+    And 3 seconds pass
+    Then every answer is whole and of one version
+    And each refusal that says not run is true
+
+  Scenario: Answers come late after a cut that heals
+    Given 20 callers a second
+    When hobart is cut off from burnie by silence
+    And 3 seconds pass
+    And all cuts are healed
+    And 2 seconds pass
+    Then every answer is whole and of one version
+    And each refusal that says not run is true
+
+  Scenario: Targets are killed in the middle of requests
+    Given 40 callers a second
+    And 20 settlements a second
+    When the target hobart-engine-1 is killed
+    And the target burnie-engine-1 is killed
+    And the daemon of launceston-engine-1 is killed
+    And the target burnie-service-1 is killed
+    And 2 seconds pass
+    Then every answer is whole and of one version
+    And each refusal that says not run is true
+    And each instruction ran at most once
+
+  Scenario: Every engine stops answering and links are reset
+    Given 20 callers a second
+    When the back end of launceston has silent set to true
+    And hobart is cut off from burnie by reset
+    And 2 seconds pass
+    And the daemon of launceston-engine-1 is killed
+    And the daemon of launceston-engine-2 is killed
+    And 1 seconds pass
+    Then every answer is whole and of one version
+    And each refusal that says not run is true
--- /dev/null
+++ b/tests/scenarios/conftest.py
@@ -0,0 +1,400 @@
+"""The steps of the scenario language.
+
+A scenario says what is done to a site's processes, and then compares what callers
+got with what the back ends recorded.
+"""
+
+import itertools
+import signal
+import time
+
+import pytest
+from pytest_bdd import given, parsers, then, when
+
+from bench.site import Site
+
+from .world import ADAPTER, IN_FORCE_S, LAYOUTS, RevisionWatch, World
+
+OUT_BOUND_S = 3.0
+WAIT_S = 60.0
+
+_numbers = itertools.count(1)
+
+
+@pytest.fixture(scope="session")
+def sites():
+    """Keep one site running, for all scenarios that follow on the same layout."""
+    running = {}
+    yield running
+    for site in running.values():
+        site.stop()
+
+
+@pytest.fixture
+def worlds(sites):
+    opened = []
+    yield opened
+    for world in opened:
+        world.close()
+
+
+def pytest_bdd_step_error(request, feature, scenario, step, exception):
+    """Show the processes' last log lines when a step fails."""
+    for site in request.getfixturevalue("sites").values():
+        print(f"--- failed: {step.name}\n{site.log_tails()}")
+
+
+@given(parsers.parse("the site {layout}"), target_fixture="world")
+def the_site(layout, sites, worlds):
+    if layout not in sites:
+        while sites:
+            sites.popitem()[1].stop()
+        sites[layout] = Site(LAYOUTS[layout], adapter=ADAPTER)
+        sites[layout].start()
+    world = World(sites[layout], next(_numbers))
+    worlds.append(world)
+    return world
+
+
+@given(parsers.parse("version {version} in force everywhere"))
+def version_in_force(world, version):
+    site = world.site
+    name = world.name_of(version)
+    domains = {item.failure_domain for item in site.instances.values()}
+    resources = [
+        {"kind": "model", "name": site.model, "spec": {}},
+        {"kind": "service", "name": site.service, "spec": {}},
+        *(site.domain(domain, True) for domain in sorted(domains)),
+    ]
+    world.accept(*resources, site.publish(name), site.rollout(name))
+    site.wait_for(lambda: site.loaded(name) == len(site.targets()), WAIT_S)
+    site.wait_for(lambda: site.ready() == len(site.instances), WAIT_S)
+    world.started_unix_s = time.time()
+    world.watch = RevisionWatch(site)
+
+
+@given(parsers.parse("{rate:d} callers a second"))
+def callers(world, rate):
+    world.start_callers(rate)
+    world.site.wait_for(lambda: world.callers.counts()["ok"] > rate / 2, WAIT_S)
+
+
+@given(parsers.parse("{rate:d} settlements a second"))
+def settlements(world, rate):
+    world.start_settlements(rate)
+
+
+@given(parsers.parse("{rate:d} settlements a second, each sent to two entries at once"))
+def racing_settlements(world, rate):
+    world.start_settlements(rate, racing=True)
+
+
+@given(parsers.parse("an origin of {rate:d} kB a second"))
+def slow_origin(world, rate):
+    world.site.faults(world.site.origin, rate_bytes_per_s=rate * 1000)
+
+
+@given(parsers.parse("an instance list that lags by {lag:d} seconds"))
+def lagging_list(world, lag):
+    world.site.faults(world.site.object_api, list_lag_s=lag)
+
+
+@when(parsers.re(r"version (?P<version>\w+) of (?P<size>\d+) kB is accepted"))
+def accept_version(world, version, size):
+    world.accept_version(version, size_bytes=int(size) * 1000)
+
+
+@when(parsers.parse("version {version} is accepted again"))
+def roll_back(world, version):
+    world.accept(world.site.rollout(world.name_of(version)))
+
+
+@when(parsers.parse("version {version} of the adapter on base {base} is accepted"))
+def accept_adapter(world, version, base):
+    site = world.site
+    model = {"kind": "model", "name": ADAPTER, "spec": {"base": site.model}}
+    name, base_name = world.name_of(version), world.name_of(base)
+    made = site.publish(name, model=ADAPTER, base_version=base_name, size_bytes=200_000)
+    world.bases[name] = base_name
+    world.accept(model, made, site.rollout(name, model=ADAPTER))
+
+
+@when(parsers.parse("failure domain {domain} is taken out"))
+def take_out(world, domain):
+    world.take_out(domain)
+
+
+@when(
+    parsers.parse(
+        "failure domain {domain} is taken out and the platform goes down at once"
+    )
+)
+def take_out_in_outage(world, domain):
+    world.take_out(domain)
+    world.site.faults(world.site.object_api, mode="down")
+
+
+@when(parsers.parse("failure domain {domain} is brought back"))
+def bring_back(world, domain):
+    world.out_at_unix_s.pop(domain, None)
+    world.accept(world.site.domain(domain, True))
+
+
+@when(parsers.parse("the target {name} is killed"))
+@when(parsers.parse("the entry {name} is killed"))
+def kill(world, name):
+    world.kill(name)
+
+
+@when(parsers.parse("the daemon of {name} is killed"))
+def kill_daemon(world, name):
+    world.unreachable.add(name)
+    world.site.kill_daemon(world.site.instances[name])
+
+
+@when(parsers.parse("the daemon of {name} is stopped"))
+def stop_daemon(world, name):
+    world.stop_daemon(name)
+
+
+@when(parsers.parse("the daemon of {name} is started again"))
+def start_daemon(world, name):
+    world.start_daemon(name)
+
+
+@when("each daemon is stopped and started in turn")
+def restart_each(world):
+    for name in world.site.instances:
+        world.stop_daemon(name)
+        world.start_daemon(name)
+
+
+@when(parsers.parse("{name} is frozen"))
+def freeze(world, name):
+    world.signal(name, signal.SIGSTOP)
+
+
+@when(parsers.parse("{name} is woken"))
+def wake(world, name):
+    world.signal(name, signal.SIGCONT)
+
+
+@when(parsers.parse("{name} is put on the list as {state}"))
+def announce(world, name, state):
+    world.site.announce(world.site.instances[name], state)
+    world.out_at_unix_s[name] = time.time()
+
+
+@when(parsers.parse("the engine of {name} turns cold"))
+def turn_cold(world, name):
+    address = world.site.instances[name].backend_address
+    world.site.ask(address, "POST", "/turn_cold")
+
+
+@when("half the engines turn cold")
+def turn_half_cold(world):
+    for instance in world.site.targets()[::2]:
+        turn_cold(world, instance.name)
+
+
+@when("half the engines are restarted cold")
+def restart_engines(world):
+    for instance in world.site.targets()[::2]:
+        world.site.restart_backend(instance)
+
+
+@when(parsers.parse("the back end of {name} has {switch} set to {value}"))
+def set_fault(world, name, switch, value):
+    value = {"true": True, "false": False}.get(value) or float(value)
+    for instance in world.members(name):
+        if instance.backend:
+            world.site.faults(instance.backend_address, **{switch: value})
+
+
+@when(parsers.parse("the origin is {mode}"))
+def origin_mode(world, mode):
+    world.site.faults(world.site.origin, mode=mode)
+
+
+@when(parsers.parse("the platform is {mode}"))
+def platform_mode(world, mode):
+    world.site.faults(world.site.object_api, mode=mode)
+
+
+@when("the platform loses answers")
+def platform_loses(world):
+    platform_mode(world, "lose")
+
+
+@when("the platform serves stale reads")
+def platform_stale(world):
+    world.site.faults(world.site.object_api, stale_reads=True)
+
+
+@when(parsers.parse("the platform answers after {delay:g} seconds"))
+def platform_slow(world, delay):
+    world.site.faults(world.site.object_api, delay_s=delay)
+
+
+@when(parsers.parse("{first} is cut off from {second} by {mode}"))
+def cut(world, first, second, mode):
+    second = "object_api" if second == "the platform" else second
+    world.cuts.append((first, second))
+    world.site.cut(*world.cuts, mode=mode)
+
+
+@when("all cuts are healed")
+def heal_cuts(world):
+    world.cuts.clear()
+    world.site.cut()
+
+
+@when(parsers.parse("{count:d} operators race to change {changes:d} times each"))
+def race(world, count, changes):
+    world.race(count, changes)
+
+
+@when(parsers.parse("{duration:g} seconds pass"))
+def pass_time(duration):
+    time.sleep(duration)
+
+
+@when(parsers.parse("all requests have ended"))
+def end_requests(world):
+    world.end_requests()
+
+
+@then(parsers.parse("version {version} is in force everywhere"))
+def check_version(world, version):
+    site, name = world.site, world.name_of(version)
+    alive = [item for item in site.targets() if item.name not in world.unreachable]
+    site.wait_for(lambda: site.loaded(name, alive) == len(alive), WAIT_S)
+
+
+@then("the change is in force on every daemon in time")
+def check_in_force(world):
+    left_s = world.accepted_s + IN_FORCE_S - time.monotonic()
+    world.site.wait_for(world.in_force, left_s)
+
+
+@then("the change is in force on every daemon at last")
+def check_in_force_at_last(world):
+    world.site.wait_for(world.in_force, WAIT_S)
+
+
+@then("the last accepted change is the one in force")
+def check_last_change(world):
+    world.site.wait_for(world.in_force, WAIT_S)
+    revisions = [revision for revision, _ in world.race_results]
+    assert len(revisions) == len(set(revisions)), "two changes share a revision"
+    last = max(world.race_results)
+    assert world.contested_weights() == {last[1]}
+
+
+@then(parsers.parse("adapter version {version} is in force everywhere"))
+def check_adapter(world, version):
+    site, name = world.site, world.name_of(version)
+    site.wait_for(lambda: world.adapters() == {name}, WAIT_S)
+
+
+@then("each adapter was loaded onto its base's version")
+def check_adapter_bases(world):
+    held = {}
+    for record in world.records("order"):
+        if record["name"] == ADAPTER:
+            base = held.get(record["instance"], "v1")
+            assert world.bases[record["version"]] == base
+        else:
+            held[record["instance"]] = record["version"]
+
+
+@then("every answer is whole and of one version")
+def check_whole(world):
+    world.end_requests()
+    counts = world.callers.counts()
+    assert counts["ok"] > 0
+    assert counts["wrong"] == 0
+    assert counts["partial"] == 0
+    unknown = {item.version for item in world.callers.outcomes if item.result == "ok"}
+    assert unknown <= set(world.site.weights_digests)
+
+
+@then("no request was refused or cut")
+def check_all_served(world):
+    world.end_requests()
+    failed = [x for x in world.callers.outcomes if x.result != "ok"]
+    assert not failed, f"{len(failed)} of {len(world.callers.outcomes)}: {failed[:3]}"
+
+
+@then(parsers.parse("{name} gets no new work after 3 seconds"))
+def check_no_new_work(world, name):
+    out_at = world.out_at_unix_s[name]
+    late = [
+        round(record["at"] - out_at, 2)
+        for record in world.records("ran", world.members(name, "target"))
+        if record["at"] > out_at + OUT_BOUND_S
+    ]
+    assert not late
+    others = [record for record in world.records("ran") if record["at"] > out_at]
+    assert any(record["at"] > out_at + OUT_BOUND_S for record in others)
+
+
+@then(parsers.parse("{name} gets new work again"))
+def check_new_work(world, name):
+    since = time.time()
+    members = world.members(name, "target")
+    world.site.wait_for(
+        lambda: any(record["at"] > since for record in world.records("ran", members)),
+        WAIT_S,
+    )
+
+
+@then("each instruction ran at most once")
+def check_at_most_once(world):
+    world.end_requests()
+    assert world.settlements.doubled() == []
+    assert world.settlements.lost() == []
+    assert world.settlements.wrong() == []
+
+
+@then(parsers.parse("at least {count:d} instructions were answered"))
+def check_answered(world, count):
+    world.end_requests()
+    answered = [item for item in world.settlements.settlements if item.answered]
+    assert len(answered) >= count
+
+
+@then("no instruction was refused or cut")
+def check_all_instructions(world):
+    world.end_requests()
+    items = world.settlements.settlements
+    assert [item for item in items if item.attempts != ["ok"]] == []
+
+
+@then("each refusal that says not run is true")
+def check_not_run(world):
+    world.end_requests()
+    if world.settlements:
+        assert world.settlements.false_not_run() == []
+    if world.callers:
+        ran = world.prompts_that_ran()
+        said_no = [x for x in world.callers.outcomes if x.ran == "no"]
+        assert [item for item in said_no if item.prompt in ran] == []
+
+
+@then("no engine ran over its limit")
+def check_limit(world):
+    world.end_requests()
+    assert world.records("over_limit") == []
+    assert world.records("collapsed") == []
+
+
+@then("no engine loaded partial weights or while it ran")
+def check_loads(world):
+    assert world.records("bad_weights") == []
+    assert world.records("loaded_while_running") == []
+
+
+@then("no revision in force ever went back")
+def check_no_revert(world):
+    assert world.watch.reverted == []
--- /dev/null
+++ b/tests/scenarios/once.feature
@@ -0,0 +1,49 @@
+Feature: A request that may not be repeated runs at most once
+
+  Background:
+    Given the site khangai
+    And version v1 in force everywhere
+
+  Scenario: The same key goes to two entries at once
+    Given 20 settlements a second, each sent to two entries at once
+    When 3 seconds pass
+    Then each instruction ran at most once
+    And each refusal that says not run is true
+    And at least 20 instructions were answered
+
+  Scenario: Entries die and the services lose answers
+    Given 20 settlements a second
+    When the back end of darkhan has lose_answers set to true
+    And 1 seconds pass
+    And the entry darkhan-entry-1 is killed
+    And the entry ulaanbaatar-entry-2 is killed
+    And 2 seconds pass
+    Then each instruction ran at most once
+    And each refusal that says not run is true
+    And at least 20 instructions were answered
+
+  Scenario: A gate sleeps over its deadline and the platform loses answers
+    Given 20 settlements a second
+    When the platform loses answers
+    And 2 seconds pass
+    And the platform is ok
+    And ulaanbaatar-service-1 is frozen
+    And 8 seconds pass
+    And ulaanbaatar-service-1 is woken
+    And 1 seconds pass
+    Then each instruction ran at most once
+    And each refusal that says not run is true
+    And at least 20 instructions were answered
+
+  Scenario: The platform goes down, is slow and comes back
+    Given 20 settlements a second, each sent to two entries at once
+    When the platform is down
+    And 2 seconds pass
+    And the platform is ok
+    And the platform answers after 3 seconds
+    And 4 seconds pass
+    And the platform answers after 0 seconds
+    And 2 seconds pass
+    Then each instruction ran at most once
+    And each refusal that says not run is true
+    And at least 20 instructions were answered
--- /dev/null
+++ b/tests/scenarios/stops.feature
@@ -0,0 +1,22 @@
+Feature: A leaving target receives no new work, and planned stops cut no request
+
+  Background:
+    Given the site khangai
+    And version v1 in force everywhere
+
+  Scenario: A target is put on the list as leaving
+    Given 20 callers a second
+    When darkhan-engine-1 is put on the list as leaving
+    And 6 seconds pass
+    Then darkhan-engine-1 gets no new work after 3 seconds
+    And no request was refused or cut
+    And every answer is whole and of one version
+
+  Scenario: Every daemon is stopped and started in turn under load
+    Given 20 callers a second
+    And 5 settlements a second
+    When each daemon is stopped and started in turn
+    Then no request was refused or cut
+    And every answer is whole and of one version
+    And each instruction ran at most once
+    And no instruction was refused or cut
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,5 @@
+"""Each point of "What must always hold", as a scenario with real processes."""
+
+from pytest_bdd import scenarios
+
+scenarios(".")
--- /dev/null
+++ b/tests/scenarios/weights.feature
@@ -0,0 +1,47 @@
+Feature: No caller is ever served by partial or mixed weights
+
+  Background:
+    Given the site derwent
+    And version v1 in force everywhere
+    And 20 callers a second
+
+  Scenario: A new version spreads while a seeding target is killed and started
+    Given an origin of 1000 kB a second
+    When version v2 of 2000 kB is accepted
+    And 1 seconds pass
+    And the daemon of hobart-engine-1 is killed
+    And 1 seconds pass
+    And the daemon of hobart-engine-1 is started again
+    Then version v2 is in force everywhere
+    And every answer is whole and of one version
+    And no engine loaded partial weights or while it ran
+    And each refusal that says not run is true
+
+  Scenario: The origin and a peer hand out corrupt chunks
+    When the origin is corrupt
+    And version v2 of 2000 kB is accepted
+    And 1 seconds pass
+    And the origin is short
+    And 1 seconds pass
+    And the origin is ok
+    Then version v2 is in force everywhere
+    And every answer is whole and of one version
+    And no engine loaded partial weights or while it ran
+    And no request was refused or cut
+
+  Scenario: Two versions seconds apart and a roll-back in flight
+    Given an origin of 1000 kB a second
+    When version v2 of 2000 kB is accepted
+    And 1 seconds pass
+    And version v3 of 2000 kB is accepted
+    And 2 seconds pass
+    And version v1 is accepted again
+    Then version v1 is in force everywhere
+    And every answer is whole and of one version
+    And no engine loaded partial weights or while it ran
+
+  Scenario: An adapter follows its base's exact version
+    When version a1 of the adapter on base v1 is accepted
+    Then adapter version a1 is in force everywhere
+    And each adapter was loaded onto its base's version
+    And every answer is whole and of one version
--- /dev/null
+++ b/tests/scenarios/world.py
@@ -0,0 +1,215 @@
+"""What a scenario works on: a site, its callers, and what was done to it when."""
+
+import contextlib
+import itertools
+import signal
+import time
+
+import gevent
+
+from bench.callers import Callers
+from bench.settlements import Settlements
+from bench.site import DERWENT, KHANGAI
+from briarbeam.kernel.errors import NetworkError
+
+LAYOUTS = {"derwent": DERWENT, "khangai": KHANGAI}
+ADAPTER = "tone"
+IN_FORCE_S = 5.0
+STOP_TIMEOUT_S = 90.0
+POLL_S = 0.3
+
+
+class RevisionWatch:
+    """Notes each daemon's revision in force, and any step back."""
+
+    def __init__(self, site):
+        self._site = site
+        self._highest = {}
+        self.reverted = []
+        self._tasks = [gevent.spawn(self._look, x) for x in site.instances.values()]
+
+    def stop(self):
+        """Stop looking."""
+        gevent.killall(self._tasks)
+
+    def _look(self, instance):
+        while True:
+            found = self._site.revision(instance)
+            highest = self._highest.get(instance.name, 0)
+            if found and found < highest:
+                self.reverted.append((instance.name, highest, found))
+            self._highest[instance.name] = max(highest, found or 0)
+            gevent.sleep(POLL_S)
+
+
+class World:
+    """One scenario's state.
+
+    :param site: the `Site`; several scenarios may use it one after the other.
+    :param number: tells the versions of this scenario from those of others.
+    """
+
+    def __init__(self, site, number):
+        self.site = site
+        self._number = number
+        self.started_unix_s = time.time()
+        self.callers = None
+        self.settlements = None
+        self.watch = None
+        self.out_at_unix_s = {}
+        self.revision = 0
+        self.accepted_s = 0.0
+        self.unreachable = set()
+        self.cuts = []
+        self.bases = {}
+        self.race_results = []
+
+    def close(self):
+        """End the callers and undo all faults."""
+        with contextlib.suppress(Exception):
+            self.site.heal()
+        self.end_requests()
+        if self.watch:
+            self.watch.stop()
+
+    def end_requests(self):
+        """Stop the callers and wait for every answer."""
+        for caller in (self.callers, self.settlements):
+            if caller and caller.sending:
+                caller.stop()
+
+    def name_of(self, version):
+        """Return the name of a version of this scenario; v1 is common to all."""
+        return version if version == "v1" else f"{version}-{self._number}"
+
+    def start_callers(self, rate_per_s, **how):
+        self.callers = Callers(self.site, rate_per_s, **how)
+        self.callers.start()
+
+    def start_settlements(self, rate_per_s, **how):
+        self.settlements = Settlements(self.site, rate_per_s, **how)
+        self.settlements.start()
+
+    def accept(self, *resources):
+        """Apply resources through an entry that can be reached."""
+        entry = next(
+            item for item in self.site.entries() if item.name not in self.unreachable
+        )
+        self.revision = self.site.apply(*resources, entry=entry)
+        self.accepted_s = time.monotonic()
+
+    def accept_version(self, version, **how):
+        name = self.name_of(version)
+        self.accept(self.site.publish(name, **how), self.site.rollout(name))
+
+    def race(self, count, changes):
+        """Let operators change the same resources through different entries at once."""
+        entries = itertools.cycle(self.site.entries())
+        operators = [
+            gevent.spawn(self._change_often, next(entries), number, changes)
+            for number in range(count)
+        ]
+        gevent.joinall(operators)
+        self.race_results = [result for x in operators for result in x.value]
+        self.revision = max(self.race_results)[0]
+
+    def _change_often(self, entry, number, changes):
+        results = []
+        for change in range(changes):
+            spec = {"weight": 1 + number * changes + change}
+            team = {"kind": "team", "name": "contested", "spec": spec}
+            try:
+                revision = self.site.apply(team, entry=entry)
+            except (RuntimeError, NetworkError):
+                continue
+            results.append((revision, spec["weight"]))
+        return results
+
+    def take_out(self, domain):
+        self.accept(self.site.domain(domain, False))
+        self.out_at_unix_s[domain] = time.time()
+
+    def members(self, name, role=None):
+        """Return the instances of a failure domain, or the one with that name."""
+        return [
+            item
+            for item in self.site.instances.values()
+            if name in (item.name, item.failure_domain) and role in (None, item.role)
+        ]
+
+    def signal(self, name, number):
+        """Send a signal to the daemons of an instance or failure domain."""
+        for instance in self.members(name):
+            self.site.signal(instance.name, number)
+            stopped = number == signal.SIGSTOP
+            change = self.unreachable.add if stopped else self.unreachable.discard
+            change(instance.name)
+
+    def kill(self, name):
+        """End an instance at once: its daemon and its back end."""
+        instance = self.site.instances[name]
+        self.unreachable.add(name)
+        self.site.kill_daemon(instance)
+        if instance.backend:
+            self.site.kill_backend(instance)
+
+    def stop_daemon(self, name):
+        """Stop a daemon gracefully and wait for its end."""
+        instance = self.site.instances[name]
+        self.unreachable.add(name)
+        instance.daemon.send_signal(signal.SIGTERM)
+        self.site.wait_for(lambda: instance.daemon.poll() is not None, STOP_TIMEOUT_S)
+
+    def start_daemon(self, name):
+        """Start an instance's daemon again and wait until it is ready."""
+        instance = self.site.instances[name]
+        self.site.start_daemon(instance)
+        self.unreachable.discard(name)
+        self.site.wait_for(lambda: self._is_ready(instance))
+
+    def in_force(self):
+        """Whether every daemon that can be reached holds the accepted revision."""
+        return all(
+            (self.site.revision(instance) or 0) >= self.revision
+            for instance in self.site.instances.values()
+            if instance.name not in self.unreachable
+        )
+
+    def adapters(self):
+        """Return the adapter versions that the engines serve; None for none."""
+        statuses = [
+            self.site.ask(instance.backend_address, "GET", "/status")
+            for instance in self.site.targets()
+        ]
+        return {x["adapters"].get(ADAPTER, {}).get("version") for x in statuses}
+
+    def contested_weights(self):
+        """Return what the entries show of the resource that operators race for."""
+        found = set()
+        for entry in self.site.entries():
+            for item in self.site.resources(entry):
+                if item["name"] == "contested":
+                    found.add(item["spec"]["weight"])
+        return found
+
+    def records(self, event, instances=None):
+        """Return this scenario's truth records of one event."""
+        instances = instances or self.site.targets() + self.site.targets("service")
+        return [
+            {**record, "instance": instance.name}
+            for instance in instances
+            for record in self.site.truth(instance)
+            if record["event"] == event and record["at"] >= self.started_unix_s
+        ]
+
+    def prompts_that_ran(self):
+        """Return the prompts that reached an engine."""
+        return {record["prompt"] for record in self.records("ran", self.site.targets())}
+
+    def _is_ready(self, instance):
+        try:
+            return self.site.ask(instance.http, "GET", "/readyz", timeout_s=2.0)[
+                "ready"
+            ]
+        except NetworkError:
+            return False
