--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -5,6 +5,8 @@
 whether bytes may have left: `ConnectError` (none did) or `ExchangeError`.
 """
 
+import ipaddress
+import time
 from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
@@ -12,13 +14,17 @@
 import gevent
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from opentelemetry import propagate, trace
 
 from .errors import ConnectError, ExchangeError, SettingsError
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_MAX = 32
+IDLE_MAX_S = 15.0
 READ_BLOCK_BYTES = 65536
 
+_tracer = trace.get_tracer(__name__)
+
 
 class Address(NamedTuple):
     """An IP number and a port."""
@@ -33,9 +39,14 @@
         :raises SettingsError: if the text is not of that form.
         """
         host, _, port = text.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
-            raise SettingsError(f"expected IP:PORT, got {text!r}")
-        return cls(host, int(port))
+        try:
+            ipaddress.IPv4Address(host)
+            number = int(port)
+        except ValueError as error:
+            raise SettingsError(f"expected IP:PORT, got {text!r}") from error
+        if not 0 < number < 65536:
+            raise SettingsError(f"expected a port from 1 to 65535, got {text!r}")
+        return cls(host, number)
 
     def __str__(self):
         return f"{self.host}:{self.port}"
@@ -45,8 +56,8 @@
 class HttpRequest:
     """One request to a peer.
 
-    :param timeout_s: seconds until the reply's head must be there, and the longest
-        silence allowed afterwards.
+    :param timeout_s: seconds until the reply's head must be there.
+    :param silence_s: the longest silence allowed afterwards; `timeout_s` if None.
     :param fresh: use a new connection and close it afterwards; for what must not
         be sent twice.
     """
@@ -57,6 +68,7 @@
     headers: dict = field(default_factory=dict)
     timeout_s: float = 5.0
     fresh: bool = False
+    silence_s: float | None = None
 
 
 class HttpResponse(Protocol):
@@ -106,11 +118,21 @@
         self._idle = defaultdict(list)
 
     def send(self, address, request):
+        with _tracer.start_as_current_span(
+            f"{request.method} {address}",
+            context=_context_of(request),
+            kind=trace.SpanKind.CLIENT,
+        ):
+            return self._send(address, request)
+
+    def _send(self, address, request):
         client = self._take(address, request.fresh)
+        headers = dict(request.headers)
+        propagate.inject(headers)
         try:
             with gevent.Timeout(request.timeout_s):
                 raw = client.request(
-                    request.method, request.path, request.body, request.headers
+                    request.method, request.path, request.body, headers
                 )
         except ConnectError:
             client.close()
@@ -133,9 +155,9 @@
 
     def _take(self, address, fresh):
         if not fresh:
-            idle = self._idle[address]
-            if idle:
-                return idle.pop()
+            client = self._take_idle(address)
+            if client is not None:
+                return client
         client = HTTPClient(
             address.host, address.port, concurrency=1, block_size=READ_BLOCK_BYTES
         )
@@ -151,12 +173,29 @@
         client._connection_pool.source_host = self._source_host
         return client
 
-    def _give_back(self, address, client):
+    def _take_idle(self, address):
+        """Return the connection used last, unless the peer may have closed it."""
         idle = self._idle[address]
-        if len(idle) < IDLE_CONNECTIONS_MAX:
-            idle.append(client)
-        else:
+        while idle:
+            client, since_s = idle.pop()
+            if time.monotonic() - since_s < IDLE_MAX_S:
+                return client
             client.close()
+        return None
+
+    def _give_back(self, address, client):
+        idle = self._idle[address]
+        idle.append((client, time.monotonic()))
+        if len(idle) > IDLE_CONNECTIONS_MAX:
+            oldest, _ = idle.pop(0)
+            oldest.close()
+
+
+def _context_of(request):
+    """Return the trace context to send in: the task's own, or the request's."""
+    if trace.get_current_span().get_span_context().is_valid:
+        return None
+    return propagate.extract(request.headers)
 
 
 class _SourcePool(ConnectionPool):
@@ -221,12 +260,13 @@
             client.close()
 
     def _guard(self, function, *args):
+        silence_s = self._request.silence_s or self._request.timeout_s
         try:
-            with gevent.Timeout(self._request.timeout_s):
+            with gevent.Timeout(silence_s):
                 return function(*args)
         except gevent.Timeout as error:
             raise ExchangeError(
-                f"{self._address} went silent for {self._request.timeout_s} s"
+                f"{self._address} went silent for {silence_s} s"
             ) from error
         except Exception as error:
             raise ExchangeError(f"reply of {self._address} broke: {error!r}") from error
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -1,8 +1,9 @@
 """Settings: one TOML file a process, checked before anything starts."""
 
 import tomllib
+from difflib import get_close_matches
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Literal, get_args
 
 from pydantic import (
     BaseModel,
@@ -67,6 +68,7 @@
     object_api: AddressField
     origin: AddressField
     call_timeout_s: float = Field(2.0, gt=0)
+    status_interval_s: float = Field(1.0, gt=0)
 
 
 class SpreadSettings(_Section):
@@ -84,6 +86,11 @@
     default_deadline_s: float = Field(30.0, gt=0)
     attempts_max: int = Field(3, ge=1)
     retry_budget_ratio: float = Field(0.2, ge=0)
+    deadline_max_s: float = Field(600.0, gt=0)
+    routing_policy: Literal["balanced", "random"] = "balanced"
+    subset_size: int = Field(12, ge=1)
+    head_silence_s: float = Field(1.0, gt=0)
+    stream_silence_s: float = Field(3.0, gt=0)
 
 
 class TargetSettings(_Section):
@@ -113,9 +120,15 @@
 
     memory_max_bytes: int = Field(8 * 1024**3, gt=0)
     link_bytes_per_s: float | None = Field(None, gt=0)
+    link_share: float = Field(0.9, gt=0, le=1)
+    source_order: str = "scatter"
     fetchers: int = Field(4, ge=1)
+    drawers: int = Field(2, ge=1)
     step_in_delay_s: float = Field(2.0, gt=0)
     stall_after_s: float = Field(3.0, gt=0)
+    out_budget_ratio: float = Field(1.05, gt=0)
+    permit_expiry_s: float = Field(45.0, gt=0)
+    wave_patience_s: float = Field(10.0, gt=0)
 
 
 class TelemetrySettings(_Section):
@@ -124,6 +137,8 @@
     log_format: Literal["json", "console"] = "json"
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     trace_sample_ratio: float = Field(0.01, ge=0, le=1)
+    trace_spans_per_s_max: float = Field(50.0, ge=0)
+    trace_spans_kept: int = Field(500, ge=0)
 
 
 class Settings(_Section):
@@ -138,6 +153,7 @@
     target: TargetSettings | None = None
     weights: WeightsSettings = WeightsSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
+    stop_notice_s: float = Field(1.0, ge=0)
     drain_timeout_s: float = Field(60.0, gt=0)
 
     @model_validator(mode="after")
@@ -170,8 +186,34 @@
         raise SettingsError("\n".join(lines)) from error
 
 
+def keys(section=Settings, prefix=""):
+    """Yield each key with its section, its default and its type, in order."""
+    for name, field in section.model_fields.items():
+        inner = _section_of(field.annotation)
+        if inner is not None:
+            yield from keys(inner, f"{prefix}{name}.")
+        else:
+            yield f"{prefix}{name}", field
+
+
+def _section_of(annotation):
+    """Return the section class that an annotation names, or None."""
+    for candidate in (annotation, *get_args(annotation)):
+        if isinstance(candidate, type) and issubclass(candidate, _Section):
+            return candidate
+    return None
+
+
 def _explain(fault):
     key = ".".join(str(part) for part in fault["loc"]) or "(file)"
     value = fault["input"]
     shown = "" if isinstance(value, dict) else f" = {value!r}"
-    return f"{key}{shown}: {fault['msg']}"
+    expected = fault["msg"]
+    if fault["type"] == "extra_forbidden":
+        expected = f"unknown key{_suggest(key)}"
+    return f"{key}{shown}: {expected}"
+
+
+def _suggest(key):
+    close = get_close_matches(key, [known for known, _ in keys()], n=1, cutoff=0.7)
+    return f"; did you mean {close[0]!r}?" if close else ""
