--- a/briarbeam/gate/admission.py
+++ b/briarbeam/gate/admission.py
@@ -17,8 +17,8 @@
     DeadlineExpiredError,
     DrainingError,
     OverloadedError,
-    StalledError,
     UnavailableError,
+    UnconfirmedError,
     WithdrawnError,
 )
 from ..kernel.registry import Registry
@@ -29,7 +29,7 @@
 closed_reasons.register("leaving")(DrainingError)
 closed_reasons.register("out_of_service")(DrainingError)
 closed_reasons.register("backend")(UnavailableError)
-closed_reasons.register("stalled")(StalledError)
+closed_reasons.register("unconfirmed")(UnconfirmedError)
 
 RETRY_AFTER_S = 0.5
 RETRY_AFTER_MIN_S = 0.05
--- a/briarbeam/gate/plugin.py
+++ b/briarbeam/gate/plugin.py
@@ -286,7 +286,7 @@
 
     def _on_stall(self):
         """Take no work until someone has confirmed what is in force now."""
-        self.admission.close("stalled")
+        self.admission.close("unconfirmed")
         self._stalled_at_s = self.clock.monotonic_s()
         self.suspect()
         self.kernel.tasks.spawn(self._refresh, self._stalled_at_s)
@@ -300,4 +300,4 @@
             gevent.sleep(REFRESH_PAUSE_S)
         if self._stalled_at_s == stalled_at_s:
             self._stalled_at_s = None
-            self.admission.open("stalled")
+            self.admission.open("unconfirmed")
--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -113,10 +113,10 @@
     status = 499
 
 
-class StalledError(NotRunError):
+class UnconfirmedError(NotRunError):
     """The process stood still and has not confirmed its configuration since."""
 
-    code = "stalled"
+    code = "unconfirmed"
 
 
 class InProgressError(BriarbeamError):
--- a/tests/test_gate_admission.py
+++ b/tests/test_gate_admission.py
@@ -181,13 +181,13 @@
             self._settle()
             assert isinstance(request.error, WithdrawnError | DeadlineExpiredError)
 
-    @rule(reason=st.sampled_from(["changing", "out_of_service", "stalled"]))
+    @rule(reason=st.sampled_from(["changing", "out_of_service", "unconfirmed"]))
     def close(self, reason):
         self.admission.close(reason)
         self._settle()
         assert not self._in("entering", "placed")
 
-    @rule(reason=st.sampled_from(["changing", "out_of_service", "stalled"]))
+    @rule(reason=st.sampled_from(["changing", "out_of_service", "unconfirmed"]))
     def open(self, reason):
         self.admission.open(reason)
         self._settle()
@@ -196,7 +196,7 @@
     @rule()
     def end_all(self):
         """Everything that began comes to an end, and no place is lost."""
-        for reason in ("changing", "out_of_service", "stalled"):
+        for reason in ("changing", "out_of_service", "unconfirmed"):
             self.admission.open(reason)
         for _ in range(len(self.requests) + 1):
             self.probe()
