Refuse whole changes with every fault named, and let operators be resources

Cause: generations were stored as 0, stored tuples and lists compared unequal (apply twice was two changes), nothing checked resources against each other, a lost race or answer could be reported wrongly, no audit, no deletion, and tokens lived in settings only, so that a handover needed restarts. Conclusion: one endpoint applies and deletes; expectations by generation or revision; conflicts carry the changes that were met.

--- a/briarbeam/configuration/head.py
+++ b/briarbeam/configuration/head.py
@@ -67,8 +67,6 @@
         return value
 
     def holds_attempt(self, attempt):
-        """Return the revision that the change `attempt` made, or None."""
-        for change in reversed(self.changes):
-            if change.get("attempt") == attempt:
-                return change["revision"]
-        return None
+        """Return the record of the change that `attempt` made, or None."""
+        made = [item for item in self.changes if item.get("attempt") == attempt]
+        return made[-1] if made else None
--- a/briarbeam/configuration/resources.py
+++ b/briarbeam/configuration/resources.py
@@ -1,6 +1,6 @@
 """The resource kinds that operators declare, and the snapshot that holds them all.
 
-All resources live in one object of the platform, the head. Its version orders every
+All resources live in one object of the platform, the head. Its revision orders every
 change, so a daemon's configuration is one number and one value.
 """
 
@@ -9,7 +9,7 @@
 from functools import cached_property
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AwareDatetime, BaseModel, ConfigDict, Field, ValidationError
 
 from ..kernel.errors import InvalidRequestError
 from ..kernel.registry import Registry
@@ -82,11 +82,25 @@
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD")
 
 
+@kinds.register("operator")
+class OperatorSpec(Spec):
+    """Who may change resources, by the digests of tokens, and from when until when."""
+
+    token_digests: tuple[Annotated[str, Field(pattern="^[0-9a-f]{64}$")], ...]
+    valid_from: AwareDatetime | None = None
+    valid_until: AwareDatetime | None = None
+
+    def valid_at(self, now):
+        """Return whether the operator may make changes at the time `now`."""
+        begun = self.valid_from is None or self.valid_from <= now
+        return begun and (self.valid_until is None or now < self.valid_until)
+
+
 @dataclass(frozen=True)
 class Resource:
     """A declared resource.
 
-    :param generation: the head's version at which the spec last changed.
+    :param generation: the head's revision at which the spec last changed.
     """
 
     kind: str
@@ -99,7 +113,7 @@
 class Configuration:
     """A consistent snapshot of all resources.
 
-    :param revision: the head's version; 0 is the empty configuration.
+    :param revision: the head's revision; 0 is the empty configuration.
     """
 
     revision: int = 0
--- /dev/null
+++ b/briarbeam/operators/changes.py
@@ -0,0 +1,148 @@
+"""Changes to the resources: what operators ask for, and how the head takes it."""
+
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..configuration.resources import Configuration, parse_spec
+from ..kernel.errors import (
+    InvalidRequestError,
+    ResourceConflictError,
+    SettingsError,
+)
+from .validation import Proposal, faults_of
+
+
+class _Change(BaseModel):
+    model_config = ConfigDict(extra="forbid")
+
+    kind: str
+    name: str = Field(min_length=1, pattern=r"^[^/\s]+$")
+    generation: int | None = None
+
+    @property
+    def key(self):
+        return f"{self.kind}/{self.name}"
+
+
+class _Apply(_Change):
+    spec: dict
+
+
+class _Body(BaseModel):
+    model_config = ConfigDict(extra="forbid")
+
+    resources: list[_Apply] = []
+    delete: list[_Change] = []
+    if_revision: int | None = None
+    force: bool = False
+    dry_run: bool = False
+
+
+@dataclass
+class Change:
+    """A validated request to change resources.
+
+    :param specs: the wanted specs by key, in their stored form.
+    :param deleted: the keys to delete.
+    :param generations: the generations that keys must have now.
+    :param faults: what is wrong with the request itself.
+    """
+
+    specs: dict
+    deleted: list
+    generations: dict
+    faults: list
+    if_revision: int | None
+    force: bool
+    dry_run: bool
+
+    @classmethod
+    def parse(cls, raw):
+        """Return the change in a request's body.
+
+        :raises InvalidRequestError: if it has not the form of one.
+        """
+        try:
+            body = _Body.model_validate(raw)
+        except ValidationError as error:
+            faults = [
+                f"{'.'.join(map(str, fault['loc']))}: {fault['msg']}"
+                for fault in error.errors()
+            ]
+            raise InvalidRequestError("; ".join(faults)) from error
+        if not body.resources and not body.delete:
+            raise InvalidRequestError("no resources were given")
+        specs, faults = {}, []
+        for item in body.resources:
+            try:
+                spec = parse_spec(item.kind, item.spec)
+                specs[item.key] = spec.model_dump(mode="json")
+            except (InvalidRequestError, SettingsError) as error:
+                faults.append(f"{item.key}: {error}")
+        return cls(
+            specs=specs,
+            deleted=[item.key for item in body.delete],
+            generations={
+                item.key: item.generation
+                for item in body.resources + body.delete
+                if item.generation is not None
+            },
+            faults=faults,
+            if_revision=body.if_revision,
+            force=body.force,
+            dry_run=body.dry_run,
+        )
+
+    def check_expectations(self, head):
+        """Raise if the head has moved from what the operator saw.
+
+        :raises ResourceConflictError: with what changed, and who changed it.
+        """
+        stale = []
+        if self.if_revision is not None and self.if_revision != head.revision:
+            stale.append(f"revision is {head.revision}, not {self.if_revision}")
+        keys = []
+        for key, expected in self.generations.items():
+            found = head.resources.get(key, {}).get("generation", 0)
+            if found != expected:
+                keys.append(key)
+                stale.append(f"{key} is at generation {found}, not {expected}")
+        if not stale:
+            return
+        met = [
+            {name: change[name] for name in ("revision", "at", "operator", "changed")}
+            for change in head.changes
+            if set(keys) & {item["key"] for item in change["changed"]}
+            or change["revision"] > (self.if_revision or change["revision"])
+        ]
+        raise ResourceConflictError("; ".join(stale), changed=met)
+
+    def apply_to(self, resources, revision):
+        """Return the resources after the change, and what it changed.
+
+        :param revision: the generation of what changes.
+        """
+        after, changed = dict(resources), []
+        for key, spec in self.specs.items():
+            held = after.get(key)
+            if held is not None and held["spec"] == spec:
+                continue
+            after[key] = {"spec": spec, "generation": revision}
+            action = "created" if held is None else "changed"
+            changed.append({"key": key, "action": action})
+        for key in self.deleted:
+            if after.pop(key, None) is not None:
+                changed.append({"key": key, "action": "deleted"})
+        return after, changed
+
+    def check(self, resources, revision, failure_domains, now):
+        """Raise unless `resources` make sense together.
+
+        :raises InvalidRequestError: naming every fault.
+        """
+        configuration = Configuration.from_head(revision, {"resources": resources})
+        proposal = Proposal(configuration, failure_domains, now, self.force)
+        faults = self.faults + faults_of(proposal)
+        if faults:
+            raise InvalidRequestError("; ".join(faults))
--- a/briarbeam/operators/plugin.py
+++ b/briarbeam/operators/plugin.py
@@ -1,28 +1,41 @@
 """The resource API for operators."""
 
 import hashlib
-import hmac
 import uuid
 
-from ..configuration.resources import HEAD_KIND, HEAD_NAME, Configuration, parse_spec
+from prometheus_client import Counter
+
+from ..configuration.documents import CONFIGURATION, canonical
+from ..configuration.head import Head
+from ..configuration.resources import HEAD_KIND, HEAD_NAME, Configuration
 from ..kernel.errors import (
     ConflictError,
     InvalidRequestError,
     NotFoundError,
+    PlatformBehindError,
+    PlatformError,
     PlatformUnknownError,
-    UnauthorizedError,
+    ResourceConflictError,
+    UnavailableError,
 )
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
-from ..platform.client import StoredObject
+from ..platform.status import STATUS_KIND
+from .accounts import authorize
+from .changes import Change
+
+TRIES_MAX = 5
+READS_MAX = 4
+READ_PAUSE_S = 0.25
+WATCH_MAX_S = 60.0
+EXPORT_FORMAT = 1
 
-RACES_MAX = 5
-HEAD_MAX_BYTES = 900_000
+_CHANGES = Counter("briarbeam_changes", "Changes of resources", ["result"])
 
 
 @plugins.register("operators")
 class OperatorsPlugin(Plugin):
-    """Lets operators read and change the resources."""
+    """Lets operators read, watch and change the resources."""
 
     roles = ("entry",)
 
@@ -32,92 +45,218 @@
         self._configuration = kernel.find("configuration")
         router = kernel.router
         router.add("GET", "/operator/v1/resources", self._list)
+        router.add("GET", "/operator/v1/resources/{kind}/{name}", self._get)
+        router.add("GET", "/operator/v1/watch", self._watch)
+        router.add("GET", "/operator/v1/changes", self._changes)
+        router.add("GET", "/operator/v1/members", self._members)
+        router.add("GET", "/operator/v1/export", self._export)
         router.add("POST", "/operator/v1/apply", self._apply)
+        router.add("POST", "/operator/v1/restore", self._restore)
 
     def _list(self, request):
+        self._operator(request)
+        return Response.of_json(_listing(self._configuration.configuration, request))
+
+    def _get(self, request, kind, name):
         self._operator(request)
         configuration = self._configuration.configuration
+        resource = configuration.resources.get((kind, name))
+        if resource is None:
+            raise NotFoundError(f"no {kind} is called {name!r}")
+        return Response.of_json({**_item(resource), "status": self._status(kind, name)})
+
+    def _watch(self, request):
+        self._operator(request)
+        try:
+            after = int(request.query.get("after", 0))
+            wait_s = min(WATCH_MAX_S, float(request.query.get("wait_s", 30)))
+        except ValueError as error:
+            raise InvalidRequestError(f"after and wait_s: {error}") from error
+        found = self._configuration.wait_above(after, wait_s)
+        if found is None:
+            return Response.of_json({"revision": after, "items": None})
+        return Response.of_json(_listing(found, request))
+
+    def _changes(self, request):
+        self._operator(request)
+        return Response.of_json({"changes": self._read_head().changes})
+
+    def _members(self, request):
+        self._operator(request)
+        membership = self._configuration.membership
         items = [
             {
-                "kind": resource.kind,
-                "name": resource.name,
-                "generation": resource.generation,
-                "spec": resource.spec.model_dump(),
+                "name": member.name,
+                "role": member.role,
+                "region": member.region,
+                "failure_domain": member.failure_domain,
+                "state": membership.state(member.name),
             }
-            for resource in configuration.resources.values()
+            for member in membership.members.values()
         ]
-        return Response.of_json({"revision": configuration.revision, "items": items})
+        return Response.of_json({"items": items})
+
+    def _export(self, request):
+        self._operator(request)
+        listing = _listing(self._configuration.configuration, request)
+        records = {
+            "format": EXPORT_FORMAT,
+            "revision": listing["revision"],
+            "resources": listing["items"],
+        }
+        digest = hashlib.sha256(canonical(records)).hexdigest()
+        return Response.of_json({**records, "digest": digest})
 
     def _apply(self, request):
+        self._operator(request)
+        change = Change.parse(request.json())
+        try:
+            revision, changed = self._change(request, change)
+        except PlatformError:
+            _CHANGES.labels("failed").inc()
+            raise
+        except (ConflictError, InvalidRequestError):
+            _CHANGES.labels("refused").inc()
+            raise
+        _CHANGES.labels("accepted").inc()
+        answer = {"revision": revision, "changed": changed, "dry_run": change.dry_run}
+        return Response.of_json(answer)
+
+    def _restore(self, request):
+        """Write what is in force here back to a platform that lost it."""
         operator = self._operator(request)
-        changes = request.json().get("resources", [])
-        faults = []
-        for change in changes:
-            try:
-                parse_spec(change["kind"], change["spec"])
-            except (InvalidRequestError, KeyError) as error:
-                faults.append(f"{change.get('kind')}/{change.get('name')}: {error}")
-        if faults or not changes:
-            raise InvalidRequestError("; ".join(faults) or "no resources were given")
-        revision = self._change(changes, operator)
+        held = self._configuration.documents.get(CONFIGURATION)
+        resources = {
+            f"{kind}/{name}": {
+                "spec": resource.spec.model_dump(mode="json"),
+                "generation": resource.generation,
+            }
+            for (kind, name), resource in held.value.resources.items()
+        }
+        head = self._read_stored()
+        if head.revision >= held.revision:
+            raise InvalidRequestError("the platform is not behind what is in force")
+        head.revision = held.revision
+        head.resources = resources
+        changed = [{"key": "*", "action": "restored"}]
+        revision = self._write(head, changed, operator, uuid.uuid4().hex)
         return Response.of_json({"revision": revision})
 
-    def _change(self, changes, operator):
-        for _ in range(RACES_MAX):
-            head = self._read_head()
-            resources = {
-                key: {"generation": head.version, **item}
-                for key, item in head.value.get("resources", {}).items()
-            }
-            before = dict(resources)
-            for change in changes:
-                _merge(resources, change)
-            if resources == before:
-                return head.version
-            attempt = uuid.uuid4().hex
-            value = {"resources": resources, "attempt": attempt, "operator": operator}
+    def _change(self, request, change):
+        """Return the revision after the change and what it changed.
+
+        A write whose answer was lost is looked for under its attempt, and only tried
+        again on condition of the very version that the first try named.
+        """
+        attempt, unknown = uuid.uuid4().hex, False
+        for _ in range(TRIES_MAX):
             try:
-                version = self._write_head(value, head.version)
-            except ConflictError:
-                continue
-            Configuration.from_head(version, value)
-            return version
-        raise ConflictError(f"lost {RACES_MAX} races against other changes")
-
-    def _write_head(self, value, if_version):
-        try:
-            return self._objects.put(HEAD_KIND, HEAD_NAME, value, if_version)
-        except PlatformUnknownError:
-            found = self._read_head()
-            if found.value.get("attempt") == value["attempt"]:
-                return found.version
-            raise
+                return self._try(request, change, attempt)
+            except ConflictError as error:
+                if isinstance(error, ResourceConflictError):
+                    raise
+            except PlatformUnknownError:
+                unknown = True
+            except PlatformError:
+                if not unknown:
+                    raise
+                self.clock.sleep(READ_PAUSE_S)
+        if unknown:
+            raise PlatformUnknownError(
+                f"whether change {attempt} took effect isn't known", retry_after_s=1.0
+            )
+        raise ResourceConflictError(f"lost {TRIES_MAX} races against other changes")
+
+    def _try(self, request, change, attempt):
+        head = self._read_head()
+        done = head.holds_attempt(attempt)
+        if done is not None:
+            self._configuration.adopt(head)
+            return done["revision"], done["changed"]
+        before = Configuration.from_head(head.revision, {"resources": head.resources})
+        operator = self._operator(request, before)
+        change.check_expectations(head)
+        revision = head.next_revision(self.clock.now())
+        resources, changed = change.apply_to(head.resources, revision)
+        change.check(resources, revision, self._domains(), self.clock.now())
+        if not changed or change.dry_run:
+            return head.revision, changed
+        head.resources = resources
+        return self._write(head, changed, operator, attempt, revision), changed
+
+    def _write(self, head, changed, operator, attempt, revision=None):
+        """Write `head` on condition of its version and put it in force."""
+        head.revision = revision or head.next_revision(self.clock.now())
+        head.changes.append(
+            {
+                "revision": head.revision,
+                "at": self.clock.now().isoformat(),
+                "operator": operator,
+                "attempt": attempt,
+                "changed": changed,
+            }
+        )
+        head.version = self._objects.put(
+            HEAD_KIND, HEAD_NAME, head.to_value(), head.version
+        )
+        self._configuration.adopt(head)
+        return head.revision
 
     def _read_head(self):
+        """Return the head, at least as new as what is in force here.
+
+        :raises PlatformBehindError: if the platform stays behind.
+        """
+        held = self._configuration.configuration.revision
+        for _ in range(READS_MAX):
+            head = self._read_stored()
+            if head.revision >= held:
+                return head
+            self.clock.sleep(READ_PAUSE_S)
+        raise PlatformBehindError(
+            f"the platform holds revision {head.revision}, in force is {held}; "
+            "'briarbeam restore' writes it back"
+        )
+
+    def _read_stored(self):
         try:
-            return self._objects.get(HEAD_KIND, HEAD_NAME)
+            return Head.from_object(self._objects.get(HEAD_KIND, HEAD_NAME))
         except NotFoundError:
-            return StoredObject(HEAD_KIND, HEAD_NAME, 0, {})
-
-    def _operator(self, request):
-        """Return the name of the operator whose token came with the request."""
-        token = request.headers.get("authorization", "").removeprefix("Bearer ")
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        for name, known in self.settings.entry.operator_tokens.items():
-            if hmac.compare_digest(digest, known):
-                return name
-        raise UnauthorizedError("an operator's token is needed")
-
-
-def _merge(resources, change):
-    key = f"{change['kind']}/{change['name']}"
-    held = resources.get(key)
-    expected = change.get("generation")
-    if expected is not None and expected != (held or {}).get("generation", 0):
-        raise ConflictError(
-            f"{key} is at generation {(held or {}).get('generation', 0)}"
+            return Head()
+
+    def _status(self, kind, name):
+        try:
+            return self._objects.get(STATUS_KIND, f"{kind}.{name}").value
+        except (NotFoundError, PlatformError):
+            return None
+
+    def _domains(self):
+        members = self._configuration.members.values()
+        return frozenset(member.failure_domain for member in members)
+
+    def _operator(self, request, configuration=None):
+        """Return the name of the operator who sent `request`."""
+        if not self._configuration.settled:
+            raise UnavailableError("who may operate isn't known yet", retry_after_s=1.0)
+        return authorize(
+            request,
+            configuration or self._configuration.configuration,
+            self.settings.entry.operator_tokens,
+            self.clock.now(),
         )
-    spec = parse_spec(change["kind"], change["spec"]).model_dump()
-    if held and held["spec"] == spec:
-        return
-    resources[key] = {"spec": spec}
+
+
+def _listing(configuration, request):
+    kind = request.query.get("kind")
+    keys = sorted(key for key in configuration.resources if kind in (None, key[0]))
+    items = [_item(configuration.resources[key]) for key in keys]
+    return {"revision": configuration.revision, "items": items}
+
+
+def _item(resource):
+    return {
+        "kind": resource.kind,
+        "name": resource.name,
+        "generation": resource.generation,
+        "spec": resource.spec.model_dump(mode="json"),
+    }
