--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -8,6 +8,7 @@
 
 import random
 
+import gevent
 import structlog
 from gevent.event import Event
 from prometheus_client import Counter, Gauge
@@ -109,6 +110,18 @@
         for member in self.membership.choose(PUSH_OWN_DOMAIN, PUSH_OTHER_DOMAINS):
             self.kernel.tasks.spawn(self.exchange, member.name, member.control)
 
+    def refresh(self):
+        """Ask the platform and a few peers at once what is in force.
+
+        :returns: whether any of them answered.
+        """
+        asked = [gevent.spawn(self.exchange, *peer) for peer in self._first_peers()]
+        asked.append(gevent.spawn(self._ask_platform))
+        try:
+            return any(done.value for done in gevent.iwait(asked))
+        finally:
+            gevent.killall(asked, block=False)
+
     def exchange_once(self):
         """Exchange with one peer, in a task of its own so that none is waited for."""
         member = self._next_peer()
