Give operators a command line over their API

Cause: operators had no tool but raw HTTP. Ruled out: applying resource by resource (a change is whole or refused). Before: 'settings check' and 'settings show' only.

--- a/briarbeam/cli/application.py
+++ b/briarbeam/cli/application.py
@@ -1,17 +1,25 @@
-"""``briarbeam``: the command-line tool."""
+"""``briarbeam``: the command-line tool.
 
+Exit codes: 0 ok, 1 failed or different, 2 usage, 3 conflict, 4 not found,
+5 unavailable or outcome unknown, 6 unauthorized.
+"""
+
+import importlib
 import json
 import sys
 
 import tomli_w
 from cleo.application import Application
 from cleo.commands.command import Command
+from cleo.exceptions import CleoError
 from cleo.helpers import argument, option
 
 from .. import settings as settings_module
 from ..kernel.errors import SettingsError
+from .client import EXIT_FAILED, EXIT_USAGE
+from .commands import commands
 
-EXIT_USAGE = 2
+COMMAND_MODULES = (".resources", ".records")
 
 
 class SettingsCheckCommand(Command):
@@ -58,9 +66,25 @@
     return value
 
 
-def main():
-    """Run the command line."""
+def build():
+    """Return the application with all commands."""
     application = Application("briarbeam")
+    application.catch_exceptions(False)
     application.add(SettingsCheckCommand())
     application.add(SettingsShowCommand())
-    sys.exit(application.run())
+    for module in COMMAND_MODULES:
+        importlib.import_module(module, __package__)
+    for _, command in commands.items():
+        application.add(command())
+    return application
+
+
+def main():
+    """Run the command line."""
+    try:
+        sys.exit(build().run())
+    except CleoError as error:
+        print(f"error: {error}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    except KeyboardInterrupt:
+        sys.exit(EXIT_FAILED)
--- /dev/null
+++ b/briarbeam/cli/client.py
@@ -0,0 +1,197 @@
+"""A client of the operators' API; commands of the command-line tool use it."""
+
+import hashlib
+import json
+import os
+import tomllib
+from pathlib import Path
+from urllib.parse import quote, urlencode
+
+from ..configuration.documents import canonical
+from ..kernel.errors import (
+    BriarbeamError,
+    ConflictError,
+    NetworkError,
+    NotFoundError,
+    PlatformError,
+    SettingsError,
+    UnauthorizedError,
+    UnavailableError,
+)
+from ..kernel.network import Address, HttpNetwork, HttpRequest, fetch
+
+SERVER_VARIABLE = "BRIARBEAM_SERVER"
+TOKEN_VARIABLE = "BRIARBEAM_TOKEN"
+FILE_VARIABLE = "BRIARBEAM_CONFIG"
+DEFAULT_FILE = Path(".config", "briarbeam.toml")
+TIMEOUT_S = 20.0
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_CONFLICT = 3
+EXIT_NOT_FOUND = 4
+EXIT_UNAVAILABLE = 5
+EXIT_UNAUTHORIZED = 6
+
+_EXITS = (
+    (SettingsError, EXIT_USAGE),
+    (ConflictError, EXIT_CONFLICT),
+    (NotFoundError, EXIT_NOT_FOUND),
+    (UnauthorizedError, EXIT_UNAUTHORIZED),
+    (NetworkError, EXIT_UNAVAILABLE),
+    (PlatformError, EXIT_UNAVAILABLE),
+    (UnavailableError, EXIT_UNAVAILABLE),
+)
+
+
+class ServerError(BriarbeamError):
+    """What an entry daemon refused, as it said it.
+
+    :param body: the error in the reply.
+    """
+
+    def __init__(self, status, body):
+        super().__init__(body.get("message", f"status {status}"))
+        self.status = status
+        self.code = body.get("code", "internal")
+        self.ran = body.get("ran", "unknown")
+        self.changed = body.get("changed", [])
+
+
+def exit_code(error):
+    """Return the exit code that stands for an error."""
+    if isinstance(error, ServerError):
+        return {
+            401: EXIT_UNAUTHORIZED,
+            404: EXIT_NOT_FOUND,
+            409: EXIT_CONFLICT,
+            429: EXIT_UNAVAILABLE,
+            502: EXIT_UNAVAILABLE,
+            503: EXIT_UNAVAILABLE,
+        }.get(error.status, EXIT_FAILED)
+    for kind, code in _EXITS:
+        if isinstance(error, kind):
+            return code
+    return EXIT_FAILED
+
+
+class OperatorClient:
+    """Calls the operators' API of an entry daemon.
+
+    :param server: the entry daemon's `Address`.
+    :param token: the operator's token.
+    """
+
+    def __init__(self, server, token, network=None):
+        self._server = server
+        self._token = token
+        self._network = network or HttpNetwork()
+
+    @classmethod
+    def find(cls, server=None, token=None):
+        """Return a client from options, the environment or a file, in this order.
+
+        The file is named by ``BRIARBEAM_CONFIG``, else ``~/.config/briarbeam.toml``,
+        and holds ``server`` and ``token``.
+
+        :raises SettingsError: if the server's address is nowhere, or not one.
+        """
+        kept = _read_file()
+        server = server or os.environ.get(SERVER_VARIABLE) or kept.get("server")
+        token = token or os.environ.get(TOKEN_VARIABLE) or kept.get("token", "")
+        if not server:
+            raise SettingsError(
+                f"no server: give --server, {SERVER_VARIABLE} or a file with 'server'"
+            )
+        return cls(Address.parse(server), token)
+
+    def list(self, kind=None):
+        """Return the revision and the resources."""
+        return self.call("GET", "/operator/v1/resources" + _query(kind=kind))
+
+    def get(self, kind, name):
+        """Return one resource with its status."""
+        path = f"/operator/v1/resources/{quote(kind)}/{quote(name, safe='@')}"
+        return self.call("GET", path)
+
+    def apply(self, resources=(), delete=(), **how):
+        """Change resources, all or none.
+
+        :param how: ``if_revision``, ``force`` and ``dry_run``.
+        """
+        body = {"resources": list(resources), "delete": list(delete), **how}
+        return self.call("POST", "/operator/v1/apply", body)
+
+    def watch(self, after, wait_s=10.0, kind=None):
+        """Return the resources once the revision is above `after`, or no items."""
+        path = "/operator/v1/watch" + _query(after=after, wait_s=wait_s, kind=kind)
+        return self.call("GET", path, timeout_s=wait_s + TIMEOUT_S)
+
+    def changes(self):
+        """Return the last changes, with who made them and when."""
+        return self.call("GET", "/operator/v1/changes")["changes"]
+
+    def members(self):
+        """Return the instances as the entry daemon sees them."""
+        return self.call("GET", "/operator/v1/members")["items"]
+
+    def restore(self):
+        """Have what is in force written back to a platform that lost it."""
+        return self.call("POST", "/operator/v1/restore")
+
+    def export(self):
+        """Return all records with their digest, verified."""
+        records = self.call("GET", "/operator/v1/export")
+        check_digest(records)
+        return records
+
+    def call(self, method, path, value=None, timeout_s=TIMEOUT_S):
+        """Send one call and return its JSON answer.
+
+        :raises ServerError: if the daemon refused it.
+        :raises NetworkError: if no answer came.
+        """
+        body = b"" if value is None else json.dumps(value).encode()
+        headers = {
+            "authorization": f"Bearer {self._token}",
+            "content-type": "application/json",
+        }
+        request = HttpRequest(method, path, body, headers, timeout_s, fresh=True)
+        status, _, raw = fetch(self._network, self._server, request)
+        try:
+            answer = json.loads(raw)
+        except ValueError as error:
+            raise ServerError(status, {"message": f"not JSON: {raw[:80]!r}"}) from error
+        if status != 200:
+            raise ServerError(status, answer.get("error", {}))
+        return answer
+
+
+def check_digest(records):
+    """Raise unless exported records match their digest.
+
+    :raises SettingsError: naming both digests.
+    """
+    body = {key: value for key, value in records.items() if key != "digest"}
+    found = hashlib.sha256(canonical(body)).hexdigest()
+    if found != records.get("digest"):
+        raise SettingsError(f"digest is {found}, expected {records.get('digest')}")
+
+
+def _query(**values):
+    given = {key: value for key, value in values.items() if value is not None}
+    return f"?{urlencode(given)}" if given else ""
+
+
+def _read_file():
+    named = os.environ.get(FILE_VARIABLE)
+    path = Path(named) if named else Path.home() / DEFAULT_FILE
+    try:
+        return tomllib.loads(path.read_text())
+    except FileNotFoundError:
+        if named:
+            raise SettingsError(f"{path}: no such file") from None
+        return {}
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
