--- /dev/null
+++ b/bench/control_slopes.py
@@ -0,0 +1,114 @@
+"""Costs of control that grow with the fleet, measured in this process.
+
+Each slope is a function of a size that returns processor time in milliseconds, bytes
+as they travel and memory held.
+"""
+
+import json
+import random
+import time
+import tracemalloc
+import zlib
+from types import SimpleNamespace
+
+from briarbeam.configuration.documents import (
+    COMPRESSION_LEVEL,
+    CONFIGURATION,
+    INSTANCES,
+    Documents,
+    canonical,
+)
+from briarbeam.kernel.clock import SystemClock
+from briarbeam.membership.view import Membership
+
+DOMAINS = 8
+ROUNDS = 5
+
+
+def list_change(members):
+    """Return what one change of the instance list costs a daemon."""
+    entries = [_entry(number) for number in range(members)]
+    bodies = []
+    for number in range(ROUNDS):
+        entries[number] = {**entries[number], "state": "leaving"}
+        bodies.append(canonical({"instances": entries}))
+    instance = SimpleNamespace(name="d0-0", failure_domain="d0")
+    membership = Membership(SystemClock(), instance)
+
+    def take(document):
+        membership.update(document.value)
+        membership.choose(2, 1)
+
+    return _measure(INSTANCES, bodies, take)
+
+
+def configuration_change(resources):
+    """Return what one change of the configuration costs a daemon."""
+    digest = random.randbytes(32).hex()
+    held = {
+        f"version/model{number}@v1": {
+            "spec": {
+                "model": f"model{number}",
+                "manifest_digest": digest,
+                "weights_digest": random.randbytes(32).hex(),
+                "size_bytes": 1,
+                "base_version": None,
+            },
+            "generation": 1_796_000_000_000 + number,
+        }
+        for number in range(resources)
+    }
+    bodies = []
+    for number in range(ROUNDS):
+        held["team/t"] = {"spec": {"weight": number + 1.0}, "generation": number}
+        bodies.append(canonical({"resources": held}))
+    return _measure(CONFIGURATION, bodies, lambda document: None)
+
+
+SLOPES = {
+    "list_change": ((120, 370, 740, 1110), list_change),
+    "configuration_change": ((30, 100, 300, 1000), configuration_change),
+}
+
+
+def _measure(name, bodies, listener):
+    packed = [zlib.compress(body, COMPRESSION_LEVEL) for body in bodies]
+    documents = Documents(SystemClock())
+    documents.subscribe(name, listener)
+    times = []
+    for revision, data in enumerate(packed, start=1):
+        started_s = time.process_time()
+        documents.offer_packed(name, revision, data)
+        documents.get(name).packed()
+        times.append(time.process_time() - started_s)
+    tracemalloc.start()
+    fresh = Documents(SystemClock())
+    fresh.offer_packed(name, 1, packed[0])
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return {
+        "cpu_ms": round(1000 * sorted(times)[len(times) // 2], 2),
+        "body_bytes": len(bodies[0]),
+        "packed_bytes": len(packed[0]),
+        "held_mb": round(held_bytes / 1e6, 2),
+    }
+
+
+def _entry(number):
+    host = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
+    role = "entry" if number % 3 == 0 else "target"
+    return json.loads(
+        json.dumps(
+            {
+                "name": f"d{number % DOMAINS}-{number}",
+                "role": role,
+                "region": f"r{number % 3}",
+                "failure_domain": f"d{number % DOMAINS}",
+                "http": f"{host}:9080",
+                "control": f"{host}:9081",
+                "state": "live",
+                "models": [] if role == "entry" else ["chat"],
+                "service": None,
+            }
+        )
+    )
--- /dev/null
+++ b/bench/measure_control.py
@@ -0,0 +1,224 @@
+"""``make measure-control``: what control costs a daemon, one JSON line a case.
+
+Sites of real processes stand idle, then take changes. Processor time comes from
+``/proc``, bytes from the link stand-in and calls from the object API stand-in. Slopes
+over the size of the list and of the configuration are measured in this process, up to
+the size to design for; the last case puts both together and is marked extrapolated.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import contextlib  # noqa: E402
+import json  # noqa: E402
+import os  # noqa: E402
+import statistics  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+from gevent.pool import Pool  # noqa: E402
+
+from .control_slopes import SLOPES  # noqa: E402
+from .site import Domain, Site  # noqa: E402
+
+SIZES = (12, 39, 120)
+IDLE_S = 30.0
+CHANGES = 15
+CHANGE_PAUSE_S = 2.0
+TRIALS = 5
+WAIT_S = 180.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+DESIGN_ENTRIES = 370
+DESIGN_TARGETS = 740
+CONFIGURATION_CHANGES_PER_DAY = 750
+LIST_CHANGES_PER_DAY = 500
+DAY_S = 86_400
+PASSED_ON = 1.0
+
+
+def site_of(daemons):
+    """Return a site of so many daemons in three domains, a third of them entries."""
+    per_domain = daemons // 3
+    entries = max(1, per_domain // 3)
+    names = (("hobart", "south"), ("launceston", "north"), ("burnie", "north"))
+    return Site(
+        [Domain(name, region, entries, per_domain - entries) for name, region in names]
+    )
+
+
+class Meter:
+    """Reads what the daemons of a site have used so far."""
+
+    def __init__(self, site):
+        self._site = site
+        self._daemons = list(site.instances.values())
+
+    def sample(self):
+        """Return processor seconds and bytes by instance, and platform calls."""
+        cpu_s = {item.name: _cpu_s(item.daemon.pid) for item in self._daemons}
+        links = self._site.ask(self._site.links, "GET", "/counts")
+        moved = {
+            item.name: [links.get(f"{item.name}/{way}", 0) for way in ("in", "out")]
+            for item in self._daemons
+        }
+        calls = self._site.ask(self._site.object_api, "GET", "/counts")
+        return time.monotonic(), cpu_s, moved, sum(calls.values())
+
+    def use(self, before):
+        """Return what was used a second since `before`."""
+        start_s, cpu_s, moved, calls = before
+        now_s, cpu_now_s, moved_now, calls_now = self.sample()
+        took_s = now_s - start_s
+        cpu = {k: 100 * (cpu_now_s[k] - cpu_s[k]) / took_s for k in cpu_s}
+        rates = {
+            k: sum(after - first for after, first in zip(moved_now[k], moved[k],
+                                                         strict=True)) / took_s
+            for k in moved
+        }  # fmt: skip
+        entries = [item.name for item in self._daemons if item.role == "entry"]
+        rss = [_rss_bytes(item.daemon.pid) / 1e6 for item in self._daemons]
+        return {
+            "entries": len(entries),
+            "targets": len(self._daemons) - len(entries),
+            "cpu_pct_core": round(statistics.mean(cpu.values()), 3),
+            "cpu_pct_core_entry": round(
+                statistics.mean(cpu[name] for name in entries), 3
+            ),
+            "cpu_pct_core_max": round(max(cpu.values()), 3),
+            "rss_mb": round(max(rss), 1),
+            "control_bytes_per_s": round(statistics.mean(rates.values())),
+            "control_bytes_per_s_max": round(max(rates.values())),
+            "platform_calls_per_s": round((calls_now - calls) / took_s, 2),
+        }
+
+
+def measure(daemons):
+    """Yield the cases of a site of so many daemons."""
+    with site_of(daemons) as site:
+        site.declare("v1", size_bytes=64_000)
+        targets = len(site.targets())
+        with contextlib.suppress(TimeoutError):
+            site.wait_for(lambda: site.loaded("v1") == targets, WAIT_S, pause_s=2.0)
+        time.sleep(5)
+        meter = Meter(site)
+        before = meter.sample()
+        time.sleep(IDLE_S)
+        idle = meter.use(before)
+        before = meter.sample()
+        for number in range(CHANGES):
+            site.apply(_team(number))
+            time.sleep(CHANGE_PAUSE_S)
+        changing = meter.use(before)
+        worst_s = max(_in_force_s(site, CHANGES + trial) for trial in range(TRIALS))
+        extra = {"loaded": site.loaded("v1")}
+        yield {"case": f"idle-{daemons}", **idle, "config_in_force_s": None, **extra}
+        yield {
+            "case": f"changing-{daemons}",
+            **changing,
+            "changes_per_s": 1 / CHANGE_PAUSE_S,
+            "config_in_force_s": round(worst_s, 2),
+        }
+
+
+def extrapolate(cases, slopes):
+    """Return the case at the size to design for."""
+    idle = [case for case in cases if case["case"].startswith("idle")]
+    daemons = DESIGN_ENTRIES + DESIGN_TARGETS
+    found = {
+        key: _line(
+            [(case["entries"] + case["targets"], case[key]) for case in idle], daemons
+        )
+        for key in ("cpu_pct_core", "rss_mb", "control_bytes_per_s")
+    }
+    list_change = slopes["list_change", daemons]
+    configuration = slopes["configuration_change", 1000]
+    cpu_ms = bytes_moved = 0.0
+    for slope, a_day in (
+        (list_change, LIST_CHANGES_PER_DAY),
+        (configuration, CONFIGURATION_CHANGES_PER_DAY),
+    ):
+        cpu_ms += slope["cpu_ms"] * a_day
+        bytes_moved += slope["packed_bytes"] * (1 + PASSED_ON) * a_day
+    changing = [case for case in cases if case["case"].startswith("changing")]
+    return {
+        "case": "extrapolated",
+        "entries": DESIGN_ENTRIES,
+        "targets": DESIGN_TARGETS,
+        "cpu_pct_core": round(found["cpu_pct_core"] + cpu_ms / DAY_S / 10, 3),
+        "rss_mb": round(found["rss_mb"] + list_change["held_mb"], 1),
+        "control_bytes_per_s": round(
+            found["control_bytes_per_s"] + bytes_moved / DAY_S
+        ),
+        "platform_calls_per_s": round(
+            max(case["platform_calls_per_s"] for case in idle) / 3 * 8, 1
+        ),
+        "config_in_force_s": max(case["config_in_force_s"] for case in changing),
+        "extrapolated": True,
+        "measured_up_to_daemons": max(c["entries"] + c["targets"] for c in idle),
+    }
+
+
+def _in_force_s(site, number):
+    """Return the seconds until every daemon shows a change in force."""
+    waiting = list(site.instances.values())
+    started_s = time.monotonic()
+    revision = site.apply(_team(number))
+    pool = Pool(16)
+    while waiting:
+        found = pool.map(site.revision, waiting)
+        pairs = zip(waiting, found, strict=True)
+        waiting = [item for item, held in pairs if (held or 0) < revision]
+        if time.monotonic() - started_s > WAIT_S:
+            return float("inf")
+    return time.monotonic() - started_s
+
+
+def _team(number):
+    spec = {"weight": float(number + 1)}
+    return {"kind": "team", "name": "measured", "spec": spec}
+
+
+def _line(points, x):
+    """Return the least-squares line through `points` at `x`."""
+    if len(points) < 2:
+        return points[0][1]
+    slope, intercept = statistics.linear_regression(*zip(*points, strict=True))
+    return intercept + slope * x
+
+
+def _cpu_s(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+def _rss_bytes(pid):
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
+
+
+def main():
+    arguments = argparse.ArgumentParser(description=__doc__)
+    arguments.add_argument("--sizes", default=",".join(map(str, SIZES)))
+    arguments.add_argument("--slopes-only", action="store_true")
+    options = arguments.parse_args()
+    slopes = {}
+    for name, (sizes, slope) in SLOPES.items():
+        for size in sizes:
+            slopes[name, size] = found = slope(size)
+            print(json.dumps({"case": name, "size": size, **found}), flush=True)
+    if options.slopes_only:
+        return
+    cases = []
+    for daemons in map(int, options.sizes.split(",")):
+        for case in measure(daemons):
+            cases.append(case)
+            print(json.dumps(case), flush=True)
+    print(json.dumps(extrapolate(cases, slopes)), flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_membership_view.py
@@ -0,0 +1,96 @@
+"""What a daemon makes of the list, of exchanges that fail, and of who it hears from."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.membership.members import Member
+from briarbeam.membership.view import Membership, MemberState
+
+DOMAINS = 4
+PER_DOMAIN = 20
+
+
+def _member(domain, number, leaving=False):
+    name = f"d{domain}-{number}"
+    return Member(name, "entry", "r", f"d{domain}", (name, 1), (name, 2), leaving)
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def view(clock):
+    own = SimpleNamespace(name="d0-0", failure_domain="d0")
+    view = Membership(clock, own)
+    view.update(_fleet())
+    return view
+
+
+def _fleet(leaving=()):
+    members = [
+        _member(domain, number, f"d{domain}-{number}" in leaving)
+        for domain in range(DOMAINS)
+        for number in range(PER_DOMAIN)
+    ]
+    return {member.name: member for member in members}
+
+
+def _met(view, rounds=60):
+    return {member.name for _ in range(rounds) for member in view.choose(2, 1)}
+
+
+def test_peers_are_few_and_stay_while_others_come_and_go(view):
+    met = _met(view)
+    assert len(met) == 4 + DOMAINS - 1
+    assert {name[:2] for name in met} == {"d0", "d1", "d2", "d3"}
+    fleet = _fleet()
+    others = [name for name in fleet if name not in met and name != "d0-0"]
+    for name in others[::4]:
+        del fleet[name]
+    view.update(fleet)
+    assert _met(view) == met
+
+
+def test_failing_member_is_passed_over_for_growing_pauses(view, clock):
+    victim = min(name for name in _met(view) if name.startswith("d0"))
+    pauses = []
+    for _ in range(6):
+        view.fail(victim)
+        assert view.state(victim) is MemberState.SUSPECTED
+        assert victim not in _met(view)
+        began_s = clock.monotonic_s()
+        while view.suspected(victim):
+            clock.advance(0.25)
+        pauses.append(clock.monotonic_s() - began_s)
+        assert victim in _met(view)
+    assert pauses[2] > 2 * pauses[0]
+    assert max(pauses) <= 0.5 * PER_DOMAIN + 0.25
+    view.succeed(victim)
+    assert view.state(victim) is MemberState.LISTED
+
+
+def test_member_that_is_heard_but_does_not_answer_is_seen_by_one_side(view, clock):
+    view.fail("d1-3")
+    view.hear("d1-3")
+    assert view.state("d1-3") is MemberState.ONE_SIDED
+    assert not view.suspected("d1-3")
+    view.fail("d1-3")
+    view.hear("d1-3")
+    assert view.suspected("d1-3")
+    clock.advance(60)
+    assert view.state("d1-3") is MemberState.SUSPECTED
+
+
+def test_list_may_lag_behind_who_comes_and_goes(view):
+    view.hear("new")
+    assert view.state("new") is MemberState.UNLISTED
+    first, second = view.watchers[:2]
+    view.update(_fleet(leaving=[first]))
+    assert view.state(first) is MemberState.LEAVING
+    assert view.watchers[0] == second
+    assert first not in view.watchers
+    assert view.count(MemberState.LEAVING) == 1
