Read only what changed of the instance list, and pass bodies on as they came

Ruled out: deltas between revisions (16 KB packed is within the budget as whole). Conclusion: members are kept by entry, packed bytes travel unchanged.

--- a/briarbeam/configuration/documents.py
+++ b/briarbeam/configuration/documents.py
@@ -9,7 +9,7 @@
 from prometheus_client import Counter
 
 from ..kernel.clock import Clock
-from ..membership.members import parse_members
+from ..membership.members import MemberParser
 from .resources import Configuration
 
 CONFIGURATION = "configuration"
@@ -47,10 +47,13 @@
             self._packed = zlib.compress(self.body, COMPRESSION_LEVEL)
         return self._packed
 
-    def step(self, revision, body, value):
-        """Take the next revision in."""
+    def step(self, revision, body, value, packed=b""):
+        """Take the next revision in.
+
+        :param packed: the body as it came from a peer, to be passed on as it is.
+        """
         self.revision, self.body, self.value = revision, body, value
-        self._packed = b""
+        self._packed = packed
 
 
 class Documents:
@@ -58,9 +61,10 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
+        members = MemberParser()
         self._parsers = {
             CONFIGURATION: Configuration.from_document,
-            INSTANCES: lambda revision, body: parse_members(body),
+            INSTANCES: lambda revision, body: members.parse(body),
         }
         self._held = {name: Document(name) for name in self._parsers}
         self._listeners = []
@@ -80,7 +84,7 @@
         """Call ``listener(document)`` after each step forward of a document."""
         self._listeners.append((name, listener))
 
-    def offer(self, name, revision, body, confirmed_age_s=math.inf):
+    def offer(self, name, revision, body, confirmed_age_s=math.inf, packed=b""):
         """Take a revision in if it is above the one held and its body can be read.
 
         :param confirmed_age_s: seconds since the platform confirmed the revision.
@@ -98,7 +102,7 @@
                 _log.warning("document_refused", document=name, revision=revision,
                              error=repr(error))  # fmt: skip
                 return False
-            held.step(revision, body, value)
+            held.step(revision, body, value, packed)
         self.confirm(name, revision, confirmed_age_s)
         if newer:
             self._tell(held)
@@ -114,7 +118,7 @@
         except zlib.error:
             _REFUSED.labels(name).inc()
             return False
-        return self.offer(name, revision, body, confirmed_age_s)
+        return self.offer(name, revision, body, confirmed_age_s, packed)
 
     def confirm(self, name, revision, confirmed_age_s):
         """Note that the platform held `revision` as its newest so many seconds ago."""
--- a/briarbeam/membership/members.py
+++ b/briarbeam/membership/members.py
@@ -37,10 +37,26 @@
         )
 
 
-def parse_members(body):
-    """Return the members in the body of the instances document, by name."""
-    members = map(Member.from_dict, json.loads(body).get("instances", []))
-    return {member.name: member for member in members}
+class MemberParser:
+    """Reads the body of the instances document.
+
+    Most entries of a list are those of the list before, so their members are kept.
+    """
+
+    def __init__(self):
+        self._known = {}
+
+    def parse(self, body):
+        """Return the members in `body`, by name."""
+        known = {}
+        for raw in json.loads(body).get("instances", []):
+            name = raw["name"]
+            kept = self._known.get(name)
+            if kept is None or kept[0] != raw:
+                kept = raw, Member.from_dict(raw)
+            known[name] = kept
+        self._known = known
+        return {name: member for name, (_, member) in known.items()}
 
 
 def rendezvous_order(key, names):
