Choose targets by known places, shed by share, and measure the service

The share of a team bound as soon as no place was known to be free, and with two requests an entry in flight, shares are noise. Prefix affinity put each new prefix on one target up to 80% of its places. Reports of load came only with heads and ends, 0.6 s apart at that rate. A target that had failed three times left the subset and was never probed again (found by the test of ejection).

Ruled out: an adaptive concurrency limit per entry (the gate's queue already gives way between teams, and the limit would have to be learnt from few requests); a home target per prefix (unique prefixes are then placed blindly).

Load rides on each frame (one line in gate/stream.py); the prefix has two homes and takes the emptier; near targets below three quarters come first, then known free places anywhere; a team over its share may use half of the queues, one within its share may always go to the gate, where others give way; ejected targets are probed whether or not another took their place; what may not be repeated is checked again once its connection stands.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -37,6 +37,13 @@
     version: str = ""
     ran: str = ""
     code: str = ""
+    team: str = ""
+    request_id: str = ""
+
+    @property
+    def ended_s(self):
+        """When the answer was whole or given up."""
+        return self.started_s + self.took_s
 
 
 class Balancer:
@@ -88,14 +95,15 @@
     """Sends streamed completions at a rate, spread over the entries.
 
     :param site: the `Site` to call.
-    :param rate_per_s: requests a second in all.
+    :param rate_per_s: requests a second in all; may be changed while it sends.
+    :param teams: the share of the requests that each team sends.
     """
 
-    def __init__(self, site, rate_per_s, max_tokens=8, team="default"):
+    def __init__(self, site, rate_per_s, max_tokens=8, team="default", teams=None):
         self._site = site
-        self._rate_per_s = rate_per_s
+        self.rate_per_s = rate_per_s
         self._max_tokens = max_tokens
-        self._team = team
+        self._teams = teams or {team: 1.0}
         self._balancer = Balancer(site)
         self._name = uuid.uuid4().hex[:8]
         self._numbers = itertools.count()
@@ -138,7 +146,7 @@
             entry = self._balancer.choose()
             self._running = [task for task in self._running if not task.dead]
             self._running.append(gevent.spawn(self._one, entry))
-            next_s += random.expovariate(self._rate_per_s)
+            next_s += random.expovariate(self.rate_per_s)
             gevent.sleep(max(0.0, next_s - time.monotonic()))
 
     def _one(self, entry):
@@ -149,13 +157,14 @@
     def complete(self, entry, prompt):
         """Send one streamed completion and check each token of its answer."""
         outcome = Outcome("failed", time.monotonic(), prompt)
+        outcome.team = random.choices(*zip(*self._teams.items(), strict=True))[0]
         body = {
             "model": self._site.model,
             "prompt": prompt,
             "max_tokens": self._max_tokens,
             "stream": True,
         }
-        headers = {"content-type": "application/json", "x-team": self._team}
+        headers = {"content-type": "application/json", "x-team": outcome.team}
         request = HttpRequest(
             "POST", "/v1/completions", json.dumps(body).encode(), headers, 30.0, True
         )
@@ -171,6 +180,7 @@
         return outcome
 
     def _read(self, response, outcome, prompt):
+        outcome.request_id = response.headers.get("x-request-id", "")
         if response.status != 200:
             error = json.loads(response.read())["error"]
             outcome.result = "refused"
--- /dev/null
+++ b/bench/measure_service.py
@@ -0,0 +1,335 @@
+"""Measures the service under failures and load, beside the simplest baseline.
+
+One JSON line a case. The baseline, whose cases end in ``/baseline``, routes at random
+among the targets in service and retries a fixed number of times. What ran, how often
+and beyond which limit is taken from the records of the back ends.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from collections import Counter  # noqa: E402
+from dataclasses import dataclass, field  # noqa: E402
+
+import gevent  # noqa: E402
+
+from .callers import Callers  # noqa: E402
+from .settlements import Settlements  # noqa: E402
+from .site import Domain, Site  # noqa: E402
+
+DOMAINS = (
+    Domain("ulaanbaatar", "central", entries=2, engines=2, services=1),
+    Domain("darkhan", "central", entries=2, engines=2, services=1),
+    Domain("oyu-gobi", "south", entries=2, engines=2, services=1),
+)
+WARM_CONCURRENCY = 4
+QUEUE_MAX = 8
+STEP_S = 0.08
+TOKENS = 8
+CAPACITY_PER_S = 6 * WARM_CONCURRENCY / (STEP_S * TOKENS)
+BASE_PER_S = CAPACITY_PER_S / 2
+SETTLEMENTS_PER_S = 2.0
+LARGE_TEAMS = {"large-1": 0.35, "large-2": 0.35}
+SMALL_TEAMS = {f"small-{number}": 0.3 / 8 for number in range(1, 9)}
+WARM_UP_S = 8.0
+STEADY_S = 4.0
+LOAD_S = 6.0
+SLOW_FACTOR = 3.0
+
+
+@dataclass
+class Window:
+    """A span of monotonic time, with the wall-clock time of its start."""
+
+    start_s: float = field(default_factory=time.monotonic)
+    end_s: float = float("inf")
+    start_unix_s: float = field(default_factory=time.time)
+
+    def close(self):
+        """End now."""
+        self.end_s = time.monotonic()
+        return self
+
+    @property
+    def duration_s(self):
+        """Seconds from start to end."""
+        return self.end_s - self.start_s
+
+    def holds(self, instant_s):
+        """Return whether an instant lies in the window."""
+        return self.start_s <= instant_s < self.end_s
+
+
+class Trial:
+    """One site under load, and the cases measured on it.
+
+    :param policy: the entries' routing policy.
+    """
+
+    def __init__(self, site, policy):
+        self._site = site
+        self._suffix = "" if policy == "balanced" else "/baseline"
+        teams = {**LARGE_TEAMS, **SMALL_TEAMS}
+        self._callers = Callers(site, BASE_PER_S, TOKENS, teams=teams)
+        self._settlements = Settlements(site, SETTLEMENTS_PER_S)
+        self._peak_per_s = None
+
+    def run(self):
+        """Yield the measures of each case."""
+        site = self._site
+        site.declare("v1", size_bytes=200_000)
+        engines = site.targets()
+        site.wait_for(lambda: site.loaded("v1") == len(engines))
+        site.wait_for(lambda: site.ready() == len(site.instances))
+        for engine in engines:
+            site.faults(engine.backend_address, step_s=STEP_S)
+        self._callers.start()
+        self._settlements.start()
+        gevent.sleep(WARM_UP_S)
+        for case in (
+            self._domain_out,
+            self._domain_cut,
+            self._third_killed,
+            self._cold_start,
+            self._load_1x,
+            self._load_2x,
+            self._load_5x,
+            self._team_burst,
+        ):
+            yield case()
+        self._callers.stop()
+        self._settlements.stop()
+
+    def _domain_out(self):
+        before = self._steady()
+        away = DOMAINS[1].name
+        during = Window()
+        self._site.apply(self._site.domain(away, False))
+        out_unix_s = time.time()
+        gevent.sleep(6.0)
+        self._site.apply(self._site.domain(away, True))
+        back_s, back_unix_s = time.monotonic(), time.time()
+        gevent.sleep(6.0)
+        last = max(
+            (
+                record["at"] - out_unix_s
+                for record in self._ran(away)
+                if out_unix_s <= record["at"] < back_unix_s
+            ),
+            default=0.0,
+        )
+        return self._measure(
+            "domain_out", before, during.close(), back_s, new_work_after_out_s=last
+        )
+
+    def _domain_cut(self):
+        before = self._steady()
+        first, second, third = (domain.name for domain in DOMAINS)
+        during = Window()
+        self._site.cut([third, first], [third, second])
+        gevent.sleep(6.0)
+        self._site.cut()
+        healed_s = time.monotonic()
+        gevent.sleep(6.0)
+        return self._measure("domain_cut", before, during.close(), healed_s)
+
+    def _third_killed(self):
+        before = self._steady()
+        killed = [self._site.targets()[0], self._site.targets()[2]]
+        during = Window()
+        for instance in killed:
+            self._site.kill_daemon(instance)
+            self._site.kill_backend(instance)
+        gevent.sleep(6.0)
+        during.close()
+        for instance in killed:
+            self._site.start_backend(instance)
+            self._site.start_daemon(instance)
+        self._site.wait_for(lambda: self._site.loaded("v1", killed) == len(killed))
+        for instance in killed:
+            self._site.faults(instance.backend_address, step_s=STEP_S)
+        gevent.sleep(WARM_UP_S)
+        return self._measure("third_killed", before, during, during.start_s)
+
+    def _cold_start(self):
+        before = self._steady()
+        during = Window()
+        for instance in self._site.targets()[::2]:
+            self._site.ask(instance.backend_address, "POST", "/turn_cold", {})
+        gevent.sleep(6.0)
+        return self._measure("cold_start", before, during.close(), during.start_s)
+
+    def _load_1x(self):
+        return self._load("load_1x", 1)
+
+    def _load_2x(self):
+        return self._load("load_2x", 2)
+
+    def _load_5x(self):
+        return self._load("load_5x", 5)
+
+    def _load(self, case, factor):
+        before = self._steady()
+        self._callers.rate_per_s = factor * CAPACITY_PER_S
+        gevent.sleep(1.0)
+        during = Window()
+        gevent.sleep(LOAD_S)
+        during.close()
+        self._callers.rate_per_s = BASE_PER_S
+        gevent.sleep(4.0)
+        goodput_per_s = self._goodput_per_s(during)
+        self._peak_per_s = max(self._peak_per_s or 0.0, goodput_per_s)
+        return self._measure(
+            case,
+            before,
+            during,
+            during.end_s,
+            goodput_ratio=goodput_per_s / self._peak_per_s,
+        )
+
+    def _team_burst(self):
+        """A large team sends four times the capacity; small teams are measured."""
+        before = self._steady()
+        burst = Callers(self._site, 4 * CAPACITY_PER_S, TOKENS, teams={"large-1": 1.0})
+        burst.start()
+        gevent.sleep(1.0)
+        during = Window()
+        gevent.sleep(LOAD_S)
+        during.close()
+        burst.stop()
+        gevent.sleep(3.0)
+        return self._measure(
+            "team_burst", before, during, during.end_s, teams=SMALL_TEAMS
+        )
+
+    def _steady(self):
+        window = Window()
+        gevent.sleep(STEADY_S)
+        return window.close()
+
+    def _measure(self, case, before, during, over_s, teams=None, **given):
+        """Return a case's line.
+
+        :param over_s: when the disturbance was over, from which recovery counts.
+        :param teams: the teams whose requests count, or None for all.
+        """
+        gevent.sleep(1.0)
+        until_s = time.monotonic()
+        rows = [
+            outcome
+            for outcome in self._callers.outcomes
+            if teams is None or outcome.team in teams
+        ]
+        asked = [row for row in rows if during.holds(row.started_s)]
+        answered = [row for row in asked if row.result == "ok"]
+        _explain(case, asked)
+        settled = [
+            item
+            for item in self._settlements.settlements
+            if before.start_s <= item.started_s < until_s
+        ]
+        usual_s = _p95_s(rows, before)
+        measures = {
+            "case": case + self._suffix,
+            "requests": len(asked),
+            "answered_ratio": _ratio(len(answered), len(asked)),
+            "wrong": sum(row.result in ("wrong", "partial") for row in asked)
+            + sum("wrong" in item.attempts for item in settled),
+            "doubled": self._doubled(settled),
+            "false_not_run": self._false_not_run(asked, settled),
+            "new_work_after_out_s": None,
+            "cold_over_limit": self._over_limit(before.start_unix_s),
+            "ttft_p95_ratio": _ratio(_p95_s(rows, during), usual_s),
+            "recovery_s": _recovery_s(rows, over_s, until_s, usual_s),
+            "goodput_ratio": self._goodput_per_s(during, rows)
+            / max(0.001, self._goodput_per_s(before, rows)),
+        }
+        measures.update(given)
+        return {
+            key: round(value, 3) if isinstance(value, float) else value
+            for key, value in measures.items()
+        }
+
+    def _goodput_per_s(self, window, rows=None):
+        rows = self._callers.outcomes if rows is None else rows
+        good = [row for row in rows if row.result == "ok" and window.holds(row.ended_s)]
+        return len(good) / window.duration_s
+
+    def _doubled(self, settled):
+        ran = self._settlements.ran()
+        return sum(max(0, ran[item.body] - 1) for item in settled)
+
+    def _false_not_run(self, asked, settled):
+        ran = self._settlements.ran()
+        false = sum(item.said_not_run and ran[item.body] > 0 for item in settled)
+        begun = {record["request_id"] for record in self._ran()}
+        return false + sum(row.ran == "no" and row.request_id in begun for row in asked)
+
+    def _over_limit(self, since_unix_s):
+        return sum(
+            record["event"] == "over_limit" and record["at"] >= since_unix_s
+            for engine in self._site.targets()
+            for record in self._site.truth(engine)
+        )
+
+    def _ran(self, domain=None):
+        """Return what engines and services ran, in one failure domain or in all."""
+        targets = self._site.targets() + self._site.targets("service")
+        return [
+            record
+            for instance in targets
+            if domain in (None, instance.failure_domain)
+            for record in self._site.truth(instance)
+            if record["event"] == "ran"
+        ]
+
+
+def _explain(case, rows):
+    """Write to standard error what came of the requests, and where they ran."""
+    found = Counter(f"{row.result} {row.code}".strip() for row in rows)
+    print(case, dict(found), file=sys.stderr, flush=True)
+
+
+def _ratio(part, whole):
+    return part / whole if whole else float("nan")
+
+
+def _p95_s(rows, window):
+    times = sorted(
+        row.first_token_s
+        for row in rows
+        if row.first_token_s and window.holds(row.started_s)
+    )
+    return times[int(len(times) * 0.95)] if times else float("nan")
+
+
+def _recovery_s(rows, over_s, until_s, usual_s):
+    """Return how long after `over_s` the last request failed or was slow."""
+    bad = [
+        row.started_s - over_s
+        for row in rows
+        if over_s <= row.started_s < until_s
+        and (row.result != "ok" or row.first_token_s > SLOW_FACTOR * usual_s)
+    ]
+    return max(bad, default=0.0)
+
+
+def main():
+    """Run all cases with the product's policy and with the baseline."""
+    chosen = sys.argv[1:] or ["balanced", "random"]
+    for policy in chosen:
+        overrides = {
+            "entry": {"routing_policy": policy},
+            "target": {"warm_concurrency": WARM_CONCURRENCY, "queue_max": QUEUE_MAX},
+        }
+        with Site(DOMAINS, overrides=overrides) as site:
+            for measures in Trial(site, policy).run():
+                print(json.dumps(measures), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/briarbeam/entry/plugin.py
+++ b/briarbeam/entry/plugin.py
@@ -8,6 +8,7 @@
 from prometheus_client import Gauge
 
 from ..kernel.errors import (
+    BriarbeamError,
     ExchangeError,
     InvalidRequestError,
     NotFoundError,
@@ -22,6 +23,7 @@
 from .replies import EventStream, Reply
 
 AFFINITY_CHARACTERS = 64
+REQUEST_ID_HEADER = "x-request-id"
 DRAIN_POLL_S = 0.05
 
 _RUNNING = Gauge("briarbeam_entry_running", "Callers' requests being answered")
@@ -70,6 +72,9 @@
 
     def _answer(self, request, completion):
         job = self._completion_job(request, completion)
+        return _identified(job, lambda: self._run_completion(job, completion))
+
+    def _run_completion(self, job, completion):
         release = self._begin(job)
         try:
             answer = Answer(self._routing, job, not completion.stream, release)
@@ -128,15 +133,15 @@
             envelope=envelope,
             service=service,
         )
+        return _identified(job, lambda: self._run_call(job))
+
+    def _run_call(self, job):
         release = self._begin(job)
         try:
             answer = self._call(job)
         finally:
             release()
-        headers = {
-            "content-type": answer["content_type"],
-            "x-request-id": job.request_id,
-        }
+        headers = {"content-type": answer["content_type"]}
         return Response(answer["status"], answer["body"].encode(), headers)
 
     def _call(self, job):
@@ -179,6 +184,16 @@
         return spec
 
 
+def _identified(job, run):
+    """Return the reply of ``run()``, or its refusal, with the request's id."""
+    try:
+        response = run()
+    except BriarbeamError as error:
+        response = Response.of_error(error)
+    response.headers[REQUEST_ID_HEADER] = job.request_id
+    return response
+
+
 def _target_path(request, path):
     """Return the path of a service call, quoted, with its query."""
     query = urlencode(request.query)
--- a/briarbeam/gate/stream.py
+++ b/briarbeam/gate/stream.py
@@ -44,8 +44,7 @@
                 if frame.get("started"):
                     continue
                 self._finished = bool(frame.get("done"))
-                if self._finished:
-                    frame["load"] = str(self._gate.admission.load())
+                frame["load"] = str(self._gate.admission.load())
                 yield json.dumps(frame).encode() + b"\n"
                 if self._finished:
                     return
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -12,6 +12,8 @@
     ConflictError,
     ConnectError,
     DeadlineExpiredError,
+    DeadlinePassedError,
+    DrainingError,
     ExchangeError,
     InProgressError,
     InvalidRequestError,
@@ -23,6 +25,7 @@
     Ran,
     UnauthorizedError,
     UnavailableError,
+    WithdrawnError,
 )
 from ..kernel.network import HttpRequest, fetch
 from ..kernel.plugin import Plugin, plugins
@@ -39,10 +42,12 @@
     CallerGoneError,
     ConflictError,
     DeadlineExpiredError,
+    DeadlinePassedError,
     InProgressError,
     InvalidRequestError,
     NotFoundError,
     UnauthorizedError,
+    WithdrawnError,
 )
 
 _ATTEMPTS = Counter("briarbeam_attempts", "Attempts at targets", ["result"])
@@ -194,7 +199,7 @@
 
     def _try(self, member, job):
         job.tried.append(member.name)
-        request = self._request(job)
+        request = self._request(job, member)
         self.targets.begin(member.name)
         try:
             response = self._send(member, job, request)
@@ -214,7 +219,7 @@
             self.targets.end(member.name)
             raise
 
-    def _request(self, job):
+    def _request(self, job, member):
         remaining_s = job.deadline_unix_s - self.clock.now().timestamp()
         body = {
             **job.envelope,
@@ -236,11 +241,22 @@
             headers,
             timeout_s=max(0.001, remaining_s),
             fresh=not job.idempotent,
+            guard=lambda: self._check_before_send(job, member),
             silence_s=min(self.settings.entry.stream_silence_s, remaining_s)
             if job.idempotent and self.policy.bounds_silence
             else None,
         )
 
+    def _check_before_send(self, job, member):
+        """Look again at what may have changed while the connection was made.
+
+        :raises NotRunError: if the job must not go to `member` any more.
+        """
+        if job.deadline_unix_s <= self.clock.now().timestamp():
+            raise DeadlineExpiredError("the deadline passed before the send")
+        if all(item.name != member.name for item in self.serving(job)):
+            raise DrainingError(f"{member.name} is no longer in service")
+
     def _send(self, member, job, request):
         def send():
             return self.kernel.network.send(member.http, request)
--- a/briarbeam/routing/selection.py
+++ b/briarbeam/routing/selection.py
@@ -11,7 +11,8 @@
 from ..kernel.registry import Registry
 from ..membership.members import rendezvous_order
 
-AFFINITY_PRESSURE_MAX = 0.8
+NEAR_PRESSURE_MAX = 0.75
+OVER_SHARE_QUEUE = 0.5
 
 policies = Registry("routing policy")
 
@@ -64,10 +65,10 @@
 class BalancedPolicy(Policy):
     """Near targets first, the emptier of two, the rest by stated rules.
 
-    The order of preference: near targets with a free place, the favourite for the
-    request's prefix before others; far targets known to have free places; near and
-    far targets whose queue has room; targets that are ejected but not known to be
-    closed, one trial request each.
+    The order of preference: near targets that are not nearly full, the favourite for
+    the request's prefix before others; near and far targets by the free places that
+    they are known to have; those whose queue has room; targets that are ejected but
+    not known to be closed, one trial request each.
     """
 
     def __init__(self, routing):
@@ -77,18 +78,18 @@
         self._made_of = None
 
     def choose(self, job):
-        near, far = self._subsets(job)
+        near, far, replaced = self._subsets(job)
         if not near and not far:
             raise UnavailableError("no target is in service", retry_after_s=1.0)
+        self._routing.probe_due(near + far + replaced)
         untried = [member for member in near + far if member.name not in job.tried]
-        self._routing.probe_due(untried)
         usable = [item for item in untried if self._targets.usable(item.name)]
         if job.version:
             usable = self._of_version(job, usable)
-        with_place = [item for item in usable if self._has_place(item)]
-        chosen = self._pick(job, [item for item in with_place if item in near])
+        calm = [item for item in near if self._below(item, NEAR_PRESSURE_MAX)]
+        chosen = self._pick(job, [item for item in calm if item in usable])
         if chosen is None:
-            chosen = self._spill([item for item in with_place if item in far])
+            chosen = self._spill([item for item in usable if self._below(item, 1.0)])
         if chosen is None:
             chosen = self._queue(job, usable)
         return chosen or self._last_resort(job, untried, usable)
@@ -97,14 +98,22 @@
         return self._routing.budgets.spend(job.team)
 
     def _subsets(self, job):
-        """Return the near and the far targets that this entry uses for `job`."""
-        near, far = [], []
+        """Return the near and the far targets that this entry uses for `job`.
+
+        Third come those that failed too often and are only probed.
+        """
+        near, far, replaced = [], [], []
         own = self._instance.failure_domain
         for member in self._order(job):
             pool = near if member.failure_domain == own else far
-            if len(pool) < self._size and not self._targets.replaced(member.name):
-                pool.append(member)
-        return (near, far) if near or far else (self._order(job), [])
+            if len(pool) >= self._size:
+                continue
+            if self._targets.replaced(member.name):
+                pool = replaced
+            pool.append(member)
+        if near or far:
+            return near, far, replaced
+        return replaced[: self._size], [], []
 
     def _order(self, job):
         """Return the members that serve `job`, those preferred by this entry first."""
@@ -137,8 +146,8 @@
         known = [item for item in usable if seen[item.name] == job.version]
         return known or [item for item in usable if seen[item.name] is None] or usable
 
-    def _has_place(self, member):
-        return self._targets.pressure(member.name) < 1
+    def _below(self, member, pressure):
+        return self._targets.pressure(member.name) < pressure
 
     def _pick(self, job, pool):
         favourite = self._favourite(job, pool)
@@ -147,6 +156,12 @@
         return self._emptier(pool)
 
     def _favourite(self, job, pool):
+        """Return the emptier of the two targets that the request's prefix belongs to.
+
+        The pool holds no target that is nearly full, so affinity gives way to load.
+        Every entry finds the same two, so a prefix is cached in few places; and a
+        prefix that nobody has seen is spread as evenly as by two random choices.
+        """
         if not job.affinity or not pool:
             return None
 
@@ -154,12 +169,11 @@
             key = f"{job.model}/{job.affinity}/{member.name}".encode()
             return hashlib.blake2b(key, digest_size=8).digest()
 
-        best = min(pool, key=weight)
-        calm = self._targets.pressure(best.name) < AFFINITY_PRESSURE_MAX
-        return best if calm else None
+        homes = sorted(pool, key=weight)[:2]
+        return min(homes, key=lambda member: self._targets.pressure(member.name))
 
     def _spill(self, pool):
-        """Return a far target, weighted by the places that are known to be left."""
+        """Return a target, weighted by the places that are known to be left."""
         places = [self._targets.free_places(member.name) for member in pool]
         known = [count or 0 for count in places]
         if any(count > 0 for count in known):
@@ -167,15 +181,18 @@
         return self._emptier(pool)
 
     def _queue(self, job, usable):
-        """Return a target to wait at; a team over its share may not wait."""
-        if usable and self._routing.shares.over(job.team):
-            raise OverloadedError(
-                f"team {job.team!r} is over its share",
-                retry_after_s=self._targets.retry_after_s(i.name for i in usable),
-            )
-        return self._emptier(
-            [item for item in usable if not self._targets.full(item.name)]
-        )
+        """Return a target to wait at, or None.
+
+        A team over its share may only fill the first half of the queues. One within
+        its share may go to a full queue, where a team that is over gives way.
+        """
+        share = OVER_SHARE_QUEUE if self._routing.shares.over(job.team) else 1.0
+        open_queues = [
+            item for item in usable if not self._targets.full(item.name, share)
+        ]
+        if not open_queues and self._routing.shares.under(job.team):
+            open_queues = usable
+        return self._emptier(open_queues)
 
     def _last_resort(self, job, untried, usable):
         if usable:
--- a/briarbeam/routing/shares.py
+++ b/briarbeam/routing/shares.py
@@ -50,6 +50,13 @@
         share = running * team.weight / sum(other.weight for other in active)
         return team.running > max(1, share)
 
+    def under(self, name):
+        """Return whether a team, its newest request counted, is within its share.
+
+        Only a team beside others has a share to be within.
+        """
+        return len(self._active()) > 1 and not self.over(name)
+
     def _active(self):
         now_s = self._clock.monotonic_s()
         self._teams = {
--- a/briarbeam/routing/targets.py
+++ b/briarbeam/routing/targets.py
@@ -179,8 +179,10 @@
         return state.phase is Phase.EJECTED and state.sent == 0
 
     def replaced(self, name):
-        """Return whether a target failed so often that another takes its place."""
-        return self.state(name).failures >= REPLACED_AFTER_FAILURES
+        """Return whether a target is down so long that another takes its place."""
+        state = self.state(name)
+        down = state.phase is Phase.EJECTED
+        return down and state.failures >= REPLACED_AFTER_FAILURES
 
     def free_places(self, name):
         """Return the free places that a fresh report leaves, or None if unknown."""
@@ -189,12 +191,16 @@
             return None
         return state.load.limit - self._occupied(state)
 
-    def full(self, name):
-        """Return whether a request would find the target's queue full."""
+    def full(self, name, queue_share=1.0):
+        """Return whether a request would find the target's queue full.
+
+        :param queue_share: the share of the queue that the request may use.
+        """
         state = self.state(name)
         if state.queue_bound is None or not self._fresh(state, FULL_FRESH_S):
             return False
-        return self._occupied(state) >= state.load.limit + state.queue_bound
+        bound = state.load.limit + state.queue_bound * queue_share
+        return self._occupied(state) >= bound
 
     def pressure(self, name):
         """Return how full a target is; 1 or more means that it has no free place."""
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -23,7 +23,7 @@
 from briarbeam.settings import check
 
 OWN_DOMAIN = "hobart"
-REGIONS = {"hobart": "south", "launceston": "north", "burnie": "north"}
+REGIONS = {"hobart": "south", "huon": "south", "launceston": "north", "burnie": "north"}
 
 
 def member(name, domain=OWN_DOMAIN, **fields):
@@ -75,12 +75,16 @@
         self.break_after = {}
         self.probes = []
         self.dead = set()
+        self.while_connecting = lambda: None
 
     def send(self, address, request):
         name = f"t{int(address.host.rpartition('.')[2])}"
         if request.method == "GET":
             return self._probe(name, request)
         asked = json.loads(request.body)
+        if request.fresh:
+            self.while_connecting()
+            request.guard()
         self.sent.append((name, asked["request_id"]))
         behaviour = self.behaviours.get(name, "ok")
         if callable(behaviour):
--- a/tests/test_routing_send.py
+++ b/tests/test_routing_send.py
@@ -11,6 +11,7 @@
     BriarbeamError,
     CallerGoneError,
     DeadlineExpiredError,
+    DrainingError,
     ExchangeError,
     OutcomeUnknownError,
     OverloadedError,
@@ -116,6 +117,16 @@
     assert len(bench.network.sent) == 1
 
 
+def test_configuration_is_looked_at_again_once_connected():
+    bench = _bench()
+    bench.network.while_connecting = lambda: bench.configure(
+        {("failure-domain", "hobart"): {"in_service": False}}
+    )
+    with pytest.raises(DrainingError):
+        bench.routing.send(bench.job(idempotent=False))
+    assert not bench.network.sent
+
+
 def test_every_refusal_has_a_retry_after():
     bench = _bench()
     bench.network.behaviours = dict.fromkeys(TARGETS, "no_connect")
