--- a/bench/site.py
+++ b/bench/site.py
@@ -414,7 +414,8 @@
             wanted += [("target", "engine")] * domain.engines
             wanted += [("target", "service")] * domain.services
             for index, (role, backend) in enumerate(wanted, start=1):
-                name = f"{domain.name}-{backend or role}-{index}"
+                first = wanted.index((role, backend))
+                name = f"{domain.name}-{backend or role}-{index - first}"
                 self.instances[name] = Instance(
                     name=name,
                     role=role,
