Add the scenario of a change that meets a stale read

Cause: an apply that reads a stale head answers 200 without making the change. Before: not covered. Ruled out: the scenario's own fault, a refusal passes it.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -140,6 +140,16 @@
     world.accept(world.site.domain(domain, True))
 
 
+@when(parsers.parse("failure domain {domain} is brought back unless that is refused"))
+def bring_back_or_not(world, domain):
+    try:
+        bring_back(world, domain)
+    except RuntimeError:
+        world.accepted_in_service = False
+    else:
+        world.accepted_in_service = True
+
+
 @when(parsers.parse("the target {name} is killed"))
 @when(parsers.parse("the entry {name} is killed"))
 def kill(world, name):
@@ -288,6 +298,20 @@
     assert any(revision < world.revision for revision in held)
 
 
+@then(parsers.parse("what was accepted for {domain} is in force on every entry"))
+def check_accepted_domain(world, domain):
+    def shown():
+        found = [world.site.resources(entry) for entry in world.site.entries()]
+        return {
+            item["spec"]["in_service"]
+            for items in found
+            for item in items
+            if item["name"] == domain
+        }
+
+    world.site.wait_for(lambda: shown() == {world.accepted_in_service}, IN_FORCE_S)
+
+
 @then("the last accepted change is the one in force")
 def check_last_change(world):
     world.site.wait_for(world.in_force, WAIT_S)
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -63,6 +63,7 @@
         self.cuts = []
         self.bases = {}
         self.race_results = []
+        self.accepted_in_service = None
 
     def close(self):
         """End the callers and undo all faults."""
