--- a/bench/site.py
+++ b/bench/site.py
@@ -157,7 +157,7 @@
 
     def stop(self):
         """End every process that this site started."""
-        processes = self._processes()
+        processes = self.processes()
         for process in processes:
             process.kill()
         for process in processes:
@@ -165,6 +165,13 @@
         self._guard.close()
         self._folder.cleanup()
 
+    def processes(self):
+        """Return every process that this site started."""
+        started = list(self._standins.values())
+        for instance in self.instances.values():
+            started.extend(instance.processes)
+        return started
+
     def entries(self):
         """Return the entry instances."""
         return [item for item in self.instances.values() if item.role == "entry"]
@@ -396,12 +403,6 @@
     def _await_start(self, address):
         self.wait_for(lambda: self._answers(address))
 
-    def _processes(self):
-        started = list(self._standins.values())
-        for instance in self.instances.values():
-            started.extend(instance.processes)
-        return started
-
     def _answers(self, address):
         try:
             return self.ask(address, "GET", "/healthz", timeout_s=2.0)["ok"]
--- a/standins/link.py
+++ b/standins/link.py
@@ -50,7 +50,8 @@
         self._domain_latency_s = plan.get("domain_latency_s", 0.0)
         self._region_latency_s = plan.get("region_latency_s", 0.0)
         self._pacers = {}
-        self._bytes = {}
+        self._servers = []
+        self.bytes_passed = {}
         for relay in plan["relays"]:
             self._listen(relay)
 
@@ -60,15 +61,22 @@
         router.add("GET", "/counts", self.counts)
         return router
 
+    def stop(self):
+        """Stop listening."""
+        for server in self._servers:
+            server.stop(timeout=0)
+
     def counts(self, request):
-        return Response.of_json(self._bytes)
+        return Response.of_json(self.bytes_passed)
 
     def _listen(self, relay):
         def accept(sock, address):
             self._relay(sock, address[0], relay)
 
         address = (relay["from_host"], relay["from_port"])
-        StreamServer(address, accept, backlog=BACKLOG).start()
+        server = StreamServer(address, accept, backlog=BACKLOG)
+        server.start()
+        self._servers.append(server)
 
     def _relay(self, near, near_host, relay):
         source = self._by_host.get(near_host)
@@ -121,7 +129,7 @@
     def _pass(self, size_bytes, links):
         wait_s = 0.0
         for key, pacer in links:
-            self._bytes[key] = self._bytes.get(key, 0) + size_bytes
+            self.bytes_passed[key] = self.bytes_passed.get(key, 0) + size_bytes
             wait_s = max(wait_s, pacer.reserve(size_bytes))
         return wait_s
 
--- /dev/null
+++ b/tests/test_site_links.py
@@ -0,0 +1,113 @@
+"""The link stand-in counts, cuts and heals, and a site ends what it started."""
+
+import contextlib
+import os
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from bench.site import Domain, Site
+from standins.link import Links
+
+PIECE = b"x" * 1000
+
+
+def _echo(sock, address):
+    with contextlib.suppress(OSError):
+        while data := sock.recv(65536):
+            sock.sendall(data)
+
+
+def _free_port(host):
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return sock.getsockname()[1]
+
+
+@pytest.fixture
+def way():
+    """Yield links between two instances and a function that connects over them."""
+    near, far = "127.250.1.1", "127.250.2.1"
+    server = StreamServer((far, 0), _echo)
+    server.start()
+    relay = {
+        "from_host": far,
+        "from_port": _free_port(far),
+        "to_host": far,
+        "to_port": server.server_port,
+        "instance": "far",
+    }
+    places = {"near": (near, "south"), "far": (far, "north")}
+    instances = [
+        {"name": name, "host": host, "region": region, "failure_domain": name}
+        for name, (host, region) in places.items()
+    ]
+    links = Links({"instances": instances, "relays": [relay]})
+
+    def connect():
+        address = (far, relay["from_port"])
+        return socket.create_connection(address, source_address=(near, 0))
+
+    yield links, connect
+    server.stop()
+    links.stop()
+
+
+def _echoed(sock):
+    sock.sendall(PIECE)
+    return _read(sock)
+
+
+def _read(sock):
+    data = b""
+    while len(data) < len(PIECE):
+        data += sock.recv(65536) or pytest.fail("closed")
+    return data
+
+
+def test_bytes_are_counted_on_every_link(way):
+    links, connect = way
+    assert _echoed(connect()) == PIECE
+    counts = links.bytes_passed
+    assert set(counts) == {
+        "near/out", "far/in", "south>north", "far/out", "near/in", "north>south"
+    }  # fmt: skip
+    assert set(counts.values()) == {len(PIECE)}
+
+
+def test_silent_cut_holds_bytes_back_until_it_is_healed(way):
+    links, connect = way
+    sock = connect()
+    assert _echoed(sock) == PIECE
+    links.faults.cut = [("near", "far")]
+    sock.sendall(PIECE)
+    with pytest.raises(gevent.Timeout), gevent.Timeout(0.3):
+        _read(sock)
+    links.faults.cut = []
+    assert _read(sock) == PIECE
+
+
+def test_cut_by_reset_ends_old_and_new_connections(way):
+    links, connect = way
+    old = connect()
+    assert _echoed(old) == PIECE
+    links.faults.mode, links.faults.cut = "reset", [("near", "far")]
+    for sock in (old, connect()):
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(PIECE)
+            assert sock.recv(1) == b""
+
+
+def test_site_ends_every_process_also_after_a_failure():
+    domains = (Domain("hobart", "south"),)
+    with pytest.raises(ZeroDivisionError), Site(domains) as site:
+        started = site.processes()
+        site.signal("hobart-engine-1", 19)
+        raise ZeroDivisionError
+    assert len(started) == 6
+    assert all(process.returncode is not None for process in started)
+    for process in started:
+        with pytest.raises(ProcessLookupError):
+            os.kill(process.pid, 0)
