--- a/bench/site.py
+++ b/bench/site.py
@@ -25,6 +25,7 @@
 HTTP_PORT, CONTROL_PORT, BACKEND_PORT = 8080, 8081, 8090
 ADVERTISED_HTTP_PORT, ADVERTISED_CONTROL_PORT = 9080, 9081
 OPERATOR_TOKEN = "operator-token"
+OPERATOR_HEADERS = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
 START_TIMEOUT_S = 60.0
 LOG_TAIL_LINES = 15
 DOMAIN_LATENCY_S, REGION_LATENCY_S = 0.001, 0.002
@@ -156,7 +157,7 @@
 
     def stop(self):
         """End every process that this site started."""
-        processes = self._processes()
+        processes = self.processes()
         for process in processes:
             process.kill()
         for process in processes:
@@ -164,6 +165,13 @@
         self._guard.close()
         self._folder.cleanup()
 
+    def processes(self):
+        """Return every process that this site started."""
+        started = list(self._standins.values())
+        for instance in self.instances.values():
+            started.extend(instance.processes)
+        return started
+
     def entries(self):
         """Return the entry instances."""
         return [item for item in self.instances.values() if item.role == "entry"]
@@ -318,18 +326,22 @@
     def apply(self, *resources, entry=None):
         """Declare resources through an entry daemon and return the revision."""
         entry = entry or self.entries()[0]
-        headers = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
         answer = self.ask(
             entry.http,
             "POST",
             "/operator/v1/apply",
             {"resources": list(resources)},
-            headers,
+            OPERATOR_HEADERS,
         )
         if "revision" not in answer:
             raise RuntimeError(f"apply failed: {answer}")
         return answer["revision"]
 
+    def resources(self, entry):
+        """Return the resources in force at an entry daemon."""
+        path = "/operator/v1/resources"
+        return self.ask(entry.http, "GET", path, headers=OPERATOR_HEADERS)["items"]
+
     def declare(self, version="v1", **how):
         """Declare the model, the service and a first version; return the revision."""
         return self.apply(
@@ -391,12 +403,6 @@
     def _await_start(self, address):
         self.wait_for(lambda: self._answers(address))
 
-    def _processes(self):
-        started = list(self._standins.values())
-        for instance in self.instances.values():
-            started.extend(instance.processes)
-        return started
-
     def _answers(self, address):
         try:
             return self.ask(address, "GET", "/healthz", timeout_s=2.0)["ok"]
@@ -409,7 +415,8 @@
             wanted += [("target", "engine")] * domain.engines
             wanted += [("target", "service")] * domain.services
             for index, (role, backend) in enumerate(wanted, start=1):
-                name = f"{domain.name}-{backend or role}-{index}"
+                first = wanted.index((role, backend))
+                name = f"{domain.name}-{backend or role}-{index - first}"
                 self.instances[name] = Instance(
                     name=name,
                     role=role,
--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -81,19 +81,6 @@
     status = 409
 
 
-class WithdrawnError(NotRunError):
-    """The caller closed its connection before the request was sent."""
-
-    code = "withdrawn"
-    status = 499
-
-
-class UnconfirmedError(NotRunError):
-    """The process stood still and has not confirmed its configuration since."""
-
-    code = "unconfirmed"
-
-
 class ResourceConflictError(ConflictError):
     """A change to resources met another change; the message says which.
 
@@ -119,6 +106,19 @@
     status = 413
 
 
+class WithdrawnError(NotRunError):
+    """The caller closed its connection before the request was sent."""
+
+    code = "withdrawn"
+    status = 499
+
+
+class UnconfirmedError(NotRunError):
+    """The process stood still and has not confirmed its configuration since."""
+
+    code = "unconfirmed"
+
+
 class InProgressError(BriarbeamError):
     """Another attempt with the same idempotency key is running now."""
 
--- a/standins/link.py
+++ b/standins/link.py
@@ -21,6 +21,7 @@
 PACED_PIECE_S = 0.02
 PIECE_MIN_BYTES = 4096
 POLL_S = 0.05
+CORRUPT_MIN_BYTES = 2048
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG = 1024
 
@@ -36,11 +37,12 @@
 
     Faults: ``cut`` lists pairs of failure domains or instances whose connections
     are cut, by silence or, if ``mode`` is ``reset``, by a reset; ``stalled`` lists
-    instances whose link passes nothing.
+    instances whose link passes nothing; ``corrupt`` lists instances of whose large
+    pieces one byte is changed on the way out.
     """
 
     def __init__(self, plan):
-        self.faults = Faults(cut=[], stalled=[], mode="silence")
+        self.faults = Faults(cut=[], stalled=[], corrupt=[], mode="silence")
         self._by_host = {item["host"]: item for item in plan["instances"]}
         self._by_name = {item["name"]: item for item in plan["instances"]}
         self._rate = plan.get("link_bytes_per_s")
@@ -48,7 +50,8 @@
         self._domain_latency_s = plan.get("domain_latency_s", 0.0)
         self._region_latency_s = plan.get("region_latency_s", 0.0)
         self._pacers = {}
-        self._bytes = {}
+        self._servers = []
+        self.bytes_passed = {}
         for relay in plan["relays"]:
             self._listen(relay)
 
@@ -58,15 +61,22 @@
         router.add("GET", "/counts", self.counts)
         return router
 
+    def stop(self):
+        """Stop listening."""
+        for server in self._servers:
+            server.stop(timeout=0)
+
     def counts(self, request):
-        return Response.of_json(self._bytes)
+        return Response.of_json(self.bytes_passed)
 
     def _listen(self, relay):
         def accept(sock, address):
             self._relay(sock, address[0], relay)
 
         address = (relay["from_host"], relay["from_port"])
-        StreamServer(address, accept, backlog=BACKLOG).start()
+        server = StreamServer(address, accept, backlog=BACKLOG)
+        server.start()
+        self._servers.append(server)
 
     def _relay(self, near, near_host, relay):
         source = self._by_host.get(near_host)
@@ -97,7 +107,7 @@
                 if wait_s:
                     gevent.sleep(wait_s)
                 self._wait_for_way(source, target)
-                writer.sendall(data)
+                writer.sendall(self._spoil(data, source))
             self._wait_for_way(source, target)
             writer.shutdown(socket.SHUT_WR)
         except OSError:
@@ -119,10 +129,17 @@
     def _pass(self, size_bytes, links):
         wait_s = 0.0
         for key, pacer in links:
-            self._bytes[key] = self._bytes.get(key, 0) + size_bytes
+            self.bytes_passed[key] = self.bytes_passed.get(key, 0) + size_bytes
             wait_s = max(wait_s, pacer.reserve(size_bytes))
         return wait_s
 
+    def _spoil(self, data, source):
+        if not source or source["name"] not in self.faults.corrupt:
+            return data
+        if len(data) < CORRUPT_MIN_BYTES:
+            return data
+        return data[:-1] + bytes([data[-1] ^ 1])
+
     def _rate_of(self, item):
         return item.get("link_bytes_per_s", self._rate)
 
