Serve what holds a place when a target leaves

Cause: a planned stop refused requests that had a place and whose claim was being made; the claim was then released, and a caller could meet it as 'unknown'. Seen in the scenario of daemons stopped in turn under load: one settlement ['unknown', 'ok'].

Ruled out: looking at a foreign claim for longer, which only hides it.

Conclusion: a stop refuses only what is queued.

--- a/briarbeam/gate/admission.py
+++ b/briarbeam/gate/admission.py
@@ -31,6 +31,9 @@
 closed_reasons.register("backend")(UnavailableError)
 closed_reasons.register("unconfirmed")(UnconfirmedError)
 
+# A planned stop waits for what holds a place already, so that it cuts nothing.
+SPARING_REASONS = frozenset({"leaving"})
+
 RETRY_AFTER_S = 0.5
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_MAX_S = 10.0
@@ -133,12 +136,7 @@
 
     def start(self, ticket):
         """Return once `ticket` may be sent; raise a typed "not run" otherwise."""
-        try:
-            self._refuse_if_closed()
-            self._refuse_if_late(ticket)
-        except Exception:
-            self.leave(ticket, finished=False)
-            raise
+        self.check(ticket)
         self._ready.append(ticket)
         self._advance()
         self._await(ticket, ticket.turn)
@@ -147,7 +145,7 @@
     def check(self, ticket):
         """Raise if `ticket` must not be sent now; call it right before the send."""
         try:
-            self._refuse_if_closed()
+            self._refuse_if_closed(SPARING_REASONS)
             self._refuse_if_late(ticket)
         except Exception:
             self.leave(ticket, finished=False)
@@ -206,8 +204,11 @@
         """Take no new work; what was not sent is refused at once."""
         closed_reasons.get(reason)
         self._closed[reason] = detail
-        for ticket in [*self._waiting, *self._ready]:
-            self._refuse(ticket, self._refusal())
+        refused = [*self._waiting]
+        if reason not in SPARING_REASONS:
+            refused += self._ready
+        for ticket in refused:
+            self._refuse(ticket, self._refusal(reason))
 
     def open(self, reason):
         """Lift one reason to be closed."""
@@ -258,7 +259,7 @@
 
     def _may_start(self):
         return (
-            not self._closed
+            self._closed.keys() <= SPARING_REASONS
             and not self._doubted
             and len(self._started) < self._limit
             and self._unseen() < self._cold_limit
@@ -318,9 +319,10 @@
         if ticket.epoch == self._epoch:
             self._limit = min(self._warm_limit, self._limit + 1)
 
-    def _refuse_if_closed(self):
-        if self._closed:
-            raise self._refusal()
+    def _refuse_if_closed(self, spared=frozenset()):
+        for reason in self._closed:
+            if reason not in spared:
+                raise self._refusal(reason)
 
     def _refuse_if_late(self, ticket):
         if self._clock.monotonic_s() >= ticket.deadline_s:
@@ -339,7 +341,7 @@
                 retry_after_s=self.retry_after_s(),
             )
 
-    def _refusal(self):
-        reason, detail = next(iter(self._closed.items()))
+    def _refusal(self, reason):
         error = closed_reasons.get(reason)
-        return error(f"{reason} {detail}".strip(), retry_after_s=RETRY_AFTER_S)
+        message = f"{reason} {self._closed[reason]}".strip()
+        return error(message, retry_after_s=RETRY_AFTER_S)
--- a/tests/test_gate_admission.py
+++ b/tests/test_gate_admission.py
@@ -368,3 +368,20 @@
     for ticket in running:
         admission.leave(ticket, finished=True)
     assert admission.wait_idle(0)
+
+
+def test_planned_stop_serves_what_holds_a_place():
+    clock = ManualClock()
+    admission = _warm(clock, limit=COLD)
+    placed = [Ticket("default", 0, FAR_S * 2) for _ in range(COLD)]
+    for ticket in placed:
+        admission.enter(ticket)
+    queued = _enter(admission, clock)
+    admission.close("leaving")
+    assert queued.refusal.ran is Ran.NO
+    for ticket in placed:
+        admission.start(ticket)
+        admission.leave(ticket, finished=True)
+    late = _enter(admission, clock)
+    assert late.refusal.code == "draining"
+    assert admission.wait_idle(0)
