Greet a target before a call that may not be repeated, and pass closed gates by

A planned stop gave a settlement 'unknown': a connection stands as soon as a relay, or a listener about to close, has taken it, and what is sent into it can't be told from what ran. A failure domain out of service cost a caller a refusal: its three gates knew before the entry, and used up all attempts. Ruled out: a longer notice before the listener closes (moves the window); Expect: 100-continue (the library doesn't tell whether the body had left); more attempts.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -20,6 +20,7 @@
 from .errors import ConnectError, ExchangeError, NotRunError, SettingsError
 
 CONNECT_TIMEOUT_S = 1.0
+GREET_TIMEOUT_S = 1.0
 IDLE_CONNECTIONS_MAX = 32
 IDLE_MAX_S = 15.0
 READ_BLOCK_BYTES = 65536
@@ -65,6 +66,8 @@
         be sent twice.
     :param guard: called once a fresh connection stands, with no wait between it and
         the first byte; what it raises ends the request unsent.
+    :param greet_path: read first on the fresh connection. A peer that doesn't answer,
+        or means to close, is left before a byte of the request is sent.
     """
 
     method: str
@@ -75,6 +78,7 @@
     fresh: bool = False
     silence_s: float | None = None
     guard: Callable[[], None] | None = None
+    greet_path: str | None = None
 
 
 class HttpResponse(Protocol):
@@ -133,6 +137,8 @@
 
     def _send(self, address, request):
         client = self._take(address, request)
+        if request.greet_path:
+            self._greet(client, address, request)
         headers = dict(request.headers)
         propagate.inject(headers)
         try:
@@ -159,6 +165,34 @@
             raise
         return _PooledResponse(self, address, client, raw, request)
 
+    def _greet(self, client, address, request):
+        """Make sure that the peer serves the connection.
+
+        A relay, or a listener that is about to close, takes a connection that nobody
+        will read from. Without this, a request lost there could not be told from one
+        that ran.
+
+        :raises ConnectError: if the peer doesn't answer in time or means to close.
+        """
+        try:
+            with gevent.Timeout(min(GREET_TIMEOUT_S, request.timeout_s)):
+                raw = client.request("GET", request.greet_path)
+                raw.read()
+            if raw.status_code != 200 or raw.should_close():
+                raise ConnectError(f"{address} answered {raw.status_code} and closes")
+            raw.release()
+            if request.guard is not None:
+                request.guard()
+        except (ConnectError, NotRunError):
+            client.close()
+            raise
+        except (Exception, gevent.Timeout) as error:
+            client.close()
+            raise ConnectError(f"{address} did not answer: {error!r}") from error
+        except BaseException:
+            client.close()
+            raise
+
     def _take(self, address, request):
         if not request.fresh:
             client = self._take_idle(address)
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -9,6 +9,7 @@
 from ..kernel.errors import (
     BriarbeamError,
     CallerGoneError,
+    ChangingVersionError,
     ConflictError,
     ConnectError,
     DeadlineExpiredError,
@@ -25,6 +26,7 @@
     Ran,
     UnauthorizedError,
     UnavailableError,
+    UnconfirmedError,
     WithdrawnError,
 )
 from ..kernel.network import HttpRequest, fetch
@@ -37,6 +39,7 @@
 
 PROBE_TIMEOUT_S = 1.0
 ALIVE_TIMEOUT_S = 0.5
+GREET_PATH = "/healthz"
 VERSION_HEADER = "x-briarbeam-version"
 FINAL = (
     CallerGoneError,
@@ -49,6 +52,9 @@
     UnauthorizedError,
     WithdrawnError,
 )
+# Refusals of a target that takes no work at all: the next target is asked, and since
+# each is asked once, neither attempts nor the budget need to bound that.
+CLOSED = (ChangingVersionError, DrainingError, UnconfirmedError)
 
 _ATTEMPTS = Counter("briarbeam_attempts", "Attempts at targets", ["result"])
 _REFUSALS = Counter("briarbeam_entry_refusals", "Jobs given up", ["code"])
@@ -148,7 +154,9 @@
             except BriarbeamError as error:
                 last = error
                 job.may_have_run |= error.ran is not Ran.NO
-                if not self._may_retry(job, error, attempts):
+                if isinstance(error, CLOSED):
+                    attempts -= 1
+                elif not self._may_retry(job, error, attempts):
                     raise self._final(job, error) from error
 
     def finish(self, member, response, took_s=None):
@@ -241,6 +249,7 @@
             headers,
             timeout_s=max(0.001, remaining_s),
             fresh=not job.idempotent,
+            greet_path=None if job.idempotent else GREET_PATH,
             guard=lambda: self._check_before_send(job, member),
             silence_s=min(self.settings.entry.stream_silence_s, remaining_s)
             if job.idempotent and self.policy.bounds_silence
--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from gevent.server import StreamServer
 
 from briarbeam.kernel import http, network
 from briarbeam.kernel.errors import ConnectError, ExchangeError
@@ -119,3 +120,46 @@
     monkeypatch.setattr(network, "IDLE_MAX_S", 0.0)
     fetch(caller, address, HttpRequest("GET", "/"))
     assert len(peers) == 2
+
+
+def test_greeted_request_is_sent_once_and_on_the_greeted_connection(address, router):
+    seen = []
+
+    def answer(request):
+        seen.append((request.path, request.connection.getpeername()))
+        return Response.of_json({})
+
+    router.add("GET", "/healthz", answer)
+    router.add("POST", "/", answer)
+    request = HttpRequest("POST", "/", b"{}", fresh=True, greet_path="/healthz")
+    status, _, _ = fetch(HttpNetwork(), address, request)
+    assert status == 200
+    assert [path for path, _ in seen] == ["/healthz", "/"]
+    assert len({peer for _, peer in seen}) == 1
+
+
+@pytest.mark.parametrize("peer", ["silent", "closes", "draining"])
+def test_nothing_is_sent_to_a_peer_that_does_not_serve(address, peer):
+    router = Router()
+    router.draining = peer == "draining"
+    router.add("GET", "/healthz", lambda request: Response.of_json({}))
+    got = []
+
+    def accept(sock, _):
+        got.append(sock.recv(1000))
+        if peer == "silent":
+            gevent.sleep(60)
+
+    if peer == "draining":
+        server = HttpServer(address, router)
+        router.add("POST", "/", lambda request: got.append(b"POST"))
+    else:
+        server = StreamServer(tuple(address), accept)
+    server.start()
+    request = HttpRequest(
+        "POST", "/", b"{}", timeout_s=0.2, fresh=True, greet_path="/healthz"
+    )
+    with pytest.raises(ConnectError):
+        HttpNetwork().send(address, request)
+    server.stop()
+    assert not any(b"POST" in data for data in got)
