Hold the byte bounds with peers that die, stall or corrupt, and tell operators

Ruled out: whole-chunk queues at the sender (a hot one looks stalled). Progress of each target goes to the platform as one merged object; briarbeam rollout start, status, watch, pause, resume and abort read and change it.

--- a/briarbeam/cli/application.py
+++ b/briarbeam/cli/application.py
@@ -10,6 +10,7 @@
 
 from .. import settings as settings_module
 from ..kernel.errors import SettingsError
+from . import rollout
 
 EXIT_USAGE = 2
 
@@ -63,4 +64,6 @@
     application = Application("briarbeam")
     application.add(SettingsCheckCommand())
     application.add(SettingsShowCommand())
+    for command in rollout.COMMANDS:
+        application.add(command())
     sys.exit(application.run())
--- a/briarbeam/daemon.py
+++ b/briarbeam/daemon.py
@@ -33,6 +33,7 @@
     "routing.router",
     "entry.plugin",
     "operators.plugin",
+    "operators.rollouts",
 )
 EXIT_SECOND_SIGNAL = 1
 EXIT_SETTINGS = 2
--- a/briarbeam/operators/plugin.py
+++ b/briarbeam/operators/plugin.py
@@ -35,7 +35,7 @@
         router.add("POST", "/operator/v1/apply", self._apply)
 
     def _list(self, request):
-        self._operator(request)
+        self.operator(request)
         configuration = self._configuration.configuration
         items = [
             {
@@ -49,7 +49,7 @@
         return Response.of_json({"revision": configuration.revision, "items": items})
 
     def _apply(self, request):
-        operator = self._operator(request)
+        operator = self.operator(request)
         changes = request.json().get("resources", [])
         faults = []
         for change in changes:
@@ -59,10 +59,11 @@
                 faults.append(f"{change.get('kind')}/{change.get('name')}: {error}")
         if faults or not changes:
             raise InvalidRequestError("; ".join(faults) or "no resources were given")
-        revision = self._change(changes, operator)
+        revision = self.change(changes, operator)
         return Response.of_json({"revision": revision})
 
-    def _change(self, changes, operator):
+    def change(self, changes, operator):
+        """Make checked changes and return the revision."""
         for _ in range(RACES_MAX):
             head = self._read_head()
             resources = {
@@ -99,7 +100,7 @@
         except NotFoundError:
             return StoredObject(HEAD_KIND, HEAD_NAME, 0, {})
 
-    def _operator(self, request):
+    def operator(self, request):
         """Return the name of the operator whose token came with the request."""
         token = request.headers.get("authorization", "").removeprefix("Bearer ")
         digest = hashlib.sha256(token.encode()).hexdigest()
--- /dev/null
+++ b/briarbeam/operators/rollouts.py
@@ -0,0 +1,186 @@
+"""Rollouts for operators: start, status, pause, resume and abort over HTTP."""
+
+from ..configuration.resources import RolloutSpec
+from ..kernel.errors import InvalidRequestError, NotFoundError
+from ..kernel.http import Response
+from ..kernel.plugin import Plugin, plugins
+from ..kernel.registry import Registry
+
+TARGET_STATUS_KIND = "target-status"
+ROLLOUT_STATUS_KIND = "rollout-status"
+STATUS_FRESH_S = 1.0
+BEHIND_SHOWN = 10
+
+actions = Registry("rollout action")
+
+
+@plugins.register("rollouts")
+class RolloutsPlugin(Plugin):
+    """Serves ``/operator/v1/rollouts``."""
+
+    roles = ("entry",)
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self._objects = kernel.find("platform").objects
+        self._configuration = kernel.find("configuration")
+        self._operators = kernel.find("operators")
+        self._seen = {}
+        kernel.router.add("GET", "/operator/v1/rollouts/{model}", self._show)
+        kernel.router.add("POST", "/operator/v1/rollouts/{model}", self._act)
+
+    def _show(self, request, model):
+        self._operators.operator(request)
+        resource = self._resource(model)
+        if resource is None:
+            raise NotFoundError(f"no rollout of {model!r}")
+        statuses = self._read(TARGET_STATUS_KIND)
+        failures = [
+            failure
+            for stored in self._read(ROLLOUT_STATUS_KIND)
+            if stored.name == model
+            and stored.value["generation"] == resource.generation
+            for failure in stored.value["failures"]
+        ]
+        return Response.of_json(summarise(model, resource, statuses, failures))
+
+    def _act(self, request, model):
+        operator = self._operators.operator(request)
+        asked = request.json()
+        action = actions.get(asked.pop("action", None))
+        resource = self._resource(model)
+        if resource is None and action is not _start:
+            raise NotFoundError(f"no rollout of {model!r}")
+        spec = action(resource.spec if resource else None, asked)
+        known = self._configuration.configuration.get(
+            "version", f"{model}@{spec['version']}"
+        )
+        if known is None:
+            raise InvalidRequestError(f"no version {spec['version']!r} of {model!r}")
+        change = {"kind": "rollout", "name": model, "spec": spec}
+        if resource is not None:
+            change["generation"] = resource.generation
+        revision = self._operators.change([change], operator)
+        return Response.of_json({"revision": revision, "spec": spec})
+
+    def _resource(self, model):
+        return self._configuration.configuration.resources.get(("rollout", model))
+
+    def _read(self, kind):
+        """Return all objects of a kind; a short while old if asked for often."""
+        now_s = self.clock.monotonic_s()
+        read_at_s, found = self._seen.get(kind, (None, ()))
+        if read_at_s is None or now_s - read_at_s > STATUS_FRESH_S:
+            found = self._objects.list(kind)
+            self._seen[kind] = now_s, found
+        return found
+
+
+@actions.register("start")
+def _start(spec, asked):
+    held = spec.model_dump() if spec else {}
+    unknown = set(asked) - set(RolloutSpec.model_fields)
+    if unknown or "version" not in asked:
+        raise InvalidRequestError(f"start takes a version; unknown: {sorted(unknown)}")
+    started = {**held, **asked, "paused": False, "attempt": 0}
+    if held and held["version"] != asked["version"]:
+        started["previous_version"] = held["version"]
+    return started
+
+
+@actions.register("pause")
+def _pause(spec, asked):
+    return {**spec.model_dump(), "paused": True}
+
+
+@actions.register("resume")
+def _resume(spec, asked):
+    return {**spec.model_dump(), "paused": False, "attempt": spec.attempt + 1}
+
+
+@actions.register("abort")
+def _abort(spec, asked):
+    if spec.previous_version is None:
+        raise InvalidRequestError("the rollout names no previous version")
+    return {
+        **spec.model_dump(),
+        "version": spec.previous_version,
+        "previous_version": spec.version,
+        "paused": False,
+        "attempt": spec.attempt + 1,
+    }
+
+
+def summarise(model, resource, statuses, failures):
+    """Return how far a rollout is, by failure domain.
+
+    :param statuses: the `StoredObject` of each target's status.
+    :param failures: the failed changeovers of this rollout.
+    """
+    spec = resource.spec
+    domains = {}
+    for stored in statuses:
+        entry = stored.value["models"].get(model)
+        if entry is None or entry["wanted"] != spec.version:
+            entry = {**_UNHEARD, **(entry or {}), "held_bytes": 0, "origin_bytes": 0}
+        domain = domains.setdefault(stored.value["failure_domain"], _new_domain())
+        _count(domain, stored.name, spec.version, entry)
+    total = {
+        key: sum(domain[key] for domain in domains.values())
+        for key in ("targets", "holding", "serving", "origin_bytes", "left_bytes")
+    }
+    rate = sum(domain["rate_bytes_per_s"] for domain in domains.values())
+    done = total["serving"] == total["targets"] > 0
+    return {
+        "model": model,
+        "version": spec.version,
+        "previous_version": spec.previous_version,
+        "generation": resource.generation,
+        "state": _state(spec, done, failures),
+        "failures": failures,
+        **total,
+        "rate_bytes_per_s": rate,
+        "eta_s": round(total["left_bytes"] / rate, 1) if rate else None,
+        "domains": domains,
+    }
+
+
+_UNHEARD = {
+    "served": None,
+    "size_bytes": 0,
+    "rate_bytes_per_s": 0,
+    "reason": "has not reported on this version yet",
+}
+
+
+def _new_domain():
+    return {
+        "targets": 0,
+        "holding": 0,
+        "serving": 0,
+        "origin_bytes": 0,
+        "left_bytes": 0,
+        "rate_bytes_per_s": 0,
+        "behind": [],
+    }
+
+
+def _count(domain, name, version, entry):
+    left_bytes = entry["size_bytes"] - entry["held_bytes"]
+    domain["targets"] += 1
+    domain["holding"] += left_bytes == 0 and entry["size_bytes"] > 0
+    domain["serving"] += entry["served"] == version
+    domain["origin_bytes"] += entry["origin_bytes"]
+    domain["left_bytes"] += left_bytes
+    domain["rate_bytes_per_s"] += entry["rate_bytes_per_s"]
+    if entry["served"] != version and len(domain["behind"]) < BEHIND_SHOWN:
+        reason = entry["reason"] or "its changeover is under way"
+        domain["behind"].append({"target": name, "reason": reason})
+
+
+def _state(spec, done, failures):
+    if done:
+        return "done"
+    if spec.paused:
+        return "paused"
+    return "stopped" if len(failures) > spec.failures_max else "running"
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -122,8 +122,8 @@
     link_bytes_per_s: float | None = Field(None, gt=0)
     link_share: float = Field(0.9, gt=0, le=1)
     source_order: str = "scatter"
-    fetchers: int = Field(3, ge=1)
-    drawers: int = Field(2, ge=1)
+    fetchers: int = Field(8, ge=1)
+    drawers: int = Field(1, ge=1)
     step_in_delay_s: float = Field(2.0, gt=0)
     stall_after_s: float = Field(3.0, gt=0)
     out_budget_ratio: float = Field(1.05, gt=0)
--- a/briarbeam/weights/need.py
+++ b/briarbeam/weights/need.py
@@ -1,6 +1,7 @@
 """What a target still needs of a version, and whom it asks for which chunk."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 INFO_FRESH_S = 0.5
@@ -36,6 +37,7 @@
         self._in_flight = set()
         self._busy = set()
         self._refused = {}
+        self._musts = Counter()
         self.adopted = set()
 
     def pledged(self, index):
@@ -44,6 +46,10 @@
             index in self.adopted or self._plan.owner(index) == self._own
         )
 
+    def arrives(self, index):
+        """Return whether a chunk is on its way."""
+        return index in self._in_flight
+
     def next_draw(self):
         """Return the next chunk to draw, or None."""
         for index in self.missing:
@@ -114,4 +120,9 @@
         free = [name for name in willing or holders if name not in self._busy]
         if not free:
             return None
-        return Pull(index, random.choice(free), must=not willing)
+        if willing:
+            return Pull(index, random.choice(free))
+        least = min(self._musts[name] for name in free)
+        name = random.choice([name for name in free if self._musts[name] == least])
+        self._musts[name] += 1
+        return Pull(index, name, must=True)
--- a/briarbeam/weights/peers.py
+++ b/briarbeam/weights/peers.py
@@ -15,8 +15,10 @@
     held: Bitmap = field(default_factory=Bitmap)
     drawing: Bitmap = field(default_factory=Bitmap)
     told_at_s: float = -math.inf
+    drawing_told_at_s: float = -math.inf
     unusable_until_s: float = -math.inf
     failures: int = 0
+    corrupt: bool = False
     referred: set = field(default_factory=set)
 
 
@@ -42,9 +44,12 @@
         if peer is None:
             return
         peer.held = held
+        if self._mostly_suspect():
+            self._absolve()
+        peer.told_at_s = self._clock.monotonic_s()
         if drawing is not None:
             peer.drawing = drawing
-        peer.told_at_s = self._clock.monotonic_s()
+            peer.drawing_told_at_s = peer.told_at_s
         peer.failures = 0
 
     def refer(self, name, index):
@@ -65,6 +70,7 @@
         """Leave a peer alone that gave corrupt bytes."""
         peer = self._peers.get(name)
         if peer is not None:
+            peer.corrupt = True
             self._shun(peer, CORRUPT_S)
 
     def usable(self, name):
@@ -85,6 +91,10 @@
         """Return the seconds since a peer last told what it holds."""
         return self._clock.monotonic_s() - self._peers[name].told_at_s
 
+    def drawing_age_s(self, name):
+        """Return the seconds since a peer last told what it draws."""
+        return self._clock.monotonic_s() - self._peers[name].drawing_told_at_s
+
     def holders(self, index):
         """Return the usable peers that hold a chunk."""
         return [
@@ -98,6 +108,17 @@
         if name in self._peers:
             self._peers[name].referred.discard(index)
 
+    def _mostly_suspect(self):
+        """Return whether so many peers failed that it was this target's own link."""
+        failed = sum(peer.failures > 0 for peer in self._peers.values())
+        return failed > 1 and 2 * failed > len(self._peers)
+
+    def _absolve(self):
+        for peer in self._peers.values():
+            peer.failures = 0
+            if not peer.corrupt:
+                peer.unusable_until_s = -math.inf
+
     def _shun(self, peer, pause_s):
         until_s = self._clock.monotonic_s() + pause_s
         peer.unusable_until_s = max(peer.unusable_until_s, until_s)
--- a/briarbeam/weights/plugin.py
+++ b/briarbeam/weights/plugin.py
@@ -11,6 +11,7 @@
 from .library import Library
 from .origin import OriginSource, Reader
 from .pace import Pace
+from .progress import Progress
 from .reconcile import Reconciler
 from .serving import PIECE_BYTES, Serving
 from .store import ChunkStore
@@ -54,6 +55,8 @@
             CONFIGURATION, lambda document: self._follow_all()
         )
         self.kernel.tasks.spawn(self.reconciler.run)
+        progress = Progress(self.kernel, self)
+        self.kernel.tasks.repeat(progress.report, progress.interval_s, self.clock)
 
     def holdings(self, manifest_digest):
         """Return bitmaps, as bytes, of the chunks held and being drawn."""
--- a/briarbeam/weights/serving.py
+++ b/briarbeam/weights/serving.py
@@ -1,5 +1,6 @@
 """Giving chunks to peers: paced, within a budget, and with what else is held."""
 
+import math
 from collections import defaultdict, deque
 
 from prometheus_client import Counter
@@ -19,6 +20,7 @@
 WAIT_MAX_S = 2.0
 WAIT_POLL_S = 0.05
 REFERRALS_MAX = 4
+REFERRAL_FRESH_S = 3.0
 BITMAP_HEADER_MAX_BYTES = 4096
 
 _SERVED = Counter("briarbeam_weights_served_bytes", "Bytes given to peers")
@@ -41,6 +43,7 @@
         self._view = view
         self._given_bytes = defaultdict(int)
         self._given = defaultdict(lambda: deque(maxlen=REFERRALS_MAX))
+        self._given_at_s = {}
 
     def chunk(self, request, digest):
         """Serve ``GET /chunks/{digest}``."""
@@ -52,14 +55,19 @@
         if data is None:
             error = NotFoundError(f"chunk {digest} is not held")
             return _refuse(error, told)
-        if not headers.get(MUST_HEADER) and self._is_spent(manifest_digest, data):
-            _REFERRED.inc()
-            referral = ",".join(name for name in self._given[digest] if name != sender)
-            error = BudgetSpentError("this peer has given its share")
-            return _refuse(error, {**told, REFERRAL_HEADER: referral})
+        if digest != manifest_digest and self._is_spent(manifest_digest, data):
+            others = [name for name in self._given[digest] if name != sender]
+            if not headers.get(MUST_HEADER) or self._gave_lately(digest, others):
+                _REFERRED.inc()
+                error = BudgetSpentError("this peer has given its share")
+                return _refuse(error, {**told, REFERRAL_HEADER: ",".join(others)})
         self._given_bytes[manifest_digest] += len(data)
+        if sender:
+            self._given[digest].appendleft(sender)
+            self._given_at_s[digest] = self._clock.monotonic_s()
+        told.pop(DRAWING_HEADER, None)
         told["content-length"] = str(len(data))
-        return Response(200, self._give(digest, sender, data), told)
+        return Response(200, self._give(data), told)
 
     def forget(self, manifest_digests):
         """Forget the budgets of all manifests but these."""
@@ -67,6 +75,7 @@
             del self._given_bytes[digest]
         for digest in [digest for digest in self._given if digest not in self._store]:
             del self._given[digest]
+            self._given_at_s.pop(digest, None)
 
     def _await(self, manifest_digest, digest, wait_s):
         """Return a chunk, waiting a little if it is about to come."""
@@ -94,14 +103,19 @@
             return False
         return self._given_bytes[manifest_digest] + len(data) > budget_bytes
 
-    def _give(self, digest, sender, data):
+    def _gave_lately(self, digest, others):
+        """Return whether another peer has got a chunk here so lately that it can give."""
+        given_at_s = self._given_at_s.get(digest, -math.inf)
+        return (
+            bool(others) and self._clock.monotonic_s() - given_at_s < REFERRAL_FRESH_S
+        )
+
+    def _give(self, data):
         for start in range(0, len(data), PIECE_BYTES):
             piece = data[start : start + PIECE_BYTES]
             self._pace.pass_bytes(len(piece))
             _SERVED.inc(len(piece))
             yield piece
-        if sender:
-            self._given[digest].appendleft(sender)
 
 
 def _refuse(error, headers):
--- a/briarbeam/weights/step_in.py
+++ b/briarbeam/weights/step_in.py
@@ -60,7 +60,7 @@
             return False
         if self._peers.holds(name, index) or self._peers.draws(name, index):
             return True
-        return self._peers.age_s(name) == math.inf
+        return self._peers.drawing_age_s(name) == math.inf
 
     def _consider(self, index):
         now_s = self._clock.monotonic_s()
@@ -76,7 +76,10 @@
 
     def _is_cared_for(self, index, rank):
         for name in self._plan.holders(index)[:rank]:
-            if self._peers.usable(name) and self._peers.age_s(name) > INFO_MAX_AGE_S:
+            if (
+                self._peers.usable(name)
+                and self._peers.drawing_age_s(name) > INFO_MAX_AGE_S
+            ):
                 self._ask_held(name)
             if self._cares(name, index):
                 return True
@@ -97,10 +100,10 @@
         old = [
             name
             for name, age_s in wanted.items()
-            if self._peers.usable(name) and self._peers.age_s(name) > age_s
+            if self._peers.usable(name) and self._peers.drawing_age_s(name) > age_s
         ]
         if old:
-            self._ask_held(max(old, key=self._peers.age_s))
+            self._ask_held(max(old, key=self._peers.drawing_age_s))
 
 
 class HeldCalls:
--- a/briarbeam/weights/transfer.py
+++ b/briarbeam/weights/transfer.py
@@ -25,7 +25,7 @@
 RETRY_PAUSE_S = 0.2
 LONG_POLL_S = 1.0
 GREETED_PEERS = 2
-MANIFEST_FANOUT = 4
+MANIFEST_FANOUT = 2
 MANIFEST_PATIENCE_S = 2.0
 
 _BYTES = Counter("briarbeam_weights_peer_bytes", "Verified bytes from peers", ["from"])
@@ -58,6 +58,7 @@
         self.need = None
         self.peers = None
         self.targets = 1
+        self.origin_bytes = 0
         self.started_at_s = kernel.clock.monotonic_s()
 
     def run(self):
@@ -85,10 +86,10 @@
         """Return whether a chunk is about to be held, so that a peer may wait."""
         if self.manifest is None:
             return digest == self._manifest_digest
-        return self._origin.makes_progress() and any(
+        return any(
             self.manifest.chunks[index].digest == digest
             for index in self.need.missing
-            if self.need.pledged(index)
+            if self.need.arrives(index) or self.drawing(index)
         )
 
     def drawing(self, index):
@@ -156,6 +157,7 @@
     def _draw(self, index):
         chunk = self.manifest.chunks[index]
         self._origin.draw(chunk.digest, chunk.size_bytes, self._store.add)
+        self.origin_bytes += chunk.size_bytes
 
     def _pull_abroad(self, index):
         """Ask another region for a chunk that the origin does not give."""
@@ -248,8 +250,10 @@
         told = response.headers
         if serving.HELD_HEADER in told:
             held = Bitmap.from_text(told[serving.HELD_HEADER])
-            drawing = Bitmap.from_text(told.get(serving.DRAWING_HEADER, ""))
-            self.peers.tell(name, held, drawing)
+            drawing = told.get(serving.DRAWING_HEADER)
+            self.peers.tell(
+                name, held, None if drawing is None else Bitmap.from_text(drawing)
+            )
         if response.status == 200:
             return
         self.peers.forget(name, index)
--- /dev/null
+++ b/tests/test_weights_spread.py
@@ -0,0 +1,148 @@
+"""Spreading a version: bytes from the origin and on each link, with failures."""
+
+import pytest
+
+from briarbeam.weights.plan import Plan
+
+from .weights_fakes import World
+
+CHUNKS = 64
+LIMIT_S = 600
+PAYLOAD_BYTES = CHUNKS * 10_000
+
+
+def _spread(world, published, disturb=None, at_share=0.0):
+    world.fetch_all(published)
+    if disturb is not None:
+        assert world.clock.run(lambda: world.held_share(published) >= at_share, LIMIT_S)
+        disturb(world)
+    done = world.clock.run(lambda: world.all_hold(published), LIMIT_S)
+    world.stop()
+    assert done, "a living target does not hold the version"
+    for node in world.alive():
+        for chunk in published[1].chunks:
+            assert node.store.get(chunk.digest) == world.blobs[chunk.digest]
+
+
+def _check_bytes(world, origin_copies, link_copies):
+    """Compare what the fake network counted with the stated bounds."""
+    assert world.origin_bytes <= origin_copies * PAYLOAD_BYTES
+    moved = [node.in_bytes + node.out_bytes for node in world.alive()]
+    assert max(moved) <= link_copies * PAYLOAD_BYTES
+
+
+@pytest.mark.parametrize("regions", [{"a": 3, "b": 5}, {"a": 12}])
+def test_one_copy_a_region_and_two_on_a_link(regions):
+    world = World(regions)
+    _spread(world, world.publish("v1", CHUNKS))
+    _check_bytes(world, 2, 2.06)
+
+
+@pytest.mark.parametrize("share", [0.1, 0.5, 0.9])
+def test_seeder_killed(share):
+    world = World({"a": 8, "b": 4})
+
+    def kill(world):
+        world.nodes["a-3"].dead = True
+        world.nodes["a-3"].stop()
+
+    _spread(world, world.publish("v1", CHUNKS), kill, share)
+    _check_bytes(world, 2.4, 2.2)
+
+
+def test_peer_that_always_corrupts():
+    world = World({"a": 8})
+    world.nodes["a-2"].corrupts = True
+    _spread(world, world.publish("v1", CHUNKS))
+    _check_bytes(world, 1.4, 2.2)
+
+
+def test_link_that_stalls_without_closing():
+    world = World({"a": 8})
+
+    def stall(world):
+        world.nodes["a-1"].stalled = True
+
+    published = world.publish("v1", CHUNKS)
+    world.fetch_all(published)
+    world.clock.run(lambda: world.held_share(published) >= 0.3, LIMIT_S)
+    stall(world)
+    others = [node for node in world.alive() if node.member.name != "a-1"]
+    assert world.clock.run(
+        lambda: all(node.library.is_whole(published[0]) for node in others), LIMIT_S
+    )
+    world.nodes["a-1"].stalled = False
+    assert world.clock.run(lambda: world.all_hold(published), LIMIT_S)
+    world.stop()
+    _check_bytes(world, 1.4, 2.2)
+
+
+@pytest.mark.parametrize("mode", ["down", "dead", "silent", "short", "corrupt"])
+def test_origin_fails_for_a_while(mode):
+    world = World({"a": 4, "b": 4})
+    published = world.publish("v1", CHUNKS)
+    world.fetch_all(published)
+    world.clock.run(lambda: world.held_share(published) >= 0.1, LIMIT_S)
+    world.origin_mode = mode
+    world.clock.run(lambda: False, 30.0)
+    refused_bytes = world.origin_bytes
+    world.origin_mode = "ok"
+    assert world.clock.run(lambda: world.all_hold(published), LIMIT_S)
+    world.stop()
+    assert world.origin_bytes <= 2.4 * PAYLOAD_BYTES + (
+        refused_bytes if mode in ("short", "corrupt") else 0
+    )
+
+
+def test_region_that_has_it_stands_in_for_the_origin():
+    world = World({"a": 4, "b": 4})
+    published = world.publish("v1", CHUNKS)
+    for node in world.nodes.values():
+        if node.member.region == "a":
+            node.fetch(published[0], published[1].weights_digest)
+    first = [node for node in world.alive() if node.member.region == "a"]
+    assert world.clock.run(
+        lambda: all(node.library.is_whole(published[0]) for node in first), LIMIT_S
+    )
+    drawn_bytes = world.origin_bytes
+    world.origin_mode = "dead"
+    _spread(world, published)
+    assert world.origin_bytes == drawn_bytes
+    given = sum(node.out_bytes for node in first) - 3 * PAYLOAD_BYTES
+    assert given <= 1.1 * PAYLOAD_BYTES
+
+
+def test_list_that_lags():
+    """Half of the targets miss a new member, the others list two dead ones."""
+    world = World({"a": 10})
+    for name in ("a-4", "a-5"):
+        world.nodes[name].dead = True
+    stale = [member for member in world.members() if member.name != "a-9"]
+    for number in range(4):
+        world.nodes[f"a-{number}"].listed = stale
+    _spread(world, world.publish("v1", CHUNKS))
+    _check_bytes(world, 1.4, 2.2)
+
+
+def test_target_with_empty_memory_joins_late_and_draws_nothing():
+    world = World({"a": 6})
+    published = world.publish("v1", CHUNKS)
+    _spread(world, published)
+    drawn_bytes = world.origin_bytes
+    late = world.nodes["a-0"]
+    late.store.keep_only(())
+    late.library.keep_only(())
+    late.fetch(published[0], published[1].weights_digest)
+    assert world.clock.run(lambda: late.library.is_whole(published[0]), LIMIT_S)
+    world.stop()
+    assert world.origin_bytes == drawn_bytes
+
+
+def test_owners_have_equal_shares_and_stay_when_a_name_goes():
+    names = [f"t{number}" for number in range(40)]
+    plan = Plan("key", "t0", names, 400)
+    owners = [plan.owner(index) for index in range(400)]
+    assert max(owners.count(name) for name in names) == 10
+    smaller = Plan("key", "t0", names[:-1], 400)
+    moved = sum(smaller.owner(index) != owners[index] for index in range(400))
+    assert moved <= 100
