--- a/bench/rollout_failures.py
+++ b/bench/rollout_failures.py
@@ -22,8 +22,9 @@
     :param payload_bytes: the size of the new version.
     """
 
-    def __init__(self, site, payload_bytes):
+    def __init__(self, site, payload_bytes, chunk_bytes):
         self.site = site
+        self.chunk_bytes = chunk_bytes
         self.payload_bytes = payload_bytes
         self.dead = set()
         self.wanted = "v2"
@@ -139,7 +140,7 @@
     trial.wait_for_share(0.3)
     site = trial.site
     site.apply(
-        site.publish("v3", size_bytes=trial.payload_bytes, keep=0.5),
+        site.publish("v3", trial.payload_bytes, trial.chunk_bytes, keep=0.5),
         site.rollout("v3", previous_version="v1"),
     )
     trial.wanted = "v3"
--- a/briarbeam/cli/rollout.py
+++ b/briarbeam/cli/rollout.py
@@ -1,174 +1,142 @@
-"""``briarbeam rollout``: bring a version to all replicas and watch it."""
+"""``briarbeam rollout``: bring a version to all replicas, watch it, go back."""
 
-import json
-import os
 import time
 
-from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ..kernel.errors import NetworkError, SettingsError
-from ..kernel.network import Address, HttpNetwork, HttpRequest, fetch
+from ..kernel.errors import SettingsError
+from .client import ServerError
+from .commands import OperatorCommand, commands
 
-ENTRY_VARIABLE = "BRIARBEAM_ENTRY"
-TOKEN_VARIABLE = "BRIARBEAM_TOKEN"
-TIMEOUT_S = 10.0
 WATCH_INTERVAL_S = 1.0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_STOPPED = 3
+EXIT_STOPPED = 7
 
 _MODEL = argument("model", "The model or adapter")
-_COMMON = [
-    option(
-        "entry", None, f"IP:PORT of an entry daemon, or {ENTRY_VARIABLE}", flag=False
-    ),
-    option("json", None, "Print JSON instead of a table", flag=True),
-]
 
 
-class _RolloutCommand(Command):
-    """Base of the commands, which calls an entry daemon."""
+class _ChangeCommand(OperatorCommand):
+    """Base of the commands that change a rollout's spec."""
 
     arguments = [_MODEL]
-    options = _COMMON
 
-    def handle(self):
+    def run_with(self, client):
+        model = self.argument("model")
         try:
-            return self._run()
-        except SettingsError as error:
-            self.line_error(str(error))
-            return EXIT_USAGE
-        except NetworkError as error:
-            self.line_error(f"the entry daemon can't be reached: {error}")
-            return EXIT_FAILED
-        except _Refused as error:
-            self.line_error(str(error))
-            return EXIT_FAILED
-
-    def _call(self, method, value=None):
-        """Return an entry daemon's answer.
-
-        :raises _Refused: if it is an error.
+            held = client.get("rollout", model)
+        except ServerError as error:
+            if error.status != 404:
+                raise
+            held = {"spec": {}, "generation": None}
+        resource = {"kind": "rollout", "name": model, "spec": self.change(held["spec"])}
+        if held["generation"] is not None:
+            resource["generation"] = held["generation"]
+        self.show_change(client.apply([resource]))
+
+    def change(self, spec):
+        """Return the spec to declare instead of `spec`, which is empty if none is.
+
+        :raises SettingsError: if it can't be changed so.
         """
-        address = self.option("entry") or os.environ.get(ENTRY_VARIABLE, "")
-        token = os.environ.get(TOKEN_VARIABLE, "")
-        request = HttpRequest(
-            method,
-            f"/operator/v1/rollouts/{self.argument('model')}",
-            b"" if value is None else json.dumps(value).encode(),
-            {"authorization": f"Bearer {token}"},
-            TIMEOUT_S,
-            fresh=True,
-        )
-        status, _, body = fetch(HttpNetwork(), Address.parse(address), request)
-        answer = json.loads(body)
-        if status != 200:
-            error = answer["error"]
-            raise _Refused(f"{error['code']}: {error['message']}")
-        return answer
-
-    def _show(self, status):
-        if self.option("json"):
-            self.line(json.dumps(status))
-            return
-        for line in describe(status):
-            self.line(line)
+        raise NotImplementedError
 
+    def check_declared(self, spec):
+        """Raise if there is no rollout yet."""
+        if not spec:
+            raise SettingsError(f"no rollout of {self.argument('model')!r}")
 
-class _Refused(Exception):
-    """The entry daemon refused the call."""
 
-
-class RolloutStartCommand(_RolloutCommand):
+@commands.register("rollout start")
+class StartCommand(_ChangeCommand):
     name = "rollout start"
     description = "Bring a version to all replicas"
     arguments = [_MODEL, argument("version", "The version")]
-    options = [
-        *_COMMON,
-        option(
-            "capacity-floor", None, "Share of a failure domain kept serving", flag=False
-        ),
-        option(
-            "domains-at-once", None, "Failure domains that change at once", flag=False
-        ),
-        option(
-            "failures-max", None, "Failed changeovers that don't stop it", flag=False
-        ),
+    more_options = [
+        option("capacity-floor", None, "Share of a domain kept serving", flag=False),
+        option("domains-at-once", None, "Domains that change at once", flag=False),
+        option("failures-max", None, "Failures that don't stop it", flag=False),
     ]
 
-    def _run(self):
-        asked = {"action": "start", "version": self.argument("version")}
-        numbers = {"capacity-floor": float, "domains-at-once": int, "failures-max": int}
-        for name, kind in numbers.items():
-            text = self.option(name)
-            if text is not None:
-                asked[name.replace("-", "_")] = _number(name, text, kind)
-        answer = self._call("POST", asked)
-        self.line(f"accepted at revision {answer['revision']}")
-        return 0
-
-
-class RolloutStatusCommand(_RolloutCommand):
-    name = "rollout status"
-    description = "Show how far a rollout is, and why targets are behind"
-
-    def _run(self):
-        status = self._call("GET")
-        self._show(status)
-        return EXIT_STOPPED if status["state"] == "stopped" else 0
-
-
-class RolloutWatchCommand(_RolloutCommand):
-    name = "rollout watch"
-    description = "Show a rollout until it is done or stops"
-
-    def _run(self):
-        while True:
-            status = self._call("GET")
-            self._show(status)
-            if status["state"] == "done":
-                return 0
-            if status["state"] == "stopped":
-                return EXIT_STOPPED
-            time.sleep(WATCH_INTERVAL_S)
-
+    def change(self, spec):
+        version = self.argument("version")
+        started = {**spec, "version": version, "paused": False, "attempt": 0}
+        if spec and spec["version"] != version:
+            started["previous_version"] = spec["version"]
+        for name in ("capacity-floor", "domains-at-once", "failures-max"):
+            if self.option(name) is not None:
+                started[name.replace("-", "_")] = _number(name, self.option(name))
+        return started
 
-class _ActionCommand(_RolloutCommand):
-    action = ""
 
-    def _run(self):
-        answer = self._call("POST", {"action": self.action})
-        self.line(f"accepted at revision {answer['revision']}")
-        return 0
-
-
-class RolloutPauseCommand(_ActionCommand):
+@commands.register("rollout pause")
+class PauseCommand(_ChangeCommand):
     name = "rollout pause"
     description = "Let no further target change over"
-    action = "pause"
 
+    def change(self, spec):
+        self.check_declared(spec)
+        return {**spec, "paused": True}
 
-class RolloutResumeCommand(_ActionCommand):
+
+@commands.register("rollout resume")
+class ResumeCommand(_ChangeCommand):
     name = "rollout resume"
     description = "Go on after a pause, or try again after a failure"
-    action = "resume"
+
+    def change(self, spec):
+        self.check_declared(spec)
+        return {**spec, "paused": False, "attempt": spec["attempt"] + 1}
 
 
-class RolloutAbortCommand(_ActionCommand):
+@commands.register("rollout abort")
+class AbortCommand(_ChangeCommand):
     name = "rollout abort"
     description = "Go back to the previous version"
-    action = "abort"
 
+    def change(self, spec):
+        self.check_declared(spec)
+        if spec["previous_version"] is None:
+            raise SettingsError("the rollout names no previous version")
+        return {
+            **spec,
+            "version": spec["previous_version"],
+            "previous_version": spec["version"],
+            "paused": False,
+            "attempt": spec["attempt"] + 1,
+        }
+
+
+@commands.register("rollout status")
+class StatusCommand(OperatorCommand):
+    name = "rollout status"
+    description = "Show how far a rollout is, and why targets are behind"
+    arguments = [_MODEL]
+
+    def run_with(self, client):
+        return self.show_status(client)["exit"]
 
-COMMANDS = (
-    RolloutStartCommand,
-    RolloutStatusCommand,
-    RolloutWatchCommand,
-    RolloutPauseCommand,
-    RolloutResumeCommand,
-    RolloutAbortCommand,
-)
+    def show_status(self, client):
+        """Print the status and return its state with an exit code."""
+        status = client.call("GET", f"/operator/v1/rollouts/{self.argument('model')}")
+        if self.option("output") == "table":
+            for line in describe(status):
+                self.line(line, style=None)
+        else:
+            self.show(status)
+        exits = {"done": 0, "stopped": EXIT_STOPPED}
+        return {"state": status["state"], "exit": exits.get(status["state"], 0)}
+
+
+@commands.register("rollout watch")
+class WatchCommand(StatusCommand):
+    name = "rollout watch"
+    description = "Show a rollout until it is done or stops"
+
+    def run_with(self, client):
+        while True:
+            shown = self.show_status(client)
+            if shown["state"] in ("done", "stopped"):
+                return shown["exit"]
+            time.sleep(WATCH_INTERVAL_S)
 
 
 def describe(status):
@@ -192,8 +160,8 @@
             yield f"    {behind['target']}: {behind['reason']}"
 
 
-def _number(name, text, kind):
+def _number(name, text):
     try:
-        return kind(text)
+        return float(text) if "." in text else int(text)
     except ValueError:
         raise SettingsError(f"--{name} = {text!r}: expected a number") from None
--- a/briarbeam/operators/rollouts.py
+++ b/briarbeam/operators/rollouts.py
@@ -1,22 +1,19 @@
-"""Rollouts for operators: start, status, pause, resume and abort over HTTP."""
+"""How far rollouts are, for operators; they are changed as resources are."""
 
-from ..configuration.resources import RolloutSpec
-from ..kernel.errors import InvalidRequestError, NotFoundError
+from ..kernel.errors import NotFoundError
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
-from ..kernel.registry import Registry
+from .accounts import authorize
 
 TARGET_STATUS_KIND = "target-status"
 ROLLOUT_STATUS_KIND = "rollout-status"
 STATUS_FRESH_S = 1.0
 BEHIND_SHOWN = 10
 
-actions = Registry("rollout action")
-
 
 @plugins.register("rollouts")
 class RolloutsPlugin(Plugin):
-    """Serves ``/operator/v1/rollouts``."""
+    """Serves ``/operator/v1/rollouts/{model}``."""
 
     roles = ("entry",)
 
@@ -24,17 +21,16 @@
         super().__init__(kernel)
         self._objects = kernel.find("platform").objects
         self._configuration = kernel.find("configuration")
-        self._operators = kernel.find("operators")
         self._seen = {}
         kernel.router.add("GET", "/operator/v1/rollouts/{model}", self._show)
-        kernel.router.add("POST", "/operator/v1/rollouts/{model}", self._act)
 
     def _show(self, request, model):
-        self._operators.operator(request)
-        resource = self._resource(model)
+        configuration = self._configuration.configuration
+        tokens = self.settings.entry.operator_tokens
+        authorize(request, configuration, tokens, self.clock.now())
+        resource = configuration.resources.get(("rollout", model))
         if resource is None:
             raise NotFoundError(f"no rollout of {model!r}")
-        statuses = self._read(TARGET_STATUS_KIND)
         failures = [
             failure
             for stored in self._read(ROLLOUT_STATUS_KIND)
@@ -42,30 +38,9 @@
             and stored.value["generation"] == resource.generation
             for failure in stored.value["failures"]
         ]
+        statuses = self._read(TARGET_STATUS_KIND)
         return Response.of_json(summarise(model, resource, statuses, failures))
 
-    def _act(self, request, model):
-        operator = self._operators.operator(request)
-        asked = request.json()
-        action = actions.get(asked.pop("action", None))
-        resource = self._resource(model)
-        if resource is None and action is not _start:
-            raise NotFoundError(f"no rollout of {model!r}")
-        spec = action(resource.spec if resource else None, asked)
-        known = self._configuration.configuration.get(
-            "version", f"{model}@{spec['version']}"
-        )
-        if known is None:
-            raise InvalidRequestError(f"no version {spec['version']!r} of {model!r}")
-        change = {"kind": "rollout", "name": model, "spec": spec}
-        if resource is not None:
-            change["generation"] = resource.generation
-        revision = self._operators.change([change], operator)
-        return Response.of_json({"revision": revision, "spec": spec})
-
-    def _resource(self, model):
-        return self._configuration.configuration.resources.get(("rollout", model))
-
     def _read(self, kind):
         """Return all objects of a kind; a short while old if asked for often."""
         now_s = self.clock.monotonic_s()
@@ -76,41 +51,6 @@
         return found
 
 
-@actions.register("start")
-def _start(spec, asked):
-    held = spec.model_dump() if spec else {}
-    unknown = set(asked) - set(RolloutSpec.model_fields)
-    if unknown or "version" not in asked:
-        raise InvalidRequestError(f"start takes a version; unknown: {sorted(unknown)}")
-    started = {**held, **asked, "paused": False, "attempt": 0}
-    if held and held["version"] != asked["version"]:
-        started["previous_version"] = held["version"]
-    return started
-
-
-@actions.register("pause")
-def _pause(spec, asked):
-    return {**spec.model_dump(), "paused": True}
-
-
-@actions.register("resume")
-def _resume(spec, asked):
-    return {**spec.model_dump(), "paused": False, "attempt": spec.attempt + 1}
-
-
-@actions.register("abort")
-def _abort(spec, asked):
-    if spec.previous_version is None:
-        raise InvalidRequestError("the rollout names no previous version")
-    return {
-        **spec.model_dump(),
-        "version": spec.previous_version,
-        "previous_version": spec.version,
-        "paused": False,
-        "attempt": spec.attempt + 1,
-    }
-
-
 def summarise(model, resource, statuses, failures):
     """Return how far a rollout is, by failure domain.
 
@@ -122,7 +62,8 @@
     for stored in statuses:
         entry = stored.value["models"].get(model)
         if entry is None or entry["wanted"] != spec.version:
-            entry = {**_UNHEARD, **(entry or {}), "held_bytes": 0, "origin_bytes": 0}
+            entry = {**_UNHEARD, **(entry or {}), "reason": _UNHEARD["reason"]}
+            entry.update(size_bytes=0, held_bytes=0, origin_bytes=0, rate_bytes_per_s=0)
         domain = domains.setdefault(stored.value["failure_domain"], _new_domain())
         _count(domain, stored.name, spec.version, entry)
     total = {
@@ -145,12 +86,7 @@
     }
 
 
-_UNHEARD = {
-    "served": None,
-    "size_bytes": 0,
-    "rate_bytes_per_s": 0,
-    "reason": "has not reported on this version yet",
-}
+_UNHEARD = {"served": None, "reason": "has not reported on this version yet"}
 
 
 def _new_domain():
--- a/briarbeam/weights/transfer.py
+++ b/briarbeam/weights/transfer.py
@@ -56,6 +56,7 @@
         self._own = self._instance.name
         self.manifest = None
         self.need = None
+        self._indexes = {}
         self.peers = None
         self.targets = 1
         self.origin_bytes = 0
@@ -77,7 +78,9 @@
         plan = self._plan(self._region(), len(manifest.chunks))
         self.targets = len(plan.names)
         self.peers = Peers(self._clock, self._own, plan.names)
-        self.need = Need(plan, self.peers, self._own, missing)
+        self.need = Need(self._clock, plan, self.peers, self._own, missing)
+        chunks = enumerate(manifest.chunks)
+        self._indexes = {chunk.digest: index for index, chunk in chunks}
         self.manifest = manifest
         self._work(plan)
         return manifest
@@ -86,11 +89,10 @@
         """Return whether a chunk is about to be held, so that a peer may wait."""
         if self.manifest is None:
             return digest == self._manifest_digest
-        return any(
-            self.manifest.chunks[index].digest == digest
-            for index in self.need.missing
-            if self.need.arrives(index) or self.drawing(index)
-        )
+        index = self._indexes.get(digest)
+        if index is None or index not in self.need.missing:
+            return False
+        return self.need.arrives(index) or self.drawing(index)
 
     def drawing(self, index):
         """Return whether a chunk is drawn from the origin, with progress."""
--- /dev/null
+++ b/tests/test_weights_changeover.py
@@ -0,0 +1,372 @@
+"""Changing engines over: fencing, waves, and what is never left behind."""
+
+import copy
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from briarbeam.configuration.resources import RolloutSpec
+from briarbeam.gate.backends import BackendStatus
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.errors import (
+    ChangeoverFailedError,
+    ConflictError,
+    ExchangeError,
+    NotFoundError,
+    OrderError,
+    OrderUnderWayError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+    RolloutStoppedError,
+    SupersededError,
+    UnavailableError,
+    WaitingForPermitError,
+)
+from briarbeam.platform.client import StoredObject
+from briarbeam.weights.changeover import Changeover
+from briarbeam.weights.fence import FRESH_S, Fences
+from briarbeam.weights.waves import PERMIT_KIND, Permits, Wave
+
+ORDER_TIMEOUT_S = 30.0
+EXPIRY_S = 45.0
+PATIENCE_S = 10.0
+
+
+class Objects:
+    """The object API in memory; ``mode`` is ``ok``, ``down`` or ``lose``."""
+
+    def __init__(self):
+        self.mode = "ok"
+        self._held = {}
+        self._revision = 0
+
+    def get(self, kind, name):
+        if self.mode == "down":
+            raise PlatformUnavailableError("down")
+        if (kind, name) not in self._held:
+            raise NotFoundError(name)
+        version, value = self._held[kind, name]
+        return StoredObject(kind, name, version, copy.deepcopy(value))
+
+    def put(self, kind, name, value, if_version=None):
+        if self.mode == "down":
+            raise PlatformUnavailableError("down")
+        version = self._held.get((kind, name), (0, None))[0]
+        if if_version is not None and if_version != version:
+            raise ConflictError(name)
+        self._revision += 1
+        self._held[kind, name] = self._revision, copy.deepcopy(value)
+        if self.mode == "lose":
+            raise PlatformUnknownError("lost")
+        return self._revision
+
+
+class Engine:
+    """An engine that ignores fencing; ``fault`` is what its next order meets."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.loaded = {"chat": "v1"}
+        self.orders = []
+        self.fault = None
+        self.takes_s = 0.0
+
+    def status(self):
+        if self.fault == "dead":
+            raise UnavailableError("dead")
+        return BackendStatus("one", dict(self.loaded))
+
+    def order(self, body, timeout_s):
+        self.orders.append((self._clock.monotonic_s(), body["fence"]))
+        fault, self.fault = self.fault, None
+        if fault == "refused":
+            raise OrderError("bad weights")
+        if fault == "lost":
+            raise OrderError("lost") from ExchangeError("lost")
+        if fault == "crashes":
+            self.fault = "dead"
+            raise OrderError("lost") from ExchangeError("lost")
+        self.loaded[body["name"]] = body["version"]
+
+
+class Gate:
+    """The gate as changeovers use it, with what was open when."""
+
+    def __init__(self, engine):
+        self.backend = engine
+        self.loaded = {}
+        self.closed = set()
+        self.idle = True
+        self.admission = self
+
+    def close(self, reason, detail=""):
+        self.closed.add(reason)
+
+    def open(self, reason):
+        self.closed.discard(reason)
+
+    def wait_idle(self, timeout_s):
+        return self.idle
+
+    def turn_cold(self):
+        pass
+
+    def probe(self):
+        try:
+            self.loaded = self.backend.status().loaded
+        except UnavailableError:
+            self.closed.add("backend")
+
+
+class Bench:
+    """One target with its changeovers."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.objects = Objects()
+        self.engine = Engine(self.clock)
+        self.gate = Gate(self.engine)
+        self.fences = self.new_fences()
+        self.wanted = "v2"
+
+    def new_fences(self):
+        return Fences(self.clock, self.objects, "t", ORDER_TIMEOUT_S)
+
+    def run(self, version="v2", fences=None):
+        kernel = SimpleNamespace(
+            clock=self.clock,
+            find=lambda name: self.gate,
+            settings=SimpleNamespace(
+                drain_timeout_s=60,
+                target=SimpleNamespace(order_timeout_s=ORDER_TIMEOUT_S),
+            ),
+        )
+        order = {"kind": "model", "name": "chat", "version": version}
+        changeover = Changeover(
+            kernel, fences or self.fences, order, lambda: self.wanted == version
+        )
+        changeover.run()
+
+
+def test_order_is_read_back_and_settled():
+    bench = Bench()
+    bench.run()
+    assert bench.gate.loaded == {"chat": "v2"}
+    assert not bench.gate.closed
+    assert bench.objects.get("fence", "t").value["settled"]
+
+
+def test_numbers_rise_over_daemons_and_lost_answers():
+    bench = Bench()
+    bench.objects.mode = "lose"
+    numbers = [bench.fences.take().number, bench.fences.take().number]
+    bench.objects.mode = "ok"
+    bench.fences.settle(bench.fences.take())
+    numbers.append(bench.new_fences().take().number)
+    assert numbers == [1, 2, 4]
+
+
+def test_new_daemon_outlasts_the_order_of_its_predecessor():
+    bench = Bench()
+    bench.fences.take()
+    successor = bench.new_fences()
+    with pytest.raises(OrderUnderWayError):
+        bench.run(fences=successor)
+    bench.clock.advance(ORDER_TIMEOUT_S - 1)
+    with pytest.raises(OrderUnderWayError):
+        bench.run(fences=successor)
+    assert not bench.engine.orders
+    bench.clock.advance(1)
+    bench.run(fences=successor)
+    assert bench.gate.loaded == {"chat": "v2"}
+
+
+def test_paused_daemon_does_not_send_the_order_it_had_prepared():
+    bench = Bench()
+    take = bench.fences.take
+
+    def take_and_freeze():
+        fence = take()
+        bench.clock.advance(FRESH_S + 1)
+        return fence
+
+    bench.fences.take = take_and_freeze
+    with pytest.raises(OrderError):
+        bench.run()
+    assert not bench.engine.orders
+    assert not bench.gate.closed
+
+
+def test_lost_answer_is_outlasted_with_the_gate_closed():
+    bench = Bench()
+    bench.engine.fault = "lost"
+    closed = []
+    sleep = bench.clock.sleep
+    bench.clock.sleep = lambda s: (closed.append(set(bench.gate.closed)), sleep(s))
+    with pytest.raises(ChangeoverFailedError):
+        bench.run()
+    assert bench.clock.monotonic_s() >= ORDER_TIMEOUT_S
+    assert closed == [{"changing"}]
+    bench.run()
+    gaps = bench.engine.orders[1][0] - bench.engine.orders[0][0]
+    assert gaps >= ORDER_TIMEOUT_S
+
+
+@pytest.mark.parametrize("fault", ["refused", "crashes"])
+def test_failed_order_never_opens_on_an_unread_version(fault):
+    bench = Bench()
+    bench.engine.fault = fault
+    with pytest.raises(ChangeoverFailedError):
+        bench.run()
+    if fault == "crashes":
+        assert bench.gate.closed == {"backend"}
+    else:
+        assert bench.gate.loaded == {"chat": "v1"}
+        assert not bench.gate.closed
+
+
+def test_superseded_version_is_not_ordered():
+    bench = Bench()
+    bench.wanted = "v3"
+    with pytest.raises(SupersededError):
+        bench.run("v2")
+    assert not bench.engine.orders
+    assert not bench.gate.closed
+
+
+def test_no_order_while_the_platform_is_out():
+    bench = Bench()
+    bench.objects.mode = "down"
+    with pytest.raises(PlatformUnavailableError):
+        bench.run()
+    assert not bench.engine.orders
+    assert not bench.gate.closed
+
+
+TARGETS = {"x": {f"x{n}" for n in range(4)}, "y": {f"y{n}" for n in range(5)}}
+
+
+def _wave(generation=1, **spec):
+    return Wave("chat", generation, RolloutSpec(version="v2", **spec), TARGETS)
+
+
+def _permits(clock, objects, name):
+    instance = SimpleNamespace(name=name, failure_domain=name[0])
+    return Permits(clock, objects, instance, EXPIRY_S, PATIENCE_S)
+
+
+class Waves(RuleBasedStateMachine):
+    """Targets take and release permits in any order, and some die with theirs."""
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.objects = Objects()
+        names = sorted(TARGETS["x"] | TARGETS["y"])
+        self.permits = {n: _permits(self.clock, self.objects, n) for n in names}
+        self.wave = _wave()
+        self.holders = {}
+        self.changed = set()
+
+    @rule(name=st.sampled_from(sorted(TARGETS["x"] | TARGETS["y"])))
+    def take(self, name):
+        if name in self.changed or name in self.holders:
+            return
+        try:
+            self.permits[name].take(self.wave)
+        except (WaitingForPermitError, PlatformUnavailableError):
+            return
+        assert self.objects.mode == "ok"
+        self.holders[name] = self.clock.monotonic_s()
+
+    @rule()
+    def release(self):
+        if self.holders and self.objects.mode == "ok":
+            name = min(self.holders)
+            del self.holders[name]
+            self.permits[name].release(self.wave, changed=True)
+            self.changed.add(name)
+
+    @rule(mode=st.sampled_from(["ok", "ok", "down"]))
+    def platform(self, mode):
+        self.objects.mode = mode
+
+    @rule(duration_s=st.sampled_from([0.5, 5.0, 20.0]))
+    def wait(self, duration_s):
+        self.clock.advance(duration_s)
+
+    @invariant()
+    def floor_is_kept(self):
+        now_s = self.clock.monotonic_s()
+        for domain, names in TARGETS.items():
+            away = [
+                name
+                for name, since_s in self.holders.items()
+                if name in names and now_s - since_s < EXPIRY_S
+            ]
+            assert len(away) <= self.wave.limit(domain)
+
+    @invariant()
+    def first_target_goes_alone(self):
+        fresh = [
+            name
+            for name, since_s in self.holders.items()
+            if self.clock.monotonic_s() - since_s < PATIENCE_S
+        ]
+        assert self.changed or len(fresh) <= 1
+
+    def teardown(self):
+        """However it began, the wave ends."""
+        self.objects.mode = "ok"
+        self.holders.clear()
+        for _ in range(60):
+            self.clock.advance(PATIENCE_S)
+            for name in self.permits:
+                self.take(name)
+            self.release()
+        assert self.changed | set(self.holders) == TARGETS["x"] | TARGETS["y"]
+
+
+TestWaves = Waves.TestCase
+TestWaves.settings = settings(max_examples=40, stateful_step_count=40)
+
+
+def test_failed_changeover_stops_the_wave_until_it_is_resumed():
+    clock, objects = ManualClock(), Objects()
+    first = _wave().domains[0]
+    one, two = (_permits(clock, objects, name) for name in sorted(TARGETS[first])[:2])
+    one.take(_wave())
+    one.fail(_wave(), "bad weights")
+    one.release(_wave(), changed=False)
+    with pytest.raises(RolloutStoppedError, match="bad weights"):
+        two.take(_wave())
+    two.take(_wave(generation=2, attempt=1))
+
+
+def test_paused_and_older_rollouts_take_no_permit():
+    clock, objects = ManualClock(), Objects()
+    name = f"{_wave().domains[0]}0"
+    permits = _permits(clock, objects, name)
+    with pytest.raises(RolloutStoppedError):
+        permits.take(_wave(paused=True))
+    objects.put(
+        PERMIT_KIND,
+        f"chat.{name[0]}",
+        {"generation": 5, "target_version": "v3", "holders": {}, "changed": []},
+    )
+    with pytest.raises(WaitingForPermitError):
+        permits.take(_wave(generation=4))
+
+
+def test_permit_of_a_dead_holder_lapses():
+    clock, objects = ManualClock(), Objects()
+    first = _wave().domains[0]
+    one, two = (_permits(clock, objects, name) for name in sorted(TARGETS[first])[:2])
+    one.take(_wave())
+    with pytest.raises(WaitingForPermitError):
+        two.take(_wave())
+    clock.advance(EXPIRY_S + 1)
+    two.take(_wave())
