--- a/briarbeam/weights/waves.py
+++ b/briarbeam/weights/waves.py
@@ -35,7 +35,7 @@
 class Wave:
     """One rollout's order of failure domains.
 
-    :param generation: the generation of the rollout; a newer one starts afresh.
+    :param generation: the generation of the rollout; failures count for one only.
     :param targets: the targets that need the model, by failure domain.
     """
 
@@ -47,7 +47,7 @@
     @property
     def domains(self):
         """The failure domains in the order in which they change."""
-        return rendezvous_order(f"{self.model}/{self.generation}", self.targets)
+        return rendezvous_order(f"{self.model}/{self.spec.version}", self.targets)
 
     def limit(self, domain):
         """Return how many targets of `domain` may change at once."""
@@ -63,17 +63,9 @@
 @dataclass
 class _Record:
     version: int = 0
-    generation: int = 0
     holders: dict = field(default_factory=dict)
     changed: list = field(default_factory=list)
 
-    def to_value(self):
-        return {
-            "generation": self.generation,
-            "holders": self.holders,
-            "changed": sorted(self.changed),
-        }
-
 
 class Permits:
     """Takes and releases the permits of one target.
@@ -210,7 +202,7 @@
         try:
             found = self._objects.get(PERMIT_KIND, f"{wave.model}.{domain}")
         except NotFoundError:
-            return _Record(generation=wave.generation)
+            return _Record()
         value = found.value
         if value["generation"] > wave.generation:
             raise WaitingForPermitError("a newer rollout has begun")
@@ -220,13 +212,19 @@
             for name, until_s in value["holders"].items()
             if until_s > now_s
         }
-        same = value["generation"] == wave.generation
+        same = value["target_version"] == wave.spec.version
         changed = list(value["changed"]) if same else []
-        return _Record(found.version, wave.generation, holders, changed)
+        return _Record(found.version, holders, changed)
 
     def _write(self, wave, domain, record):
         name = f"{wave.model}.{domain}"
-        self._objects.put(PERMIT_KIND, name, record.to_value(), record.version)
+        value = {
+            "generation": wave.generation,
+            "target_version": wave.spec.version,
+            "holders": record.holders,
+            "changed": sorted(record.changed),
+        }
+        self._objects.put(PERMIT_KIND, name, value, record.version)
 
     def _now_unix_s(self):
         return self._clock.now().timestamp()
