Measure what chunks, targets and tickets cost in a process

Cause: CAPACITY needs slopes of every role's state. Ruled out: processes for these: the state is local to one. Before: list and configuration only. After: chunk_state, target_state and ticket_state at three sizes each, and the processor time of entries and targets apart (make measure-control).

--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -18,11 +18,18 @@
     Documents,
     canonical,
 )
+from briarbeam.gate.admission import Load, Ticket
 from briarbeam.kernel.clock import SystemClock
 from briarbeam.membership.view import Membership
+from briarbeam.routing.targets import Targets
+from briarbeam.weights.manifest import Chunk, Manifest
+from briarbeam.weights.need import Need
+from briarbeam.weights.peers import Peers
+from briarbeam.weights.plan import plans
 
 DOMAINS = 8
 ROUNDS = 5
+REGION_TARGETS = 180
 
 
 def list_change(members):
@@ -65,9 +72,54 @@
     return _measure(CONFIGURATION, bodies, lambda document: None)
 
 
+def chunk_state(chunks):
+    """Return what a version's chunks cost a target, one of 180 in its region."""
+    found = [Chunk(random.randbytes(32).hex(), 1) for _ in range(chunks)]
+    data = Manifest("chat", "v1", "0" * 64, tuple(found)).to_bytes()
+    names = [f"d{number % DOMAINS}-{number}" for number in range(REGION_TARGETS)]
+
+    def build():
+        manifest = Manifest.from_bytes(data)
+        plan = plans.get("scatter")("v1", names[0], names, len(manifest.chunks))
+        peers = Peers(SystemClock(), names[0], names)
+        need = Need(plan, peers, names[0], range(len(manifest.chunks)))
+        return manifest, plan, peers, need
+
+    return {**_measure_build(build), "packed_bytes": len(data)}
+
+
+def target_state(targets):
+    """Return what an entry daemon holds of targets, each with a reply taken in."""
+    names = [f"target-{number}" for number in range(targets)]
+    load = str(Load(3, 16, 2, False))
+
+    def build():
+        found = Targets(SystemClock())
+        for name in names:
+            found.begin(name)
+            found.report(name, load)
+            found.usable(name)
+            found.pressure(name)
+        return found
+
+    return {**_measure_build(build), "packed_bytes": len(load)}
+
+
+def ticket_state(tickets):
+    """Return what a gate holds of requests, waiting or running."""
+
+    def build():
+        return [Ticket("team", 0, 1.0) for _ in range(tickets)]
+
+    return {**_measure_build(build), "packed_bytes": 0}
+
+
 SLOPES = {
     "list_change": ((120, 370, 740, 1110), list_change),
     "configuration_change": ((30, 100, 300, 1000), configuration_change),
+    "chunk_state": ((256, 1024, 4096), chunk_state),
+    "target_state": ((100, 370, 740), target_state),
+    "ticket_state": ((16, 128, 1024), ticket_state),
 }
 
 
@@ -94,6 +146,18 @@
     }
 
 
+def _measure_build(build):
+    started_s = time.process_time()
+    build()
+    took_s = time.process_time() - started_s
+    tracemalloc.start()
+    built = build()
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del built
+    return {"cpu_ms": round(1000 * took_s, 2), "held_mb": round(held_bytes / 1e6, 3)}
+
+
 def _entry(number):
     host = f"10.{number // 65536}.{number // 256 % 256}.{number % 256}"
     role = "entry" if number % 3 == 0 else "target"
--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -81,14 +81,18 @@
             for k in moved
         }  # fmt: skip
         entries = [item.name for item in self._daemons if item.role == "entry"]
+        targets = [item.name for item in self._daemons if item.role == "target"]
         rss = [_rss_bytes(item.daemon.pid) / 1e6 for item in self._daemons]
         return {
             "entries": len(entries),
-            "targets": len(self._daemons) - len(entries),
+            "targets": len(targets),
             "cpu_pct_core": round(statistics.mean(cpu.values()), 3),
             "cpu_pct_core_entry": round(
                 statistics.mean(cpu[name] for name in entries), 3
             ),
+            "cpu_pct_core_target": round(
+                statistics.mean(cpu[name] for name in targets), 3
+            ),
             "cpu_pct_core_max": round(max(cpu.values()), 3),
             "rss_mb": round(max(rss), 1),
             "control_bytes_per_s": round(statistics.mean(rates.values())),
@@ -133,7 +137,13 @@
         key: _line(
             [(case["entries"] + case["targets"], case[key]) for case in idle], daemons
         )
-        for key in ("cpu_pct_core", "rss_mb", "control_bytes_per_s")
+        for key in (
+            "cpu_pct_core",
+            "cpu_pct_core_entry",
+            "cpu_pct_core_target",
+            "rss_mb",
+            "control_bytes_per_s",
+        )
     }
     list_change = slopes["list_change", daemons]
     configuration = slopes["configuration_change", 1000]
@@ -149,7 +159,11 @@
         "case": "extrapolated",
         "entries": DESIGN_ENTRIES,
         "targets": DESIGN_TARGETS,
-        "cpu_pct_core": round(found["cpu_pct_core"] + cpu_ms / DAY_S / 10, 3),
+        **{
+            key: round(found[key] + cpu_ms / DAY_S / 10, 3)
+            for key in found
+            if key.startswith("cpu")
+        },
         "rss_mb": round(found["rss_mb"] + list_change["held_mb"], 1),
         "control_bytes_per_s": round(
             found["control_bytes_per_s"] + bytes_moved / DAY_S
