Count a new daemon's answers by who gave them

Cause: a daemon that starts without the platform counted answers by address, so one peer met at two addresses, or the daemon itself in its own list of peers to start from, stood for two. Ruled out: comparing addresses (advertised and own ones differ). Before: with the own answer counted, ready with a stale configuration (red, in a scratch copy, test_new_daemon_that_meets_a_single_stale_peer_is_not_ready_at_once). After: 38 tests of tests/test_configuration_spread.py green. Conclusion: the sender's name in the reply counts.

--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -132,7 +132,7 @@
     def exchange(self, name, address):
         """Exchange digests with a peer and bring the side that is behind up to date.
 
-        :returns: whether the peer answered.
+        :returns: the name by which the peer answered, or "" if it did not.
         """
         try:
             reply = self._call(address, "Exchange", self.digest_exchange())
@@ -141,10 +141,10 @@
         except NetworkError:
             _EXCHANGES.labels("failed").inc()
             self.membership.fail(name)
-            return False
+            return ""
         _EXCHANGES.labels("done").inc()
         self.membership.succeed(name)
-        return True
+        return reply.sender
 
     def digest_exchange(self):
         """Return the digests of what this daemon holds."""
@@ -185,7 +185,7 @@
         peer holds may be stale, so alone it counts only after a while.
         """
         platform_answered = self._ask_platform()
-        answered = []
+        answered = set()
         tasks = [
             self.kernel.tasks.spawn(self._ask_peer, answered, *peer)
             for peer in self._first_peers()
@@ -194,6 +194,7 @@
             task.join()
         waited_s = self.clock.monotonic_s() - self._started_s
         needed = 1 if waited_s > FIRST_PATIENCE_S else FIRST_ANSWERS_MIN
+        answered -= {"", self.settings.instance.name}
         if platform_answered or len(answered) >= needed:
             self.settled = True
 
@@ -216,8 +217,7 @@
         return answered
 
     def _ask_peer(self, answered, name, address):
-        if self.exchange(name, address):
-            answered.append(name)
+        answered.add(self.exchange(name, address))
 
     def _first_peers(self):
         chosen = self.membership.choose(FIRST_OWN_DOMAIN, FIRST_OTHER_DOMAINS)
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -185,6 +185,7 @@
         self.clock = ManualClock()
         self.platform = Platform()
         self.addresses = {}
+        self.aliases = {}
         self.pending = []
         self.cuts = set()
         self.one_way = set()
@@ -214,7 +215,7 @@
 
     @property
     def by_address(self):
-        return {node.control: node for node in self.nodes.values()}
+        return self.aliases | {node.control: node for node in self.nodes.values()}
 
     def connected(self, source, target):
         self.calls += 1
@@ -272,7 +273,9 @@
         return node
 
     def seeds(self, name):
-        return [node.control for node in self.nodes.values() if node.name != name][:3]
+        """Return addresses to start from: of daemons, of one daemon again, its own."""
+        others = [n.control for n in self.nodes.values() if n.name != name]
+        return [*others[:3], *self.aliases, self.addresses[name]]
 
     def in_force_s(self, revision, among=None):
         """Let time pass until `revision` is in force, and return the seconds."""
@@ -481,6 +484,7 @@
     others = [node for node in world.nodes.values() if node is not stale]
     for node in others:
         node.frozen = True
+    world.aliases[stale.control.replace("8081", "9081")] = stale
     node = world.restart("d0-2")
     assert not node.plugin.ready()
     for other in others:
