Prove with real processes that a frozen target and gone callers cost nothing

Cause: the bound on silence and the look for the caller were proved with fakes only. Before: no such test; a reply without an echoed id was taken. After: one site (one entry, two engines): a daemon under SIGSTOP costs no answer, and a caller that goes, streamed or not, ends the work at the engine; a reply that runs a job must name it, now that the gate does. Seen red: the frozen case without the bound on silence, the caller's case (whole answer) without the look for the caller.

--- a/briarbeam/routing/exchange.py
+++ b/briarbeam/routing/exchange.py
@@ -87,10 +87,13 @@
 def check_echo(response, request_id):
     """Check that a reply belongs to the request.
 
+    Only a refusal by the server itself, before the gate saw it, may name none.
+
     :raises ExchangeError: if it names another one; the reply is dropped.
     """
     echoed = response.headers.get(REQUEST_ID_HEADER)
-    if echoed is not None and echoed != request_id:
+    unnamed_refusal = echoed is None and response.status != 200
+    if echoed != request_id and not unnamed_refusal:
         _CROSSED.inc()
         response.close()
         raise ExchangeError(f"a reply to {echoed} came for {request_id}")
--- /dev/null
+++ b/tests/test_entry_processes.py
@@ -0,0 +1,58 @@
+"""The entry before real targets: one that is frozen, and callers that go."""
+
+import json
+import signal
+import socket
+
+import pytest
+
+from bench.callers import Callers
+from bench.site import Domain, Site
+
+DOMAINS = (Domain("hobart", "south", entries=1, engines=2),)
+LONG = 100_000
+
+
+@pytest.fixture(scope="module")
+def site():
+    with Site(DOMAINS) as started:
+        started.declare("v1", size_bytes=100_000)
+        started.wait_for(lambda: started.loaded("v1") == 2)
+        started.wait_for(lambda: started.ready() == len(started.instances))
+        yield started
+
+
+def _running(site):
+    return sum(
+        site.ask(engine.backend_address, "GET", "/status")["running"]
+        for engine in site.targets()
+    )
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_caller_that_goes_ends_the_work_at_the_engine(site, stream):
+    body = {"model": "chat", "prompt": "p", "max_tokens": LONG, "stream": stream}
+    data = json.dumps(body).encode()
+    head = (
+        "POST /v1/completions HTTP/1.1\r\nhost: entry\r\n"
+        f"content-type: application/json\r\ncontent-length: {len(data)}\r\n\r\n"
+    )
+    with socket.create_connection(site.entries()[0].http) as caller:
+        caller.sendall(head.encode() + data)
+        site.wait_for(lambda: _running(site) == 1)
+    site.wait_for(lambda: _running(site) == 0, timeout_s=10.0)
+
+
+def test_frozen_target_costs_no_answer(site):
+    callers = Callers(site, rate_per_s=1)
+    frozen = site.targets()[0]
+    site.signal(frozen.name, signal.SIGSTOP)
+    try:
+        for number in range(10):
+            outcome = callers.complete(site.entries()[0], f"prompt {number}")
+            assert (outcome.result, outcome.code) == ("ok", "")
+            assert outcome.target != frozen.name
+    finally:
+        site.signal(frozen.name, signal.SIGCONT)
+    metrics = site.metrics(site.entries()[0])
+    assert metrics.get('briarbeam_attempts_total{result="exchange"}', 0) <= 3
