Look for a free place before waiting at a target

Ruled out: polling targets for load (a mesh), and hedging (a second request where the queue already is the trouble). Before: a request that was expected to find a place waited if there was none. After: it says may_wait = false; the gate refuses at once with "no_place", nothing having waited or run, and its load; after two such looks the request waits. Looks are no retries: they cost no budget, and are bounded by two a request.

--- a/briarbeam/gate/admission.py
+++ b/briarbeam/gate/admission.py
@@ -79,6 +79,11 @@
             f"{self.running}/{self.limit}/{self.queued}/{int(self.cold)}/{self.closed}"
         )
 
+    @property
+    def has_place(self):
+        """Whether a request would not have to wait."""
+        return self.running < self.limit and not self.queued
+
     @classmethod
     def parse(cls, text):
         """Return the load written by ``str``."""
--- a/briarbeam/gate/plugin.py
+++ b/briarbeam/gate/plugin.py
@@ -10,6 +10,7 @@
 from ..kernel.errors import (
     BriarbeamError,
     DeadlineExpiredError,
+    NoPlaceError,
     OutcomeUnknownError,
     OverloadedError,
     UnavailableError,
@@ -205,6 +206,8 @@
         remaining_s = envelope.remaining_s()
         if remaining_s <= 0:
             raise DeadlineExpiredError("the deadline passed on the way")
+        if not envelope.get("may_wait", True) and not self.admission.load().has_place:
+            raise NoPlaceError("no place is free")
         ticket = Ticket(
             team=envelope.get("team", "default"),
             priority=envelope.get("priority", 0),
--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -133,6 +133,12 @@
     status = 429
 
 
+class NoPlaceError(OverloadedError):
+    """The target has no free place, and the request asked not to wait for one."""
+
+    code = "no_place"
+
+
 class UnavailableError(NotRunError):
     """No target in service can take the request."""
 
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -18,6 +18,7 @@
     InProgressError,
     InvalidRequestError,
     NetworkError,
+    NoPlaceError,
     NotFoundError,
     NotRunError,
     OutcomeUnknownError,
@@ -67,6 +68,9 @@
     :param idempotent: whether it may run more than once.
     :param version: the version that must answer, or "" for any.
     :param gone: tells whether the caller has gone; asked for idempotent jobs only.
+    :param may_wait: whether it may wait at a target for a place; otherwise the
+        target refuses at once, and another is asked.
+    :param places_asked: how often it found no place where one was expected.
     :param tried: names of the targets that it was sent to, in order.
     :param may_have_run: whether an attempt may have reached a back end.
     """
@@ -85,6 +89,8 @@
     weight: float = 1.0
     version: str = ""
     gone: Callable[[], bool] = _never
+    may_wait: bool = True
+    places_asked: int = 0
     tried: list = field(default_factory=list)
     may_have_run: bool = False
 
@@ -146,11 +152,25 @@
                 attempts += 1
                 return member, self._try(member, job)
             except BriarbeamError as error:
+                if self._looks_elsewhere(job, error):
+                    attempts -= 1
+                    continue
                 last = error
                 job.may_have_run |= error.ran is not Ran.NO
                 if not self._may_retry(job, error, attempts):
                     raise self._final(job, error) from error
 
+    def _looks_elsewhere(self, job, error):
+        """Return whether `job` found no place and may ask another target for one.
+
+        Nothing waited or ran, so it is no retry; the number is bounded all the same.
+        """
+        if not isinstance(error, NoPlaceError) or job.may_wait:
+            return False
+        job.places_asked += 1
+        job.tried.pop()
+        return True
+
     def finish(self, member, response, took_s=None):
         """Give up the connection to a target after its reply.
 
@@ -228,6 +248,7 @@
             "priority": job.priority,
             "weight": job.weight,
             "deadline_unix_s": job.deadline_unix_s,
+            "may_wait": job.may_wait,
         }
         if job.version:
             body["version"] = job.version
@@ -279,7 +300,8 @@
         if response.status != 200:
             error = read_error(response)
             _ATTEMPTS.labels(error.code).inc()
-            if isinstance(error, OverloadedError):
+            full = isinstance(error, OverloadedError)
+            if full and not isinstance(error, NoPlaceError):
                 self.targets.refuse(name)
             raise error
         version = response.headers.get(VERSION_HEADER)
--- a/briarbeam/routing/selection.py
+++ b/briarbeam/routing/selection.py
@@ -13,6 +13,7 @@
 
 NEAR_PRESSURE_MAX = 0.75
 OVER_SHARE_QUEUE = 0.5
+PLACES_ASKED_MAX = 2
 
 policies = Registry("routing policy")
 
@@ -90,6 +91,7 @@
         chosen = self._pick(job, [item for item in calm if item in usable])
         if chosen is None:
             chosen = self._spill([item for item in usable if self._below(item, 1.0)])
+        job.may_wait = chosen is None or job.places_asked >= PLACES_ASKED_MAX
         if chosen is None:
             chosen = self._queue(job, usable)
         return chosen or self._last_resort(job, untried, usable)
--- a/tests/routing_fakes.py
+++ b/tests/routing_fakes.py
@@ -13,6 +13,7 @@
     ConnectError,
     DrainingError,
     ExchangeError,
+    NoPlaceError,
     OverloadedError,
     UnavailableError,
 )
@@ -140,6 +141,12 @@
     def _refuse(self, name, asked, request):
         return self._error(name, asked, OverloadedError("full", retry_after_s=0.5))
 
+    def _busy(self, name, asked, request):
+        self.loads[name] = "4/4/0/0/"
+        if not asked["may_wait"]:
+            return self._error(name, asked, NoPlaceError("no place"))
+        return self._ok(name, asked, request)
+
     def _closed(self, name, asked, request):
         self.loads[name] = "0/4/0/0/leaving"
         return self._error(name, asked, DrainingError("leaving"))
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -3,11 +3,14 @@
 import json
 import signal
 import socket
+import time
+import uuid
 
 import pytest
 
 from bench.callers import Callers
 from bench.site import Domain, Site
+from briarbeam.kernel.network import HttpRequest
 
 DOMAINS = (Domain("hobart", "south", entries=1, engines=2),)
 LONG = 100_000
@@ -43,6 +46,30 @@
     site.wait_for(lambda: _running(site) == 0, timeout_s=10.0)
 
 
+def test_gate_without_a_place_says_so_at_once_to_who_may_not_wait(site):
+    target = site.targets()[1]
+    envelope = {"model": "chat", "prompt": "p", "max_tokens": LONG}
+    envelope["deadline_unix_s"] = time.time() + 60.0
+    running = []
+
+    def send(**fields):
+        body = {**envelope, "request_id": uuid.uuid4().hex, **fields}
+        data = json.dumps(body).encode()
+        request = HttpRequest("POST", "/gate/generate", data, timeout_s=30.0)
+        return site.network.send(target.http, request)
+
+    try:
+        while (reply := send(may_wait=False)).status == 200:
+            running.append(reply)
+        refusal = json.loads(reply.read())["error"]
+        assert (refusal["code"], refusal["ran"]) == ("no_place", "no")
+        assert 2 <= len(running) <= 16
+    finally:
+        for reply in running:
+            reply.close()
+    site.wait_for(lambda: _running(site) == 0, timeout_s=10.0)
+
+
 def test_frozen_target_costs_no_answer(site):
     callers = Callers(site, rate_per_s=1)
     frozen = site.targets()[0]
