--- a/briarbeam/entry/callers.py
+++ b/briarbeam/entry/callers.py
@@ -18,30 +18,35 @@
 _TRACE = re.compile(r"00-(?!0{32})([0-9a-f]{32})-(?!0{16})[0-9a-f]{16}-([0-9a-f]{2})\Z")
 
 
-def team_of(request, configuration):
-    """Return the caller's team, by its key or by its name.
+class Teams:
+    """The teams of one configuration, by key and by name."""
 
-    :raises UnauthorizedError: if the key is unknown, or a team that has a key is
-        named without it.
-    """
-    teams = configuration.of_kind("team")
-    keyed = {
-        resource.spec.key_digest: name
-        for name, resource in teams.items()
-        if resource.spec.key_digest
-    }
-    kind, _, key = request.headers.get("authorization", "").partition(" ")
-    if keyed and kind.lower() == "bearer":
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
-        if digest not in keyed:
-            raise UnauthorizedError("no team has this key")
-        return keyed[digest]
-    name = request.headers.get(TEAM_HEADER, DEFAULT_TEAM)
-    if not _TEAM_NAME.match(name):
-        raise InvalidRequestError(f"{TEAM_HEADER} is not a team's name: {name!r}")
-    if name in keyed.values():
-        raise UnauthorizedError(f"team {name!r} calls with its key")
-    return name
+    def __init__(self, configuration):
+        self._by_key = {
+            resource.spec.key_digest: name
+            for name, resource in configuration.of_kind("team").items()
+            if resource.spec.key_digest
+        }
+        self._keyed = set(self._by_key.values())
+
+    def team_of(self, request):
+        """Return the caller's team, by its key or by its name.
+
+        :raises UnauthorizedError: if the key is unknown, or a team that has a key is
+            named without it.
+        """
+        kind, _, key = request.headers.get("authorization", "").partition(" ")
+        if self._keyed and kind.lower() == "bearer":
+            digest = hashlib.sha256(key.strip().encode()).hexdigest()
+            if digest not in self._by_key:
+                raise UnauthorizedError("no team has this key")
+            return self._by_key[digest]
+        name = request.headers.get(TEAM_HEADER, DEFAULT_TEAM)
+        if not _TEAM_NAME.match(name):
+            raise InvalidRequestError(f"{TEAM_HEADER} is not a team's name: {name!r}")
+        if name in self._keyed:
+            raise UnauthorizedError(f"team {name!r} calls with its key")
+        return name
 
 
 def deadline_s(request, default_s, max_s):
--- a/briarbeam/entry/plugin.py
+++ b/briarbeam/entry/plugin.py
@@ -19,7 +19,7 @@
 from ..routing.router import Job
 from .answers import Answer
 from .bodies import Completion
-from .callers import deadline_s, idempotency_key, next_traceparent, team_of
+from .callers import Teams, deadline_s, idempotency_key, next_traceparent
 from .replies import EventStream, Reply
 
 AFFINITY_CHARACTERS = 64
@@ -40,6 +40,7 @@
         self._routing = kernel.find("routing")
         self._configuration = kernel.find("configuration")
         self._running = 0
+        self._known_teams = None, None
         _RUNNING.set_function(lambda: self._running)
         router = kernel.router
         router.add("GET", "/v1/models", self._models)
@@ -159,7 +160,7 @@
 
     def _job(self, request, **fields):
         configuration = self._configuration.configuration
-        team = team_of(request, configuration)
+        team = self._teams().team_of(request)
         spec = configuration.get("team", team)
         chosen = self.settings.entry
         wait_s = deadline_s(request, chosen.default_deadline_s, chosen.deadline_max_s)
@@ -173,6 +174,14 @@
             **fields,
         )
 
+    def _teams(self):
+        configuration = self._configuration.configuration
+        known, teams = self._known_teams
+        if known is not configuration:
+            teams = Teams(configuration)
+            self._known_teams = configuration, teams
+        return teams
+
     def _find(self, kind, name):
         """Return the spec of a declared resource.
 
--- a/briarbeam/routing/selection.py
+++ b/briarbeam/routing/selection.py
@@ -87,8 +87,13 @@
         usable = [item for item in untried if self._targets.usable(item.name)]
         if job.version:
             usable = self._of_version(job, usable)
-        calm = [item for item in near if self._below(item, NEAR_PRESSURE_MAX)]
-        chosen = self._pick(job, [item for item in calm if item in usable])
+        calm = [
+            item
+            for item in usable
+            if item.failure_domain == self._instance.failure_domain
+            and self._below(item, NEAR_PRESSURE_MAX)
+        ]
+        chosen = self._pick(job, calm)
         if chosen is None:
             chosen = self._spill([item for item in usable if self._below(item, 1.0)])
         job.may_wait = chosen is None or job.places_asked >= PLACES_ASKED_MAX
@@ -108,6 +113,8 @@
         own = self._instance.failure_domain
         for member in self._order(job):
             pool = near if member.failure_domain == own else far
+            if len(far) >= self._size:
+                break
             if len(pool) >= self._size:
                 continue
             if self._targets.replaced(member.name):
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -3,10 +3,13 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from briarbeam.kernel.http import Request
 from tests.routing_fakes import Bench, member
 
+NAMES = ("t1", "t2", "t3")
 RESOURCES = {("model", "chat"): {}, ("service", "ledger"): {}}
 
 
@@ -169,3 +172,32 @@
     request.body = b"\xff"
     assert bench.kernel.router.handle(request).status == 400
     assert len(sent) == 1
+
+
+@given(
+    breaks=st.fixed_dictionaries({name: st.integers(0, 7) for name in NAMES}),
+    versions=st.fixed_dictionaries(
+        {name: st.sampled_from(["v1", "v2"]) for name in NAMES}
+    ),
+    stream=st.booleans(),
+)
+def test_no_token_is_doubled_lost_or_of_another_version(breaks, versions, stream):
+    bench = _bench(*NAMES)
+    bench.network.break_after = breaks
+    bench.network.versions = versions
+    response = _ask(bench, stream=stream, max_tokens=6)
+    whole = {
+        version: " ".join(f"{version}-{index}" for index in range(6))
+        for version in ("v1", "v2")
+    }
+    if not stream and response.status == 200:
+        answer = json.loads(response.body)
+        text = answer["choices"][0]["text"]
+        assert text == whole[answer["briarbeam"]["version"]]
+    elif not stream:
+        assert json.loads(response.body)["error"]["ran"] == "unknown"
+    else:
+        text, ends = _texts(response.body)
+        assert any(full.startswith(text) for full in whole.values())
+        assert ends == (["done"] if text in whole.values() else ["unknown"])
+    assert bench.entry._running == 0 or stream
