--- a/bench/settlements.py
+++ b/bench/settlements.py
@@ -89,6 +89,12 @@
             if record["event"] == "ran" and self._name in record["body"]
         )
 
+    def answered_since(self, since_s):
+        """Return whether one that was first sent after `since_s` is answered."""
+        return any(
+            item.answered for item in self.settlements if item.started_s > since_s
+        )
+
     def doubled(self):
         """Return the instructions that ran more than once."""
         return [body for body, count in self.ran().items() if count > 1]
