--- a/briarbeam/weights/store.py
+++ b/briarbeam/weights/store.py
@@ -22,6 +22,10 @@
         """Return a chunk's bytes, or None."""
         return self._chunks.get(digest)
 
+    def digests(self):
+        """Return the digests of all chunks held."""
+        return set(self._chunks)
+
     def add(self, digest, data):
         """Verify and hold a chunk.
 
--- /dev/null
+++ b/tests/test_weights_processes.py
@@ -0,0 +1,63 @@
+"""Rollouts with real processes: killed, replaced, superseded and rolled back."""
+
+import json
+import subprocess
+import sys
+
+from bench.callers import Callers
+from bench.site import OPERATOR_TOKEN, Domain, Site
+
+DOMAINS = (
+    Domain("hobart", "south", entries=1, engines=3),
+    Domain("burnie", "north", entries=1, engines=2),
+)
+SIZE_BYTES = 3_000_000
+LINK_BYTES_PER_S = 1_000_000
+COMMAND = "from briarbeam.cli.application import main; main()"
+WAIT_S = 60
+
+
+def _rollout(site, *arguments):
+    """Run ``briarbeam rollout`` and return what it printed."""
+    server = str(site.entries()[0].http)
+    call = [sys.executable, "-c", COMMAND, "rollout", *arguments]
+    call += ["--server", server, "--token", OPERATOR_TOKEN]
+    done = subprocess.run(call, capture_output=True, text=True, timeout=WAIT_S)
+    assert done.returncode == 0, done.stderr
+    return done.stdout
+
+
+def _served(site, instance):
+    orders = [item for item in site.truth(instance) if item["event"] == "order"]
+    return orders[-1]["version"]
+
+
+def test_newest_accepted_version_wins_while_a_daemon_is_replaced():
+    limits = {"link_bytes_per_s": LINK_BYTES_PER_S}
+    overrides = {"weights": limits, "target": {"order_timeout_s": 3.0}}
+    with Site(DOMAINS, LINK_BYTES_PER_S, overrides=overrides) as site:
+        site.declare("v1", size_bytes=100_000)
+        site.wait_for(lambda: site.loaded("v1") == 5, WAIT_S)
+        site.wait_for(lambda: site.ready() == len(site.instances), WAIT_S)
+        callers = Callers(site, rate_per_s=10)
+        callers.start()
+        for version in ("v2", "v3"):
+            site.apply(site.publish(version, SIZE_BYTES, keep=0.5))
+            _rollout(site, "start", "chat", version)
+        replaced = site.targets()[1]
+        site.kill_daemon(replaced)
+        site.start_daemon(replaced)
+        site.wait_for(lambda: site.loaded("v3") == 5, WAIT_S)
+        status = json.loads(_rollout(site, "status", "chat", "-o", "json"))
+        assert status["version"] == "v3"
+        assert status["previous_version"] == "v2"
+        _rollout(site, "start", "chat", "v1")
+        site.wait_for(lambda: site.loaded("v1") == 5, WAIT_S)
+        callers.stop()
+        events = [item for target in site.targets() for item in site.truth(target)]
+        assert [_served(site, target) for target in site.targets()] == ["v1"] * 5
+    counts = callers.counts()
+    assert counts["ok"] > 0
+    assert counts["wrong"] + counts["partial"] == 0
+    bad = ("bad_weights", "loaded_while_running")
+    assert not [event for event in events if event["event"] in bad]
--- a/tests/test_weights_spread.py
+++ b/tests/test_weights_spread.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.weights.bitmap import Bitmap
+from briarbeam.weights.peers import Peers
 from briarbeam.weights.plan import Plan
 
 from .weights_fakes import World
@@ -146,3 +149,17 @@
     smaller = Plan("key", "t0", names[:-1], 400)
     moved = sum(smaller.owner(index) != owners[index] for index in range(400))
     assert moved <= 100
+
+
+def test_own_broken_link_is_not_held_against_the_peers():
+    """Corrupt ones stay shunned; one failed peer alone stays suspect."""
+    clock = ManualClock()
+    peers = Peers(clock, "own", ["a", "b", "c", "d"])
+    peers.fail("a")
+    peers.tell("b", Bitmap())
+    assert not peers.usable("a")
+    for name in ("a", "b", "c"):
+        peers.fail(name)
+    peers.shun("d")
+    peers.tell("c", Bitmap())
+    assert [name for name in "abcd" if peers.usable(name)] == ["a", "b", "c"]
