--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -9,13 +9,17 @@
 from ..kernel.errors import (
     BriarbeamError,
     CallerGoneError,
+    ChangingVersionError,
     ConflictError,
     ConnectError,
     DeadlineExpiredError,
+    DeadlinePassedError,
+    DrainingError,
     ExchangeError,
     InProgressError,
     InvalidRequestError,
     NetworkError,
+    NoPlaceError,
     NotFoundError,
     NotRunError,
     OutcomeUnknownError,
@@ -23,6 +27,8 @@
     Ran,
     UnauthorizedError,
     UnavailableError,
+    UnconfirmedError,
+    WithdrawnError,
 )
 from ..kernel.network import HttpRequest, fetch
 from ..kernel.plugin import Plugin, plugins
@@ -34,16 +40,22 @@
 
 PROBE_TIMEOUT_S = 1.0
 ALIVE_TIMEOUT_S = 0.5
+GREET_PATH = "/healthz"
 VERSION_HEADER = "x-briarbeam-version"
 FINAL = (
     CallerGoneError,
     ConflictError,
     DeadlineExpiredError,
+    DeadlinePassedError,
     InProgressError,
     InvalidRequestError,
     NotFoundError,
     UnauthorizedError,
+    WithdrawnError,
 )
+# Refusals of a target that takes no work at all: the next target is asked, and since
+# each is asked once, neither attempts nor the budget need to bound that.
+CLOSED = (ChangingVersionError, DrainingError, UnconfirmedError)
 
 _ATTEMPTS = Counter("briarbeam_attempts", "Attempts at targets", ["result"])
 _REFUSALS = Counter("briarbeam_entry_refusals", "Jobs given up", ["code"])
@@ -62,6 +74,9 @@
     :param idempotent: whether it may run more than once.
     :param version: the version that must answer, or "" for any.
     :param gone: tells whether the caller has gone; asked for idempotent jobs only.
+    :param may_wait: whether it may wait at a target for a place; otherwise the
+        target refuses at once, and another is asked.
+    :param places_asked: how often it found no place where one was expected.
     :param tried: names of the targets that it was sent to, in order.
     :param may_have_run: whether an attempt may have reached a back end.
     """
@@ -80,6 +95,8 @@
     weight: float = 1.0
     version: str = ""
     gone: Callable[[], bool] = _never
+    may_wait: bool = True
+    places_asked: int = 0
     tried: list = field(default_factory=list)
     may_have_run: bool = False
 
@@ -141,11 +158,27 @@
                 attempts += 1
                 return member, self._try(member, job)
             except BriarbeamError as error:
+                if self._looks_elsewhere(job, error):
+                    attempts -= 1
+                    continue
                 last = error
                 job.may_have_run |= error.ran is not Ran.NO
-                if not self._may_retry(job, error, attempts):
+                if isinstance(error, CLOSED):
+                    attempts -= 1
+                elif not self._may_retry(job, error, attempts):
                     raise self._final(job, error) from error
 
+    def _looks_elsewhere(self, job, error):
+        """Return whether `job` found no place and may ask another target for one.
+
+        Nothing waited or ran, so it is no retry; the number is bounded all the same.
+        """
+        if not isinstance(error, NoPlaceError) or job.may_wait:
+            return False
+        job.places_asked += 1
+        job.tried.pop()
+        return True
+
     def finish(self, member, response, took_s=None):
         """Give up the connection to a target after its reply.
 
@@ -194,7 +227,7 @@
 
     def _try(self, member, job):
         job.tried.append(member.name)
-        request = self._request(job)
+        request = self._request(job, member)
         self.targets.begin(member.name)
         try:
             response = self._send(member, job, request)
@@ -214,7 +247,7 @@
             self.targets.end(member.name)
             raise
 
-    def _request(self, job):
+    def _request(self, job, member):
         remaining_s = job.deadline_unix_s - self.clock.now().timestamp()
         body = {
             **job.envelope,
@@ -223,6 +256,7 @@
             "priority": job.priority,
             "weight": job.weight,
             "deadline_unix_s": job.deadline_unix_s,
+            "may_wait": job.may_wait,
         }
         if job.version:
             body["version"] = job.version
@@ -236,11 +270,23 @@
             headers,
             timeout_s=max(0.001, remaining_s),
             fresh=not job.idempotent,
+            greet_path=None if job.idempotent else GREET_PATH,
+            guard=lambda: self._check_before_send(job, member),
             silence_s=min(self.settings.entry.stream_silence_s, remaining_s)
             if job.idempotent and self.policy.bounds_silence
             else None,
         )
 
+    def _check_before_send(self, job, member):
+        """Look again at what may have changed while the connection was made.
+
+        :raises NotRunError: if the job must not go to `member` any more.
+        """
+        if job.deadline_unix_s <= self.clock.now().timestamp():
+            raise DeadlineExpiredError("the deadline passed before the send")
+        if all(item.name != member.name for item in self.serving(job)):
+            raise DrainingError(f"{member.name} is no longer in service")
+
     def _send(self, member, job, request):
         def send():
             return self.kernel.network.send(member.http, request)
@@ -263,7 +309,8 @@
         if response.status != 200:
             error = read_error(response)
             _ATTEMPTS.labels(error.code).inc()
-            if isinstance(error, OverloadedError):
+            full = isinstance(error, OverloadedError)
+            if full and not isinstance(error, NoPlaceError):
                 self.targets.refuse(name)
             raise error
         version = response.headers.get(VERSION_HEADER)
