Prove adapters and platform outages at the reconciler, which outlives its faults

Cause: an unexpected exception would have ended the task that gives orders. Conclusion: the reconciler's look is repeated like other background work.

--- a/briarbeam/weights/plugin.py
+++ b/briarbeam/weights/plugin.py
@@ -12,7 +12,7 @@
 from .origin import OriginSource, Reader
 from .pace import Pace
 from .progress import Progress
-from .reconcile import Reconciler
+from .reconcile import LOOK_INTERVAL_S, Reconciler
 from .serving import PIECE_BYTES, Serving
 from .store import ChunkStore
 from .transfer import Transfer
@@ -54,7 +54,8 @@
         self._configuration.documents.subscribe(
             CONFIGURATION, lambda document: self._follow_all()
         )
-        self.kernel.tasks.spawn(self.reconciler.run)
+        look = self.reconciler.look
+        self.kernel.tasks.repeat(look, LOOK_INTERVAL_S, self.clock)
         progress = Progress(self.kernel, self)
         self.kernel.tasks.repeat(progress.report, progress.interval_s, self.clock)
 
@@ -103,10 +104,11 @@
                 self._fetch(model, spec)
                 self.delays.pop(model, None)
                 return
-            except BriarbeamError as error:
+            except Exception as error:
                 if model not in self.delays:
-                    _log.warning("version_delayed", model=model, error=str(error))
-                self.delays[model] = f"{error.code}: {error}"
+                    _log.warning("version_delayed", model=model, error=repr(error))
+                code = getattr(error, "code", BriarbeamError.code)
+                self.delays[model] = f"{code}: {error}"
                 self.clock.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.5))
 
     def _fetch(self, model, spec):
--- a/briarbeam/weights/reconcile.py
+++ b/briarbeam/weights/reconcile.py
@@ -60,12 +60,10 @@
         self._not_before_s = {}
         self.reasons = {}
 
-    def run(self):
-        """Reconcile for ever."""
-        while True:
-            for model in self.models():
-                self._step(model)
-            self._clock.sleep(LOOK_INTERVAL_S)
+    def look(self):
+        """Look once at each model; change at most one version a model."""
+        for model in self.models():
+            self._step(model)
 
     def models(self):
         """Return the models that this target serves, then the adapters on them."""
--- a/tests/test_weights_changeover.py
+++ b/tests/test_weights_changeover.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarbeam.configuration.resources import RolloutSpec
+from briarbeam.configuration.resources import Configuration, RolloutSpec
 from briarbeam.gate.backends import BackendStatus
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.errors import (
@@ -28,6 +28,7 @@
 from briarbeam.platform.client import StoredObject
 from briarbeam.weights.changeover import Changeover
 from briarbeam.weights.fence import FRESH_S, Fences
+from briarbeam.weights.reconcile import Reconciler
 from briarbeam.weights.waves import PERMIT_KIND, Permits, Wave
 
 ORDER_TIMEOUT_S = 30.0
@@ -370,3 +371,75 @@
         two.take(_wave())
     clock.advance(EXPIRY_S + 1)
     two.take(_wave())
+
+
+ADAPTER = "tariffs"
+DIGEST = "0" * 64
+
+
+def _reconciler(bench, base_version, rollouts):
+    """Return a reconciler of a target that serves ``chat`` and an adapter on it."""
+    resources = {
+        "model/chat": {},
+        f"model/{ADAPTER}": {"base": "chat"},
+    }
+    for name, version in rollouts.items():
+        spec = {"model": name, "size_bytes": 1, "base_version": None}
+        spec.update(manifest_digest=DIGEST, weights_digest=DIGEST)
+        if name == ADAPTER:
+            spec["base_version"] = base_version
+        resources[f"version/{name}@{version}"] = spec
+        resources[f"rollout/{name}"] = {"version": version}
+    head = {key: {"spec": spec, "generation": 1} for key, spec in resources.items()}
+    found = {
+        "gate": bench.gate,
+        "platform": SimpleNamespace(objects=bench.objects),
+        "configuration": SimpleNamespace(
+            configuration=Configuration.from_head(1, {"resources": head}), members={}
+        ),
+    }
+    chosen = SimpleNamespace(
+        drain_timeout_s=60,
+        instance=SimpleNamespace(name="t", failure_domain="x"),
+        listen=SimpleNamespace(http="127.0.0.1:1"),
+        weights=SimpleNamespace(permit_expiry_s=EXPIRY_S, wave_patience_s=PATIENCE_S),
+        target=SimpleNamespace(models=["chat"], order_timeout_s=ORDER_TIMEOUT_S),
+    )
+    kernel = SimpleNamespace(clock=bench.clock, settings=chosen, find=found.get)
+    bench.gate.probe()
+    return Reconciler(kernel, lambda digest: True)
+
+
+def test_adapter_is_ordered_only_onto_its_exact_base():
+    bench = Bench()
+    reconciler = _reconciler(bench, "v2", {ADAPTER: "a1"})
+    reconciler.look()
+    assert not bench.engine.orders
+    assert reconciler.reasons[ADAPTER].startswith("base_version")
+    reconciler = _reconciler(bench, "v2", {"chat": "v2", ADAPTER: "a1"})
+    reconciler.look()
+    assert bench.gate.loaded == {"chat": "v2", ADAPTER: "a1"}
+
+
+def test_adapter_is_ordered_again_after_its_base_was():
+    bench = Bench()
+    reconciler = _reconciler(bench, "v2", {"chat": "v2", ADAPTER: "a1"})
+    reconciler.look()
+    bench.engine.loaded = {"chat": "v2"}
+    bench.gate.probe()
+    reconciler.look()
+    assert bench.gate.loaded == {"chat": "v2", ADAPTER: "a1"}
+
+
+def test_serving_target_changes_nothing_while_the_platform_is_out():
+    bench = Bench()
+    reconciler = _reconciler(bench, None, {"chat": "v2"})
+    bench.objects.mode = "down"
+    reconciler.look()
+    assert not bench.engine.orders
+    assert reconciler.reasons["chat"].startswith("platform_unavailable")
+    assert not bench.gate.closed
+    bench.objects.mode = "ok"
+    bench.clock.advance(5)
+    reconciler.look()
+    assert bench.gate.loaded == {"chat": "v2"}
