--- a/briarbeam/weights/transfer.py
+++ b/briarbeam/weights/transfer.py
@@ -1,5 +1,7 @@
 """Fetching a version's chunks: each once from the origin a region, then from peers."""
 
+import random
+
 import gevent
 import structlog
 from prometheus_client import Counter
@@ -104,7 +106,8 @@
         held_calls = HeldCalls(
             self._kernel, self._manifest_digest, self._region, self.peers
         )
-        for name in self.peers.names[:GREETED_PEERS]:
+        names = self.peers.names
+        for name in random.sample(names, min(GREETED_PEERS, len(names))):
             held_calls.ask(name)
         step_in = StepIn(
             self._clock,
