Let entry daemons watch first, and work out the capacity at size

Cause: watchers drawn from all daemons put the dearest work (two calls to the platform a second) on target daemons, which already ask their engine four times a second; and nothing said what control costs at the size to design for. Ruled out: a straight line over the number of daemons for processor time and bytes: the share of watchers falls with the size, so the line went below zero; the figures are lines over that share.

--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -21,6 +21,8 @@
 
 from gevent.pool import Pool  # noqa: E402
 
+from briarbeam.configuration.watcher import WATCHERS_PER_DOMAIN  # noqa: E402
+
 from .control_slopes import SLOPES  # noqa: E402
 from .site import Domain, Site  # noqa: E402
 
@@ -38,7 +40,17 @@
 CONFIGURATION_CHANGES_PER_DAY = 750
 LIST_CHANGES_PER_DAY = 500
 DAY_S = 86_400
-PASSED_ON = 1.0
+COPIES = 2
+SITE_DOMAINS = 3
+DESIGN_DOMAINS = 8
+EXTRAPOLATED = (
+    "cpu_pct_core",
+    "cpu_pct_core_entry",
+    "cpu_pct_core_target",
+    "cpu_pct_core_max",
+    "control_bytes_per_s",
+    "control_bytes_per_s_max",
+)
 
 
 def site_of(daemons):
@@ -130,53 +142,51 @@
 
 
 def extrapolate(cases, slopes):
-    """Return the case at the size to design for."""
+    """Return the case at the size to design for.
+
+    Processor time and bytes of an idle daemon are lines over the share of watchers,
+    which falls with the size; memory is a line over the daemons.
+    """
     idle = [case for case in cases if case["case"].startswith("idle")]
-    daemons = DESIGN_ENTRIES + DESIGN_TARGETS
-    found = {
-        key: _line(
-            [(case["entries"] + case["targets"], case[key]) for case in idle], daemons
-        )
-        for key in (
-            "cpu_pct_core",
-            "cpu_pct_core_entry",
-            "cpu_pct_core_target",
-            "rss_mb",
-            "control_bytes_per_s",
-        )
-    }
-    list_change = slopes["list_change", daemons]
-    configuration = slopes["configuration_change", 1000]
-    cpu_ms = bytes_moved = 0.0
-    for slope, a_day in (
-        (list_change, LIST_CHANGES_PER_DAY),
-        (configuration, CONFIGURATION_CHANGES_PER_DAY),
-    ):
-        cpu_ms += slope["cpu_ms"] * a_day
-        bytes_moved += slope["packed_bytes"] * (1 + PASSED_ON) * a_day
     changing = [case for case in cases if case["case"].startswith("changing")]
+    daemons = DESIGN_ENTRIES + DESIGN_TARGETS
+    shares = [_watcher_share(SITE_DOMAINS, _daemons(case)) for case in idle]
+    share = _watcher_share(DESIGN_DOMAINS, daemons)
+    changes = [
+        (slopes["list_change", daemons], LIST_CHANGES_PER_DAY),
+        (slopes["configuration_change", 1000], CONFIGURATION_CHANGES_PER_DAY),
+    ]
+    cpu_ms = sum(slope["cpu_ms"] * a_day for slope, a_day in changes)
+    moved = sum(slope["packed_bytes"] * COPIES * a_day for slope, a_day in changes)
+    added = {"cpu": cpu_ms / DAY_S / 10, "control": moved / DAY_S}
+    found = {}
+    for key in EXTRAPOLATED:
+        points = zip(shares, [case[key] for case in idle], strict=True)
+        value = _line(list(points), share) + added[key.partition("_")[0]]
+        found[key] = round(value, 3)
+    memory = [(_daemons(case), case["rss_mb"]) for case in idle]
+    calls = max(case["platform_calls_per_s"] for case in idle)
     return {
         "case": "extrapolated",
         "entries": DESIGN_ENTRIES,
         "targets": DESIGN_TARGETS,
-        **{
-            key: round(found[key] + cpu_ms / DAY_S / 10, 3)
-            for key in found
-            if key.startswith("cpu")
-        },
-        "rss_mb": round(found["rss_mb"] + list_change["held_mb"], 1),
-        "control_bytes_per_s": round(
-            found["control_bytes_per_s"] + bytes_moved / DAY_S
-        ),
-        "platform_calls_per_s": round(
-            max(case["platform_calls_per_s"] for case in idle) / 3 * 8, 1
-        ),
+        **found,
+        "rss_mb": round(_line(memory, daemons) + changes[0][0]["held_mb"], 1),
+        "platform_calls_per_s": round(calls / SITE_DOMAINS * DESIGN_DOMAINS, 1),
         "config_in_force_s": max(case["config_in_force_s"] for case in changing),
         "extrapolated": True,
-        "measured_up_to_daemons": max(c["entries"] + c["targets"] for c in idle),
+        "measured_up_to_daemons": max(map(_daemons, idle)),
     }
 
 
+def _daemons(case):
+    return case["entries"] + case["targets"]
+
+
+def _watcher_share(domains, daemons):
+    return WATCHERS_PER_DOMAIN * domains / daemons
+
+
 def _in_force_s(site, number):
     """Return the seconds until every daemon shows a change in force."""
     waiting = list(site.instances.values())
@@ -214,11 +224,22 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
 
 
+def read(path):
+    """Return the cases and slopes that an earlier run printed."""
+    lines = [json.loads(line) for line in Path(path).read_text().splitlines()]
+    slopes = {(line["case"], line["size"]): line for line in lines if "size" in line}
+    return [line for line in lines if "platform_calls_per_s" in line], slopes
+
+
 def main():
     arguments = argparse.ArgumentParser(description=__doc__)
     arguments.add_argument("--sizes", default=",".join(map(str, SIZES)))
     arguments.add_argument("--slopes-only", action="store_true")
+    arguments.add_argument("--extrapolate", metavar="FILE", help="an earlier run")
     options = arguments.parse_args()
+    if options.extrapolate:
+        print(json.dumps(extrapolate(*read(options.extrapolate))))
+        return
     slopes = {}
     for name, (sizes, slope) in SLOPES.items():
         for size in sizes:
--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -46,7 +46,9 @@
     def __init__(self, kernel):
         super().__init__(kernel)
         self.documents = Documents(kernel.clock)
-        self.membership = Membership(kernel.clock, self.settings.instance)
+        self.membership = Membership(
+            kernel.clock, self.settings.instance, self.settings.role
+        )
         self.configuration = Configuration()
         self.watcher = Watcher(
             kernel.find("platform").objects,
--- a/briarbeam/membership/view.py
+++ b/briarbeam/membership/view.py
@@ -46,11 +46,13 @@
     """The members as seen by one daemon.
 
     :param instance: the `InstanceSettings` of this daemon.
+    :param role: the role of this daemon.
     """
 
-    def __init__(self, clock, instance):
+    def __init__(self, clock, instance, role="entry"):
         self._clock = clock
         self._instance = instance
+        self._role = role
         self._contacts = {}
         self._neighbours = None
         self._neighbours_until_s = 0.0
@@ -64,13 +66,13 @@
         """Take in the listed members, by name."""
         self.members = members
         domain = self._instance.failure_domain
-        names = {
-            member.name
+        roles = {
+            member.name: member.role
             for member in members.values()
             if member.failure_domain == domain and not member.leaving
         }
-        names.add(self._instance.name)
-        self.watchers = rendezvous_order("watchers", names)
+        roles[self._instance.name] = self._role
+        self.watchers = watch_order(roles)
         self.rank = self.watchers.index(self._instance.name)
         self._neighbours = None
         for name in set(self._contacts) - set(members):
@@ -181,3 +183,15 @@
 
     def _heard_lately(self, contact):
         return self._clock.monotonic_s() - contact.heard_at_s < HEARD_FRESH_S
+
+
+def watch_order(roles):
+    """Return the members of a failure domain in the order in which they watch.
+
+    Entry daemons go first: target daemons have their engine to look after.
+
+    :param roles: roles by name.
+    """
+    entries = [name for name, role in roles.items() if role == "entry"]
+    others = [name for name, role in roles.items() if role != "entry"]
+    return rendezvous_order("watchers", entries) + rendezvous_order("watchers", others)
--- /dev/null
+++ b/tests/test_configuration_processes.py
@@ -0,0 +1,57 @@
+"""With real daemons: in force in time though watchers sleep and the platform goes."""
+
+import signal
+import time
+
+from bench.site import Domain, Site
+from briarbeam.configuration.watcher import WATCHERS_PER_DOMAIN
+from briarbeam.membership.view import watch_order
+
+IN_FORCE_S = 5.0
+LIST_METRIC = 'briarbeam_document_revision{document="instances"}'
+DOMAINS = (
+    Domain("hobart", "south", entries=4, engines=0),
+    Domain("burnie", "north", entries=4, engines=0),
+)
+
+
+def _listed(site, instance):
+    """Return whether a daemon knows of all announcements."""
+    metrics = site.metrics(instance)
+    return metrics.get(LIST_METRIC, 0) >= len(site.instances)
+
+
+def _watchers(site):
+    found = []
+    for domain in DOMAINS:
+        roles = {
+            item.name: item.role
+            for item in site.instances.values()
+            if item.failure_domain == domain.name
+        }
+        found += watch_order(roles)[:WATCHERS_PER_DOMAIN]
+    return found
+
+
+def test_in_force_with_all_watchers_frozen_and_the_platform_out_after_the_write():
+    with Site(DOMAINS) as site:
+        everybody = site.instances.values()
+        site.wait_for(lambda: all(_listed(site, item) for item in everybody))
+        frozen = _watchers(site)
+        awake = [item for item in everybody if item.name not in frozen]
+        for name in frozen:
+            site.signal(name, signal.SIGSTOP)
+        revision = site.apply(site.domain("burnie", False), entry=awake[0])
+        site.faults(site.object_api, mode="silent")
+        accepted_s = time.monotonic()
+        reached_s = {}
+        while len(reached_s) < len(awake) and time.monotonic() - accepted_s < 60:
+            for item in awake:
+                held = site.revision(item) or 0
+                if item.name not in reached_s and held >= revision:
+                    reached_s[item.name] = time.monotonic() - accepted_s
+        assert len(reached_s) == len(awake)
+        assert max(reached_s.values()) <= IN_FORCE_S
+        for name in frozen:
+            site.signal(name, signal.SIGCONT)
+        site.wait_for(lambda: all(site.revision(i) == revision for i in everybody))
--- a/tests/test_membership_view.py
+++ b/tests/test_membership_view.py
@@ -1,5 +1,6 @@
 """What a daemon makes of the list, of exchanges that fail, and of who it hears from."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -94,3 +95,14 @@
     assert view.watchers[0] == second
     assert first not in view.watchers
     assert view.count(MemberState.LEAVING) == 1
+
+
+def test_entries_watch_before_targets(view):
+    fleet = _fleet()
+    for number in range(1, PER_DOMAIN - 2):
+        name = f"d0-{number}"
+        fleet[name] = replace(fleet[name], role="target")
+    view.update(fleet)
+    entries = {"d0-0", f"d0-{PER_DOMAIN - 2}", f"d0-{PER_DOMAIN - 1}"}
+    assert set(view.watchers[:3]) == entries
+    assert len(view.watchers) == PER_DOMAIN
