--- a/briarbeam/entry/plugin.py
+++ b/briarbeam/entry/plugin.py
@@ -7,10 +7,10 @@
 
 from prometheus_client import Gauge
 
+from ..gate.envelope import decode_body, encode_body
 from ..kernel.errors import (
     BriarbeamError,
     ExchangeError,
-    InvalidRequestError,
     NotFoundError,
     OutcomeUnknownError,
 )
@@ -19,7 +19,7 @@
 from ..routing.router import Job
 from .answers import Answer
 from .bodies import Completion
-from .callers import deadline_s, idempotency_key, next_traceparent, team_of
+from .callers import Teams, deadline_s, idempotency_key, next_traceparent
 from .replies import EventStream, Reply
 
 AFFINITY_CHARACTERS = 64
@@ -40,6 +40,7 @@
         self._routing = kernel.find("routing")
         self._configuration = kernel.find("configuration")
         self._running = 0
+        self._known_teams = None, None
         _RUNNING.set_function(lambda: self._running)
         router = kernel.router
         router.add("GET", "/v1/models", self._models)
@@ -123,7 +124,7 @@
             "service": service,
             "method": request.method,
             "path": _target_path(request, path),
-            "body": _text(request.body),
+            **encode_body(request.body),
             "idempotency_key": idempotency_key(request),
         }
         job = self._job(
@@ -142,7 +143,7 @@
         finally:
             release()
         headers = {"content-type": answer["content_type"]}
-        return Response(answer["status"], answer["body"].encode(), headers)
+        return Response(answer["status"], decode_body(answer), headers)
 
     def _call(self, job):
         """Return a plain service's answer.
@@ -159,7 +160,7 @@
 
     def _job(self, request, **fields):
         configuration = self._configuration.configuration
-        team = team_of(request, configuration)
+        team = self._teams().team_of(request)
         spec = configuration.get("team", team)
         chosen = self.settings.entry
         wait_s = deadline_s(request, chosen.default_deadline_s, chosen.deadline_max_s)
@@ -173,6 +174,14 @@
             **fields,
         )
 
+    def _teams(self):
+        configuration = self._configuration.configuration
+        known, teams = self._known_teams
+        if known is not configuration:
+            teams = Teams(configuration)
+            self._known_teams = configuration, teams
+        return teams
+
     def _find(self, kind, name):
         """Return the spec of a declared resource.
 
@@ -198,14 +207,3 @@
     """Return the path of a service call, quoted, with its query."""
     query = urlencode(request.query)
     return quote(path) + (f"?{query}" if query else "")
-
-
-def _text(body):
-    """Return a caller's body as text.
-
-    :raises InvalidRequestError: if it is not UTF-8.
-    """
-    try:
-        return body.decode()
-    except UnicodeDecodeError as error:
-        raise InvalidRequestError(f"the body is not UTF-8: {error}") from error
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -9,6 +9,7 @@
 from ..kernel.errors import (
     BriarbeamError,
     CallerGoneError,
+    ChangingVersionError,
     ConflictError,
     ConnectError,
     DeadlineExpiredError,
@@ -18,6 +19,7 @@
     InProgressError,
     InvalidRequestError,
     NetworkError,
+    NoPlaceError,
     NotFoundError,
     NotRunError,
     OutcomeUnknownError,
@@ -25,6 +27,7 @@
     Ran,
     UnauthorizedError,
     UnavailableError,
+    UnconfirmedError,
     WithdrawnError,
 )
 from ..kernel.network import HttpRequest, fetch
@@ -37,6 +40,7 @@
 
 PROBE_TIMEOUT_S = 1.0
 ALIVE_TIMEOUT_S = 0.5
+GREET_PATH = "/healthz"
 VERSION_HEADER = "x-briarbeam-version"
 FINAL = (
     CallerGoneError,
@@ -49,6 +53,9 @@
     UnauthorizedError,
     WithdrawnError,
 )
+# Refusals of a target that takes no work at all: the next target is asked, and since
+# each is asked once, neither attempts nor the budget need to bound that.
+CLOSED = (ChangingVersionError, DrainingError, UnconfirmedError)
 
 _ATTEMPTS = Counter("briarbeam_attempts", "Attempts at targets", ["result"])
 _REFUSALS = Counter("briarbeam_entry_refusals", "Jobs given up", ["code"])
@@ -67,6 +74,9 @@
     :param idempotent: whether it may run more than once.
     :param version: the version that must answer, or "" for any.
     :param gone: tells whether the caller has gone; asked for idempotent jobs only.
+    :param may_wait: whether it may wait at a target for a place; otherwise the
+        target refuses at once, and another is asked.
+    :param places_asked: how often it found no place where one was expected.
     :param tried: names of the targets that it was sent to, in order.
     :param may_have_run: whether an attempt may have reached a back end.
     """
@@ -85,6 +95,8 @@
     weight: float = 1.0
     version: str = ""
     gone: Callable[[], bool] = _never
+    may_wait: bool = True
+    places_asked: int = 0
     tried: list = field(default_factory=list)
     may_have_run: bool = False
 
@@ -146,11 +158,27 @@
                 attempts += 1
                 return member, self._try(member, job)
             except BriarbeamError as error:
+                if self._looks_elsewhere(job, error):
+                    attempts -= 1
+                    continue
                 last = error
                 job.may_have_run |= error.ran is not Ran.NO
-                if not self._may_retry(job, error, attempts):
+                if isinstance(error, CLOSED):
+                    attempts -= 1
+                elif not self._may_retry(job, error, attempts):
                     raise self._final(job, error) from error
 
+    def _looks_elsewhere(self, job, error):
+        """Return whether `job` found no place and may ask another target for one.
+
+        Nothing waited or ran, so it is no retry; the number is bounded all the same.
+        """
+        if not isinstance(error, NoPlaceError) or job.may_wait:
+            return False
+        job.places_asked += 1
+        job.tried.pop()
+        return True
+
     def finish(self, member, response, took_s=None):
         """Give up the connection to a target after its reply.
 
@@ -228,6 +256,7 @@
             "priority": job.priority,
             "weight": job.weight,
             "deadline_unix_s": job.deadline_unix_s,
+            "may_wait": job.may_wait,
         }
         if job.version:
             body["version"] = job.version
@@ -241,6 +270,7 @@
             headers,
             timeout_s=max(0.001, remaining_s),
             fresh=not job.idempotent,
+            greet_path=None if job.idempotent else GREET_PATH,
             guard=lambda: self._check_before_send(job, member),
             silence_s=min(self.settings.entry.stream_silence_s, remaining_s)
             if job.idempotent and self.policy.bounds_silence
@@ -279,7 +309,8 @@
         if response.status != 200:
             error = read_error(response)
             _ATTEMPTS.labels(error.code).inc()
-            if isinstance(error, OverloadedError):
+            full = isinstance(error, OverloadedError)
+            if full and not isinstance(error, NoPlaceError):
                 self.targets.refuse(name)
             raise error
         version = response.headers.get(VERSION_HEADER)
