Lose answers for real in the stand-ins, and check each 'not run' by request id

The service and object API stand-ins closed a socket whose file pywsgi still held, and the router answered 500, so no answer was ever lost. Before: POST with lose_answers gave status 500 with a body. After: the same call gives ExchangeError (connection closed). 'Not run' is now checked by the request id of each refused attempt. Answers in the weights feature last 40 tokens, so that engines run while they change over. Ruled out: the kernel's HTTP client hiding the loss.

--- a/bench/settlements.py
+++ b/bench/settlements.py
@@ -25,6 +25,7 @@
     """One instruction and what its caller was told, attempt by attempt.
 
     :param attempts: ``ok``, ``wrong``, ``no``, ``yes``, ``unknown`` or ``lost``.
+    :param not_run_ids: request ids of the attempts that were refused as "not run".
     """
 
     body: str
@@ -32,6 +33,7 @@
     started_s: float
     attempts: list = field(default_factory=list)
     codes: list = field(default_factory=list)
+    not_run_ids: list = field(default_factory=list)
 
     @property
     def answered(self):
@@ -82,12 +84,7 @@
 
     def ran(self):
         """Return how often each instruction ran, as the services recorded it."""
-        return Counter(
-            record["body"]
-            for instance in self._site.targets("service")
-            for record in self._site.truth(instance)
-            if record["event"] == "ran" and self._name in record["body"]
-        )
+        return Counter(record["body"] for record in self._records())
 
     def answered_since(self, since_s):
         """Return whether one that was first sent after `since_s` is answered."""
@@ -107,16 +104,29 @@
         ]
 
     def false_not_run(self):
-        """Return the instructions that ran although "not run" was all that was said."""
+        """Return the instructions of which an attempt ran that was said not to have."""
         ran = self.ran()
+        ids = {record["request_id"] for record in self._records()}
         return [
-            item for item in self.settlements if item.said_not_run and ran[item.body]
+            item
+            for item in self.settlements
+            if ids.intersection(item.not_run_ids)
+            or (item.said_not_run and ran[item.body])
         ]
 
     def wrong(self):
         """Return the instructions that got another one's receipt."""
         return [item for item in self.settlements if "wrong" in item.attempts]
 
+    def _records(self):
+        """Return what the services recorded of these instructions."""
+        return [
+            record
+            for instance in self._site.targets("service")
+            for record in self._site.truth(instance)
+            if record["event"] == "ran" and self._name in record["body"]
+        ]
+
     def _send(self):
         for number in itertools.count():
             body = json.dumps({"settlement": f"{self._name}-{number}"})
@@ -142,11 +152,13 @@
             "POST", path, item.body.encode(), headers, CALL_TIMEOUT_S, fresh=True
         )
         try:
-            status, _, answer = fetch(self._site.network, entry.http, request)
+            status, headers, answer = fetch(self._site.network, entry.http, request)
             value = json.loads(answer)
         except (NetworkError, ValueError):
             return "lost", ""
         if status != 200:
+            if value["error"]["ran"] == "no" and "x-request-id" in headers:
+                item.not_run_ids.append(headers["x-request-id"])
             return value["error"]["ran"], value["error"]["code"]
         receipt = hashlib.sha256(f"{PATH}/{item.body}".encode()).hexdigest()
         return ("ok" if value["receipt"] == receipt else "wrong"), ""
--- a/standins/base.py
+++ b/standins/base.py
@@ -7,6 +7,7 @@
 import argparse  # noqa: E402
 import json  # noqa: E402
 import os  # noqa: E402
+import socket  # noqa: E402
 import time  # noqa: E402
 
 import gevent  # noqa: E402
@@ -84,6 +85,12 @@
         return Response.of_json({"records": self.records})
 
 
+def lose_answer(request):
+    """End the caller's connection without an answer, after the effect."""
+    request.connection.shutdown(socket.SHUT_RDWR)
+    raise ConnectionResetError("answer lost on purpose")
+
+
 def parser(description):
     """Return an argument parser with what every stand-in takes."""
     arguments = argparse.ArgumentParser(description=description)
--- a/standins/object_api.py
+++ b/standins/object_api.py
@@ -1,6 +1,6 @@
 """A stand-in of the platform's object API and its lagging instance list."""
 
-from .base import Faults, new_router, parser, serve  # isort: skip
+from .base import Faults, lose_answer, new_router, parser, serve  # isort: skip
 
 import time
 from collections import Counter
@@ -20,13 +20,14 @@
     (writes take effect and their answers are lost); ``delay_s`` slows every call;
     ``rate_per_s`` refuses calls above it; ``list_lag_s`` holds the instance list
     back; ``stale_reads`` serves each object's previous version; ``stale_watches``
-    does the same for watches, so that answers come out of order.
+    does the same for watches, so that answers come out of order; ``down_after``
+    names a kind whose next write is taken and answered, and nothing after it.
     """
 
     def __init__(self):
         self.faults = Faults(
             mode="ok", delay_s=0.0, rate_per_s=0, list_lag_s=1.0, stale_reads=False,
-            stale_watches=False,
+            stale_watches=False, down_after="",
         )  # fmt: skip
         self._objects = {}
         self._previous = {}
@@ -81,6 +82,8 @@
         if held:
             self._previous[kind, name] = held
         self._objects[kind, name] = (self._revision, request.json())
+        if kind == self.faults.down_after:
+            self.faults.mode = "down"
         self._wake()
         return Response.of_json({"version": self._revision})
 
@@ -171,8 +174,7 @@
                 gevent.sleep(60)
             response = handler(request, **names)
             if self.faults.mode == "lose" and request.method != "GET":
-                request.connection.close()
-                raise ConnectionResetError("answer lost on purpose")
+                lose_answer(request)
             return response
 
         return guarded
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,6 +1,6 @@
 """A stand-in of a plain service with an append-only record of what ran."""
 
-from .base import Faults, Truth, new_router, parser, serve  # isort: skip
+from .base import Faults, Truth, lose_answer, new_router, parser, serve  # isort: skip
 
 import hashlib
 import uuid
@@ -50,8 +50,7 @@
         if self.faults.silent:
             gevent.sleep(60)
         if self.faults.lose_answers:
-            request.connection.close()
-            raise ConnectionResetError("answer lost on purpose")
+            lose_answer(request)
         receipt = hashlib.sha256(f"{path}/{body}".encode()).hexdigest()
         answer = {"receipt": receipt, "request_id": request_id}
         response = Response.of_json(answer)
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -31,12 +31,16 @@
     Then the change is in force on every daemon at last
     And no revision in force ever went back
 
-  Scenario: A new daemon meets a platform that serves stale reads
+  Scenario: A new and a woken daemon meet a platform that serves stale reads
     When failure domain burnie is taken out
     Then the change is in force on every daemon in time
     When the platform serves stale reads
     And the daemon of burnie-entry-1 is killed
     And the daemon of burnie-entry-1 is started again
+    And hobart-engine-1 is frozen
+    And 3 seconds pass
+    And hobart-engine-1 is woken
+    And 2 seconds pass
     Then the change is in force on every daemon at last
     And no revision in force ever went back
 
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -12,6 +12,7 @@
 from pytest_bdd import given, parsers, then, when
 
 from bench.site import Site
+from briarbeam.configuration.resources import HEAD_KIND
 
 from .world import ADAPTER, IN_FORCE_S, LAYOUTS, RevisionWatch, World
 
@@ -79,6 +80,12 @@
     world.site.wait_for(lambda: world.callers.counts()["ok"] > rate / 2, WAIT_S)
 
 
+@given(parsers.parse("{rate:d} callers a second for answers of {tokens:d} tokens"))
+def long_callers(world, rate, tokens):
+    world.start_callers(rate, max_tokens=tokens)
+    world.site.wait_for(lambda: world.callers.counts()["ok"] > rate / 2, WAIT_S)
+
+
 @given(parsers.parse("{rate:d} settlements a second"))
 def settlements(world, rate):
     world.start_settlements(rate)
@@ -130,8 +137,8 @@
     )
 )
 def take_out_in_outage(world, domain):
+    world.site.faults(world.site.object_api, down_after=HEAD_KIND)
     world.take_out(domain)
-    world.site.faults(world.site.object_api, mode="down")
 
 
 @when(parsers.parse("failure domain {domain} is brought back"))
--- a/tests/scenarios/weights.feature
+++ b/tests/scenarios/weights.feature
@@ -3,7 +3,7 @@
   Background:
     Given the site derwent
     And version v1 in force everywhere
-    And 20 callers a second
+    And 20 callers a second for answers of 40 tokens
 
   Scenario: A new version spreads while a seeding target is killed and started
     Given an origin of 1000 kB a second
