--- /dev/null
+++ b/briarbeam/cli/rollout.py
@@ -0,0 +1,167 @@
+"""``briarbeam rollout``: bring a version to all replicas, watch it, go back."""
+
+import time
+
+from cleo.helpers import argument, option
+
+from ..kernel.errors import SettingsError
+from .client import ServerError
+from .commands import OperatorCommand, commands
+
+WATCH_INTERVAL_S = 1.0
+EXIT_STOPPED = 7
+
+_MODEL = argument("model", "The model or adapter")
+
+
+class _ChangeCommand(OperatorCommand):
+    """Base of the commands that change a rollout's spec."""
+
+    arguments = [_MODEL]
+
+    def run_with(self, client):
+        model = self.argument("model")
+        try:
+            held = client.get("rollout", model)
+        except ServerError as error:
+            if error.status != 404:
+                raise
+            held = {"spec": {}, "generation": None}
+        resource = {"kind": "rollout", "name": model, "spec": self.change(held["spec"])}
+        if held["generation"] is not None:
+            resource["generation"] = held["generation"]
+        self.show_change(client.apply([resource]))
+
+    def change(self, spec):
+        """Return the spec to declare instead of `spec`, which is empty if none is.
+
+        :raises SettingsError: if it can't be changed so.
+        """
+        raise NotImplementedError
+
+    def check_declared(self, spec):
+        """Raise if there is no rollout yet."""
+        if not spec:
+            raise SettingsError(f"no rollout of {self.argument('model')!r}")
+
+
+@commands.register("rollout start")
+class StartCommand(_ChangeCommand):
+    name = "rollout start"
+    description = "Bring a version to all replicas"
+    arguments = [_MODEL, argument("version", "The version")]
+    more_options = [
+        option("capacity-floor", None, "Share of a domain kept serving", flag=False),
+        option("domains-at-once", None, "Domains that change at once", flag=False),
+        option("failures-max", None, "Failures that don't stop it", flag=False),
+    ]
+
+    def change(self, spec):
+        version = self.argument("version")
+        started = {**spec, "version": version, "paused": False, "attempt": 0}
+        if spec and spec["version"] != version:
+            started["previous_version"] = spec["version"]
+        for name in ("capacity-floor", "domains-at-once", "failures-max"):
+            if self.option(name) is not None:
+                started[name.replace("-", "_")] = _number(name, self.option(name))
+        return started
+
+
+@commands.register("rollout pause")
+class PauseCommand(_ChangeCommand):
+    name = "rollout pause"
+    description = "Let no further target change over"
+
+    def change(self, spec):
+        self.check_declared(spec)
+        return {**spec, "paused": True}
+
+
+@commands.register("rollout resume")
+class ResumeCommand(_ChangeCommand):
+    name = "rollout resume"
+    description = "Go on after a pause, or try again after a failure"
+
+    def change(self, spec):
+        self.check_declared(spec)
+        return {**spec, "paused": False, "attempt": spec["attempt"] + 1}
+
+
+@commands.register("rollout abort")
+class AbortCommand(_ChangeCommand):
+    name = "rollout abort"
+    description = "Go back to the previous version"
+
+    def change(self, spec):
+        self.check_declared(spec)
+        if spec["previous_version"] is None:
+            raise SettingsError("the rollout names no previous version")
+        return {
+            **spec,
+            "version": spec["previous_version"],
+            "previous_version": spec["version"],
+            "paused": False,
+            "attempt": spec["attempt"] + 1,
+        }
+
+
+@commands.register("rollout status")
+class StatusCommand(OperatorCommand):
+    name = "rollout status"
+    description = "Show how far a rollout is, and why targets are behind"
+    arguments = [_MODEL]
+
+    def run_with(self, client):
+        return self.show_status(client)["exit"]
+
+    def show_status(self, client):
+        """Print the status and return its state with an exit code."""
+        status = client.call("GET", f"/operator/v1/rollouts/{self.argument('model')}")
+        if self.option("output") == "table":
+            for line in describe(status):
+                self.line(line, style=None)
+        else:
+            self.show(status)
+        exits = {"done": 0, "stopped": EXIT_STOPPED}
+        return {"state": status["state"], "exit": exits.get(status["state"], 0)}
+
+
+@commands.register("rollout watch")
+class WatchCommand(StatusCommand):
+    name = "rollout watch"
+    description = "Show a rollout until it is done or stops"
+
+    def run_with(self, client):
+        while True:
+            shown = self.show_status(client)
+            if shown["state"] in ("done", "stopped"):
+                return shown["exit"]
+            time.sleep(WATCH_INTERVAL_S)
+
+
+def describe(status):
+    """Yield the lines of a rollout's status."""
+    eta = "" if status["eta_s"] is None else f", {status['eta_s']} s left to move"
+    yield (
+        f"{status['model']} {status['version']}: {status['state']}, "
+        f"{status['serving']}/{status['targets']} serve it, "
+        f"{status['origin_bytes']} bytes from the origin, "
+        f"{status['rate_bytes_per_s']} bytes/s{eta}"
+    )
+    for failure in status["failures"]:
+        yield f"  failed: {failure['target']}: {failure['reason']}"
+    for name, domain in sorted(status["domains"].items()):
+        yield (
+            f"  {name}: {domain['serving']}/{domain['targets']} serve it, "
+            f"{domain['holding']} hold it, {domain['left_bytes']} bytes left, "
+            f"{domain['rate_bytes_per_s']} bytes/s"
+        )
+        for behind in domain["behind"]:
+            yield f"    {behind['target']}: {behind['reason']}"
+
+
+def _number(name, text):
+    try:
+        return float(text) if "." in text else int(text)
+    except ValueError:
+        raise SettingsError(f"--{name} = {text!r}: expected a number") from None
--- a/briarbeam/weights/transfer.py
+++ b/briarbeam/weights/transfer.py
@@ -1,5 +1,7 @@
 """Fetching a version's chunks: each once from the origin a region, then from peers."""
 
+import random
+
 import gevent
 import structlog
 from prometheus_client import Counter
@@ -25,7 +27,7 @@
 RETRY_PAUSE_S = 0.2
 LONG_POLL_S = 1.0
 GREETED_PEERS = 2
-MANIFEST_FANOUT = 4
+MANIFEST_FANOUT = 2
 MANIFEST_PATIENCE_S = 2.0
 
 _BYTES = Counter("briarbeam_weights_peer_bytes", "Verified bytes from peers", ["from"])
@@ -56,8 +58,10 @@
         self._own = self._instance.name
         self.manifest = None
         self.need = None
+        self._indexes = {}
         self.peers = None
         self.targets = 1
+        self.origin_bytes = 0
         self.started_at_s = kernel.clock.monotonic_s()
 
     def run(self):
@@ -76,7 +80,9 @@
         plan = self._plan(self._region(), len(manifest.chunks))
         self.targets = len(plan.names)
         self.peers = Peers(self._clock, self._own, plan.names)
-        self.need = Need(plan, self.peers, self._own, missing)
+        self.need = Need(self._clock, plan, self.peers, self._own, missing)
+        chunks = enumerate(manifest.chunks)
+        self._indexes = {chunk.digest: index for index, chunk in chunks}
         self.manifest = manifest
         self._work(plan)
         return manifest
@@ -85,11 +91,10 @@
         """Return whether a chunk is about to be held, so that a peer may wait."""
         if self.manifest is None:
             return digest == self._manifest_digest
-        return self._origin.makes_progress() and any(
-            self.manifest.chunks[index].digest == digest
-            for index in self.need.missing
-            if self.need.pledged(index)
-        )
+        index = self._indexes.get(digest)
+        if index is None or index not in self.need.missing:
+            return False
+        return self.need.arrives(index) or self.drawing(index)
 
     def drawing(self, index):
         """Return whether a chunk is drawn from the origin, with progress."""
@@ -101,7 +106,8 @@
         held_calls = HeldCalls(
             self._kernel, self._manifest_digest, self._region, self.peers
         )
-        for name in self.peers.names[:GREETED_PEERS]:
+        names = self.peers.names
+        for name in random.sample(names, min(GREETED_PEERS, len(names))):
             held_calls.ask(name)
         step_in = StepIn(
             self._clock,
@@ -156,6 +162,7 @@
     def _draw(self, index):
         chunk = self.manifest.chunks[index]
         self._origin.draw(chunk.digest, chunk.size_bytes, self._store.add)
+        self.origin_bytes += chunk.size_bytes
 
     def _pull_abroad(self, index):
         """Ask another region for a chunk that the origin does not give."""
@@ -248,8 +255,10 @@
         told = response.headers
         if serving.HELD_HEADER in told:
             held = Bitmap.from_text(told[serving.HELD_HEADER])
-            drawing = Bitmap.from_text(told.get(serving.DRAWING_HEADER, ""))
-            self.peers.tell(name, held, drawing)
+            drawing = told.get(serving.DRAWING_HEADER)
+            self.peers.tell(
+                name, held, None if drawing is None else Bitmap.from_text(drawing)
+            )
         if response.status == 200:
             return
         self.peers.forget(name, index)
