--- a/bench/measure_rollout.py
+++ b/bench/measure_rollout.py
@@ -123,7 +123,7 @@
             end_s = time.monotonic()
             after = self._counts()
             callers.stop()
-            took_s = self._last_order_unix_s(trial) - start_unix_s
+            took_s = max(0.0, self._last_order_unix_s(trial) - start_unix_s)
             copies = _copies(rates, before, after, end_s - start_s)
             quiet = callers.first_token_p95_s(ambient_s, start_s)
             busy = callers.first_token_p95_s(start_s, end_s)
--- a/briarbeam/weights/library.py
+++ b/briarbeam/weights/library.py
@@ -82,7 +82,9 @@
     def budget_bytes(self, manifest_digest):
         """Return what this target gives of a version before others are asked.
 
-        It is one target's share when each chunk goes once to every target.
+        It is one target's share when each chunk goes once to every target. If peers
+        held a part already when this target came, its predecessor may have taken that
+        part in and given as much, so twice the part is left off.
         """
         transfer = self._transfers.get(manifest_digest)
         if transfer is None or transfer.manifest is None:
@@ -90,7 +92,7 @@
         manifest = transfer.manifest
         others = (transfer.targets - 1) / transfer.targets
         largest_bytes = max(chunk.size_bytes for chunk in manifest.chunks)
-        return manifest.size_bytes * others + largest_bytes
+        return manifest.size_bytes * others * transfer.share + largest_bytes
 
     def keep_only(self, manifest_digests):
         """Drop what belongs to no manifest in `manifest_digests`."""
--- a/briarbeam/weights/peers.py
+++ b/briarbeam/weights/peers.py
@@ -103,6 +103,14 @@
             if self.holds(name, index) and self.usable(name)
         ]
 
+    def most_held(self, count):
+        """Return the largest part of all `count` chunks that a peer told it holds."""
+        parts = [
+            sum(index in peer.held for index in range(count)) / count
+            for peer in self._peers.values()
+        ]
+        return max(parts, default=0.0)
+
     def forget(self, name, index):
         """Take in that a peer does not hold a chunk that it was thought to hold."""
         if name in self._peers:
--- a/briarbeam/weights/transfer.py
+++ b/briarbeam/weights/transfer.py
@@ -61,6 +61,7 @@
         self._indexes = {}
         self.peers = None
         self.targets = 1
+        self.share = 1.0
         self.origin_bytes = 0
         self.started_at_s = kernel.clock.monotonic_s()
 
@@ -109,6 +110,8 @@
         names = self.peers.names
         for name in random.sample(names, min(GREETED_PEERS, len(names))):
             held_calls.ask(name)
+        held = self.peers.most_held(len(self.manifest.chunks))
+        self.share = max(0.0, 1 - 2 * held)
         step_in = StepIn(
             self._clock,
             plan,
--- a/tests/test_weights_spread.py
+++ b/tests/test_weights_spread.py
@@ -163,3 +163,20 @@
     peers.shun("d")
     peers.tell("c", Bitmap())
     assert [name for name in "abcd" if peers.usable(name)] == ["a", "b", "c"]
+
+
+def test_replaced_target_keeps_within_its_link():
+    """It takes its half in twice, so it gives the less."""
+    world = World({"a": 8})
+    published = world.publish("v1", CHUNKS)
+    replaced = world.nodes["a-2"]
+
+    def replace(world):
+        replaced.stop()
+        replaced.store.keep_only(())
+        replaced.library.keep_only(())
+        replaced.serving.forget(())
+        replaced.fetch(published[0], published[1].weights_digest)
+
+    _spread(world, published, replace, 0.5)
+    _check_bytes(world, 1.4, 2.2)
