--- a/bench/control_slopes.py
+++ b/bench/control_slopes.py
@@ -82,7 +82,7 @@
         manifest = Manifest.from_bytes(data)
         plan = plans.get("scatter")("v1", names[0], names, len(manifest.chunks))
         peers = Peers(SystemClock(), names[0], names)
-        need = Need(plan, peers, names[0], range(len(manifest.chunks)))
+        need = Need(SystemClock(), plan, peers, names[0], range(chunks))
         return manifest, plan, peers, need
 
     return {**_measure_build(build), "packed_bytes": len(data)}
