Count what watchers read from the platform in the extrapolation

Cause: a watcher reads each change from the platform whole and not packed, which the extrapolated highest bytes left out. Ruled out: nothing else adds to it.

--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -145,7 +145,8 @@
     """Return the case at the size to design for.
 
     Processor time and bytes of an idle daemon are lines over the share of watchers,
-    which falls with the size; memory is a line over the daemons.
+    which falls with the size; memory is a line over the daemons. The highest bytes are
+    a watcher's, which also reads each change from the platform, as it is.
     """
     idle = [case for case in cases if case["case"].startswith("idle")]
     changing = [case for case in cases if case["case"].startswith("changing")]
@@ -158,11 +159,14 @@
     ]
     cpu_ms = sum(slope["cpu_ms"] * a_day for slope, a_day in changes)
     moved = sum(slope["packed_bytes"] * COPIES * a_day for slope, a_day in changes)
-    added = {"cpu": cpu_ms / DAY_S / 10, "control": moved / DAY_S}
+    read = sum(slope["body_bytes"] * a_day for slope, a_day in changes)
+    added = dict.fromkeys(EXTRAPOLATED, cpu_ms / DAY_S / 10)
+    added["control_bytes_per_s"] = moved / DAY_S
+    added["control_bytes_per_s_max"] = (moved + read) / DAY_S
     found = {}
     for key in EXTRAPOLATED:
         points = zip(shares, [case[key] for case in idle], strict=True)
-        value = _line(list(points), share) + added[key.partition("_")[0]]
+        value = _line(list(points), share) + added[key]
         found[key] = round(value, 3)
     memory = [(_daemons(case), case["rss_mb"]) for case in idle]
     calls = max(case["platform_calls_per_s"] for case in idle)
