--- a/bench/settlements.py
+++ b/bench/settlements.py
@@ -53,13 +53,15 @@
     :param rate_per_s: instructions a second.
     :param attempts_max: how often a caller asks under one key.
     :param racing: send each instruction to two entries at once.
+    :param keyed: send a key with each instruction; without, ask once only.
     """
 
-    def __init__(self, site, rate_per_s, attempts_max=4, racing=False):
+    def __init__(self, site, rate_per_s, attempts_max=4, racing=False, keyed=True):
         self._site = site
         self._rate_per_s = rate_per_s
         self._attempts_max = attempts_max
         self._racing = racing
+        self._keyed = keyed
         self._balancer = Balancer(site)
         self._name = uuid.uuid4().hex[:8]
         self._running = []
@@ -146,7 +148,9 @@
             gevent.sleep(RETRY_PAUSE_S)
 
     def _ask(self, entry, item):
-        headers = {"content-type": "application/json", "idempotency-key": item.key}
+        headers = {"content-type": "application/json"}
+        if self._keyed:
+            headers["idempotency-key"] = item.key
         path = f"/services/{self._site.service}/{PATH}"
         request = HttpRequest(
             "POST", path, item.body.encode(), headers, CALL_TIMEOUT_S, fresh=True
