--- a/briarbeam/weights/need.py
+++ b/briarbeam/weights/need.py
@@ -1,9 +1,12 @@
 """What a target still needs of a version, and whom it asks for which chunk."""
 
+import math
 import random
+from collections import Counter
 from dataclasses import dataclass
 
 INFO_FRESH_S = 0.5
+NOTHING_S = 0.03
 
 
 @dataclass(frozen=True)
@@ -26,24 +29,31 @@
     :param missing: the indexes of the chunks that are not held.
     """
 
-    def __init__(self, plan, peers, own, missing):
-        self._plan = plan
+    def __init__(self, clock, plan, peers, own, missing):
+        self._clock = clock
         self._peers = peers
         self._own = own
         missing = set(missing)
         order = [index for index in plan.pull_order() if index in missing]
         self.missing = dict.fromkeys(order)
+        self._owners = {index: plan.owner(index) for index in order}
+        self._nothing_until_s = -math.inf
         self._in_flight = set()
         self._busy = set()
         self._refused = {}
+        self._musts = Counter()
         self.adopted = set()
 
     def pledged(self, index):
         """Return whether this target draws a chunk from the origin."""
         return index in self.missing and (
-            index in self.adopted or self._plan.owner(index) == self._own
+            index in self.adopted or self._owners[index] == self._own
         )
 
+    def arrives(self, index):
+        """Return whether a chunk is on its way."""
+        return index in self._in_flight
+
     def next_draw(self):
         """Return the next chunk to draw, or None."""
         for index in self.missing:
@@ -57,6 +67,8 @@
 
     def next_pull(self):
         """Return the next `Pull`, or None if nothing can be asked for now."""
+        if self._clock.monotonic_s() < self._nothing_until_s:
+            return None
         guess = None
         for index in self.missing:
             if index in self._in_flight:
@@ -68,6 +80,8 @@
             if pull is not None and certain:
                 return pull
             guess = guess or pull
+        if guess is None:
+            self._nothing_until_s = self._clock.monotonic_s() + NOTHING_S
         return guess
 
     def begin(self, index, name=None):
@@ -93,7 +107,7 @@
 
     def _from_owner(self, index):
         """Return the pull of a chunk and whether the peer is known to hold it."""
-        owner = self._plan.owner(index)
+        owner = self._owners[index]
         refused = self._refused.get(index, ())
         if owner not in refused and self._peers.usable(owner):
             if owner in self._busy:
@@ -114,4 +128,9 @@
         free = [name for name in willing or holders if name not in self._busy]
         if not free:
             return None
-        return Pull(index, random.choice(free), must=not willing)
+        if willing:
+            return Pull(index, random.choice(free))
+        least = min(self._musts[name] for name in free)
+        name = random.choice([name for name in free if self._musts[name] == least])
+        self._musts[name] += 1
+        return Pull(index, name, must=True)
