Delete claims whose keys have outlived their retention

Cause: claims were never deleted, so the platform's records grew with every call that carries a key. Before: no deletion.

--- a/briarbeam/gate/calls.py
+++ b/briarbeam/gate/calls.py
@@ -5,6 +5,7 @@
 from ..kernel.errors import BriarbeamError, Ran, UnavailableError
 from .claims import Claim, Claims, claim_name
 from .envelope import encode_body
+from .retention import SWEEP_INTERVAL_S, Retention
 
 RELEASE_WAIT_S = 0.25
 SETTLE_INTERVAL_S = 1.0
@@ -21,6 +22,13 @@
     def __init__(self, gate, objects):
         self._gate = gate
         self._claims = Claims(objects, gate.clock)
+        self._retention = Retention(
+            objects,
+            gate.clock,
+            gate.settings.target.claim_retention_s,
+            self._sharers,
+            gate.settings.instance.name,
+        )
 
     def start(self):
         """Settle in the background what could not be settled at once."""
@@ -28,6 +36,11 @@
             self._claims.settle, SETTLE_INTERVAL_S, self._gate.clock
         )
 
+        if self._gate.settings.target.backend == "service":
+            self._gate.kernel.tasks.repeat(
+                self._retention.sweep, SWEEP_INTERVAL_S, self._gate.clock
+            )
+
     def drain(self):
         """Wait for a while until nothing is left to settle."""
         clock = self._gate.clock
@@ -48,6 +61,14 @@
             return claim
         return self._run_claimed(envelope, ticket, claim)
 
+    def _sharers(self):
+        """Return the names of the targets of this service."""
+        settings = self._gate.settings
+        members = self._gate.members.values()
+        service = settings.target.service
+        names = {member.name for member in members if member.service == service}
+        return names | {settings.instance.name}
+
     def _run_claimed(self, envelope, ticket, claim):
         try:
             answer = self._send(envelope, ticket)
--- a/briarbeam/gate/claims.py
+++ b/briarbeam/gate/claims.py
@@ -27,7 +27,7 @@
     UnavailableError,
 )
 
-CLAIM_KIND = "claim"
+CLAIM_KIND_PREFIX = "claim-"
 ANSWER_MAX_BYTES = 64 * 1024
 TRIES_MAX = 3
 PENDING_MAX = 256
@@ -45,18 +45,30 @@
     return hashlib.sha256(json.dumps([service, team, key]).encode()).hexdigest()
 
 
+def claim_kind(name):
+    """Return the kind that a claim is kept under: one of 256, so that lists stay small."""
+    return CLAIM_KIND_PREFIX + name[:2]
+
+
+def claim_kinds():
+    """Return all kinds that claims are kept under."""
+    return [f"{CLAIM_KIND_PREFIX}{number:02x}" for number in range(256)]
+
+
 @dataclass(frozen=True)
 class Claim:
     """A claim that this gate holds.
 
     :param attempt: the id of the attempt that may run.
     :param call_digest: digest of what runs; a key covers one call only.
+    :param created_unix_s: when the attempt began; the retention counts from here.
     :param version: the record's version; None if it is not known.
     """
 
     name: str
     attempt: str
     call_digest: str
+    created_unix_s: float
     version: int | None = None
 
     def record(self, state="claimed", **more):
@@ -64,6 +76,7 @@
         return {
             "attempt": self.attempt,
             "call_digest": self.call_digest,
+            "created_unix_s": self.created_unix_s,
             "state": state,
             **more,
         }
@@ -107,7 +120,7 @@
         :raises OutcomeUnknownError: if an earlier attempt may have run.
         """
         attempt = f"{request_id}/{uuid.uuid4().hex}"
-        claim = Claim(name, attempt, call_digest)
+        claim = Claim(name, attempt, call_digest, self._clock.now().timestamp())
         if name in self._running:
             self._check_same_call(self._running[name].call_digest, claim)
             raise InProgressError("the same call is running", retry_after_s=1.0)
@@ -187,7 +200,7 @@
                     break
                 clean = False
             try:
-                found = self._objects.get(CLAIM_KIND, claim.name)
+                found = self._objects.get(claim_kind(claim.name), claim.name)
             except NotFoundError:
                 if_version = 0
                 continue
@@ -214,7 +227,7 @@
                 break
             self._clock.sleep(LOOK_PAUSE_S)
             try:
-                record = self._objects.get(CLAIM_KIND, claim.name).value
+                record = self._objects.get(claim_kind(claim.name), claim.name).value
             except (NotFoundError, PlatformError):
                 break
         return self._answer_of(claim, record, record.get("answer"))
@@ -226,7 +239,7 @@
         self._add_pending(pending)
 
     def _put(self, claim, value, if_version):
-        return self._objects.put(CLAIM_KIND, claim.name, value, if_version)
+        return self._objects.put(claim_kind(claim.name), claim.name, value, if_version)
 
     def _answer_of(self, claim, record, answer):
         self._check_same_call(record["call_digest"], claim)
@@ -253,7 +266,7 @@
 
     def _see_done(self, claim):
         try:
-            found = self._objects.get(CLAIM_KIND, claim.name)
+            found = self._objects.get(claim_kind(claim.name), claim.name)
         except NotFoundError:
             return True
         own = found.value["attempt"] == claim.attempt
@@ -267,14 +280,14 @@
         """
         claim = pending.claim
         try:
-            found = self._objects.get(CLAIM_KIND, claim.name)
+            found = self._objects.get(claim_kind(claim.name), claim.name)
         except NotFoundError:
             age_s = self._clock.monotonic_s() - pending.since_s
             return claim.version is not None or age_s > LATE_WRITE_MAX_S
         if not self._is_void(found.value):
             return True
         try:
-            self._objects.delete(CLAIM_KIND, claim.name, found.version)
+            self._objects.delete(claim_kind(claim.name), claim.name, found.version)
         except ConflictError:
             return False
         return True
--- a/briarbeam/gate/plugin.py
+++ b/briarbeam/gate/plugin.py
@@ -83,6 +83,11 @@
         """The configuration in force."""
         return self._configuration.configuration
 
+    @property
+    def members(self):
+        """The listed members by name."""
+        return self._configuration.members
+
     def start(self):
         self._follow_domain()
         self.kernel.tasks.repeat(self._watch_backend, 0.0, self.clock)
--- /dev/null
+++ b/briarbeam/gate/retention.py
@@ -0,0 +1,57 @@
+"""Deleting claims whose keys have outlived their retention.
+
+The claims of a service are kept under many kinds; for each, the first of the service's
+targets in rendezvous order looks through it from time to time. Deletes are conditional,
+so two that look through the same kind are harmless.
+"""
+
+from prometheus_client import Counter
+
+from ..kernel.errors import ConflictError, PlatformError
+from ..membership.members import rendezvous_order
+from .claims import claim_kinds
+
+SWEEP_INTERVAL_S = 60.0
+DELETE_PAUSE_S = 0.05
+
+_EXPIRED = Counter("briarbeam_claims_expired", "Claims deleted after their retention")
+
+
+class Retention:
+    """Looks through one kind of claims after the other.
+
+    :param objects: the platform's `ObjectApi`.
+    :param clock: the `Clock` that ages are taken by.
+    :param retention_s: seconds for which a key stands for one call.
+    :param targets: function without arguments that returns the names of the targets
+        which share the work, this one among them.
+    :param own: this target's name.
+    """
+
+    def __init__(self, objects, clock, retention_s, targets, own):
+        self._objects = objects
+        self._clock = clock
+        self._retention_s = retention_s
+        self._targets = targets
+        self._own = own
+        self._left = []
+
+    def sweep(self):
+        """Look through the next kind, if this target is the one to do so."""
+        if not self._left:
+            self._left = claim_kinds()
+        kind = self._left.pop()
+        if rendezvous_order(kind, self._targets())[0] != self._own:
+            return
+        oldest_unix_s = self._clock.now().timestamp() - self._retention_s
+        for found in self._objects.list(kind):
+            if found.value["created_unix_s"] < oldest_unix_s:
+                self._delete(found)
+
+    def _delete(self, found):
+        try:
+            self._objects.delete(found.kind, found.name, found.version)
+            _EXPIRED.inc()
+        except (ConflictError, PlatformError):
+            return
+        self._clock.sleep(DELETE_PAUSE_S)
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -106,6 +106,7 @@
     queue_max: int = Field(16, ge=0)
     order_timeout_s: float = Field(30.0, gt=0)
     engine_checks_fencing: bool = True
+    claim_retention_s: float = Field(86_400.0, ge=3_600)
 
     @model_validator(mode="after")
     def _check_backend(self):
--- a/tests/test_gate_claims.py
+++ b/tests/test_gate_claims.py
@@ -13,10 +13,10 @@
 
 from briarbeam.gate.claims import (
     ANSWER_MAX_BYTES,
-    CLAIM_KIND,
     LATE_WRITE_MAX_S,
     Claim,
     Claims,
+    claim_kind,
 )
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.errors import (
@@ -317,4 +317,4 @@
     gate.take("k", "a", DIGEST, FAR_S)
     successor = Claims(objects, clock)
     assert isinstance(_refusal_of(successor, "a"), OutcomeUnknownError)
-    assert objects.get(CLAIM_KIND, "k").value["state"] == "claimed"
+    assert objects.get(claim_kind("k"), "k").value["state"] == "claimed"
