See callers that went also with many open files, and pass a query on as it came

Cause: select() refuses descriptors of 1024 and above, so a busy daemon took every caller's look as a failure; and a service call lost all but the last of a repeated query key. Ruled out: a peek without poll, since gevent's recv would wait. Before: with 1,100 sockets open the new test fails with 'filedescriptor out of range in select()'. Conclusion: the text of a query is what is passed on; the parsed one is for our own paths.

--- a/briarbeam/entry/plugin.py
+++ b/briarbeam/entry/plugin.py
@@ -3,7 +3,7 @@
 import contextlib
 import json
 import uuid
-from urllib.parse import quote, urlencode
+from urllib.parse import quote
 
 from prometheus_client import Gauge
 
@@ -205,5 +205,5 @@
 
 def _target_path(request, path):
     """Return the path of a service call, quoted, with its query."""
-    query = urlencode(request.query)
+    query = request.query_text
     return quote(path) + (f"?{query}" if query else "")
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -32,7 +32,11 @@
 
 @dataclass
 class Request:
-    """One received request."""
+    """One received request.
+
+    :param query: the last value of each key of the query.
+    :param query_text: the query as it came.
+    """
 
     method: str
     path: str
@@ -41,6 +45,7 @@
     body: bytes
     peer_host: str
     connection: socket.socket | None = None
+    query_text: str = ""
 
     def json(self):
         """Return the body as a JSON object.
@@ -60,14 +65,15 @@
         if self.connection is None:
             return False
         try:
-            readable, _, _ = select.select([self.connection], [], [], 0)
-            if not readable:
+            poll = select.poll()
+            poll.register(self.connection, select.POLLIN)
+            if not poll.poll(0):
                 return False
             flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
             return self.connection.recv(1, flags) == b""
         except BlockingIOError:
             return False
-        except OSError:
+        except (OSError, ValueError):
             return True
 
 
@@ -258,7 +264,8 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
-    query = parse_qs(environ.get("QUERY_STRING", ""))
+    query_text = environ.get("QUERY_STRING", "")
+    query = parse_qs(query_text)
     return Request(
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
@@ -267,4 +274,5 @@
         body=environ["wsgi.input"].read(length) if length else b"",
         peer_host=environ.get("REMOTE_ADDR", ""),
         connection=environ.get("briarbeam.socket"),
+        query_text=query_text,
     )
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -157,11 +157,17 @@
     trace_id, span_id = "a" * 32, "b" * 16
     headers = {"idempotency-key": "k", "traceparent": f"00-{trace_id}-{span_id}-01"}
     request = Request(
-        "POST", "/services/ledger/a b/c", headers, {"q": "1 2"}, b"{}", ""
+        "POST",
+        "/services/ledger/a b/c",
+        headers,
+        {"q": "2"},
+        b"{}",
+        "",
+        query_text="q=1+2&q=2",
     )
     assert bench.kernel.router.handle(request).body == b"done"
     asked, passed = sent[0]
-    assert asked["path"] == "a%20b/c?q=1+2"
+    assert asked["path"] == "a%20b/c?q=1+2&q=2"
     assert asked["idempotency_key"] == "k"
     version, found_trace, found_span, _ = passed["traceparent"].split("-")
     assert (version, found_trace) == ("00", trace_id)
--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -163,3 +163,28 @@
         HttpNetwork().send(address, request)
     server.stop()
     assert not any(b"POST" in data for data in got)
+
+
+def test_caller_that_went_is_seen_also_with_many_open_files(address, router):
+    """``select`` can't look at a descriptor of 1024 and above."""
+    seen = []
+
+    def answer(request):
+        seen.append(request.caller_gone())
+        while not request.caller_gone():
+            gevent.sleep(0.01)
+        seen.append(True)
+
+    router.add("GET", "/", answer)
+    spare = [socket.socket() for _ in range(1100)]
+    try:
+        with socket.create_connection(tuple(address)) as caller:
+            caller.sendall(b"GET / HTTP/1.1\r\n\r\n")
+            while not seen:
+                gevent.sleep(0.01)
+        while len(seen) < 2:
+            gevent.sleep(0.01)
+    finally:
+        for sock in spare:
+            sock.close()
+    assert seen == [False, True]
