Prove that nothing is ordered while requests run

Cause: with the wait for idle switched off, tests/test_weights_processes.py stayed green: its requests are too short and too few to be met by a changeover. Seen red: test_nothing_is_ordered_while_requests_run without the wait. After: tests/test_weights_changeover.py passes.

--- a/tests/test_weights_changeover.py
+++ b/tests/test_weights_changeover.py
@@ -16,6 +16,7 @@
     ConflictError,
     ExchangeError,
     NotFoundError,
+    NotIdleError,
     OrderError,
     OrderUnderWayError,
     PlatformUnavailableError,
@@ -443,3 +444,12 @@
     bench.clock.advance(5)
     reconciler.look()
     assert bench.gate.loaded == {"chat": "v2"}
+
+
+def test_nothing_is_ordered_while_requests_run():
+    bench = Bench()
+    bench.gate.idle = False
+    with pytest.raises(NotIdleError):
+        bench.run()
+    assert not bench.engine.orders
+    assert not bench.gate.closed
