Keep the weights of an order that is under way

Nothing wrong was loaded. Ruled out: a delay before chunks are dropped, which no bound justifies. Before: the reconciler named no order. After: it names the manifest of its change over and room is made around it; 18 passed in tests/test_weights_changeover.py.

--- a/briarbeam/weights/plugin.py
+++ b/briarbeam/weights/plugin.py
@@ -130,7 +130,7 @@
 
     def _make_room(self):
         """Keep the wanted and the served versions, and previous ones while they fit."""
-        needed, previous = set(), set()
+        needed, previous = {self.reconciler.changing}, set()
         snapshot = self._configuration.configuration
         for model in self.reconciler.models():
             rollout = snapshot.get("rollout", model)
--- a/briarbeam/weights/reconcile.py
+++ b/briarbeam/weights/reconcile.py
@@ -30,6 +30,9 @@
 class Reconciler:
     """Orders the engine of this target onto versions that are held whole.
 
+    Its `changing` is the digest of the manifest whose change over is under way, or
+    None; the engine may read those weights, also if they are no longer wanted.
+
     :param is_whole: a function that tells whether a manifest's weights are held
         whole and verified.
     """
@@ -59,6 +62,7 @@
         )
         self._not_before_s = {}
         self.reasons = {}
+        self.changing = None
 
     def look(self):
         """Look once at each model; change at most one version a model."""
@@ -91,11 +95,14 @@
         if not self._is_whole(spec.manifest_digest):
             self.reasons[model] = "weights"
             return
+        self.changing = spec.manifest_digest
         try:
             self._change(model, version, spec)
         except BriarbeamError as error:
             self._put_off(model, error)
             return
+        finally:
+            self.changing = None
         self.reasons.pop(model, None)
         _log.info("version_in_force", model=model, version=version)
 
--- a/tests/test_weights_changeover.py
+++ b/tests/test_weights_changeover.py
@@ -432,6 +432,22 @@
     assert bench.gate.loaded == {"chat": "v2", ADAPTER: "a1"}
 
 
+def test_weights_of_an_order_under_way_are_named():
+    bench = Bench()
+    reconciler = _reconciler(bench, None, {"chat": "v2"})
+    named = []
+    order = bench.gate.backend.order
+
+    def note(body, timeout_s):
+        named.append(reconciler.changing)
+        return order(body, timeout_s)
+
+    bench.gate.backend.order = note
+    reconciler.look()
+    assert named == [DIGEST]
+    assert reconciler.changing is None
+
+
 def test_serving_target_changes_nothing_while_the_platform_is_out():
     bench = Bench()
     reconciler = _reconciler(bench, None, {"chat": "v2"})
