Open a gate only once its configuration is settled, and probe open gates less

Ruled out: fewer probes of a closed gate, which would slow its return; the cold limit doesn't lean on the interval, since work that is unseen by the present incarnation is bounded by itself.

--- a/briarbeam/gate/plugin.py
+++ b/briarbeam/gate/plugin.py
@@ -28,6 +28,7 @@
 REQUEST_ID_HEADER = "x-briarbeam-request-id"
 VERSION_HEADER = "x-briarbeam-version"
 PROBE_INTERVAL_S = 0.25
+PROBE_OPEN_INTERVAL_S = 1.0
 TICK_S = 0.05
 REFRESH_PAUSE_S = 0.1
 ALONE_AFTER_S = 3.0
@@ -68,6 +69,7 @@
         self._newest_probe = 0
         self._leftovers_until_s = None
         self._stalled_at_s = None
+        self._settled = False
         self._stalls = StallWatch(kernel.clock, self._on_stall)
         self._configuration = kernel.find("configuration")
         self._calls = Calls(self, kernel.find("platform").objects)
@@ -272,20 +274,27 @@
         return False
 
     def _watch_backend(self):
-        self._probe_wanted.wait(PROBE_INTERVAL_S)
+        closed = self.admission.load().closed
+        self._probe_wanted.wait(PROBE_INTERVAL_S if closed else PROBE_OPEN_INTERVAL_S)
         self._probe_wanted.clear()
         self.probe()
 
     def _tick(self):
         self._stalls.check()
+        if self._configuration.settled and not self._settled:
+            self._follow_domain()
         self.admission.sweep()
         if self.admission.wants_probe():
             self._probe_wanted.set()
 
     def _follow_domain(self, document=None):
-        """Put in force whether this failure domain is in service."""
+        """Put in force whether this failure domain is in service.
+
+        Until enough was heard to trust the configuration, it counts as out.
+        """
         domain = self.settings.instance.failure_domain
-        if not self.configuration.revision:
+        self._settled = self._configuration.settled
+        if not self._settled or not self.configuration.revision:
             self.admission.close("out_of_service", "no configuration yet")
         elif not self.configuration.in_service(domain):
             self.admission.close("out_of_service", domain)
