Wait for the platform before the test of a killed gate

Cause: make test, 1 failed, 279 passed in 299 s: the other gate answered 'no' where the test expects 'unknown'. It still held back from the platform, which an earlier test had taken down, so it could make no claim and nothing ran: a true refusal, and a matter of timing. Ruled out: taking 'no' as an answer too. Replaced by the same check after the other gate has reached the platform.

--- a/tests/test_gate_processes.py
+++ b/tests/test_gate_processes.py
@@ -179,6 +179,7 @@
 
 def test_gate_killed_after_the_send_leaves_unknown_everywhere(site):
     gate, other = site.targets("service")
+    site.wait_for(lambda: _call(site, other, "the platform is reached again") == "ok")
     site.faults(gate.backend_address, silent=True)
     cut = gevent.spawn(_call, site, gate, "killed")
     site.wait_for(lambda: _runs_of(site, "killed") == 1)
