--- a/bench/demo.py
+++ b/bench/demo.py
@@ -9,8 +9,9 @@
 import time  # noqa: E402
 
 from .callers import Callers  # noqa: E402
+from .layout import DERWENT, KHANGAI  # noqa: E402
 from .settlements import Settlements  # noqa: E402
-from .site import DERWENT, KHANGAI, Site  # noqa: E402
+from .site import Site  # noqa: E402
 
 LAYOUTS = {"derwent": DERWENT, "khangai": KHANGAI}
 SIZE_BYTES = 8_000_000
--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -24,7 +24,8 @@
 from briarbeam.configuration.watcher import WATCHERS_PER_DOMAIN  # noqa: E402
 
 from .control_slopes import SLOPES  # noqa: E402
-from .site import Domain, Site  # noqa: E402
+from .layout import Domain  # noqa: E402
+from .site import Site  # noqa: E402
 
 SIZES = (12, 39, 120)
 IDLE_S = 30.0
--- a/bench/measure_rollout.py
+++ b/bench/measure_rollout.py
@@ -18,8 +18,9 @@
 import gevent  # noqa: E402
 
 from .callers import Callers  # noqa: E402
+from .layout import Domain  # noqa: E402
 from .rollout_failures import Trial, failures  # noqa: E402
-from .site import Domain, Site  # noqa: E402
+from .site import Site  # noqa: E402
 
 SIZES = (8, 16, 32, 64)
 FAILURE_SIZE = 16
--- a/bench/measure_service.py
+++ b/bench/measure_service.py
@@ -18,8 +18,9 @@
 import gevent  # noqa: E402
 
 from .callers import Callers  # noqa: E402
+from .layout import Domain  # noqa: E402
 from .settlements import Settlements  # noqa: E402
-from .site import Domain, Site  # noqa: E402
+from .site import Site  # noqa: E402
 
 DOMAINS = (
     Domain("ulaanbaatar", "central", entries=2, engines=2, services=1),
--- a/bench/site.py
+++ b/bench/site.py
@@ -14,7 +14,6 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import tomli_w
@@ -22,64 +21,22 @@
 from briarbeam.kernel.errors import NetworkError
 from briarbeam.kernel.network import Address, HttpNetwork, HttpRequest, fetch
 
-HTTP_PORT, CONTROL_PORT, BACKEND_PORT = 8080, 8081, 8090
-ADVERTISED_HTTP_PORT, ADVERTISED_CONTROL_PORT = 9080, 9081
+from .layout import (
+    ADVERTISED_CONTROL_PORT,
+    ADVERTISED_HTTP_PORT,
+    CONTROL_PORT,
+    RELAYED,
+    lay_out,
+    links_plan,
+)
+
 OPERATOR_TOKEN = "operator-token"
 OPERATOR_HEADERS = {"authorization": f"Bearer {OPERATOR_TOKEN}"}
 START_TIMEOUT_S = 60.0
 LOG_TAIL_LINES = 15
-DOMAIN_LATENCY_S, REGION_LATENCY_S = 0.001, 0.002
 REVISION_METRIC = 'briarbeam_document_revision{document="configuration"}'
 
 
-@dataclass
-class Domain:
-    """A failure domain's instances."""
-
-    name: str
-    region: str
-    entries: int = 1
-    engines: int = 1
-    services: int = 0
-
-
-@dataclass
-class Instance:
-    """One instance: a daemon and, for targets, its back end."""
-
-    name: str
-    role: str
-    region: str
-    failure_domain: str
-    host: str
-    backend: str | None = None
-    processes: list = field(default_factory=list)
-    daemon: subprocess.Popen | None = None
-    backend_process: subprocess.Popen | None = None
-
-    @property
-    def http(self):
-        """The daemon's own HTTP address."""
-        return Address(self.host, HTTP_PORT)
-
-    @property
-    def backend_address(self):
-        """The back end's address."""
-        return Address(self.host, BACKEND_PORT)
-
-
-KHANGAI = (
-    Domain("ulaanbaatar", "central", entries=3, engines=2, services=1),
-    Domain("darkhan", "central", entries=3, engines=2, services=1),
-    Domain("oyu-gobi", "south", entries=3, engines=1, services=1),
-)
-DERWENT = (
-    Domain("hobart", "south", entries=3, engines=3, services=1),
-    Domain("launceston", "north", entries=3, engines=3, services=1),
-    Domain("burnie", "north", entries=3, engines=2, services=1),
-)
-
-
 class Site:
     """Starts, disturbs and stops the processes of a site.
 
@@ -114,14 +71,13 @@
         self._folder = tempfile.TemporaryDirectory(prefix="briarbeam-")
         self.folder = Path(self._folder.name)
         self._prefix, self._guard = _take_prefix()
-        self.object_api = Address(f"{self._prefix}.0.1", 7000)
-        self.origin = Address(f"{self._prefix}.0.2", 7001)
+        self.object_api = Address(f"{self._prefix}.0.1", RELAYED["object_api"][1])
+        self.origin = Address(f"{self._prefix}.0.2", RELAYED["origin"][1])
         self.links = Address(f"{self._prefix}.0.3", 7002)
         self.weights_digests = {}
         self.adapter_digests = {}
-        self.instances = {}
+        self.instances = lay_out(domains, self._prefix)
         self._standins = {}
-        self._lay_out()
 
     def __enter__(self):
         try:
@@ -144,7 +100,7 @@
             "origin", self.origin, *(["--rate-bytes-per-s", *rate] if rate else [])
         )
         plan = self.folder / "links.json"
-        plan.write_text(json.dumps(self._plan()))
+        plan.write_text(json.dumps(self._links_plan()))
         self._standin("link", self.links, "--plan", str(plan))
         for address in (self.object_api, self.origin, self.links):
             self._await_start(address)
@@ -409,58 +365,9 @@
         except NetworkError:
             return False
 
-    def _lay_out(self):
-        for number, domain in enumerate(self._domains, start=1):
-            wanted = [("entry", None)] * domain.entries
-            wanted += [("target", "engine")] * domain.engines
-            wanted += [("target", "service")] * domain.services
-            for index, (role, backend) in enumerate(wanted, start=1):
-                first = wanted.index((role, backend))
-                name = f"{domain.name}-{backend or role}-{index - first}"
-                self.instances[name] = Instance(
-                    name=name,
-                    role=role,
-                    region=domain.region,
-                    failure_domain=domain.name,
-                    host=f"{self._prefix}.{number}.{index}",
-                    backend=backend,
-                )
-
-    def _plan(self):
-        first = self._domains[0]
-        platform = {"region": first.region, "failure_domain": first.name}
-        instances = [
-            {"name": "object_api", "host": self.object_api.host, **platform},
-            {"name": "origin", "host": self.origin.host, **platform},
-        ]
-        for item in instances:
-            item["link_bytes_per_s"] = None
-        relays = [
-            _relay(self.object_api.host, 9000, 7000, "object_api"),
-            _relay(self.origin.host, 9001, 7001, "origin"),
-        ]
-        for item in self.instances.values():
-            instances.append(
-                {
-                    "name": item.name,
-                    "host": item.host,
-                    "region": item.region,
-                    "failure_domain": item.failure_domain,
-                }
-            )
-            relays.append(_relay(item.host, ADVERTISED_HTTP_PORT, HTTP_PORT, item.name))
-            relays.append(
-                _relay(item.host, ADVERTISED_CONTROL_PORT, CONTROL_PORT, item.name)
-            )
-        link, region = self._rates
-        return {
-            "instances": instances,
-            "relays": relays,
-            "link_bytes_per_s": link,
-            "region_bytes_per_s": region,
-            "domain_latency_s": DOMAIN_LATENCY_S,
-            "region_latency_s": REGION_LATENCY_S,
-        }
+    def _links_plan(self):
+        platform = {"object_api": self.object_api, "origin": self.origin}
+        return links_plan(self._domains[0], platform, self.instances, *self._rates)
 
     def _settings(self, instance):
         settings = {
@@ -478,8 +385,8 @@
                 "source_host": instance.host,
             },
             "platform": {
-                "object_api": f"{self.object_api.host}:9000",
-                "origin": f"{self.origin.host}:9001",
+                "object_api": f"{self.object_api.host}:{RELAYED['object_api'][0]}",
+                "origin": f"{self.origin.host}:{RELAYED['origin'][0]}",
             },
         }
         if instance.role == "entry":
@@ -526,16 +433,6 @@
     return line.rpartition(" ")
 
 
-def _relay(host, from_port, to_port, instance):
-    return {
-        "from_host": host,
-        "from_port": from_port,
-        "to_host": host,
-        "to_port": to_port,
-        "instance": instance,
-    }
-
-
 def _take_prefix():
     """Return a free range of loopback addresses and the socket that guards it."""
     while True:
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -8,8 +8,8 @@
 import gevent
 
 from bench.callers import Callers
+from bench.layout import DERWENT, KHANGAI
 from bench.settlements import Settlements
-from bench.site import DERWENT, KHANGAI
 from briarbeam.kernel.errors import NetworkError
 
 LAYOUTS = {"derwent": DERWENT, "khangai": KHANGAI}
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -3,7 +3,8 @@
 import signal
 import time
 
-from bench.site import Domain, Site
+from bench.layout import Domain
+from bench.site import Site
 from briarbeam.configuration.watcher import WATCHERS_PER_DOMAIN
 from briarbeam.membership.view import watch_order
 
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -9,7 +9,8 @@
 import pytest
 
 from bench.callers import Callers
-from bench.site import Domain, Site
+from bench.layout import Domain
+from bench.site import Site
 from briarbeam.kernel.network import HttpRequest
 
 DOMAINS = (Domain("hobart", "south", entries=1, engines=2),)
--- a/tests/test_gate_processes.py
+++ b/tests/test_gate_processes.py
@@ -10,7 +10,8 @@
 import pytest
 from gevent.server import StreamServer
 
-from bench.site import Domain, Site
+from bench.layout import Domain
+from bench.site import Site
 from briarbeam.kernel.errors import ExchangeError, NetworkError
 from briarbeam.kernel.network import Address, HttpNetwork, HttpRequest, fetch
 
--- a/tests/test_operators_cli.py
+++ b/tests/test_operators_cli.py
@@ -7,7 +7,8 @@
 import pytest
 import tomli_w
 
-from bench.site import OPERATOR_TOKEN, Domain, Site
+from bench.layout import Domain
+from bench.site import OPERATOR_TOKEN, Site
 from briarbeam.cli import application
 
 DOMAINS = (
--- a/tests/test_site_links.py
+++ b/tests/test_site_links.py
@@ -8,7 +8,8 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from bench.site import Domain, Site
+from bench.layout import Domain
+from bench.site import Site
 from standins.link import Links
 
 PIECE = b"x" * 1000
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -2,7 +2,8 @@
 
 from opentelemetry.sdk.trace.sampling import Decision
 
-from bench.site import Domain, Site
+from bench.layout import Domain
+from bench.site import Site
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.telemetry.traces import BoundedSampler
 
--- a/tests/test_weights_processes.py
+++ b/tests/test_weights_processes.py
@@ -5,7 +5,8 @@
 import sys
 
 from bench.callers import Callers
-from bench.site import OPERATOR_TOKEN, Domain, Site
+from bench.layout import Domain
+from bench.site import OPERATOR_TOKEN, Site
 
 DOMAINS = (
     Domain("hobart", "south", entries=1, engines=3),
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,7 +1,8 @@
 """The whole path, with separate processes."""
 
 from bench.callers import Callers
-from bench.site import Domain, Site
+from bench.layout import Domain
+from bench.site import Site
 
 DOMAINS = (
     Domain("hobart", "south", entries=1, engines=2, services=1),
