Name the headers between gate and entry once

Cause: three header names stood in the gate and in the routing, so one could change without the other.

--- a/briarbeam/gate/plugin.py
+++ b/briarbeam/gate/plugin.py
@@ -17,6 +17,7 @@
 )
 from ..kernel.http import Response
 from ..kernel.plugin import Plugin, plugins
+from ..wire.headers import LOAD_HEADER, REQUEST_ID_HEADER, VERSION_HEADER
 from .admission import Admission, Ticket
 from .backends import backends
 from .calls import Calls
@@ -24,9 +25,6 @@
 from .stall import StallWatch
 from .stream import AnswerStream
 
-LOAD_HEADER = "x-briarbeam-load"
-REQUEST_ID_HEADER = "x-briarbeam-request-id"
-VERSION_HEADER = "x-briarbeam-version"
 PROBE_INTERVAL_S = 0.25
 PROBE_OPEN_INTERVAL_S = 1.0
 TICK_S = 0.05
--- a/briarbeam/routing/exchange.py
+++ b/briarbeam/routing/exchange.py
@@ -17,9 +17,8 @@
     ExchangeError,
     OutcomeUnknownError,
 )
+from ..wire.headers import REQUEST_ID_HEADER
 
-LOAD_HEADER = "x-briarbeam-load"
-REQUEST_ID_HEADER = "x-briarbeam-request-id"
 CALLER_POLL_S = 0.1
 
 _CROSSED = Counter("briarbeam_crossed_replies", "Replies to another request, dropped")
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -32,8 +32,9 @@
 )
 from ..kernel.network import HttpRequest, fetch
 from ..kernel.plugin import Plugin, plugins
+from ..wire.headers import LOAD_HEADER, VERSION_HEADER
 from .budget import RetryBudgets
-from .exchange import LOAD_HEADER, HeadWait, check_echo, read_error
+from .exchange import HeadWait, check_echo, read_error
 from .selection import policies
 from .shares import Shares
 from .targets import Targets
@@ -41,7 +42,6 @@
 PROBE_TIMEOUT_S = 1.0
 ALIVE_TIMEOUT_S = 0.5
 GREET_PATH = "/healthz"
-VERSION_HEADER = "x-briarbeam-version"
 FINAL = (
     CallerGoneError,
     ConflictError,
--- a/tests/test_gate_plugin.py
+++ b/tests/test_gate_plugin.py
@@ -6,7 +6,8 @@
 import gevent
 import pytest
 
-from briarbeam.gate.plugin import ALONE_AFTER_S, REQUEST_ID_HEADER
+from briarbeam.gate.plugin import ALONE_AFTER_S
+from briarbeam.wire.headers import REQUEST_ID_HEADER
 
 from .gate_fakes import DOMAIN, GateBench, error_of, frames_of
 from .test_gate_claims import FakeObjects
