Route an adapter's requests by its base

Cause: targets are listed by base models, and the routing looked for the adapter's own name among them, so nobody could serve an adapter's callers. The test sites listed adapters too and hid it. Ruled out: listing adapters, since the platform would have to follow every declared resource. Conclusion: sites list what the platform would list.

--- a/bench/site.py
+++ b/bench/site.py
@@ -61,7 +61,6 @@
     ):
         self.model = model
         self.adapter = adapter
-        self._models = [model, adapter] if adapter else [model]
         self.service = service
         self.network = HttpNetwork()
         self._domains = domains
@@ -172,7 +171,7 @@
             "http": f"{instance.host}:{ADVERTISED_HTTP_PORT}",
             "control": f"{instance.host}:{ADVERTISED_CONTROL_PORT}",
             "state": state,
-            "models": self._models if instance.backend == "engine" else [],
+            "models": [self.model] if instance.backend == "engine" else [],
             "service": self.service if instance.backend == "service" else None,
         }
         self.ask(self.object_api, "PUT", f"/instances/{instance.name}", entry)
@@ -396,7 +395,7 @@
             settings["target"] = {
                 "backend": "engine",
                 "backend_address": str(instance.backend_address),
-                "models": self._models,
+                "models": [self.model],
             }
         else:
             settings["target"] = {
--- a/briarbeam/entry/plugin.py
+++ b/briarbeam/entry/plugin.py
@@ -114,6 +114,7 @@
             path="/gate/generate",
             envelope=envelope,
             model=completion.model,
+            base=spec.base,
             affinity=completion.prompt[:AFFINITY_CHARACTERS],
             gone=request.caller_gone,
         )
--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -72,6 +72,7 @@
 
     :param deadline_unix_s: wall-clock time after which nobody waits.
     :param idempotent: whether it may run more than once.
+    :param base: the base model, if `model` is an adapter; targets are listed by it.
     :param version: the version that must answer, or "" for any.
     :param gone: tells whether the caller has gone; asked for idempotent jobs only.
     :param may_wait: whether it may wait at a target for a place; otherwise the
@@ -88,6 +89,7 @@
     path: str
     envelope: dict
     model: str | None = None
+    base: str | None = None
     service: str | None = None
     affinity: str = ""
     traceparent: str = ""
@@ -131,7 +133,7 @@
             serves = (
                 member.service == job.service
                 if job.service
-                else job.model in member.models
+                else (job.base or job.model) in member.models
             )
             if (
                 member.role == "target"
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -3,6 +3,7 @@
 from bench.callers import Callers
 from bench.layout import Domain
 from bench.site import Site
+from standins.engine import token_of
 
 DOMAINS = (
     Domain("hobart", "south", entries=1, engines=2, services=1),
@@ -42,3 +43,26 @@
             if record["event"] == "ran"
         ]
         assert len(ran) == 1
+
+
+def test_adapter_answers_its_callers():
+    domains = (Domain("hobart", "south", entries=1, engines=1),)
+    with Site(domains, adapter="tariffs") as site:
+        site.declare("v1")
+        site.apply(
+            {"kind": "model", "name": "tariffs", "spec": {"base": site.model}},
+            site.publish("a1", model="tariffs", base_version="v1", size_bytes=200_000),
+            site.rollout("a1", model="tariffs"),
+        )
+        entry = site.entries()[0].http
+        body = {"model": "tariffs", "prompt": "p", "max_tokens": 3}
+
+        def ask():
+            return site.ask(entry, "POST", "/v1/completions", body)
+
+        site.wait_for(lambda: "choices" in ask())
+        digests = site.weights_digests["v1"], site.adapter_digests["a1"]
+        expected = " ".join(token_of(*digests, "p", index) for index in range(3))
+        answer = ask()
+        assert answer["choices"][0]["text"] == expected
+        assert answer["briarbeam"]["version"] == "a1"
