--- a/bench/site.py
+++ b/bench/site.py
@@ -45,7 +45,6 @@
     :param region_bytes_per_s: the link between two regions, each way.
     :param origin_bytes_per_s: the origin's link.
     :param overrides: settings by section, laid over those of each daemon.
-    :param adapter: the name of an adapter of `model` that the engines serve too.
     """
 
     def __init__(
@@ -57,10 +56,8 @@
         overrides=None,
         model="chat",
         service="ledger",
-        adapter=None,
     ):
         self.model = model
-        self.adapter = adapter
         self.service = service
         self.network = HttpNetwork()
         self._domains = domains
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -50,7 +50,7 @@
     if layout not in sites:
         while sites:
             sites.popitem()[1].stop()
-        sites[layout] = Site(LAYOUTS[layout], adapter=ADAPTER)
+        sites[layout] = Site(LAYOUTS[layout])
         sites[layout].start()
     world = World(sites[layout], next(_numbers))
     worlds.append(world)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -47,7 +47,7 @@
 
 def test_adapter_answers_its_callers():
     domains = (Domain("hobart", "south", entries=1, engines=1),)
-    with Site(domains, adapter="tariffs") as site:
+    with Site(domains) as site:
         site.declare("v1")
         site.apply(
             {"kind": "model", "name": "tariffs", "spec": {"base": site.model}},
