Push news on to another peer where one is silent

The writer pushes to three of its neighbours; where all of those stood still, its news waited for a random exchange, each of which takes a second to fail. Ruled out: a shorter timeout (a slow region link would look silent); a wider push, which costs at every change. Conclusion: a push ends when somebody answered.

--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -175,6 +175,20 @@
     assert world.in_force_s(revision, away) <= IN_FORCE_S
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_push_that_meets_silence_goes_to_another_peer(seed):
+    random.seed(seed)
+    world = World(domains=1, per_domain=8)
+    world.in_force_s(world.change(world.nodes["d0-0"]))
+    writer = world.nodes["d0-0"]
+    awake, *frozen = writer.plugin.membership.choose(8, 0)
+    for member in frozen:
+        world.nodes[member.name].frozen = True
+    revision = world.change(writer)
+    world.settle()
+    assert world.nodes[awake.name].revision == revision
+
+
 def test_long_outage_keeps_most_daemons_away_from_the_platform():
     random.seed(1)
     world = World(domains=1, per_domain=40)
