--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -257,9 +257,7 @@
         gone = caller_gone(self._sock)
         self._stop()
         if gone:
-            gevent.kill(
-                self._task, CallerLeftError("closed its connection"), block=False
-            )
+            gevent.kill(self._task, CallerLeftError("closed its connection"))
 
 
 def caller_gone(sock):
--- /dev/null
+++ b/tests/relay_fakes.py
@@ -0,0 +1,199 @@
+"""Fakes for the request path: scripted instances and a caller, all on loopback."""
+
+import contextlib
+import time
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from briarbeam.catalog import (
+    CallerLimits,
+    DesiredState,
+    EngineCost,
+    Instance,
+    RequestKind,
+    Route,
+    Service,
+    Team,
+)
+from briarbeam.kernel.clock import SystemClock
+from briarbeam.kernel.network import Address
+from briarbeam.relay.balance import Balancer
+from briarbeam.relay.dispatch import Admission, Dispatcher
+from briarbeam.relay.fleet import Fleet, Target
+from briarbeam.relay.inforce import InForce, NamedVersions
+from briarbeam.relay.limits import ColdWindow, RetryBudget
+from briarbeam.relay.server import CallerServer
+from briarbeam.telemetry.decisions import DecisionLog
+
+ENGINE = EngineCost(16, 0.009, 0.0, 19100.0, 5)
+SEAL = b"x-response-seal: s1\r\n"
+
+
+def ok(body=b"done", extra=b""):
+    """Return the bytes of a whole answer."""
+    return (
+        b"HTTP/1.1 200 OK\r\n" + SEAL + extra
+        + b"content-length: %d\r\n\r\n%b" % (len(body), body)
+    )  # fmt: skip
+
+
+def stream_head():
+    """Return the head of an event stream."""
+    return (
+        b"HTTP/1.1 200 OK\r\n" + SEAL
+        + b"content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+    )  # fmt: skip
+
+
+def event(number):
+    """Return a chunk with one event."""
+    data = b"id: %d\ndata: tokens\n\n" % number
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+END = b"0\r\n\r\n"
+
+
+class FakeInstance:
+    """An instance whose connections run a script.
+
+    :param script: called with the socket and the bytes of each request.
+    """
+
+    def __init__(self, script, host="127.0.0.1"):
+        self.requests = []
+        self.left_s = []
+        self._script = script
+        self._server = StreamServer((host, 0), self._serve)
+        self._server.start()
+        self.address = Address(host, self._server.server_port)
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = sock.recv(65536)
+            if not part:
+                return
+            data += part
+        self.requests.append(data)
+        with contextlib.suppress(OSError):
+            self._script(self, sock, data)
+        sock.close()
+
+    def header(self, name, index=-1):
+        """Return the value of a header of a request that came."""
+        for line in self.requests[index].split(b"\r\n"):
+            key, _, value = line.partition(b":")
+            if key.lower() == name:
+                return value.strip()
+        return None
+
+
+def reply(data):
+    """Return a script that answers with `data` and closes."""
+    return lambda instance, sock, request: sock.sendall(data)
+
+
+def reset(sock):
+    """Break a connection so that its other side sees a reset."""
+    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+
+
+class Entry:
+    """A relay on loopback before some fake instances.
+
+    :param instances: `FakeInstance` objects by id.
+    :param route: fields of the `Route` that differ from the defaults.
+    """
+
+    def __init__(self, instances, service=None, **route):
+        self.clock = SystemClock()
+        self.age_s = 0.1
+        self.in_force = InForce(self.clock)
+        self.service = service or Service("svc")
+        self.in_force.state = state(self.service, **route)
+        self.fleet = Fleet(self.clock, lambda: self.in_force.state.services)
+        for name, fake in instances.items():
+            self.add(name, fake.address)
+        self.versions = NamedVersions(self.clock, lambda model, version: None, 0.0)
+        self.budget = RetryBudget(0.2, 100, 10.0)
+        balancer = Balancer(
+            self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: 1
+        )
+        admission = Admission(
+            self.in_force, lambda: self.age_s, 4.4, self.versions, 7.7
+        )
+        decisions = DecisionLog(lambda: self.age_s)
+        self.dispatcher = Dispatcher(
+            admission, balancer, self.budget, lambda: 1, decisions
+        )
+        self.server = CallerServer(
+            Address("127.0.0.1", 0), self.dispatcher, lambda: CallerLimits()
+        )
+        self.server.start()
+
+    @property
+    def port(self):
+        return self.server._server.server_port
+
+    def add(self, name, address, models=None, failure_domain="z1", cold_s=0.0):
+        """Add an instance to the fleet."""
+        instance = Instance(name, "svc", address, failure_domain, 16, models=models)
+        window = ColdWindow(self.service.cold_requests_per_s, lambda: 1.0)
+        target = Target(instance, time.monotonic() + cold_s, window)
+        self.fleet._targets[name] = target
+        return target
+
+    def connect(self):
+        return socket.create_connection(("127.0.0.1", self.port))
+
+    def ask(self, path=b"/a/x", key=b"k1", method=b"GET", headers=b"", body=b""):
+        """Send a request and return all bytes of the answer."""
+        sock = self.connect()
+        sock.sendall(request_bytes(path, key, method, headers, body))
+        return read_all(sock)
+
+
+def request_bytes(path=b"/a/x", key=b"k1", method=b"GET", headers=b"", body=b""):
+    """Return a caller's request that asks for the connection's end."""
+    head = b"%b %b HTTP/1.1\r\nhost: h.example\r\n" % (method, path)
+    head += b"x-request-id: id1\r\nx-deadline-ms: 3000\r\nconnection: close\r\n"
+    if key:
+        head += b"authorization: Bearer %b\r\n" % key
+    if body:
+        head += b"content-length: %d\r\n" % len(body)
+    return head + headers + b"\r\n" + body
+
+
+def read_all(sock, timeout_s=5.0):
+    """Return what comes until the end; a reset raises `ConnectionResetError`."""
+    data = b""
+    with gevent.Timeout(timeout_s):
+        while part := sock.recv(65536):
+            data += part
+    return data
+
+
+def state(service, version=1, keys=("k1",), **route):
+    """Return a `DesiredState` with one route ``/a/`` to `service`."""
+    fields = {
+        "name": "r1",
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "kind": RequestKind.IDEMPOTENT,
+        "services": ((service.name, 1),),
+        "timeout_s": 3.0,
+        "target_latency_s": 0.4,
+        "max_attempts": 2,
+    }
+    teams = {key: Team("team1") for key in keys}
+    routes = (Route(**(fields | route)),)
+    services = {service.name: service}
+    return DesiredState(version, routes, services, CallerLimits(), teams, True)
--- /dev/null
+++ b/tests/test_relay_requests.py
@@ -0,0 +1,336 @@
+"""Requests through a relay on loopback: what callers see, and what instances get."""
+
+import time
+
+import gevent
+import pytest
+
+from briarbeam.catalog import RequestKind, Service
+
+from .relay_fakes import (
+    END,
+    ENGINE,
+    Entry,
+    FakeInstance,
+    event,
+    ok,
+    read_all,
+    reply,
+    request_bytes,
+    reset,
+    state,
+    stream_head,
+)
+
+UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
+STREAM = {"kind": RequestKind.STREAMING, "resumable": True, "max_gap_s": 0.4}
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+
+
+def never(instance, sock, request):
+    """Answer nothing until the other side closes."""
+    while sock.recv(100):
+        pass
+    instance.left_s.append(time.monotonic())
+
+
+def drop(instance, sock, request):
+    reset(sock)
+
+
+def test_answer_passes_unchanged_and_request_carries_what_an_instance_needs():
+    fake = FakeInstance(reply(ok(b"body")))
+    answer = Entry({"i1": fake}).ask(
+        headers=b"x-tenant: forged\r\nx-other: 1\r\nx-expect-instance: i9\r\n"
+    )
+    assert answer.startswith(b"HTTP/1.1 200 OK\r\n")
+    assert b"x-response-seal: s1" in answer
+    assert answer.endswith(b"\r\n\r\nbody")
+    assert fake.header(b"x-tenant") == b"team1"
+    assert fake.header(b"x-expect-instance") == b"i1"
+    assert fake.header(b"x-other") == b"1"
+    assert fake.header(b"authorization") is None
+    assert 0 < int(fake.header(b"x-deadline-ms")) <= 3000
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [(b"/b/", b"k1", b"404"), (b"/a/x", b"k2", b"401"), (b"/a/x", b"", b"401")],
+)
+def test_refusals_of_what_no_desired_state_allows(path, key, status):
+    fake = FakeInstance(reply(ok()))
+    answer = Entry({"i1": fake}).ask(path=path, key=key)
+    assert answer.split()[1] == status
+    assert not fake.requests
+
+
+def test_no_desired_state_or_one_that_is_not_confirmed_refuses_with_503():
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({"i1": fake})
+    entry.age_s = 4.5
+    assert entry.ask().split()[1] == b"503"
+    entry.in_force.state = None
+    answer = entry.ask()
+    assert answer.split()[1] == b"503"
+    assert b"retry-after" in answer
+    assert not fake.requests
+
+
+@pytest.mark.parametrize("method", [b"GET", b"POST"])
+def test_instance_that_did_not_run_it_is_followed_by_another(method):
+    first, second = FakeInstance(reply(NOT_RUN)), FakeInstance(reply(ok()))
+    entry = Entry({"i1": first, "i2": second}, **UNSAFE)
+    entry.fleet.get("i2").outstanding = 5
+    assert entry.ask(method=method).split()[1] == b"200"
+    assert len(first.requests) == len(second.requests) == 1
+
+
+def test_unsafe_request_whose_connection_breaks_is_not_sent_again():
+    first, second = FakeInstance(drop), FakeInstance(reply(ok()))
+    entry = Entry({"i1": first, "i2": second}, **UNSAFE)
+    entry.fleet.get("i2").outstanding = 5
+    assert entry.ask(method=b"POST", body=b"x").split()[1] == b"502"
+    assert not second.requests
+
+
+def test_safe_request_whose_connection_breaks_goes_to_another():
+    first, second = FakeInstance(drop), FakeInstance(reply(ok()))
+    entry = Entry({"i1": first, "i2": second})
+    entry.fleet.get("i2").outstanding = 5
+    assert entry.ask().split()[1] == b"200"
+
+
+def test_refusal_after_two_instances_refused_says_not_run():
+    fakes = {f"i{n}": FakeInstance(reply(NOT_RUN)) for n in range(3)}
+    answer = Entry(fakes, **UNSAFE).ask(method=b"POST", body=b"x")
+    assert answer.split()[1] == b"503"
+    assert b"retry-after" in answer
+    assert sum(len(fake.requests) for fake in fakes.values()) == 2
+
+
+def test_truncated_answer_is_never_passed_on_as_whole():
+    cut = ok(b"a longer body")[:-4]
+    fake = FakeInstance(reply(cut))
+    assert Entry({"i1": fake}, **UNSAFE).ask(method=b"POST").split()[1] == b"502"
+
+
+def test_answer_without_length_ends_with_its_connection():
+    fake = FakeInstance(reply(b"HTTP/1.1 200 OK\r\n\r\nunframed"))
+    assert Entry({"i1": fake}).ask().endswith(b"\r\n\r\nunframed")
+
+
+def test_answer_without_length_that_is_reset_is_not_complete():
+    def script(instance, sock, request):
+        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nunfra")
+        gevent.sleep(0.05)
+        reset(sock)
+
+    fake = FakeInstance(script)
+    assert Entry({"i1": fake}, **UNSAFE).ask(method=b"POST").split()[1] == b"502"
+
+
+def test_second_answer_after_a_whole_one_belongs_to_nobody():
+    fake = FakeInstance(reply(ok(b"one") + ok(b"two")))
+    answer = Entry({"i1": fake}).ask()
+    assert answer.endswith(b"\r\n\r\none")
+
+
+def test_answer_to_another_request_is_not_passed_on():
+    fake = FakeInstance(reply(ok(extra=b"x-request-id: id9\r\n")))
+    answer = Entry({"i1": fake}, **UNSAFE).ask(method=b"POST")
+    assert answer.split()[1] == b"502"
+
+
+def test_failure_of_an_instance_keeps_its_status_and_seal():
+    data = b"HTTP/1.1 500 Oops\r\nx-response-seal: s5\r\ncontent-length: 0\r\n\r\n"
+    fake = FakeInstance(reply(data))
+    answer = Entry({"i1": fake}, **UNSAFE).ask(method=b"POST")
+    assert answer.split()[1] == b"500"
+    assert b"s5" in answer
+
+
+def test_route_timeout_ends_the_request_with_504():
+    fake = FakeInstance(never)
+    entry = Entry({"i1": fake}, timeout_s=0.3, **UNSAFE)
+    started_s = time.monotonic()
+    assert entry.ask(method=b"POST").split()[1] == b"504"
+    assert 0.25 < time.monotonic() - started_s < 0.6
+
+
+def test_caller_that_leaves_cancels_its_request_at_the_instance():
+    fake = FakeInstance(never)
+    entry = Entry({"i1": fake})
+    sock = entry.connect()
+    sock.sendall(request_bytes())
+    gevent.sleep(0.2)
+    sock.close()
+    left_s = time.monotonic()
+    gevent.sleep(0.3)
+    assert fake.left_s and fake.left_s[0] - left_s < 0.25
+
+
+def test_caller_that_left_gets_no_second_send():
+    first, second = FakeInstance(never), FakeInstance(reply(ok()))
+    entry = Entry({"i1": first, "i2": second})
+    entry.fleet.get("i2").outstanding = 5
+    sock = entry.connect()
+    sock.sendall(request_bytes())
+    gevent.sleep(0.2)
+    sock.close()
+    gevent.sleep(1.3)
+    assert not second.requests
+
+
+def test_smuggled_and_malformed_requests_reach_no_instance():
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({"i1": fake})
+    both = b"content-length: 4\r\ntransfer-encoding: chunked\r\n"
+    for data in (
+        request_bytes(headers=both),
+        b"GET /a/x HTTP/1.1\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        request_bytes(headers=b"x-big: " + b"a" * 20000 + b"\r\n"),
+    ):
+        sock = entry.connect()
+        sock.sendall(data)
+        assert read_all(sock).split()[1][:1] == b"4"
+    assert not fake.requests
+
+
+def test_chunked_body_arrives_whole_and_kept_connection_serves_the_next():
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({"i1": fake}, **UNSAFE)
+    sock = entry.connect()
+    head = request_bytes(method=b"POST", headers=b"transfer-encoding: chunked\r\n")
+    sock.sendall(head.replace(b"connection: close\r\n", b"") + b"3\r\nabc\r\n0\r\n\r\n")
+    gevent.sleep(0.2)
+    sock.sendall(request_bytes(method=b"POST"))
+    answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 200") == 2
+    assert fake.requests[0].endswith(b"\r\n\r\nabc")
+
+
+def test_stream_is_forwarded_event_by_event():
+    def script(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        gevent.sleep(0.3)
+        sock.sendall(event(2) + END)
+
+    entry = Entry({"i1": FakeInstance(script)}, **STREAM)
+    sock = entry.connect()
+    sock.sendall(request_bytes(method=b"POST"))
+    started_s = time.monotonic()
+    first = sock.recv(65536)
+    assert b"id: 1" in first and time.monotonic() - started_s < 0.2
+    assert read_all(sock).endswith(END)
+
+
+def test_stream_that_breaks_goes_on_at_another_instance_from_the_last_whole_event():
+    def breaks(instance, sock, request):
+        sock.sendall(stream_head() + event(1) + event(2) + event(3)[:-9])
+        gevent.sleep(0.05)
+        reset(sock)
+
+    first = FakeInstance(breaks)
+    second = FakeInstance(reply(stream_head() + event(3) + END))
+    entry = Entry({"i1": first, "i2": second}, **STREAM)
+    entry.fleet.get("i2").outstanding = 5
+    answer = entry.ask(method=b"POST")
+    assert second.header(b"last-event-id") == b"2"
+    assert [answer.count(b"id: %d" % n) for n in (1, 2, 3)] == [1, 1, 1]
+    assert answer.count(b"HTTP/1.1") == 1
+    assert answer.endswith(END)
+
+
+def test_stream_that_may_not_be_resumed_looks_broken():
+    def breaks(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        gevent.sleep(0.05)
+        reset(sock)
+
+    second = FakeInstance(reply(ok()))
+    entry = Entry(
+        {"i1": FakeInstance(breaks), "i2": second}, kind=RequestKind.STREAMING
+    )
+    entry.fleet.get("i2").outstanding = 5
+    with pytest.raises(ConnectionResetError):
+        entry.ask(method=b"POST")
+    assert not second.requests
+
+
+def test_silent_instance_loses_a_resumable_stream_to_another():
+    second = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({"i1": FakeInstance(never), "i2": second}, **STREAM)
+    entry.fleet.get("i2").outstanding = 5
+    assert entry.ask(method=b"POST").endswith(END)
+
+
+def test_stopping_relay_refuses_late_requests_and_ends_soon():
+    def slow(instance, sock, request):
+        gevent.sleep(3.2 if b"/a/slow" in request else 0.0)
+        sock.sendall(ok())
+
+    fake = FakeInstance(slow)
+    entry = Entry({"i1": fake}, timeout_s=6.0, **UNSAFE)
+    running = gevent.spawn(entry.ask, path=b"/a/slow")
+    gevent.sleep(0.1)
+    stop = gevent.spawn(entry.server.close_gracefully, 8.0)
+    gevent.sleep(0.5)
+    assert entry.ask().split()[1] == b"200"
+    gevent.sleep(2.4)
+    late = entry.ask()
+    assert late.split()[1] == b"503"
+    assert b"connection: close" in late
+    stop.join(timeout=1.0)
+    assert stop.ready()
+    assert running.get().split()[1] == b"504"
+
+
+def test_stopping_relay_lets_a_request_under_way_end():
+    def slow(instance, sock, request):
+        gevent.sleep(3.2)
+        sock.sendall(ok())
+
+    entry = Entry({"i1": FakeInstance(slow)}, timeout_s=6.0, **UNSAFE)
+    sock = entry.connect()
+    sock.sendall(request_bytes(headers=b"").replace(b"3000", b"6000"))
+    gevent.sleep(0.1)
+    stop = gevent.spawn(entry.server.close_gracefully, 8.0)
+    assert read_all(sock).split()[1] == b"200"
+    stop.join(timeout=1.0)
+    assert stop.ready()
+
+
+def test_key_that_is_taken_away_before_the_send_stops_it():
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({"i1": fake})
+    meta_state = state(entry.service, version=2, keys=("k9",))
+    admission = entry.dispatcher._admission
+    original = admission.recheck
+
+    def recheck(job, target):
+        entry.in_force.state = meta_state
+        original(job, target)
+
+    admission.recheck = recheck
+    assert entry.ask().split()[1] == b"401"
+    assert not fake.requests
+
+
+def test_engine_without_the_model_gets_nothing():
+    service = Service("svc", engine=ENGINE, models=("m",))
+    empty, full = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
+    entry = Entry({}, service=service)
+    entry.add("i1", empty.address, models={})
+    entry.add("i2", full.address, models={"m": 1})
+    assert entry.ask(headers=b"x-model: m\r\n").split()[1] == b"200"
+    assert not empty.requests
+
+
+def test_homes_of_route_and_team_keep_a_request_in_its_region():
+    away, home = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
+    entry = Entry({}, allowed_regions=frozenset({"r2"}))
+    entry.add("i1", away.address, failure_domain="z1")
+    entry.add("i2", home.address, failure_domain="z2")
+    assert entry.ask().split()[1] == b"200"
+    assert not away.requests
