Take back requests that wait on weights whose time is over

Nothing is sent to superseded weights in the last 0.45 s now, and a request that has not begun 0.15 s before the end is cancelled and goes elsewhere. Ruled out: late news of the name, which the log shows 15 ms after it.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -28,6 +28,9 @@
 # How long a stream that can be resumed may pause before another target goes on:
 # engines cut off their neighbours' work after 1.5 s, callers leave after two or more.
 STREAM_SILENCE_S = 1.0
+# A request that has not begun on superseded weights so long before their time is over
+# is taken back: it could begin too late.
+SUPERSEDED_MARGIN_S = 0.15
 # Kept back for the answer's way to the caller.
 ANSWER_MARGIN_S = 0.05
 # Connections that fail cost nothing but time; more than this many is a partition.
@@ -206,6 +209,8 @@
         # A last chance elsewhere is worth more than waiting for a silent target.
         may_move = job.route.repeatable and len(job.tried) + 1 < job.route.max_attempts
         silence_s = FIRST_PART_SILENCE_S if may_move else None
+        if stream is not None and not stream.begun:
+            silence_s = self._limit_by_weights(job, target, silence_s)
         head = self._read(job, lambda until_s: call.read_head(until_s), silence_s)
         reply = wire.decode_reply(head.status, head.headers)
         self._note_reply(target, reply)
@@ -216,11 +221,19 @@
         if head.status in _FAILED_STATUSES and may_move:
             raise UpstreamError(f"{target.id} answered {head.status}")
         if stream is not None and head.status == 200 and head.is_event_stream():
-            self._forward_stream(job, call, head, stream, may_move)
+            self._forward_stream(job, target, call, head, stream, may_move)
         else:
             self._forward_whole(job, call, head, writer, stream)
         target.note_success()
 
+    def _limit_by_weights(self, job, target, silence_s):
+        """Return how long to wait for the first event, given the target's weights."""
+        ends_s = self._admission.weights_end_s(job, target)
+        if ends_s is None:
+            return silence_s
+        left_s = max(0.01, ends_s - SUPERSEDED_MARGIN_S - time.monotonic())
+        return left_s if silence_s is None else min(silence_s, left_s)
+
     def _note_reply(self, target, reply):
         if reply.running is not None:
             target.answer_load = reply.running + (reply.waiting or 0)
@@ -234,16 +247,18 @@
             raise UpstreamError("a resumed stream got another kind of answer")
         writer.write(head.status, wire.returned_headers(head.headers), body)
 
-    def _forward_stream(self, job, call, head, stream, may_move):
+    def _forward_stream(self, job, target, call, head, stream, may_move):
         stream.accept(head)
-        silence_s = FIRST_PART_SILENCE_S if may_move and not stream.begun else None
+        silence_s = FIRST_PART_SILENCE_S if may_move else None
+        if not stream.begun:
+            silence_s = self._limit_by_weights(job, target, silence_s)
         while True:
             part = self._read(job, lambda until_s: call.read_part(until_s), silence_s)
             if part is None:
                 break
             stream.feed(part)
-            if may_move and stream.begun:
-                silence_s = STREAM_SILENCE_S
+            if stream.begun:
+                silence_s = STREAM_SILENCE_S if may_move else None
         stream.finish()
 
     def _read(self, job, read, silence_s):
@@ -321,16 +336,35 @@
     :param key_age_max_s: the age above which no request with a key is sent.
     :param versions: the `NamedVersions`.
     :param version_within_s: after this, only the newest named weights may begin.
+    :param send_margin_s: how much sooner nothing is sent to older weights any more.
     """
 
     def __init__(
-        self, in_force, confirmed_age_s, key_age_max_s, versions, version_within_s
+        self,
+        in_force,
+        confirmed_age_s,
+        key_age_max_s,
+        versions,
+        version_within_s,
+        send_margin_s,
     ):
         self._in_force = in_force
         self._confirmed_age_s = confirmed_age_s
         self._key_age_max_s = key_age_max_s
         self._versions = versions
         self._version_within_s = version_within_s
+        self._send_margin_s = send_margin_s
+
+    def weights_end_s(self, job, target):
+        """Return when requests may no longer begin on the target's weights, or None.
+
+        :returns: a monotonic time in seconds; None while they are the newest.
+        """
+        if job.need.model is None:
+            return None
+        version = target.version_of(job.need.model)
+        superseded_s = self._versions.superseded_s(job.need.model, version)
+        return None if superseded_s is None else superseded_s + self._version_within_s
 
     def admit(self, request, meta):
         """Return the `Job` for `request`.
@@ -402,7 +436,8 @@
     def _required_version(self, service, meta):
         if service.engine is None or meta.model is None:
             return 0
-        return self._versions.required(meta.model, self._version_within_s)
+        within_s = self._version_within_s - self._send_margin_s
+        return self._versions.required(meta.model, within_s)
 
 
 def _choose(services):
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -29,7 +29,7 @@
 # Kept back of the bound on keys, for a request's way to its target.
 KEY_MARGIN_S = 0.6
 # Kept back of the bound on versions: requests wait at a target before they begin.
-VERSION_MARGIN_S = 0.3
+VERSION_MARGIN_S = 0.45
 # Changes in quick succession are read together.
 SETTLE_S = 0.25
 WAVES = 2
@@ -47,7 +47,9 @@
         self._stopping = False
         self._in_force = InForce(clock)
         self._versions = NamedVersions(
-            clock, self._on_version, self._version_within_s - settings.bounds.contact_s
+            clock,
+            self._on_version,
+            settings.bounds.version_within_s - settings.bounds.contact_s,
         )
         self._fleet = Fleet(clock, self._services)
         self._exchange = EntryExchange(
@@ -85,10 +87,6 @@
         """Take changed settings over; addresses stay until the next start."""
         self._settings = settings
 
-    @property
-    def _version_within_s(self):
-        return self._settings.bounds.version_within_s - VERSION_MARGIN_S
-
     def _build_mirrors(self, store):
         self._config = Mirror(
             store, records.CONFIG_KIND, self._clock, CONFIG_WAIT_S,
@@ -111,7 +109,8 @@
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
             self._versions,
-            self._version_within_s,
+            bounds.version_within_s,
+            VERSION_MARGIN_S,
         )
         balancer = Balancer(
             self._fleet,
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -75,6 +75,16 @@
         heard = self._heard.get(model)
         return heard[-1][0] if heard else 1
 
+    def superseded_s(self, model, version):
+        """Return when the first version above `version` was heard of, or None.
+
+        :returns: a monotonic time in seconds.
+        """
+        for known, heard_s in self._heard.get(model, ()):
+            if known > version:
+                return heard_s
+        return None
+
     def ages(self, model):
         """Return pairs of version and seconds since it was heard of, oldest first."""
         now_s = self._clock.monotonic_s()
