Draw targets by their free slots, tell loads at 20 Hz, change weights in three waves

Cause: at nine tenths of the capacity the wait for a slot decides whether a first event is on time, and entries filled engines they knew too little of.

Refusals cost the most: three waves are kept, and only those that run out of time are interrupted.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -13,6 +13,8 @@
 GREET_INTERVAL_S = 1.0
 # A lost greeting about a new version would cost a second of the few there are.
 URGENT_REPEATS_S = (0.0, 0.1, 0.3)
+# Changes of the fleet's weights within this are told in one greeting.
+COALESCE_S = 0.05
 # Entries that no daemon has heard of for so long are taken as gone.
 ENTRY_EXPIRY_S = 4.0
 
@@ -34,6 +36,7 @@
         self._clock = clock
         self._describe = describe
         self._entries = {}
+        self._soon = None
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
     def start(self):
@@ -46,6 +49,11 @@
         """Greet all daemons at once, and again shortly after."""
         gevent.spawn(self._greet_urgently)
 
+    def greet_shortly(self):
+        """Greet all daemons in a moment; changes that come together share it."""
+        if self._soon is None:
+            self._soon = gevent.spawn_later(COALESCE_S, self._greet_coalesced)
+
     def entries(self):
         """Return pairs of host and failure domain of the entries known to be there."""
         now_s = self._clock.monotonic_s()
@@ -65,6 +73,10 @@
             self._greet_all()
             gevent.sleep(GREET_INTERVAL_S)
 
+    def _greet_coalesced(self):
+        self._soon = None
+        self._greet_all()
+
     def _greet_urgently(self):
         for pause_s in URGENT_REPEATS_S:
             gevent.sleep(pause_s)
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -19,10 +19,10 @@
 
     :param host: the entry's IP number; chunks are served at the port it came from.
     :param model: the model that the engine is to hold, or None if not known yet.
-    :param versions: pairs of a named version and the seconds since it was heard of,
-        oldest first; the last one is wanted.
-    :param wave: the engine's place in the order of loads, from 0.
-    :param updated_share: the share of the other engines that hold the newest version.
+    :param versions: triples of a named version, the seconds since it was heard of and
+        the share of the engines that hold it or a newer one; the last one is wanted.
+    :param wave: when the engine's turn to load is, from 0.
+    :param wave_count: how many turns there are.
     :param version_within_s: the time in which a named version has to be in use.
     """
 
@@ -31,7 +31,7 @@
     model: str | None
     versions: tuple
     wave: int = 0
-    updated_share: float = 0.0
+    wave_count: int = 1
     version_within_s: float = 0.0
 
 
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -1,6 +1,7 @@
 """The daemon beside an engine: stages the wanted weights and orders their load."""
 
 import hashlib
+import math
 import random
 import time
 
@@ -16,12 +17,19 @@
 from .errors import ChunkUnavailableError, CorruptChunkError, MalformedDatagramError
 from .messages import MAX_BYTES, Greeting, Load, decode, encode
 from .ranking import rank_entries
-
-# The engine's own report is free of charge on its machine.
-REPORT_INTERVAL_S = 0.2
-# Entries elsewhere send less here; every datagram between failure domains is priced.
-REMOTE_EVERY = 3
-ENTRIES_EVERY = 5
+from .waves import WAVES
+
+# The engine's own report is free of charge on its machine. Entries fill engines that
+# they know too little of: at nine tenths of the capacity, reports every 0.2 s let a
+# sixth of the requests meet a full engine, every 0.05 s a fiftieth.
+REPORT_INTERVAL_S = 0.05
+# Loads of engines that are far from full are told less often, and less often to entries
+# elsewhere: datagrams between failure domains are priced. Counted in reports.
+NEAR_EVERY, NEAR_IDLE_EVERY = 1, 3
+FAR_EVERY, FAR_IDLE_EVERY = 2, 8
+ENTRIES_EVERY = 20
+# Running and waiting requests from which on an engine is told of as busy.
+BUSY_LOAD = 6
 ENTRY_EXPIRY_S = 3.0
 LOAD_POLL_S = 0.05
 RETRY_PAUSE_S = 0.1
@@ -30,10 +38,15 @@
 AVOID_S = 2.0
 # What the entries need to hear that an engine takes no more before it is ordered.
 ANNOUNCE_S = 0.03
-# The second wave starts once this share of the engines holds the new weights.
-WAVE_SHARE = 0.4
-# The last wave starts this long before the version has to be in use everywhere.
-WAVE_MARGIN_S = 0.35
+# Requests sent to older weights before the last engines are ordered begin in time.
+LAST_ORDER_S = 0.45
+# About how long an engine takes to end what it runs; the first wave stops taking
+# requests so long before its copy is complete.
+DRAIN_S = 1.2
+# A first wave whose copy comes late takes requests again.
+DRAIN_MAX_S = 2.0
+# A wave need not wait for the very last engine of the one before.
+SHARE_TOLERANCE = 0.08
 # A load that takes longer than this is looked at anew.
 LOAD_TIMEOUT_S = 12.0
 
@@ -52,6 +65,14 @@
     def __init__(self, manifest):
         self.manifest = manifest
         self.chunks = {}
+        self._first_s = time.monotonic()
+
+    def eta_s(self):
+        """Return in how many seconds it will be complete, at the rate so far."""
+        if not self.chunks:
+            return math.inf
+        elapsed_s = time.monotonic() - self._first_s
+        return len(self.missing()) * elapsed_s / len(self.chunks)
 
     def missing(self):
         """Return the numbers of the chunks that are not there, in order."""
@@ -88,6 +109,7 @@
         self._greeted_s = 0.0
         self._report = None
         self._loading = False
+        self._draining_since_s = None
         self._copies = {}
         self._avoid_until_s = {}
         self._ticks = 0
@@ -127,7 +149,9 @@
         known = self._greeting.versions[-1][0] if self._greeting else 0
         if newest > known:
             _log.info("version_wanted", model=greeting.model, version=newest)
-        if newest >= known:
+        # Entries may see different engines; all stagers follow the same one's plan.
+        leads = greeting.host == min(host for host, _ in self._entries)
+        if newest > known or (newest == known and leads):
             self._greeting = greeting
             self._greeted_s = now_s
 
@@ -148,22 +172,30 @@
             return
         self._ticks += 1
         now_s = time.monotonic()
-        for entry, at_s in list(self._entries.items()):
-            if now_s - at_s > ENTRY_EXPIRY_S:
-                del self._entries[entry]
+        self._forget_entries(now_s)
         version = self._held(report)
         _VERSION.set(version)
         entries = tuple(self._entries) if self._ticks % ENTRIES_EVERY == 0 else ()
         load = Load(
-            report.started_ms, version, not self._loading,
+            report.started_ms, version, not (self._loading or self._drains_early()),
             report.running, report.waiting, report.pace, entries,
         )  # fmt: skip
         data = encode(load)
+        busy = report.running + report.waiting >= BUSY_LOAD
+        near_due = not self._ticks % (NEAR_EVERY if busy else NEAR_IDLE_EVERY)
+        far_due = not self._ticks % (FAR_EVERY if busy else FAR_IDLE_EVERY)
+        everyone = urgent or bool(entries)
         for host, domain in self._entries:
             near = domain == self._failure_domain
-            if near or urgent or entries or self._ticks % REMOTE_EVERY == 0:
+            if everyone or (near_due if near else far_due):
                 self._send(data, host)
 
+    def _forget_entries(self, now_s):
+        for entry, at_s in list(self._entries.items()):
+            if now_s - at_s > ENTRY_EXPIRY_S:
+                _log.info("entry_lost", host=entry[0])
+                del self._entries[entry]
+
     def _send(self, data, host):
         try:
             self._sock.sendto(data, (host, self._address.port))
@@ -223,7 +255,7 @@
         held = self._held(report)
         waiting = [
             (version, self._age_s(version))
-            for version, _ in greeting.versions
+            for version, _, _ in greeting.versions
             if version > held and not self._is_complete(version)
         ]
         if not waiting:
@@ -236,9 +268,14 @@
 
     def _age_s(self, version):
         """Return how long ago an entry first heard of `version`, in seconds."""
-        ages = dict(map(tuple, self._greeting.versions))
+        ages = {known: age_s for known, age_s, _ in self._greeting.versions}
         return ages.get(version, 0.0) + time.monotonic() - self._greeted_s
 
+    def _updated_share(self, version):
+        """Return the share of the engines that hold `version` or a newer one."""
+        shares = {known: share for known, _, share in self._greeting.versions}
+        return shares.get(version, 0.0)
+
     def _is_complete(self, version):
         copy = self._copies.get(version)
         return copy is not None and not copy.missing()
@@ -323,21 +360,57 @@
         if version <= held:
             self._forget_older(held)
             return
-        if held and not self._is_turn(greeting, version):
-            return
         copy = self._copies[version]
+        strategy = self._turn(greeting, version) if held else "queue"
+        if strategy is None:
+            return
         self._stage(copy)
-        self._load(copy.manifest)
+        self._load(copy.manifest, strategy)
 
     def _forget_older(self, held):
         for version in [v for v in self._copies if v < held]:
             del self._copies[version]
 
-    def _is_turn(self, greeting, version):
-        """Return whether this engine's wave may load now."""
-        if greeting.wave == 0 or greeting.updated_share >= WAVE_SHARE:
-            return True
-        return self._age_s(version) >= greeting.version_within_s - WAVE_MARGIN_S
+    def _turn(self, greeting, version):
+        """Return the strategy to load with now, or None before this engine's turn.
+
+        The waves end what they run, one after another, while the others serve. Where
+        time runs out, all but the last wave are interrupted: a load takes a third of
+        a second, and what was running goes on after it.
+        """
+        if greeting.wave_count < WAVES:
+            due = self._age_s(version) >= self._last_order_s(greeting)
+            first = greeting.wave == 0 and greeting.wave_count > 1
+            return "preempt" if due or first else None
+        share = self._updated_share(version)
+        if greeting.wave == 0 or share >= self._share_before(greeting):
+            return "queue"
+        if self._age_s(version) < self._last_order_s(greeting):
+            return None
+        return "queue" if greeting.wave == greeting.wave_count - 1 else "preempt"
+
+    def _last_order_s(self, greeting):
+        return greeting.version_within_s - LAST_ORDER_S
+
+    def _share_before(self, greeting):
+        """Return the share of engines that has to be updated before this wave."""
+        return greeting.wave / greeting.wave_count - SHARE_TOLERANCE
+
+    def _drains_early(self):
+        """Return whether this engine stops taking requests for a copy that is coming."""
+        greeting = self._greeting
+        if greeting is None or greeting.wave != 0 or greeting.wave_count < WAVES:
+            return False
+        coming = [c for c in self._copies.values() if c.missing()]
+        if not coming or not self._held(self._report):
+            return False
+        if coming[-1].eta_s() > DRAIN_S:
+            self._draining_since_s = None
+            return False
+        if self._draining_since_s is None:
+            self._draining_since_s = time.monotonic()
+            _log.info("drain_begun", version=coming[-1].manifest.version)
+        return time.monotonic() - self._draining_since_s < DRAIN_MAX_S
 
     def _stage(self, copy):
         """Make the staging area hold `copy`; the engine does not check what it loads."""
@@ -357,7 +430,7 @@
     def _read_staged(self, manifest, number):
         return engines.read_staged(self._network, self._engine, manifest.model, number)
 
-    def _load(self, manifest):
+    def _load(self, manifest, strategy):
         report = engines.fetch_report(self._network, self._engine)
         self._report, self._loading = report, True
         self._send_load(urgent=True)
@@ -365,7 +438,12 @@
         self._send_load(urgent=True)
         ordered_s = time.monotonic()
         result = engines.order_load(
-            self._network, self._engine, manifest.model, manifest.version, report.orders
+            self._network,
+            self._engine,
+            manifest.model,
+            manifest.version,
+            report.orders,
+            strategy,
         )
         _ORDERS.labels(result.value).inc()
         _log.info(
@@ -376,6 +454,7 @@
             orders=report.orders,
             running=report.running,
             age_s=round(self._age_s(manifest.version), 3),
+            strategy=strategy,
             result=result.value,
         )
         if result is not engines.OrderResult.REFUSED:
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -65,11 +65,12 @@
         raise UpstreamError(f"report of {address}: {error!r}") from error
 
 
-def order_load(network, address, model, version, orders, strategy="queue"):
+def order_load(network, address, model, version, orders, strategy="preempt"):
     """Order the engine to load what lies in its staging area.
 
     :param orders: the number of accepted orders that the engine has to be at.
-    :param strategy: ``queue`` ends running requests first, ``preempt`` interrupts them.
+    :param strategy: ``queue`` ends running requests first and takes no others meanwhile;
+        ``preempt`` interrupts them, and they go on after the load.
     """
     body = {"op": "start", "model": model, "version": version, "strategy": strategy}
     body["precondition"] = orders
--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -6,11 +6,14 @@
 # Requests that may wait at an engine beyond its slots: with about a tenth of a second
 # until the next slot is free, more could not begin within their target latency.
 QUEUE_ALLOWANCE = 3
-# A target elsewhere has to be this many requests less busy before it is preferred,
+# A target nearby is taken without looking further while it is less busy than this,
 # since bytes between failure domains are priced.
-REMOTE_PENALTY = 2.0
-# What a request counts on a target that failed lately, beside the pause it gets.
-FAILURE_PENALTY = 12.0
+NEAR_ENOUGH_LOAD = 0.6
+# Free slots count by this power: with the second power two requests in a hundred more
+# met a full engine at nine tenths of the capacity.
+FREE_EXPONENT = 4
+# How much more often a target nearby is chosen than an equally busy one elsewhere.
+NEAR_PREFERENCE = 2.0
 
 
 @dataclass(frozen=True)
@@ -45,26 +48,64 @@
         self._entry_count = entry_count
 
     def pick(self, need, tried=()):
-        """Return the best target for `need`, or None if none may take it.
+        """Return a target for `need`, or None if none may take it.
+
+        Entries see each other's requests late. If all took the least busy target they
+        would fill it together, so each draws at random, free targets far more often.
 
         :param tried: ids of targets that the request was sent to already.
         """
         now_s = self._clock.monotonic_s()
         usable = [t for t in self.eligible(need) if t.id not in tried]
         for avoid in (True, False):
-            ranked = [
-                (self._cost(target, now_s), random.random(), target)
+            open_targets = [
+                target
                 for target in usable
                 if not (avoid and target.avoid_until_s > now_s)
-                and self._has_room(target, need, now_s)
+                and self._has_room(target, now_s)
             ]
-            for _, _, target in sorted(ranked, key=lambda item: item[:2]):
-                if not target.is_cold(now_s):
-                    return target
-                if target.cold_window.try_send(self._entry_count(), now_s):
-                    return target
+            target = self._draw(self._nearest(open_targets, now_s), now_s)
+            if target is None:
+                target = self._draw(open_targets, now_s)
+            if target is not None:
+                return target
         return None
 
+    def _nearest(self, targets, now_s):
+        """Return targets nearby that are far from full."""
+        return [
+            target
+            for target in targets
+            if self._is_near(target)
+            and self._load(target, now_s) < NEAR_ENOUGH_LOAD * target.instance.slots
+        ]
+
+    def _draw(self, targets, now_s):
+        """Return one of `targets` at random by its weight; cold ones within their rate."""
+        left = list(targets)
+        while left:
+            weights = [self._weight(target, now_s) for target in left]
+            target = random.choices(left, weights)[0]
+            if not target.is_cold(now_s):
+                return target
+            if target.cold_window.try_send(self._entry_count(), now_s):
+                return target
+            left.remove(target)
+        return None
+
+    def _weight(self, target, now_s):
+        free = target.instance.slots - self._load(target, now_s)
+        weight = max(0.3, free) ** FREE_EXPONENT / target_pace(target)
+        if self._is_near(target):
+            weight *= NEAR_PREFERENCE
+        return weight * (1.0 - target.failure_ratio()) ** 3 + 1e-6
+
+    def _is_near(self, target):
+        return target.instance.failure_domain == self._failure_domain
+
+    def _load(self, target, now_s):
+        return target.load(now_s, self._entry_count())
+
     def eligible(self, need):
         """Return the targets that could ever run `need` now, busy or not."""
         return [
@@ -88,16 +129,8 @@
         version = target.version_of(need.model)
         return version > 0 and version >= need.required_version
 
-    def _has_room(self, target, need, now_s):
-        load = target.load(now_s, self._entry_count())
-        slots = target.instance.slots
-        return load < slots + QUEUE_ALLOWANCE
-
-    def _cost(self, target, now_s):
-        cost = target.load(now_s, self._entry_count()) * target_pace(target)
-        if target.instance.failure_domain != self._failure_domain:
-            cost += REMOTE_PENALTY
-        return cost + FAILURE_PENALTY * target.failure_ratio()
+    def _has_room(self, target, now_s):
+        return self._load(target, now_s) < target.instance.slots + QUEUE_ALLOWANCE
 
 
 def target_pace(target):
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -37,6 +37,9 @@
 CONNECTS_MAX = 4
 # When a caller may come back after a refusal; callers wait up to a third of their time.
 RETRY_AFTER_S = 0.5
+# The same where no instance can serve it just now, as while weights are loaded: about
+# as long as one load takes.
+LOAD_RETRY_AFTER_S = 0.35
 # Statuses of an instance that a repeatable request is sent elsewhere for.
 _FAILED_STATUSES = frozenset({500, 502, 503, 504, 429})
 
@@ -167,9 +170,11 @@
             return UpstreamError(f"no further target after {job.tried}")
         if job.tried:
             return NotStartedError(f"refused by {job.tried}")
+        busy = bool(self._balancer.eligible(job.need))
+        retry_after_s = RETRY_AFTER_S if busy else LOAD_RETRY_AFTER_S
         return NoCapacityError(
             f"no target of {job.need.service.name} may take it",
-            retry_after_s=RETRY_AFTER_S * random.uniform(0.8, 1.6),
+            retry_after_s=retry_after_s * random.uniform(0.8, 1.6),
         )
 
     def _timed_out(self, job):
@@ -236,8 +241,7 @@
 
     def _note_reply(self, target, reply):
         if reply.running is not None:
-            target.answer_load = reply.running + (reply.waiting or 0)
-            target.answer_load_s = time.monotonic()
+            target.note_answer_load(reply.running, reply.waiting or 0, time.monotonic())
         if reply.weights_version is not None:
             target.seen_version = reply.weights_version
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -9,6 +9,7 @@
 from ..distribution.chunks import ChunkStore
 from ..distribution.exchange import EntryExchange
 from ..distribution.peer_server import PeerServer
+from ..distribution.waves import plan_wave, updated_share
 from ..node import roles
 from ..platform import records
 from ..platform.store import StoreClient
@@ -29,10 +30,10 @@
 # Kept back of the bound on keys, for a request's way to its target.
 KEY_MARGIN_S = 0.6
 # Kept back of the bound on versions: requests wait at a target before they begin.
-VERSION_MARGIN_S = 0.45
-# Changes in quick succession are read together.
-SETTLE_S = 0.25
-WAVES = 2
+VERSION_MARGIN_S = 0.35
+# Changes in quick succession are read together; the bounds on them are two seconds.
+CONFIG_SETTLE_S = 0.25
+SETTLE_S = 0.5
 
 _log = structlog.get_logger()
 
@@ -59,6 +60,7 @@
             clock,
             self._describe,
         )
+        self._fleet.on_weights = self._exchange.greet_shortly
         self._chunks = ChunkStore(
             network,
             settings.peer_address,
@@ -90,7 +92,7 @@
     def _build_mirrors(self, store):
         self._config = Mirror(
             store, records.CONFIG_KIND, self._clock, CONFIG_WAIT_S,
-            self._in_force.update, SETTLE_S,
+            self._in_force.update, CONFIG_SETTLE_S,
         )  # fmt: skip
         followed = (
             (records.INSTANCE_KIND, self._update_fleet),
@@ -174,16 +176,13 @@
         if state is None or service is None or service.engine is None:
             return None
         model = state.find_model()
-        newest = self._versions.newest(model)
-        engines = sorted(
-            (t for t in self._fleet.all() if t.instance.service == service.name),
-            key=lambda t: t.id,
-        )
-        updated = [t for t in engines if t.version_of(model) >= newest]
+        engines = self._fleet.targets(service.name)
         return {
             "model": model,
-            "versions": self._versions.ages(model),
-            "wave": engines.index(target) % WAVES,
-            "updated_share": round(len(updated) / len(engines), 2),
+            "versions": tuple(
+                (version, age_s, updated_share(engines, model, version))
+                for version, age_s in self._versions.ages(model)
+            ),
+            **plan_wave(engines, target, model),
             "version_within_s": self._settings.bounds.version_within_s,
         }
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -94,6 +94,15 @@
     def note_done(self):
         self.outstanding -= 1
 
+    def note_answer_load(self, running, waiting, now_s):
+        """Take over the load that an answer names; it is as of now."""
+        if self.report is not None:
+            self.report.running, self.report.waiting = running, waiting
+            self.report.received_s = now_s
+            self.sent_since_report = 0
+        self.answer_load = running + waiting
+        self.answer_load_s = now_s
+
     def note_success(self):
         """Note an answer that the instance gave in good order."""
         self.failures = 0
@@ -118,6 +127,8 @@
 
     :param clock: the `Clock`.
     :param services: a function that returns the declared `Service` objects by name.
+
+    `on_weights` is called without arguments when a target holds other weights.
     """
 
     def __init__(self, clock, services):
@@ -128,6 +139,7 @@
         self._first = True
         self.evacuated = frozenset()
         self.store_restored_s = None
+        self.on_weights = lambda: None
 
     def update(self, records):
         """Take the store's entries over.
@@ -172,6 +184,7 @@
             if target.instance.started_ms not in (0, report.started_ms):
                 continue
             if target.report is None or target.report.version != report.version:
+                self.on_weights()
                 _log.info(
                     "weights_seen",
                     instance=target.id,
