Wait for a peer that waits for the origin, and prove the way of the weights

A peer that answers is now left only after three seconds without any chunk. Engines whose time is over are interrupted instead of drained, since none of them may begin a request; refusals name a longer time where nothing is being loaded yet.

--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -25,6 +25,9 @@
 ORIGIN_TIMEOUT_S = 2.5
 # A source that failed is asked last for so long.
 AVOID_S = 2.0
+# A peer that answers but has nothing new is left for another source after so long;
+# the origin's link is the narrowest and must not be drawn from twice without need.
+STALL_S = 3.0
 RETRY_PAUSE_S = 0.05
 VERSIONS_KEPT = 3
 
@@ -44,11 +47,16 @@
         self.wanted = Event()
         self.waiting = {}
         self.task = None
-        self.started_s = time.monotonic()
+        self.progress_s = time.monotonic()
+
+    def stalled_s(self):
+        """Return for how long no chunk has come, in seconds."""
+        return time.monotonic() - self.progress_s
 
     def note(self, number, content):
         """Keep a verified chunk and wake who waits for it."""
         self.chunks[number] = content
+        self.progress_s = time.monotonic()
         event = self.waiting.pop(number, None)
         if event is not None:
             event.set()
@@ -140,7 +148,7 @@
         copy.manifest_ready.set()
         copy.wanted.wait()
         _log.info("draw_started", model=copy.model, version=copy.version)
-        started_s = time.monotonic()
+        started_s = copy.progress_s = time.monotonic()
         numbers = iter(copy.missing())
         drawers = ORIGIN_DRAWERS if self._pick_source(copy) is None else PEER_DRAWERS
         workers = [gevent.spawn(self._draw_all, copy, numbers) for _ in range(drawers)]
@@ -181,6 +189,12 @@
             digest = hashlib.sha256(content).hexdigest()
             if digest != copy.manifest.digests[number]:
                 raise CorruptChunkError(f"{copy.model}/{copy.version}/{number}")
+        except ChunkUnavailableError as error:
+            if copy.stalled_s() > STALL_S:
+                self._note_failure(source, error)
+                copy.progress_s = time.monotonic()
+            gevent.sleep(RETRY_PAUSE_S)
+            return
         except BriarbeamError as error:
             self._note_failure(source, error)
             gevent.sleep(RETRY_PAUSE_S)
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -383,10 +383,17 @@
             first = greeting.wave == 0 and greeting.wave_count > 1
             return "preempt" if due or first else None
         share = self._updated_share(version)
-        if greeting.wave == 0 or share >= self._share_before(greeting):
+        overdue = self._age_s(version) >= greeting.version_within_s
+        if not overdue and (
+            greeting.wave == 0 or share >= self._share_before(greeting)
+        ):
             return "queue"
-        if self._age_s(version) < self._last_order_s(greeting):
+        age_s = self._age_s(version)
+        if age_s < self._last_order_s(greeting):
             return None
+        if age_s >= greeting.version_within_s:
+            # No engine may begin a request on older weights any more.
+            return "preempt"
         return "queue" if greeting.wave == greeting.wave_count - 1 else "preempt"
 
     def _last_order_s(self, greeting):
--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -117,6 +117,13 @@
             and self._holds_weights(target, need)
         ]
 
+    def any_loading(self, need):
+        """Return whether some target of the service is loading weights just now."""
+        return any(
+            target.report is not None and not target.report.accepting
+            for target in self._fleet.targets(need.service.name)
+        )
+
     def _region_allowed(self, target, need):
         region = self._regions.get(target.instance.failure_domain)
         return all(not allowed or region in allowed for allowed in need.allowed_regions)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -36,10 +36,13 @@
 # Connections that fail cost nothing but time; more than this many is a partition.
 CONNECTS_MAX = 4
 # When a caller may come back after a refusal; callers wait up to a third of their time.
-RETRY_AFTER_S = 0.5
+RETRY_AFTER_S = 0.6
 # The same where no instance can serve it just now, as while weights are loaded: about
 # as long as one load takes.
 LOAD_RETRY_AFTER_S = 0.35
+# The same where no instance is even loading what it needs. Callers come back once, so
+# coming back too early costs them their answer.
+ABSENT_RETRY_AFTER_S = 1.3
 # Statuses of an instance that a repeatable request is sent elsewhere for.
 _FAILED_STATUSES = frozenset({500, 502, 503, 504, 429})
 
@@ -170,13 +173,18 @@
             return UpstreamError(f"no further target after {job.tried}")
         if job.tried:
             return NotStartedError(f"refused by {job.tried}")
-        busy = bool(self._balancer.eligible(job.need))
-        retry_after_s = RETRY_AFTER_S if busy else LOAD_RETRY_AFTER_S
         return NoCapacityError(
             f"no target of {job.need.service.name} may take it",
-            retry_after_s=retry_after_s * random.uniform(0.8, 1.6),
+            retry_after_s=self._retry_after_s(job) * random.uniform(0.8, 1.2),
         )
 
+    def _retry_after_s(self, job):
+        if self._balancer.eligible(job.need):
+            return RETRY_AFTER_S
+        if self._balancer.any_loading(job.need):
+            return LOAD_RETRY_AFTER_S
+        return ABSENT_RETRY_AFTER_S
+
     def _timed_out(self, job):
         if job.may_have_run:
             return DeadlineError("the time limit passed")
--- /dev/null
+++ b/tests/distribution_fakes.py
@@ -0,0 +1,129 @@
+"""Fakes for the way of the weights: an engine, an origin and a network between them."""
+
+import hashlib
+import json
+
+from briarbeam.kernel.errors import BriarbeamError
+from briarbeam.kernel.network import Address
+
+MODEL = "m"
+CHUNK_COUNT = 8
+
+
+def chunk(version, number):
+    """Return the bytes of a chunk; no two versions share one."""
+    return b"%d/%d " % (version, number) * 20
+
+
+def digests(version):
+    return [
+        hashlib.sha256(chunk(version, number)).hexdigest()
+        for number in range(CHUNK_COUNT)
+    ]
+
+
+class UnreachableError(BriarbeamError):
+    """The fake network has no such address."""
+
+
+class Reply:
+    """A reply of the fake network."""
+
+    def __init__(self, status, body=b""):
+        self.status, self.headers, self._body = status, {}, body
+
+    def read(self, size_bytes=None):
+        return self._body
+
+    def close(self):
+        pass
+
+
+class FakeNetwork:
+    """Answers requests by the address's handler; counts them."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.calls = []
+
+    def send(self, address, request):
+        self.calls.append((address, request.method, request.path))
+        handler = self.handlers.get(address)
+        if handler is None:
+            raise UnreachableError(str(address))
+        return handler(request)
+
+    def count(self, address, part):
+        return sum(a == address and part in path for a, _, path in self.calls)
+
+
+class FakeEngine:
+    """An engine with a staging area; it loads what lies there without a check."""
+
+    def __init__(self, version=0):
+        self.staged = {}
+        self.version = version
+        self.orders = []
+        self.started_ms = 1
+        self.accepted = 0
+        self.loaded = None
+        self.running = 0
+
+    def __call__(self, request):
+        path, _, query = request.path.partition("?")
+        if path == "/-/report":
+            return Reply(200, json.dumps(self.report()).encode())
+        if path == "/-/order":
+            return self._order(json.loads(request.body))
+        number = int(query.partition("=")[2] or -1)
+        if path.startswith("/-/stage-put/"):
+            self.staged[number] = request.body
+            return Reply(200)
+        if number < 0:
+            return Reply(200, json.dumps({"held": sorted(self.staged)}).encode())
+        if number not in self.staged:
+            return Reply(404)
+        return Reply(200, self.staged[number])
+
+    def report(self):
+        models = [{"name": MODEL, "version": self.version}] if self.version else []
+        return {
+            "models": models, "busy": False, "seq": self.accepted, "queued": 0,
+            "running": self.running, "born": self.started_ms,
+        }  # fmt: skip
+
+    def _order(self, order):
+        self.orders.append(order)
+        if order["precondition"] != self.accepted:
+            return Reply(409)
+        self.accepted += 1
+        self.loaded = dict(self.staged)
+        self.version = order["version"]
+        return Reply(202)
+
+
+class FakeOrigin:
+    """The origin; chunks in `corrupt` come spoilt once, `down` refuses everything."""
+
+    def __init__(self):
+        self.corrupt = set()
+        self.down = False
+
+    def __call__(self, request):
+        if self.down:
+            raise UnreachableError("origin")
+        path, _, query = request.path.partition("?")
+        fields = dict(part.split("=") for part in query.split("&"))
+        version = int(fields["version"])
+        if path.startswith("/-/manifest/"):
+            body = {"version": version, "digests": digests(version)}
+            return Reply(200, json.dumps(body).encode())
+        number = int(fields["num"])
+        if number in self.corrupt:
+            self.corrupt.discard(number)
+            return Reply(200, b"garbage")
+        return Reply(200, chunk(version, number))
+
+
+ORIGIN = Address("10.0.9.9", 80)
+ENGINE = Address("10.0.0.5", 90)
--- /dev/null
+++ b/tests/test_distribution_chunks.py
@@ -0,0 +1,110 @@
+"""Chunks at entries: drawn once from the origin, verified, passed on."""
+
+import gevent
+import pytest
+
+from briarbeam.catalog import WeightSource
+from briarbeam.distribution.chunks import ChunkStore, answer_peer
+from briarbeam.distribution.errors import ChunkUnavailableError
+from briarbeam.distribution.ranking import rank_entries
+from briarbeam.kernel.network import Address
+
+from .distribution_fakes import (
+    CHUNK_COUNT,
+    MODEL,
+    ORIGIN,
+    FakeNetwork,
+    FakeOrigin,
+    Reply,
+    chunk,
+)
+
+SOURCE = WeightSource(ORIGIN, "z1", 8, 1e6)
+ENTRIES = {("10.0.0.1", "z1"), ("10.0.0.2", "z1"), ("10.0.1.1", "z2")}
+
+
+def build(network, host, failure_domain):
+    address = Address(host, 77)
+    store = ChunkStore(
+        network, address, failure_domain, lambda: SOURCE, lambda: ENTRIES
+    )
+
+    def handle(request):
+        try:
+            return Reply(200, answer_peer(store, request.path))
+        except ChunkUnavailableError as error:
+            return Reply(error.status)
+
+    network.handlers[address] = handle
+    return store
+
+
+@pytest.fixture
+def network():
+    network = FakeNetwork()
+    network.handlers[ORIGIN] = FakeOrigin()
+    return network
+
+
+def all_chunks(store, version=2):
+    return [store.chunk(MODEL, version, n, 2.0) for n in range(CHUNK_COUNT)]
+
+
+def test_three_entries_draw_one_copy_from_the_origin(network):
+    stores = [build(network, host, domain) for host, domain in sorted(ENTRIES)]
+    tasks = [gevent.spawn(all_chunks, store) for store in stores]
+    expected = [chunk(2, n) for n in range(CHUNK_COUNT)]
+    assert [task.get(timeout=5) for task in tasks] == [expected] * 3
+    assert network.count(ORIGIN, "/-/piece/") == CHUNK_COUNT
+
+
+def test_corrupt_chunk_is_drawn_again_and_never_passed_on(network):
+    network.handlers[ORIGIN].corrupt = {0, 3}
+    store = build(network, "10.0.1.1", "z2")
+    for host in ("10.0.0.1", "10.0.0.2"):
+        build(network, host, "z1")
+    assert all_chunks(store) == [chunk(2, n) for n in range(CHUNK_COUNT)]
+
+
+def test_entry_draws_from_the_origin_where_no_peer_can_be_reached(network):
+    store = build(network, "10.0.1.1", "z2")
+    assert all_chunks(store) == [chunk(2, n) for n in range(CHUNK_COUNT)]
+
+
+def test_peer_that_waits_for_the_origin_is_not_taken_as_failed(network):
+    """A second entry that then drew for itself would halve the origin's link."""
+    origin = network.handlers[ORIGIN]
+    stores = [build(network, host, domain) for host, domain in sorted(ENTRIES)]
+    for store in stores:
+        store.manifest(MODEL, 2)
+    origin.down = True
+    tasks = [gevent.spawn(store.chunk, MODEL, 2, 0, 4.0) for store in stores]
+    gevent.sleep(1.5)
+    origin.down = False
+    assert [task.get(timeout=4) for task in tasks] == [chunk(2, 0)] * 3
+    gevent.sleep(0.3)
+    drawn = network.count(ORIGIN, "/-/piece/m?num=7")
+    assert drawn == 1
+
+
+def test_no_chunk_in_time_is_a_typed_error(network):
+    network.handlers[ORIGIN].down = True
+    store = build(network, "10.0.0.1", "z1")
+    with pytest.raises(ChunkUnavailableError):
+        store.chunk(MODEL, 2, 0, 0.05)
+
+
+def test_newest_versions_are_kept_and_older_ones_dropped(network):
+    store = build(network, "10.0.0.1", "z1")
+    for version in (1, 2, 3, 4):
+        store.chunk(MODEL, version, 0, 2.0)
+    assert sorted(version for _, version in store._copies) == [2, 3, 4]
+
+
+def test_rank_is_the_same_for_all_and_leaves_others_in_place():
+    subject = "m/2"
+    hosts = [(f"10.0.0.{n}", "z1") for n in range(9)]
+    ranked = rank_entries(hosts, "z1", subject)
+    assert ranked == rank_entries(reversed(hosts), "z1", subject)
+    without = [entry for entry in hosts if entry[0] != ranked[3]]
+    assert rank_entries(without, "z1", subject) == ranked[:3] + ranked[4:]
--- /dev/null
+++ b/tests/test_distribution_stager.py
@@ -0,0 +1,214 @@
+"""The stager: what lies beside the engine, when it loads, and what it tells."""
+
+import json
+
+import gevent
+import pytest
+
+from briarbeam.distribution.errors import MalformedDatagramError
+from briarbeam.distribution.messages import Greeting, Load, decode, encode
+from briarbeam.distribution.stager import Stager
+from briarbeam.distribution.waves import plan_wave, updated_share
+from briarbeam.kernel.clock import SystemClock
+from briarbeam.kernel.network import Address
+from briarbeam.platform import engines
+
+from .distribution_fakes import (
+    CHUNK_COUNT,
+    ENGINE,
+    MODEL,
+    FakeEngine,
+    FakeNetwork,
+    Reply,
+    chunk,
+    digests,
+)
+
+PEER = Address("10.0.0.1", 77)
+
+
+class Bench:
+    """A stager, its engine and one entry that has all versions."""
+
+    def __init__(self, version=0):
+        self.network = FakeNetwork()
+        self.engine = self.network.handlers[ENGINE] = FakeEngine(version)
+        self.network.handlers[PEER] = self._answer
+        self.slow_s = 0.0
+        self.stager = Stager(
+            self.network, SystemClock(), ENGINE, Address("10.0.0.5", 77), "z1", 1e4
+        )
+        self.sent = []
+        self.stager._send = lambda data, host: self.sent.append(decode(data))
+        self.stager._report = engines.fetch_report(self.network, ENGINE)
+
+    def _answer(self, request):
+        gevent.sleep(self.slow_s)
+        _, kind, _, version, *number = request.path.split("/")
+        if kind == "manifests":
+            return Reply(200, json.dumps(digests(int(version))).encode())
+        return Reply(200, chunk(int(version), int(number[0])))
+
+    def greet(self, *versions, wave=0, wave_count=3, within_s=8.0):
+        greeting = Greeting(
+            PEER.host, "z1", MODEL, versions, wave, wave_count, within_s
+        )
+        self.stager._note(greeting)
+
+    def run(self, seconds):
+        tasks = [
+            gevent.spawn(self.stager._fetch_forever),
+            gevent.spawn(self.stager._load_forever),
+            gevent.spawn(self.stager._report_forever),
+        ]
+        gevent.sleep(seconds)
+        gevent.killall(tasks)
+
+
+def test_engine_without_weights_gets_the_wanted_version_whole():
+    bench = Bench()
+    bench.greet((1, 0.0, 0.0))
+    bench.run(0.5)
+    assert bench.engine.version == 1
+    assert bench.engine.loaded == {n: chunk(1, n) for n in range(CHUNK_COUNT)}
+    assert len(bench.engine.orders) == 1
+
+
+def test_chunk_that_turned_bad_beside_the_engine_is_mended_before_the_order():
+    bench = Bench(version=1)
+    bench.greet((1, 0.0, 1.0), (2, 0.0, 0.0), wave=1)
+    bench.run(0.5)
+    assert not bench.engine.orders
+    bench.engine.staged = {n: chunk(2, n) for n in range(CHUNK_COUNT)}
+    bench.engine.staged[3] = b"rotten"
+    bench.greet((1, 0.0, 1.0), (2, 1.0, 0.4), wave=1)
+    bench.run(0.3)
+    assert bench.engine.loaded == {n: chunk(2, n) for n in range(CHUNK_COUNT)}
+
+
+def test_restarted_engine_loads_what_is_staged_without_the_link():
+    bench = Bench()
+    bench.engine.staged = {n: chunk(1, n) for n in range(CHUNK_COUNT)}
+    bench.greet((1, 0.0, 0.0))
+    bench.run(0.4)
+    assert bench.engine.version == 1
+    assert bench.network.count(PEER, "/chunks/") == 0
+
+
+def test_later_wave_waits_for_the_one_before_and_not_past_its_time():
+    bench = Bench(version=1)
+    bench.greet((1, 9.0, 1.0), (2, 1.0, 0.0), wave=1)
+    bench.run(0.4)
+    assert bench.engine.version == 1
+    bench.greet((1, 9.0, 1.0), (2, 7.6, 0.0), wave=1)
+    bench.run(0.3)
+    assert bench.engine.version == 2
+    assert bench.engine.orders[0]["strategy"] == "preempt"
+
+
+def test_last_wave_ends_what_runs_and_overdue_engines_are_interrupted():
+    for age_s, strategy in ((7.6, "queue"), (8.2, "preempt")):
+        bench = Bench(version=1)
+        bench.greet((1, 9.0, 1.0), (2, age_s, 0.0), wave=2)
+        bench.run(0.4)
+        assert bench.engine.orders[0]["strategy"] == strategy
+
+
+def test_engine_is_announced_as_closed_before_its_order():
+    bench = Bench(version=1)
+    bench.greet((1, 9.0, 1.0), (2, 1.0, 0.0), wave=0)
+    bench.run(0.5)
+    accepting = [load.accepting for load in bench.sent]
+    first_closed = accepting.index(False)
+    assert bench.sent[first_closed].version == 1
+    assert bench.sent[-1].accepting and bench.sent[-1].version == 2
+
+
+def test_newer_version_replaces_one_under_way_where_both_keep_their_time():
+    bench = Bench(version=1)
+    bench.slow_s = 0.02
+    bench.greet((2, 0.0, 0.0))
+    bench.run(0.08)
+    bench.greet((2, 2.0, 0.0), (3, 0.0, 0.0))
+    assert bench.stager._choose_version() == 3
+
+
+def test_older_version_goes_first_where_replacing_it_would_be_too_late():
+    bench = Bench(version=1)
+    bench.slow_s = 0.02
+    bench.greet((2, 0.0, 0.0))
+    bench.run(0.08)
+    copy_s = bench.stager._copy_time_s()
+    assert copy_s > 0
+    bench.greet((2, 8.0 - copy_s / 2, 0.0), (3, 0.0, 0.0))
+    assert bench.stager._choose_version() == 2
+
+
+def test_next_version_is_fetched_while_the_last_one_waits_for_its_turn():
+    bench = Bench(version=1)
+    bench.greet((2, 1.0, 0.0), wave=1)
+    bench.run(0.3)
+    bench.greet((2, 1.3, 0.0), (3, 0.0, 0.0), wave=1)
+    bench.run(0.3)
+    assert bench.stager._is_complete(2) and bench.stager._is_complete(3)
+    assert bench.engine.version == 1
+
+
+def test_one_chunk_at_a_time_is_in_flight_on_the_link():
+    bench = Bench()
+    active, most = 0, 0
+    answer = bench.network.handlers[PEER]
+
+    def count(request):
+        nonlocal active, most
+        active += 1
+        most = max(most, active)
+        gevent.sleep(0.005)
+        active -= 1
+        return answer(request)
+
+    bench.network.handlers[PEER] = count
+    bench.greet((1, 0.0, 0.0))
+    bench.run(0.5)
+    assert bench.engine.version == 1
+    assert most == 1
+
+
+def test_all_stagers_follow_the_plan_of_the_same_entry():
+    bench = Bench(version=1)
+    first = Greeting("10.0.0.1", "z1", MODEL, ((2, 1.0, 0.0),), 0, 3, 8.0)
+    other = Greeting("10.0.0.2", "z1", MODEL, ((2, 1.0, 0.0),), 2, 3, 8.0)
+    bench.stager._note(first)
+    bench.stager._note(other)
+    assert bench.stager._greeting.wave == 0
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'["g"]', b"\xff", b'["x",1]'])
+def test_foreign_datagrams_are_typed_errors(data):
+    with pytest.raises(MalformedDatagramError):
+        decode(data)
+
+
+def test_messages_survive_their_encoding():
+    load = Load(1, 2, True, 3, 4, 1.0, (("10.0.0.1", "z1"),))
+    again = decode(encode(load))
+    assert (again.started_ms, again.version, again.running) == (1, 2, 3)
+    assert tuple(map(tuple, again.entries)) == load.entries
+
+
+class Held:
+    """A target as the wave plan sees it."""
+
+    def __init__(self, name, version):
+        self.id, self._version = name, version
+
+    def version_of(self, model):
+        return self._version
+
+
+def test_waves_are_of_about_one_size_and_leave_out_engines_without_weights():
+    engines_ = [Held(f"i{n}", 1) for n in range(7)] + [Held("new", 0)]
+    waves = [plan_wave(engines_, e, MODEL)["wave"] for e in engines_[:7]]
+    assert sorted(waves.count(w) for w in set(waves)) == [2, 2, 3]
+    assert updated_share(engines_, MODEL, 2) == 0.0
+    assert updated_share(engines_, MODEL, 1) == 1.0
