Share a cold engine's rate without chance; bounded logs, explain, checked settings

The remainder of a cold engine's rate below one went to an entry by a draw at each send, so many sends in a second drew many times: a property test found 10 requests where 9.5 are borne. Each entry now takes a whole share and the first ones the rest. New tests: records of the store with foreign and malformed entries, mirrors and ages, the log with a reader that stands still, `briarbeam explain` and `briarbeam node-settings check`.

--- a/briarbeam/cli/application.py
+++ b/briarbeam/cli/application.py
@@ -19,7 +19,7 @@
 from .client import EXIT_FAILED, EXIT_USAGE
 from .commands import commands
 
-COMMAND_MODULES = (".resources", ".records", ".rollout")
+COMMAND_MODULES = (".resources", ".records", ".rollout", ".explain", ".node_settings")
 
 
 class SettingsCheckCommand(Command):
--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -7,12 +7,15 @@
 from gevent import socket
 
 from ..relay.fleet import LoadReport
+from ..relay.limits import Place
 from .errors import MalformedDatagramError
 from .messages import MAX_BYTES, Greeting, Load, decode, encode
 
 GREET_INTERVAL_S = 1.0
 # A lost greeting about a new version would cost a second of the few there are.
 URGENT_REPEATS_S = (0.0, 0.1, 0.3)
+# Entries are heard of about once a second.
+PLACE_KEPT_S = 0.25
 # Changes of the fleet's weights within this are told in one greeting.
 COALESCE_S = 0.05
 # Entries that no daemon has heard of for so long are taken as gone.
@@ -37,6 +40,8 @@
         self._describe = describe
         self._entries = {}
         self._soon = None
+        self._place = None
+        self._place_s = 0.0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
 
     def start(self):
@@ -64,9 +69,17 @@
         }
         return fresh | {(self._address.host, self._failure_domain)}
 
-    def entry_count(self):
-        """Return how many entries there are, as far as is known."""
-        return len(self.entries())
+    def place(self):
+        """Return the `Place` of this entry among all that are known.
+
+        Asked for several times a request, it is worked out anew only now and then.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._place is None or now_s - self._place_s >= PLACE_KEPT_S:
+            hosts = sorted(host for host, _ in self.entries())
+            self._place = Place(hosts.index(self._address.host), len(hosts))
+            self._place_s = now_s
+        return self._place
 
     def _greet_forever(self):
         while True:
--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -37,15 +37,15 @@
     :param fleet: the `Fleet`.
     :param failure_domain: where this entry stands.
     :param regions: the region of each failure domain.
-    :param entry_count: a function that returns how many entries there are.
+    :param place: a function that returns this entry's `Place`.
     """
 
-    def __init__(self, fleet, clock, failure_domain, regions, entry_count):
+    def __init__(self, fleet, clock, failure_domain, regions, place):
         self._fleet = fleet
         self._clock = clock
         self._failure_domain = failure_domain
         self._regions = regions
-        self._entry_count = entry_count
+        self._place = place
 
     def pick(self, need, tried=()):
         """Return a target for `need`, or None if none may take it.
@@ -88,7 +88,7 @@
             target = random.choices(left, weights)[0]
             if not target.is_cold(now_s):
                 return target
-            if target.cold_window.try_send(self._entry_count(), now_s):
+            if target.cold_window.try_send(self._place(), now_s):
                 return target
             left.remove(target)
         return None
@@ -104,7 +104,7 @@
         return target.instance.failure_domain == self._failure_domain
 
     def _load(self, target, now_s):
-        return target.load(now_s, self._entry_count())
+        return target.load(now_s, self._place().count)
 
     def eligible(self, need):
         """Return the targets that could ever run `need` now, busy or not."""
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -80,15 +80,15 @@
     :param admission: the `Admission` that checks requests.
     :param balancer: the `Balancer`.
     :param budget: the `RetryBudget`.
-    :param entry_count: a function that returns how many entries there are.
+    :param place: a function that returns this entry's `Place`.
     :param decisions: the `DecisionLog`.
     """
 
-    def __init__(self, admission, balancer, budget, entry_count, decisions):
+    def __init__(self, admission, balancer, budget, place, decisions):
         self._admission = admission
         self._balancer = balancer
         self._budget = budget
-        self._entry_count = entry_count
+        self._place = place
         self._decisions = decisions
 
     def answer(self, request, writer, sock, reader):
@@ -164,7 +164,7 @@
             if len(job.tried) >= job.route.max_attempts:
                 return None
             service = job.need.service.name
-            if not self._budget.try_retry(service, self._entry_count(), now_s):
+            if not self._budget.try_retry(service, self._place().count, now_s):
                 return None
         return self._balancer.pick(job.need, job.tried)
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -119,7 +119,7 @@
             self._clock,
             settings.instance.failure_domain,
             settings.regions,
-            self._exchange.entry_count,
+            self._exchange.place,
         )
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
@@ -128,7 +128,7 @@
             admission,
             balancer,
             budget,
-            self._exchange.entry_count,
+            self._exchange.place,
             DecisionLog(lambda: self._config.age_s),
         )
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -239,7 +239,7 @@
             cold_s=max(cold_s, instance.cold_left_s),
         )
         rate_per_s = service.cold_requests_per_s if service is not None else 0.0
-        window = ColdWindow(rate_per_s, random.random)
+        window = ColdWindow(rate_per_s)
         return Target(instance, now_s + cold_s, window)
 
     def _lapse(self, target, now_s):
--- a/briarbeam/relay/limits.py
+++ b/briarbeam/relay/limits.py
@@ -1,46 +1,46 @@
 """Limits that hold over all entries without agreement: each takes its share."""
 
 import collections
-import math
+from typing import NamedTuple
 
 # The window in which the users count what reaches a cold instance.
 COLD_WINDOW_S = 1.0
 
 
+class Place(NamedTuple):
+    """Which of the entries this one is, from 0, and how many there are."""
+
+    position: int
+    count: int
+
+
 class ColdWindow:
     """Bounds what one entry sends to one cold instance.
 
-    The instance bears `rate_per_s` from all entries together. An entry takes an equal
-    share of that, rounded down; a remainder below one goes to the entry at random, so
-    that the expected sum stays within the rate.
+    The instance bears `rate_per_s` from all entries together. Each entry takes an equal
+    whole share; what remains goes to the first ones, one request each.
 
     :param rate_per_s: requests a second from all entries together; 0 for no limit.
-    :param random: a function that returns a float from 0 to 1.
     """
 
-    def __init__(self, rate_per_s, random):
+    def __init__(self, rate_per_s):
         self._rate_per_s = rate_per_s
-        self._random = random
         self._sent_s = collections.deque()
 
-    def try_send(self, entry_count, now_s):
-        """Count one request and return True, or return False if it is too many."""
-        if not self.has_room(entry_count, now_s):
-            return False
-        self._sent_s.append(now_s)
-        return True
+    def try_send(self, place, now_s):
+        """Count one request and return True, or return False if it is too many.
 
-    def has_room(self, entry_count, now_s):
-        """Return whether one more request fits now."""
+        :param place: the `Place` of this entry.
+        """
         if not self._rate_per_s:
             return True
         while self._sent_s and self._sent_s[0] <= now_s - COLD_WINDOW_S:
             self._sent_s.popleft()
-        share = self._rate_per_s * COLD_WINDOW_S / max(1, entry_count)
-        whole = math.floor(share)
-        if len(self._sent_s) < whole:
-            return True
-        return len(self._sent_s) == whole and self._random() < (share - whole) * 0.5
+        whole, rest = divmod(int(self._rate_per_s * COLD_WINDOW_S), place.count)
+        if len(self._sent_s) >= whole + (place.position < rest):
+            return False
+        self._sent_s.append(now_s)
+        return True
 
 
 class RetryBudget:
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -23,7 +23,7 @@
 from briarbeam.relay.dispatch import Admission, Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.inforce import InForce, NamedVersions
-from briarbeam.relay.limits import ColdWindow, RetryBudget
+from briarbeam.relay.limits import ColdWindow, Place, RetryBudget
 from briarbeam.relay.server import CallerServer
 from briarbeam.telemetry.decisions import DecisionLog
 
@@ -125,14 +125,14 @@
         self.versions = NamedVersions(self.clock, lambda model, version: None, 0.0)
         self.budget = RetryBudget(0.2, 100, 10.0)
         balancer = Balancer(
-            self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: 1
+            self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
         )
         admission = Admission(
             self.in_force, lambda: self.age_s, 4.4, self.versions, 8.0, 0.45
         )
         decisions = DecisionLog(lambda: self.age_s)
         self.dispatcher = Dispatcher(
-            admission, balancer, self.budget, lambda: 1, decisions
+            admission, balancer, self.budget, lambda: Place(0, 1), decisions
         )
         self.server = CallerServer(
             Address("127.0.0.1", 0), self.dispatcher, lambda: CallerLimits()
@@ -146,7 +146,7 @@
     def add(self, name, address, models=None, failure_domain="z1", cold_s=0.0):
         """Add an instance to the fleet."""
         instance = Instance(name, "svc", address, failure_domain, 16, models=models)
-        window = ColdWindow(self.service.cold_requests_per_s, lambda: 1.0)
+        window = ColdWindow(self.service.cold_requests_per_s)
         target = Target(instance, time.monotonic() + cold_s, window)
         self.fleet._targets[name] = target
         return target
--- /dev/null
+++ b/tests/test_node_settings.py
@@ -0,0 +1,100 @@
+"""Settings of a process on the users' platform, and the command line around them."""
+
+import json
+
+import pytest
+from cleo.testers.command_tester import CommandTester
+
+from briarbeam.cli.application import build
+from briarbeam.kernel.errors import SettingsError
+from briarbeam.node_settings import load
+
+GOOD = """
+role = "entry"
+new_key = "ignored"
+[instance]
+name = "n1"
+host = "10.0.0.1"
+region = "r"
+failure_domain = "z"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+peer_ports = [7700, 7715]
+[store]
+address = "10.0.9.1:80"
+[bounds]
+drain_s = 2000e-3
+key_revocation_s = 5000e-3
+version_within_s = 8000e-3
+grace_s = 8
+retry_ratio = 0.2
+retry_slack = 106
+retry_window_s = 10
+contact_s = 3000e-3
+[link]
+mbit_per_s = 8
+[regions]
+z = "r"
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "settings.toml"
+    path.write_text(text)
+    return str(path)
+
+
+def test_good_settings_are_read_and_new_keys_ignored(tmp_path):
+    settings = load(write(tmp_path, GOOD))
+    assert settings.peer_address == ("10.0.0.1", 7700)
+    assert settings.link.bytes_per_s == 1e6
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("grace_s = 8", "grace_s = -1", "bounds.grace_s = -1"),
+        ('"10.0.9.1:80"', '"store:80"', "store.address = 'store:80'"),
+        ('role = "entry"', 'role = "boss"', "role = 'boss'"),
+        ('callers = "10.0.0.1:80"', "", "listen.callers"),
+        ("[bounds]", "[bounds", "not TOML"),
+    ],
+)
+def test_wrong_settings_name_key_value_and_expectation(tmp_path, old, new, named):
+    with pytest.raises(SettingsError, match=".*") as caught:
+        load(write(tmp_path, GOOD.replace(old, new)))
+    assert named in str(caught.value)
+
+
+def test_command_checks_a_file(tmp_path):
+    command = build().find("node-settings check")
+    tester = CommandTester(command)
+    assert tester.execute(write(tmp_path, GOOD)) == 0
+    assert tester.execute(write(tmp_path, GOOD.replace("10.0.9.1:80", "x"))) == 2
+
+
+def test_explain_prints_a_requests_way_over_several_daemons(tmp_path):
+    lines = [
+        ("front-2", {"event": "request", "request_id": "a", "outcome": "upstream"}, 3),
+        (
+            "front-1",
+            {"event": "request", "request_id": "a", "outcome": "no_capacity"},
+            1,
+        ),
+        ("front-1", {"event": "store_lost", "kind": "config"}, 0),
+        ("front-3", {"event": "request", "request_id": "b", "outcome": "ok"}, 2),
+    ]
+    text = "not a log line\n" + "\n".join(
+        f" 1.0 {source} "
+        + json.dumps(fields | {"timestamp": f"2026-01-01T00:00:0{second}Z"})
+        for source, fields, second in lines
+    )
+    path = tmp_path / "log"
+    path.write_text(text)
+    tester = CommandTester(build().find("explain"))
+    assert tester.execute(f"a {path} --context") == 0
+    shown = tester.io.fetch_output().splitlines()
+    assert [line.split()[2] for line in shown] == ["store_lost", "request", "request"]
+    assert "no_capacity" in shown[1] and "upstream" in shown[2]
+    assert tester.execute(f"zzz {path}") == 1
--- /dev/null
+++ b/tests/test_platform_records.py
@@ -0,0 +1,171 @@
+"""Records of the platform's store, decoded; foreign and malformed ones hurt no others."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarbeam.catalog import RequestKind
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.network import Address
+from briarbeam.platform import headers as wire
+from briarbeam.platform.records import (
+    decode_desired_state,
+    decode_instance,
+    decode_models,
+)
+from briarbeam.platform.store import Record, StoreClient
+from briarbeam.relay.errors import (
+    HistoryGoneError,
+    MalformedRecordError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from briarbeam.relay.fleet import Fleet
+
+from .distribution_fakes import FakeNetwork, Reply
+
+ENTRY = {
+    "service": "s", "address": "10.0.0.9:8080", "zone": "z1", "version": "v1",
+    "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": 4, "born": 1700,
+}  # fmt: skip
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {"name": "r1", "host": "h", "path_prefix": "/a/", "kind": "idempotent",
+         "timeout_ms": 3000, "target_latency_ms": 400, "priority": 2, "service": "s",
+         "max_attempts": 2},
+        {"name": "r2", "host": "h", "path_prefix": "/a/b/", "kind": "streaming",
+         "timeout_ms": 6000, "target_latency_ms": 400, "resumable": True,
+         "traffic_split": [{"service": "s", "weight": 90}, {"service": "o", "weight": 1}],
+         "allowed_regions": ["x"], "public": True},
+    ],
+    "services": [
+        {"name": "s", "max_conns": 314, "cold_start_s": 3.0, "cold_per_s": 26.0},
+        {"name": "o", "origin": "10.0.0.3:80", "zone": "z1", "link_mbps": 8.0,
+         "max_conns": 48},
+    ],
+    "limits": {"max_header_bytes": 100, "max_body_bytes": 200,
+               "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}],
+}  # fmt: skip
+STORE = Address("10.0.9.1", 80)
+
+
+def test_desired_state_is_decoded_into_units_and_the_longest_prefix_wins():
+    state = decode_desired_state(CONFIG)
+    assert state.find_route("h", "/a/b/c").name == "r2"
+    assert state.find_route("h", "/a/x").timeout_s == 3.0
+    assert state.find_route("h", "/b/") is None
+    assert state.find_route("h", "/a/b/").kind is RequestKind.STREAMING
+    assert state.teams_by_key["k2"].name == "t"
+    assert state.find_source().link_bytes_per_s == 1e6
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_what_may_be_repeated_follows_the_kind_and_not_the_method(kind):
+    route = dict(CONFIG["routes"][0], kind=kind.value)
+    state = decode_desired_state(dict(CONFIG, routes=[route]))
+    repeatable = state.routes[0].repeatable
+    assert repeatable == (kind is RequestKind.IDEMPOTENT)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+@pytest.mark.parametrize("value", [None, 7.5, [], {}, True, "nonsense:"])
+def test_entry_with_a_wrong_field_names_no_instance(field, value):
+    if field in ("service", "zone") and value == "nonsense:":
+        return
+    with pytest.raises(MalformedRecordError):
+        decode_instance("i1", dict(ENTRY, **{field: value}))
+
+
+@given(st.recursive(st.none() | st.booleans() | st.integers() | st.text(),
+                    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner)))  # fmt: skip
+def test_any_foreign_entry_is_a_typed_error(spec):
+    with pytest.raises(MalformedRecordError):
+        decode_instance("i1", spec)
+    with pytest.raises(MalformedRecordError):
+        decode_desired_state(spec)
+
+
+def test_malformed_entry_hurts_no_other():
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY), "bad": Record("bad", 1, "bytes")})
+    assert [target.id for target in fleet.all()] == ["i1"]
+
+
+def test_engine_without_layers_holds_no_model():
+    models = [{"name": "m", "version": 2}]
+    assert decode_models(models) == {"m": 2}
+    assert decode_models(models, layers=[]) == {}
+    assert decode_models([{"name": "m", "version": 0}]) == {}
+
+
+def test_restart_under_the_same_id_is_another_target():
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    before = fleet.get("i1")
+    fleet.update({"i1": Record("i1", 2, dict(ENTRY, born=1800))})
+    assert fleet.get("i1") is not before
+
+
+def test_entry_that_lapsed_in_an_outage_counts_a_little_longer_but_not_a_leaving_one():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    leaving = dict(ENTRY, state="draining")
+    fleet.update({"i1": Record("i1", 1, ENTRY), "i2": Record("i2", 1, leaving)})
+    fleet.store_restored_s = clock.monotonic_s()
+    fleet.update({})
+    assert [t.id for t in fleet.targets("s")] == ["i1"]
+    clock.advance(1.9)
+    assert fleet.targets("s") == []
+
+
+def test_entry_that_goes_while_the_store_is_well_is_gone_at_once():
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.update({})
+    assert fleet.targets("s") == []
+
+
+def test_list_follows_its_pages():
+    network = FakeNetwork()
+
+    def handle(request):
+        first = "after" not in request.path
+        item = {"metadata": {"name": "a" if first else "b", "revision": 1}, "spec": {}}
+        page = {"items": [item], "more": first, "store_revision": 5}
+        return Reply(200, json.dumps(page).encode())
+
+    network.handlers[STORE] = handle
+    records, revision = StoreClient(network, STORE).list("servers")
+    assert [record.name for record in records] == ["a", "b"]
+    assert revision == 5
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [(410, HistoryGoneError), (409, StoreConflictError), (503, StoreUnavailableError),
+     (429, StoreUnavailableError), (500, StoreUnavailableError)],
+)  # fmt: skip
+def test_statuses_of_the_store_are_typed(status, error):
+    network = FakeNetwork()
+    network.handlers[STORE] = lambda request: Reply(status)
+    with pytest.raises(error):
+        StoreClient(network, STORE).watch("config", 3, 1.0)
+
+
+def test_reply_states_not_run_only_where_the_instance_says_so():
+    assert wire.decode_reply(503, [(b"x-not-run", b"1")]).not_run
+    assert wire.decode_reply(421, []).not_run
+    assert not wire.decode_reply(503, []).not_run
+    assert not wire.decode_reply(500, []).not_run
+    reply = wire.decode_reply(200, [(b"x-server-load", b"3,1,8")])
+    assert (reply.running, reply.waiting) == (3, 1)
+
+
+@given(st.lists(st.tuples(st.binary(), st.binary())))
+def test_no_header_of_a_caller_breaks_decoding(headers):
+    meta = wire.decode_request([(name.lower(), value) for name, value in headers])
+    assert all(name != b"x-tenant" for name, _ in meta.forwarded)
--- /dev/null
+++ b/tests/test_relay_state.py
@@ -0,0 +1,146 @@
+"""What an entry believes: mirrors of the store, named versions, shared limits."""
+
+import itertools
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.platform.store import Change, Record
+from briarbeam.relay.errors import HistoryGoneError, StoreUnavailableError
+from briarbeam.relay.inforce import InForce, NamedVersions
+from briarbeam.relay.limits import ColdWindow, Place, RetryBudget
+from briarbeam.relay.mirror import Mirror
+
+from .test_platform_records import CONFIG
+
+
+class FakeStore:
+    """Answers from a script; an exception in it is raised."""
+
+    def __init__(self, clock, script):
+        self.clock, self.script, self.calls = clock, list(script), []
+
+    def _next(self, call):
+        self.calls.append(call)
+        self.clock.advance(0.5)
+        answer = self.script.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def list(self, kind):
+        return self._next("list")
+
+    def watch(self, kind, revision, wait_s):
+        return self._next(f"watch {revision}")
+
+
+def mirror_of(clock, script, seen):
+    store = FakeStore(clock, script)
+    return Mirror(store, "config", clock, 1.6, lambda r: seen.append(dict(r))), store
+
+
+def test_mirror_lists_then_follows_changes():
+    clock, seen = ManualClock(), []
+    gone = Change(Record("a", 4, {}), True)
+    script = [([Record("a", 1, {})], 3), ([Change(Record("b", 4, {}), False)], 4),
+              ([gone], 5), ([], 5)]  # fmt: skip
+    mirror, store = mirror_of(clock, script, seen)
+    for _ in range(4):
+        mirror._step()
+    assert [sorted(records) for records in seen] == [["a"], ["a", "b"], ["b"]]
+    assert store.calls == ["list", "watch 3", "watch 4", "watch 5"]
+
+
+def test_age_counts_from_when_the_confirming_call_was_sent_and_grows_when_none_answers():
+    clock, seen = ManualClock(), []
+    script = [([], 3), ([], 3), StoreUnavailableError("down")]
+    mirror, _ = mirror_of(clock, script, seen)
+    assert mirror.age_s is None
+    mirror._step()
+    assert mirror.age_s == 0.5
+    mirror._step()
+    assert mirror.age_s == 0.5
+    clock.advance(3.0)
+    with pytest.raises(StoreUnavailableError):
+        mirror._step()
+    assert mirror.age_s == 4.0
+
+
+def test_lost_history_and_a_lost_store_are_followed_by_a_new_list():
+    clock, seen = ManualClock(), []
+    script = [([], 3), HistoryGoneError("gone"), ([], 9), StoreUnavailableError("x"),
+              ([], 12)]  # fmt: skip
+    mirror, store = mirror_of(clock, script, seen)
+    mirror._step()
+    with pytest.raises(HistoryGoneError):
+        mirror._step()
+    mirror._revision = None
+    mirror._step()
+    with pytest.raises(StoreUnavailableError):
+        mirror._step()
+    mirror._note_unreachable(StoreUnavailableError("x"))
+    mirror._step()
+    mirror._note_reachable()
+    assert store.calls == ["list", "watch 3", "list", "watch 9", "list"]
+    assert mirror.restored_s == clock.boottime_s()
+
+
+@given(st.lists(st.integers(1, 9), min_size=1))
+def test_desired_state_never_goes_back(versions):
+    in_force, highest = InForce(ManualClock()), 0
+    for version in versions:
+        spec = dict(CONFIG, version=version)
+        in_force.update({"main": Record("main", 1, spec)})
+        highest = max(highest, version)
+        assert in_force.state.version == highest
+
+
+def test_malformed_desired_state_leaves_the_one_in_force():
+    in_force = InForce(ManualClock())
+    in_force.update({"main": Record("main", 1, CONFIG)})
+    in_force.update({"main": Record("main", 2, {"version": 99})})
+    assert in_force.state.version == 7
+
+
+def named(version):
+    return {"m": Record("m", version, {"model": "m", "version": version})}
+
+
+def test_named_version_is_required_after_its_time_and_at_a_start_sooner():
+    clock = ManualClock()
+    versions = NamedVersions(clock, lambda model, version: None, 5.0)
+    versions.update(named(2))
+    assert versions.required("m", 8.0) == 0
+    clock.advance(3.0)
+    assert versions.required("m", 8.0) == 2
+    versions.update(named(3))
+    clock.advance(7.9)
+    assert versions.required("m", 8.0) == 2
+    clock.advance(0.1)
+    assert versions.required("m", 8.0) == 3
+    versions.update(named(1))
+    assert versions.newest("m") == 3
+
+
+@given(entries=st.integers(1, 60), rate=st.sampled_from([26.0, 10.0, 3.0]))
+def test_cold_instance_gets_its_rate_from_all_entries_together(entries, rate):
+    windows = [ColdWindow(rate) for _ in range(entries)]
+    times_s = [step * 0.02 for step in range(50)]
+    sent = sum(
+        window.try_send(Place(position, entries), now_s)
+        for now_s, (position, window) in itertools.product(times_s, enumerate(windows))
+    )
+    assert sent == rate
+
+
+def test_retry_budget_of_all_entries_stays_within_ratio_and_slack():
+    budgets = [RetryBudget(0.2, 106, 10.0) for _ in range(9)]
+    retries = 0
+    for step in range(1000):
+        budget = budgets[step % 9]
+        budget.note_request("s", step * 0.01)
+        retries += budget.try_retry("s", 9, step * 0.01)
+    assert 0 < retries <= 0.2 * 1000 + 106
--- /dev/null
+++ b/tests/test_telemetry_decisions.py
@@ -0,0 +1,66 @@
+"""Log lines: bounded, and never in the way of a request."""
+
+import json
+import os
+import time
+
+import gevent
+
+from briarbeam.telemetry import decisions
+from briarbeam.telemetry.decisions import BufferedOutput
+
+from .relay_fakes import Entry, FakeInstance, ok, reply
+
+
+def test_reader_that_stands_still_delays_nobody_and_costs_counted_lines():
+    reading, writing = os.pipe()
+    output = BufferedOutput(writing)
+    started_s = time.monotonic()
+    line = "x" * 200 + "\n"
+    for _ in range(decisions.BUFFER_MAX_LINES + 1500):
+        output.write(line)
+    gevent.sleep(0.05)
+    for _ in range(decisions.BUFFER_MAX_LINES):
+        output.write(line)
+    assert time.monotonic() - started_s < 1.0
+    text = b""
+    while b"lines_dropped" not in text:
+        text += os.read(reading, 65536)
+        gevent.sleep(0.001)
+    dropped = [x for x in text.split(b"\n") if b"lines_dropped" in x][0]
+    assert json.loads(dropped)["count"] > 0
+    output.close()
+
+
+def test_lines_of_successes_are_bounded_and_failures_go_first(monkeypatch):
+    lines = []
+
+    class Log:
+        def info(self, event, **fields):
+            lines.append(fields)
+
+    entry = Entry({"i1": FakeInstance(reply(ok()))})
+    entry.dispatcher._decisions._log = Log()
+    monkeypatch.setattr(decisions.time, "monotonic", lambda: 1000.0)
+    log = entry.dispatcher._decisions
+    taken = [log._take(True) for _ in range(50)]
+    assert taken.count(True) == decisions.SUCCESSES_PER_S
+    assert log._take(False)
+
+
+def test_a_refused_request_leaves_a_line_with_its_cause():
+    lines = []
+
+    class Log:
+        def info(self, event, **fields):
+            lines.append((event, fields))
+
+    entry = Entry({})
+    entry.dispatcher._decisions._log = Log()
+    entry.ask()
+    event, fields = lines[0]
+    assert event == "request"
+    assert fields["request_id"] == "id1"
+    assert fields["outcome"] == "no_capacity"
+    assert fields["ran"] == "no"
+    assert fields["config_version"] == 1 and fields["config_age_s"] == 0.1
