Draw weights that engines nearby hold from beside them; greet new targets at once

An engine that joins needs the version in use. The stagers of its failure domain now serve it from their staging areas, one chunk at a time, since live streams leave over the same link; the digest is checked by the entry that draws. A target that appears is greeted at once instead of within a second.

--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import random
 import time
 
 import gevent
@@ -76,20 +77,24 @@
     """Holds the newest versions and draws what is asked for.
 
     One entry, the first in rank in the origin's failure domain, draws from the origin;
-    the others draw from it, and from the origin only if that fails.
+    the others draw from it, and from the origin only if that fails. A version that
+    engines nearby hold already, as for one that joins them, comes from beside those.
 
     :param network: the `Network`.
     :param address: this entry's `Address` for peers.
     :param source: a function that returns the `WeightSource`, or None.
     :param entries: a function that returns pairs of host and failure domain.
+    :param holders: a function of model and version that returns hosts nearby whose
+        engines hold it, with a copy in their staging area.
     """
 
-    def __init__(self, network, address, failure_domain, source, entries):
+    def __init__(self, network, address, failure_domain, source, entries, holders):
         self._network = network
         self._address = address
         self._failure_domain = failure_domain
         self._source = source
         self._entries = entries
+        self._holders = holders
         self._copies = {}
         self._avoid_until_s = {}
 
@@ -184,13 +189,13 @@
     def _draw_chunk(self, copy, number):
         source, content = None, None
         try:
-            source = self._pick_source(copy)
+            source = self._pick_holder(copy) or self._pick_source(copy)
             content = self._fetch_chunk(source, copy, number)
             digest = hashlib.sha256(content).hexdigest()
             if digest != copy.manifest.digests[number]:
                 raise CorruptChunkError(f"{copy.model}/{copy.version}/{number}")
         except ChunkUnavailableError as error:
-            if copy.stalled_s() > STALL_S:
+            if copy.stalled_s() > STALL_S or source in self._holder_peers(copy):
                 self._note_failure(source, error)
                 copy.progress_s = time.monotonic()
             gevent.sleep(RETRY_PAUSE_S)
@@ -239,6 +244,20 @@
             raise ChunkUnavailableError("no origin is declared")
         return found.address
 
+    def _pick_holder(self, copy):
+        """Return a stager nearby whose engine holds the version, or None."""
+        now_s = time.monotonic()
+        usable = [
+            p
+            for p in self._holder_peers(copy)
+            if self._avoid_until_s.get(p, 0.0) <= now_s
+        ]
+        return random.choice(usable) if usable else None
+
+    def _holder_peers(self, copy):
+        hosts = self._holders(copy.model, copy.version)
+        return [Address(host, self._address.port) for host in hosts]
+
     def _pick_source(self, copy):
         """Return the peer to draw from, or None for the origin itself."""
         found = self._source()
@@ -278,23 +297,6 @@
     return engines.Manifest(model, version, tuple(json.loads(content)))
 
 
-def answer_peer(store, path):
-    """Return the bytes that answer a peer's request for `path`.
-
-    :raises ChunkUnavailableError: if there is nothing to answer with yet.
-    """
-    parts = path.strip("/").split("/")
-    try:
-        if parts[0] == "manifests":
-            manifest = store.manifest(parts[1], int(parts[2]))
-            return json.dumps(manifest.digests).encode()
-        if parts[0] == "chunks":
-            return store.chunk(parts[1], int(parts[2]), int(parts[3]))
-    except (IndexError, ValueError) as error:
-        raise ChunkUnavailableError(f"no such path: {path}") from error
-    raise ChunkUnavailableError(f"no such path: {path}")
-
-
 def _fetch_peer(network, peer, path):
     request = HttpRequest("GET", path, timeout_s=PEER_TIMEOUT_S)
     status, _, content = fetch(network, peer, request)
--- a/briarbeam/distribution/peer_server.py
+++ b/briarbeam/distribution/peer_server.py
@@ -1,12 +1,13 @@
 """Serves chunks and manifests to other daemons."""
 
+import json
+
 from gevent import socket
 from gevent.server import StreamServer
 
 from ..catalog import CallerLimits
 from ..kernel.errors import BriarbeamError
 from ..relay.callers import AnswerWriter, RequestReader
-from .chunks import answer_peer
 from .errors import ChunkUnavailableError
 
 # Peers keep their connections between versions for so long.
@@ -17,7 +18,7 @@
     """Listens for peers, one task a connection.
 
     :param address: where to listen.
-    :param store: the `ChunkStore` to answer from.
+    :param store: what has methods `manifest` and `chunk`, as `ChunkStore`.
     """
 
     def __init__(self, address, store):
@@ -28,6 +29,18 @@
         """Listen."""
         self._server.start()
 
+    def _answer(self, path):
+        kind, *parts = path.strip("/").split("/")
+        try:
+            if kind == "manifests":
+                manifest = self._store.manifest(parts[0], int(parts[1]))
+                return json.dumps(manifest.digests).encode()
+            if kind == "chunks":
+                return self._store.chunk(parts[0], int(parts[1]), int(parts[2]))
+        except (IndexError, ValueError) as error:
+            raise ChunkUnavailableError(f"no such path: {path}") from error
+        raise ChunkUnavailableError(f"no such path: {path}")
+
     def _serve(self, sock, _):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
@@ -35,7 +48,7 @@
             while (request := reader.read(IDLE_TIMEOUT_S)) is not None:
                 writer = AnswerWriter(sock, request, lambda: False)
                 try:
-                    writer.write(200, [], answer_peer(self._store, request.path))
+                    writer.write(200, [], self._answer(request.path))
                 except ChunkUnavailableError as error:
                     writer.write(error.status, [], b"")
         except (BriarbeamError, OSError):
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -8,6 +8,7 @@
 import gevent
 import structlog
 from gevent import socket
+from gevent.lock import Semaphore
 from prometheus_client import Counter, Gauge
 
 from ..kernel.errors import BriarbeamError
@@ -16,6 +17,7 @@
 from .chunks import fetch_peer_chunk, fetch_peer_manifest
 from .errors import ChunkUnavailableError, CorruptChunkError, MalformedDatagramError
 from .messages import MAX_BYTES, Greeting, Load, decode, encode
+from .peer_server import PeerServer
 from .ranking import rank_entries
 from .waves import WAVES
 
@@ -108,6 +110,8 @@
         self._greeting = None
         self._greeted_s = 0.0
         self._report = None
+        self._serving = Semaphore()
+        self._peers = PeerServer(address, self)
         self._loading = False
         self._draining_since_s = None
         self._copies = {}
@@ -118,11 +122,37 @@
     def start(self):
         """Bind, and follow the engine in the background."""
         self._sock.bind(tuple(self._address))
+        self._peers.start()
         gevent.spawn(self._listen_forever)
         gevent.spawn(self._report_forever)
         gevent.spawn(self._fetch_forever)
         gevent.spawn(self._load_forever)
 
+    # For entries nearby
+
+    def manifest(self, model, version):
+        """Refuse: entries ask each other for manifests.
+
+        :raises ChunkUnavailableError: always.
+        """
+        raise ChunkUnavailableError(f"no manifest of {model}/{version}")
+
+    def chunk(self, model, version, number):
+        """Return a staged chunk of the weights that the engine holds, unverified.
+
+        One at a time: the events of running requests share the link.
+
+        :raises ChunkUnavailableError: if it is not here.
+        """
+        report = self._report
+        if report is None or report.models.get(model) != version:
+            raise ChunkUnavailableError(f"{model}/{version}/{number}")
+        with self._serving:
+            content = engines.read_staged(self._network, self._engine, model, number)
+        if content is None:
+            raise ChunkUnavailableError(f"{model}/{version}/{number}")
+        return content
+
     # Datagrams
 
     def _listen_forever(self):
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -67,6 +67,7 @@
             settings.instance.failure_domain,
             self._source,
             self._exchange.entries,
+            self._holders,
         )
         self._build_mirrors(StoreClient(network, settings.store.address))
         self._build_servers()
@@ -152,6 +153,16 @@
         state = self._in_force.state
         return state.find_source() if state is not None else None
 
+    def _holders(self, model, version):
+        here = self._settings.instance.failure_domain
+        return [
+            target.instance.address.host
+            for target in self._fleet.all()
+            if target.instance.failure_domain == here
+            and target.report is not None
+            and target.report.version == version
+        ]
+
     def _update_fleet(self, found):
         restored = [m.restored_s for m in self._mirrors if m.restored_s is not None]
         self._fleet.store_restored_s = max(restored, default=None)
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -128,7 +128,7 @@
     :param clock: the `Clock`.
     :param services: a function that returns the declared `Service` objects by name.
 
-    `on_weights` is called without arguments when a target holds other weights.
+    `on_weights` is called without arguments when a target appears or holds other weights.
     """
 
     def __init__(self, clock, services):
@@ -238,6 +238,7 @@
             models=instance.models,
             cold_s=max(cold_s, instance.cold_left_s),
         )
+        self.on_weights()
         rate_per_s = service.cold_requests_per_s if service is not None else 0.0
         window = ColdWindow(rate_per_s)
         return Target(instance, now_s + cold_s, window)
--- a/tests/test_distribution_chunks.py
+++ b/tests/test_distribution_chunks.py
@@ -4,8 +4,9 @@
 import pytest
 
 from briarbeam.catalog import WeightSource
-from briarbeam.distribution.chunks import ChunkStore, answer_peer
+from briarbeam.distribution.chunks import ChunkStore
 from briarbeam.distribution.errors import ChunkUnavailableError
+from briarbeam.distribution.peer_server import PeerServer
 from briarbeam.distribution.ranking import rank_entries
 from briarbeam.kernel.network import Address
 
@@ -23,15 +24,21 @@
 ENTRIES = {("10.0.0.1", "z1"), ("10.0.0.2", "z1"), ("10.0.1.1", "z2")}
 
 
-def build(network, host, failure_domain):
+def build(network, host, failure_domain, holders=()):
     address = Address(host, 77)
     store = ChunkStore(
-        network, address, failure_domain, lambda: SOURCE, lambda: ENTRIES
+        network,
+        address,
+        failure_domain,
+        lambda: SOURCE,
+        lambda: ENTRIES,
+        lambda model, version: holders if version == 1 else (),
     )
+    server = PeerServer(Address("127.0.0.1", 0), store)
 
     def handle(request):
         try:
-            return Reply(200, answer_peer(store, request.path))
+            return Reply(200, server._answer(request.path))
         except ChunkUnavailableError as error:
             return Reply(error.status)
 
@@ -108,3 +115,20 @@
     assert ranked == rank_entries(reversed(hosts), "z1", subject)
     without = [entry for entry in hosts if entry[0] != ranked[3]]
     assert rank_entries(without, "z1", subject) == ranked[:3] + ranked[4:]
+
+
+def test_version_that_engines_nearby_hold_comes_from_beside_them(network):
+    """Bytes between regions and from the origin are priced; those nearby are not."""
+    network.handlers[Address("10.0.1.5", 77)] = lambda request: Reply(
+        200, chunk(1, int(request.path.rsplit("/", 1)[1]))
+    )
+    network.handlers[Address("10.0.1.6", 77)] = lambda request: Reply(200, b"rotten")
+    store = build(network, "10.0.1.1", "z2", holders=("10.0.1.5", "10.0.1.6"))
+    assert all_chunks(store, 1) == [chunk(1, n) for n in range(CHUNK_COUNT)]
+    assert network.count(ORIGIN, "/-/piece/") == 0
+
+
+def test_holders_that_have_nothing_staged_are_left_for_the_origin(network):
+    network.handlers[Address("10.0.1.5", 77)] = lambda request: Reply(503)
+    store = build(network, "10.0.1.1", "z2", holders=("10.0.1.5",))
+    assert all_chunks(store, 1) == [chunk(1, n) for n in range(CHUNK_COUNT)]
