Look at the weights again before each send of a request

A stream's engine crashed 7.65 s after a version was named; the stream went on at an engine with the old weights, waited, and began at 8.34 s. The need was worked out once, at admission, and the take-back looked only at first events. Both are asked anew for each send now. Ruled out: late news, as the front had the name 15 ms after it. Two tests, red before.

--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import json
-import random
 import time
 
 import gevent
@@ -29,6 +28,7 @@
 # A peer that answers but has nothing new is left for another source after so long;
 # the origin's link is the narrowest and must not be drawn from twice without need.
 STALL_S = 3.0
+HOLDERS_MIN = 2
 RETRY_PAUSE_S = 0.05
 VERSIONS_KEPT = 3
 
@@ -189,7 +189,7 @@
     def _draw_chunk(self, copy, number):
         source, content = None, None
         try:
-            source = self._pick_holder(copy) or self._pick_source(copy)
+            source = self._pick_holder(copy, number) or self._pick_source(copy)
             content = self._fetch_chunk(source, copy, number)
             digest = hashlib.sha256(content).hexdigest()
             if digest != copy.manifest.digests[number]:
@@ -244,15 +244,15 @@
             raise ChunkUnavailableError("no origin is declared")
         return found.address
 
-    def _pick_holder(self, copy):
-        """Return a stager nearby whose engine holds the version, or None."""
+    def _pick_holder(self, copy, number):
+        """Return a stager nearby whose engine holds the version, or None.
+
+        Each gives half of its link, so less than `HOLDERS_MIN` would feed too slowly.
+        """
         now_s = time.monotonic()
-        usable = [
-            p
-            for p in self._holder_peers(copy)
-            if self._avoid_until_s.get(p, 0.0) <= now_s
-        ]
-        return random.choice(usable) if usable else None
+        peers = sorted(self._holder_peers(copy))
+        usable = [p for p in peers if self._avoid_until_s.get(p, 0.0) <= now_s]
+        return usable[number % len(usable)] if len(usable) >= HOLDERS_MIN else None
 
     def _holder_peers(self, copy):
         hosts = self._holders(copy.model, copy.version)
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -33,6 +33,9 @@
 # Running and waiting requests from which on an engine is told of as busy.
 BUSY_LOAD = 6
 ENTRY_EXPIRY_S = 3.0
+# Of the machine's link, what chunks for entries nearby may take: at the whole of it the
+# median first token of requests there came a tenth of a second later.
+SERVE_SHARE = 0.5
 LOAD_POLL_S = 0.05
 RETRY_PAUSE_S = 0.1
 # An entry makes a peer wait for a chunk that is on its way, so failures are real.
@@ -140,18 +143,23 @@
     def chunk(self, model, version, number):
         """Return a staged chunk of the weights that the engine holds, unverified.
 
-        One at a time: the events of running requests share the link.
+        One at a time and with pauses: the events of running requests share the link.
 
         :raises ChunkUnavailableError: if it is not here.
         """
         report = self._report
         if report is None or report.models.get(model) != version:
             raise ChunkUnavailableError(f"{model}/{version}/{number}")
-        with self._serving:
+        self._serving.acquire()
+        pause_s = 0.0
+        try:
             content = engines.read_staged(self._network, self._engine, model, number)
-        if content is None:
-            raise ChunkUnavailableError(f"{model}/{version}/{number}")
-        return content
+            if content is None:
+                raise ChunkUnavailableError(f"{model}/{version}/{number}")
+            pause_s = len(content) / (self._link_bytes_per_s * SERVE_SHARE)
+            return content
+        finally:
+            gevent.spawn_later(pause_s, self._serving.release)
 
     # Datagrams
 
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -1,5 +1,6 @@
 """The way of one request: checked, sent to a target, sent once more where allowed."""
 
+import dataclasses
 import random
 import time
 from dataclasses import dataclass, field
@@ -166,6 +167,7 @@
             service = job.need.service.name
             if not self._budget.try_retry(service, self._place().count, now_s):
                 return None
+        job.need = self._admission.renew(job)
         return self._balancer.pick(job.need, job.tried)
 
     def _no_target(self, job):
@@ -222,7 +224,7 @@
         # A last chance elsewhere is worth more than waiting for a silent target.
         may_move = job.route.repeatable and len(job.tried) + 1 < job.route.max_attempts
         silence_s = FIRST_PART_SILENCE_S if may_move else None
-        if stream is not None and not stream.begun:
+        if stream is not None:
             silence_s = self._limit_by_weights(job, target, silence_s)
         head = self._read(job, lambda until_s: call.read_head(until_s), silence_s)
         reply = wire.decode_reply(head.status, head.headers)
@@ -262,14 +264,12 @@
     def _forward_stream(self, job, target, call, head, stream, may_move):
         stream.accept(head)
         silence_s = FIRST_PART_SILENCE_S if may_move else None
-        if not stream.begun:
-            silence_s = self._limit_by_weights(job, target, silence_s)
+        silence_s = self._limit_by_weights(job, target, silence_s)
         while True:
             part = self._read(job, lambda until_s: call.read_part(until_s), silence_s)
             if part is None:
                 break
-            stream.feed(part)
-            if stream.begun:
+            if stream.feed(part):
                 silence_s = STREAM_SILENCE_S if may_move else None
         stream.finish()
 
@@ -316,16 +316,17 @@
         self._splitter.drop_partial()
 
     def feed(self, part):
-        """Forward the events that are whole with `part`."""
+        """Forward the events that are whole with `part`; return whether there were any."""
         whole = self._splitter.feed(part)
         if not whole:
-            return
+            return False
         if self.begun:
             self._writer.write_part(whole)
-            return
+            return True
         self.begun = True
         headers = wire.returned_headers(self._head.headers)
         self._writer.begin_stream(self._head.status, headers, whole)
+        return True
 
     def finish(self):
         """End the answer as complete."""
@@ -413,6 +414,11 @@
             request.read_at_s, request.read_at_s + left_s, state.version,
         )  # fmt: skip
 
+    def renew(self, job):
+        """Return what `job` asks of its next target; time has passed since the last."""
+        required = self._required_version(job.need.service, job.meta)
+        return dataclasses.replace(job.need, required_version=required)
+
     def recheck(self, job, target):
         """Raise unless the request may still be sent to `target` at this moment.
 
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -362,3 +362,41 @@
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.split()[1] == b"503"
     assert not old.requests
+
+
+def test_broken_stream_goes_on_only_on_weights_that_may_still_begin():
+    def breaks_late(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        gevent.sleep(0.5)
+        reset(sock)
+
+    service = Service("svc", engine=ENGINE, models=("m",))
+    old = FakeInstance(reply(stream_head() + event(2) + END))
+    new = FakeInstance(reply(stream_head() + event(2) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", FakeInstance(breaks_late).address, models={"m": 1})
+    entry.add("i2", old.address, models={"m": 1}).outstanding = 12
+    entry.add("i3", new.address, models={"m": 2}).outstanding = 15
+    entry.versions._heard["m"] = [(2, time.monotonic() - 7.3)]
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.endswith(END)
+    assert not old.requests and new.requests
+
+
+def test_resumed_stream_that_waits_on_superseded_weights_is_taken_back():
+    def breaks(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        gevent.sleep(0.05)
+        reset(sock)
+
+    service = Service("svc", engine=ENGINE, models=("m",))
+    old = FakeInstance(never)
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", FakeInstance(breaks).address, models={"m": 1})
+    entry.add("i2", old.address, models={"m": 1}).outstanding = 12
+    entry.versions._heard["m"] = [(2, time.monotonic() - 7.4)]
+    started_s = time.monotonic()
+    with pytest.raises(ConnectionResetError):
+        entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    gevent.sleep(0.1)
+    assert old.left_s and old.left_s[0] - started_s < 0.6
