Share limits by entries heard of in the last half minute; tell loads by need

Stagers report at 20 Hz only while their engine is busy, and less often the more entries listen: at 41 entries and 29 engines the datagrams would have been 1.5 MB/s. Not measured on a grown site yet.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -14,6 +14,11 @@
 GREET_INTERVAL_S = 1.0
 # A lost greeting about a new version would cost a second of the few there are.
 URGENT_REPEATS_S = (0.0, 0.1, 0.3)
+# Shares of limits count entries for much longer: one that is cut off must not take what
+# belongs to those that it no longer hears of.
+ENTRY_COUNT_EXPIRY_S = 30.0
+# Before any daemon has told of entries, limits are shared as if there were so many.
+ENTRIES_UNKNOWN = 30
 # Entries are heard of about once a second.
 PLACE_KEPT_S = 0.25
 # Changes of the fleet's weights within this are told in one greeting.
@@ -76,11 +81,21 @@
         """
         now_s = self._clock.monotonic_s()
         if self._place is None or now_s - self._place_s >= PLACE_KEPT_S:
-            hosts = sorted(host for host, _ in self.entries())
-            self._place = Place(hosts.index(self._address.host), len(hosts))
+            self._place = self._find_place(now_s)
             self._place_s = now_s
         return self._place
 
+    def _find_place(self, now_s):
+        hosts = {
+            host
+            for (host, _), at_s in self._entries.items()
+            if now_s - at_s < ENTRY_COUNT_EXPIRY_S
+        }
+        if not hosts:
+            return Place(0, ENTRIES_UNKNOWN)
+        ranked = sorted(hosts | {self._address.host})
+        return Place(ranked.index(self._address.host), len(ranked))
+
     def _greet_forever(self):
         while True:
             self._greet_all()
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -25,11 +25,15 @@
 # they know too little of: at nine tenths of the capacity, reports every 0.2 s let a
 # sixth of the requests meet a full engine, every 0.05 s a fiftieth.
 REPORT_INTERVAL_S = 0.05
+IDLE_REPORT_INTERVAL_S = 0.1
+# With more entries than this each is told less often: a stager's datagrams share the
+# link with weights and streams, and their number would grow with the entries.
+ENTRIES_AT_FULL_RATE = 9
 # Loads of engines that are far from full are told less often, and less often to entries
 # elsewhere: datagrams between failure domains are priced. Counted in reports.
-NEAR_EVERY, NEAR_IDLE_EVERY = 1, 3
-FAR_EVERY, FAR_IDLE_EVERY = 2, 8
-ENTRIES_EVERY = 20
+NEAR_EVERY, NEAR_IDLE_EVERY = 1, 2
+FAR_EVERY, FAR_IDLE_EVERY = 2, 4
+ENTRIES_EVERY = 10
 # Running and waiting requests from which on an engine is told of as busy.
 BUSY_LOAD = 6
 ENTRY_EXPIRY_S = 3.0
@@ -202,7 +206,15 @@
                 if self._report is not None:
                     _log.warning("engine_lost", error=str(error))
                 self._report = None
-            gevent.sleep(REPORT_INTERVAL_S)
+            gevent.sleep(self._report_interval_s())
+
+    def _report_interval_s(self):
+        interval_s = REPORT_INTERVAL_S if self._is_busy() else IDLE_REPORT_INTERVAL_S
+        return interval_s * max(1.0, len(self._entries) / ENTRIES_AT_FULL_RATE)
+
+    def _is_busy(self):
+        report = self._report
+        return report is not None and report.running + report.waiting >= BUSY_LOAD
 
     def _send_load(self, urgent=False):
         report = self._report
@@ -219,7 +231,7 @@
             report.running, report.waiting, report.pace, entries,
         )  # fmt: skip
         data = encode(load)
-        busy = report.running + report.waiting >= BUSY_LOAD
+        busy = self._is_busy()
         near_due = not self._ticks % (NEAR_EVERY if busy else NEAR_IDLE_EVERY)
         far_due = not self._ticks % (FAR_EVERY if busy else FAR_IDLE_EVERY)
         everyone = urgent or bool(entries)
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -20,6 +20,9 @@
 LAPSE_GRACE_S = 1.7
 # A report older than this tells less than this entry's own counts.
 REPORT_MAX_AGE_S = 1.5
+# What an engine whose load nobody tells is thought to have of other entries, as a factor
+# of this entry's own requests: a third of the entries share a failure domain with it.
+OTHERS_MAX = 3.0
 # Pauses after failures in a row: long enough to spare callers a broken instance,
 # short against the seconds that a crash lasts.
 AVOID_MIN_S = 0.4
@@ -85,7 +88,9 @@
             return report.running + report.waiting + self.sent_since_report
         if self.answer_load is not None and now_s - self.answer_load_s < 1.0:
             return max(self.outstanding, self.answer_load)
-        return self.outstanding * max(1.0, entry_count / 3)
+        if self.instance.models is None:
+            return self.outstanding
+        return self.outstanding * min(OTHERS_MAX, max(1.0, entry_count / 3))
 
     def note_sent(self):
         self.outstanding += 1
