Remove what nothing uses, and keep tasks alive through odd records

Fields that were decoded and never read (the engines' cost model, token counts, bounds) and the store's writes are gone: nothing of ours has to last there. A page, a record or a greeting that can't be taken over ended its task for good; it is logged and the task goes on.

--- a/briarbeam/catalog.py
+++ b/briarbeam/catalog.py
@@ -54,36 +54,12 @@
         return self.kind is RequestKind.IDEMPOTENT
 
 
-@dataclass(frozen=True)
-class EngineCost:
-    """The published cost model of a model engine.
-
-    :param slots: requests that are processed at once.
-    :param step_s: seconds that one token step takes.
-    :param step_per_sequence_s: seconds that each running request adds to a step.
-    :param prefill_tokens_per_s: the rate at which prompts are read.
-    :param steps_per_pass: token steps between two reads of waiting prompts.
-    """
-
-    slots: int
-    step_s: float
-    step_per_sequence_s: float
-    prefill_tokens_per_s: float
-    steps_per_pass: int
-
-
 @dataclass(frozen=True)
 class WeightSource:
-    """Where new weights come from and how they are cut.
-
-    :param chunk_count: chunks of one version of a model.
-    :param chunk_bytes: the size of one chunk.
-    """
+    """The origin of weights, and the failure domain that it stands in."""
 
     address: Address
     failure_domain: str
-    max_connections: int
-    link_bytes_per_s: float
 
 
 @dataclass(frozen=True)
@@ -93,14 +69,12 @@
     :param cold_start_s: how long an instance stays cold after its start.
     :param cold_requests_per_s: what all entries together may send a cold instance;
         0 for no limit.
-    :param models: names of the models that its engines serve.
+    :param models: names of the models that its engines serve; empty for plain services.
     """
 
     name: str
-    max_connections: int = 0
     cold_start_s: float = 0.0
     cold_requests_per_s: float = 0.0
-    engine: EngineCost | None = None
     models: tuple = ()
     source: WeightSource | None = None
 
--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -98,7 +98,11 @@
 
     def _greet_forever(self):
         while True:
-            self._greet_all()
+            try:
+                self._greet_all()
+            except Exception:
+                # A target that can't be described must not end the greetings for good.
+                _log.exception("greeting_broke")
             gevent.sleep(GREET_INTERVAL_S)
 
     def _greet_coalesced(self):
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -104,11 +104,8 @@
     :param link_bytes_per_s: the rate of this machine's link.
     """
 
-    def __init__(
-        self, network, clock, engine, address, failure_domain, link_bytes_per_s
-    ):
+    def __init__(self, network, engine, address, failure_domain, link_bytes_per_s):
         self._network = network
-        self._clock = clock
         self._engine = engine
         self._address = address
         self._failure_domain = failure_domain
@@ -206,6 +203,8 @@
                 if self._report is not None:
                     _log.warning("engine_lost", error=str(error))
                 self._report = None
+            except Exception:
+                _log.exception("report_broke")
             gevent.sleep(self._report_interval_s())
 
     def _report_interval_s(self):
@@ -266,6 +265,9 @@
                 self._fetch_next()
             except BriarbeamError as error:
                 _log.info("fetch_failed", error=str(error))
+            except Exception:
+                # One odd greeting or report must not end the task for good.
+                _log.exception("fetch_broke")
             gevent.sleep(RETRY_PAUSE_S * random.uniform(0.5, 1.0))
 
     def _fetch_next(self):
@@ -398,6 +400,8 @@
                 self._load_next()
             except BriarbeamError as error:
                 _log.info("load_failed", error=str(error))
+            except Exception:
+                _log.exception("load_broke")
             self._loading = False
             gevent.sleep(LOAD_POLL_S)
 
--- a/briarbeam/node_settings.py
+++ b/briarbeam/node_settings.py
@@ -71,7 +71,6 @@
     `grace_s`: from SIGTERM to SIGKILL.
     """
 
-    drain_s: float = Field(gt=0)
     key_revocation_s: float = Field(gt=0)
     version_within_s: float = Field(gt=0)
     grace_s: float = Field(gt=0)
--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -15,7 +15,6 @@
 _PRIORITY = b"x-request-priority"
 _KEY_SCHEME = b"bearer "
 _MODEL = b"x-model"
-_TOKENS = b"x-token-usage"
 
 # What concerns one connection only, or is set by briarbeam itself.
 _NOT_FORWARDED = {
@@ -37,8 +36,6 @@
 
     :param time_left_s: how long the caller waits, or None if it does not say.
     :param forwarded: headers that go on to an instance as they came.
-    :param prompt_tokens: tokens to read, 0 if not said.
-    :param output_tokens: the most tokens to write, 0 if not said.
     """
 
     request_id: bytes = b""
@@ -47,8 +44,6 @@
     time_left_s: float | None = None
     last_event_id: bytes | None = None
     model: str | None = None
-    prompt_tokens: int = 0
-    output_tokens: int = 0
     forwarded: list = field(default_factory=list)
 
 
@@ -88,8 +83,6 @@
             meta.last_event_id = value
         elif name == _MODEL:
             meta.model = value.decode("latin-1")
-        elif name == _TOKENS:
-            meta.prompt_tokens, meta.output_tokens = _token_counts(value)
         if name not in _NOT_FORWARDED and name not in hop_by_hop:
             meta.forwarded.append((name, value))
     return meta
@@ -163,14 +156,6 @@
         return None
 
 
-def _token_counts(value):
-    try:
-        prompt, output = value.split(b",")
-        return int(prompt), int(output)
-    except ValueError:
-        return 0, 0
-
-
 def _load(value):
     try:
         running, waiting, _ = (value or b"").split(b",")
--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -7,7 +7,6 @@
 from ..catalog import (
     CallerLimits,
     DesiredState,
-    EngineCost,
     Instance,
     RequestKind,
     Route,
@@ -25,7 +24,6 @@
 EVACUATION_KIND = "evacuations"
 VERSION_KIND = "versions"
 
-_BITS_PER_MBIT = 1e6
 _STATES = {"ready": False, "draining": True}
 
 
@@ -129,31 +127,17 @@
     engine = item.get("engine")
     return Service(
         name=item["name"],
-        max_connections=item.get("max_conns", 0),
         cold_start_s=item.get("cold_start_s", 0.0),
         cold_requests_per_s=item.get("cold_per_s", 0.0),
-        engine=_decode_engine(engine) if engine else None,
         models=tuple(m["name"] for m in engine["models"]) if engine else (),
         source=_decode_source(item) if item.get("origin") else None,
     )
 
 
-def _decode_engine(engine):
-    return EngineCost(
-        slots=engine["slots"],
-        step_s=engine["step_ms"] / 1000,
-        step_per_sequence_s=engine["per_seq_ms"] / 1000,
-        prefill_tokens_per_s=engine["read_per_s"],
-        steps_per_pass=engine["stride"],
-    )
-
-
 def _decode_source(item):
     return WeightSource(
         address=Address.parse(item["origin"]),
         failure_domain=item["zone"],
-        max_connections=item["max_conns"],
-        link_bytes_per_s=item["link_mbps"] * _BITS_PER_MBIT / 8,
     )
 
 
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -1,8 +1,11 @@
-"""The client of the platform's metadata store: lists, watches, conditional writes."""
+"""The client of the platform's metadata store: lists and watches.
+
+Nothing of briarbeam's own has to last on this platform, so it writes nothing.
+"""
 
 import json
 from dataclasses import dataclass
-from urllib.parse import quote, urlencode
+from urllib.parse import urlencode
 
 from prometheus_client import Counter
 
@@ -10,7 +13,6 @@
 from ..kernel.network import HttpRequest, fetch
 from ..relay.errors import (
     HistoryGoneError,
-    StoreConflictError,
     StoreUnavailableError,
 )
 
@@ -18,7 +20,6 @@
 # taken as lost and made again.
 CALL_TIMEOUT_S = 0.7
 _CALLS = Counter("briarbeam_store_calls", "Calls to the store", ["call", "status"])
-_JSON = {"content-type": "application/json"}
 
 
 @dataclass(frozen=True)
@@ -62,11 +63,14 @@
         after = None
         while True:
             query = {} if after is None else {"after": after}
-            page = self._call("list", "GET", kind, query=query)
-            records += [_decode_record(item) for item in page["items"]]
-            if not page.get("more"):
-                return records, page["store_revision"]
-            after = records[-1].name
+            page = self._get("list", kind, query)
+            try:
+                records += [_decode_record(item) for item in page["items"]]
+                if not page.get("more"):
+                    return records, page["store_revision"]
+                after = records[-1].name
+            except (KeyError, TypeError, IndexError) as error:
+                raise StoreUnavailableError(f"list of {kind}: {error!r}") from error
 
     def watch(self, kind, revision, wait_s):
         """Return changes of `kind` after `revision`, and the revision to go on from.
@@ -75,60 +79,35 @@
         :raises HistoryGoneError: if a new list is needed.
         """
         query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
-        page = self._call("watch", "GET", kind, query=query, wait_s=wait_s)
-        changes = [
-            Change(_decode_record(event["object"]), bool(event["removed"]))
-            for event in page["events"]
-        ]
-        return changes, page["store_revision"]
-
-    def create(self, kind, name, spec):
-        """Create an object.
-
-        :raises StoreConflictError: if there is one of that name.
-        """
-        body = {"metadata": {"name": name}, "spec": spec}
-        return _decode_record(self._call("create", "POST", kind, body=body))
-
-    def replace(self, kind, record, spec):
-        """Replace `record` if it is still at its revision.
-
-        :raises StoreConflictError: if it has changed meanwhile.
-        """
-        body = {
-            "metadata": {"name": record.name, "revision": record.revision},
-            "spec": spec,
-        }
-        path = f"{kind}/{quote(record.name, safe='')}"
-        return _decode_record(self._call("replace", "PUT", path, body=body))
-
-    def _call(self, call, method, path, query=None, body=None, wait_s=0.0):
+        page = self._get("watch", kind, query, wait_s)
+        try:
+            changes = [
+                Change(_decode_record(event["object"]), bool(event["removed"]))
+                for event in page["events"]
+            ]
+            return changes, page["store_revision"]
+        except (KeyError, TypeError) as error:
+            raise StoreUnavailableError(f"watch of {kind}: {error!r}") from error
+
+    def _get(self, call, path, query, wait_s=0.0):
         target = f"/-/objects/{path}"
         if query:
             target += f"?{urlencode(query)}"
-        request = HttpRequest(
-            method,
-            target,
-            body=b"" if body is None else json.dumps(body).encode(),
-            headers=_JSON if body is not None else {},
-            timeout_s=wait_s + self._timeout_s,
-        )
+        request = HttpRequest("GET", target, timeout_s=wait_s + self._timeout_s)
         try:
             status, _, content = fetch(self._network, self._address, request)
         except BriarbeamError as error:
             _CALLS.labels(call, "none").inc()
-            raise StoreUnavailableError(f"{method} {target}: {error}") from error
+            raise StoreUnavailableError(f"GET {target}: {error}") from error
         _CALLS.labels(call, status).inc()
         if status == 410:
-            raise HistoryGoneError(f"{method} {target}: the history is gone")
-        if status == 409:
-            raise StoreConflictError(f"{method} {target}: the revision differs")
-        if status not in (200, 201):
-            raise StoreUnavailableError(f"{method} {target}: status {status}")
+            raise HistoryGoneError(f"GET {target}: the history is gone")
+        if status != 200:
+            raise StoreUnavailableError(f"GET {target}: status {status}")
         try:
             return json.loads(content)
         except ValueError as error:
-            raise StoreUnavailableError(f"{method} {target}: not JSON") from error
+            raise StoreUnavailableError(f"GET {target}: not JSON") from error
 
 
 def _decode_record(item):
--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -129,7 +129,7 @@
         return all(not allowed or region in allowed for allowed in need.allowed_regions)
 
     def _holds_weights(self, target, need):
-        if need.model is None or need.service.engine is None:
+        if need.model is None:
             return True
         if target.report is not None and not target.report.accepting:
             return False
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -399,7 +399,7 @@
             left_s = min(left_s, meta.time_left_s)
         need = Need(
             service=service,
-            model=meta.model if service.engine is not None else None,
+            model=meta.model if service.models else None,
             required_version=self._required_version(service, meta),
             allowed_regions=(
                 route.allowed_regions,
@@ -452,7 +452,7 @@
             )
 
     def _required_version(self, service, meta):
-        if service.engine is None or meta.model is None:
+        if not service.models or meta.model is None:
             return 0
         within_s = self._version_within_s - self._send_margin_s
         return self._versions.required(meta.model, within_s)
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -184,7 +184,7 @@
         """Return what the daemon beside an engine is told, or None for others."""
         state = self._in_force.state
         service = self._services().get(target.instance.service)
-        if state is None or service is None or service.engine is None:
+        if state is None or service is None or not service.models:
             return None
         model = state.find_model()
         engines = self._fleet.targets(service.name)
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -22,12 +22,6 @@
     code = "history_gone"
 
 
-class StoreConflictError(BriarbeamError):
-    """A write met another revision, or an object that exists already."""
-
-    code = "store_conflict"
-
-
 class MalformedRequestError(NotRunError):
     """The bytes of a caller are no request that can be forwarded."""
 
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -54,6 +54,11 @@
                 self._note_unreachable(error)
                 gevent.sleep(pause_s)
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
+            except Exception:
+                # A change that can't be taken over must not end the watch for good.
+                _log.exception("mirror_failed", kind=self._kind)
+                self._revision = None
+                gevent.sleep(RETRY_MAX_S)
 
     @property
     def age_s(self):
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -144,3 +144,20 @@
         budget.note_request("s", step * 0.01)
         retries += budget.try_retry("s", 9, step * 0.01)
     assert 0 < retries <= 0.2 * 1000 + 106
+
+
+def test_change_that_cannot_be_taken_over_does_not_end_the_watch(monkeypatch):
+    clock, seen = ManualClock(), []
+    mirror, store = mirror_of(clock, [([], 3), ([], 4), KeyboardInterrupt()], seen)
+
+    def on_change(records):
+        seen.append(records)
+        if len(seen) == 1:
+            raise KeyError("a field")
+
+    mirror._on_change = on_change
+    monkeypatch.setattr("briarbeam.relay.mirror.gevent.sleep", lambda seconds: None)
+    with pytest.raises(KeyboardInterrupt):
+        mirror.run()
+    assert store.calls == ["list", "list", "watch 4"]
+    assert len(seen) == 2
