--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -26,7 +26,7 @@
         self.calls.append(call)
         self.clock.advance(0.5)
         answer = self.script.pop(0)
-        if isinstance(answer, Exception):
+        if isinstance(answer, BaseException):
             raise answer
         return answer
 
