Split the stager, follow the plan of entries that know the newest version

Read-through: copies and the choice of a load's strategy have modules of their own, the address field of both settings files is one, a flag that nothing read is gone. An entry that was cut off from the store kept greeting with an older version and, having the lowest address, froze the plan that stagers follow; only entries that know the newest version lead now (a test, which the old code fails by construction; not run against it).

--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -1,7 +1,5 @@
 """The daemon beside an engine: stages the wanted weights and orders their load."""
 
-import hashlib
-import math
 import random
 import time
 
@@ -15,11 +13,12 @@
 from ..kernel.network import Address
 from ..platform import engines
 from .chunks import fetch_peer_chunk, fetch_peer_manifest
+from .copies import Copy, matches
 from .errors import ChunkUnavailableError, CorruptChunkError, MalformedDatagramError
 from .messages import MAX_BYTES, Greeting, Load, decode, encode
 from .peer_server import PeerServer
 from .ranking import rank_entries
-from .waves import WAVES
+from .waves import WAVES, choose_strategy
 
 # The engine's own report is free of charge on its machine. Entries fill engines that
 # they know too little of: at nine tenths of the capacity, reports every 0.2 s let a
@@ -47,15 +46,11 @@
 AVOID_S = 2.0
 # What the entries need to hear that an engine takes no more before it is ordered.
 ANNOUNCE_S = 0.03
-# Requests sent to older weights before the last engines are ordered begin in time.
-LAST_ORDER_S = 0.45
 # About how long an engine takes to end what it runs; the first wave stops taking
 # requests so long before its copy is complete.
 DRAIN_S = 1.2
 # A first wave whose copy comes late takes requests again.
 DRAIN_MAX_S = 2.0
-# A wave need not wait for the very last engine of the one before.
-SHARE_TOLERANCE = 0.08
 # A load that takes longer than this is looked at anew.
 LOAD_TIMEOUT_S = 12.0
 
@@ -68,33 +63,6 @@
 _log = structlog.get_logger()
 
 
-class Copy:
-    """A version in memory: its manifest and the chunks that were verified."""
-
-    def __init__(self, manifest):
-        self.manifest = manifest
-        self.chunks = {}
-        self._first_s = time.monotonic()
-
-    def eta_s(self):
-        """Return in how many seconds it will be complete, at the rate so far."""
-        if not self.chunks:
-            return math.inf
-        elapsed_s = time.monotonic() - self._first_s
-        return len(self.missing()) * elapsed_s / len(self.chunks)
-
-    def missing(self):
-        """Return the numbers of the chunks that are not there, in order."""
-        return [n for n in range(len(self.manifest.digests)) if n not in self.chunks]
-
-    def size_bytes(self):
-        """Return about how large the whole version is, from the chunks that are here."""
-        if not self.chunks:
-            return 0
-        mean_bytes = sum(map(len, self.chunks.values())) / len(self.chunks)
-        return mean_bytes * len(self.manifest.digests)
-
-
 class Stager:
     """Follows one engine.
 
@@ -111,6 +79,7 @@
         self._failure_domain = failure_domain
         self._link_bytes_per_s = link_bytes_per_s
         self._entries = {}
+        self._newest_of = {}
         self._greeting = None
         self._greeted_s = 0.0
         self._report = None
@@ -185,15 +154,23 @@
         if greeting.model is None or not greeting.versions:
             return
         newest = greeting.versions[-1][0]
+        self._newest_of[greeting.host] = newest
         known = self._greeting.versions[-1][0] if self._greeting else 0
         if newest > known:
             _log.info("version_wanted", model=greeting.model, version=newest)
-        # Entries may see different engines; all stagers follow the same one's plan.
-        leads = greeting.host == min(host for host, _ in self._entries)
-        if newest > known or (newest == known and leads):
+        if newest > known or greeting.host == self._leader(known):
             self._greeting = greeting
             self._greeted_s = now_s
 
+    def _leader(self, newest):
+        """Return the host of the entry whose plan is followed.
+
+        Entries may see different engines, so all stagers follow the same one; entries
+        that are cut off and know no newer version don't count.
+        """
+        hosts = [host for host, _ in self._entries]
+        return min((h for h in hosts if self._newest_of.get(h) == newest), default=None)
+
     def _report_forever(self):
         while True:
             try:
@@ -349,7 +326,7 @@
         held = engines.list_staged(self._network, self._engine, manifest.model)
         for number in sorted(held):
             content = self._read_staged(manifest, number)
-            if not _matches(manifest, number, content):
+            if not matches(manifest, number, content):
                 if not copy.chunks:
                     # Another version lies there: no digest of one equals one of the next.
                     return
@@ -365,7 +342,7 @@
                     self._network, peer, manifest.model, manifest.version, number
                 ),
             )
-            if not _matches(manifest, number, content):
+            if not matches(manifest, number, content):
                 raise CorruptChunkError(f"chunk {number} of {manifest.version}")
         except BriarbeamError as error:
             _FETCHED.labels("failed").inc()
@@ -415,7 +392,10 @@
             self._forget_older(held)
             return
         copy = self._copies[version]
-        strategy = self._turn(greeting, version) if held else "queue"
+        strategy = "queue"
+        if held:
+            share = self._updated_share(version)
+            strategy = choose_strategy(greeting, self._age_s(version), share)
         if strategy is None:
             return
         self._stage(copy)
@@ -425,37 +405,6 @@
         for version in [v for v in self._copies if v < held]:
             del self._copies[version]
 
-    def _turn(self, greeting, version):
-        """Return the strategy to load with now, or None before this engine's turn.
-
-        The waves end what they run, one after another, while the others serve. Where
-        time runs out, all but the last wave are interrupted: a load takes a third of
-        a second, and what was running goes on after it.
-        """
-        if greeting.wave_count < WAVES:
-            due = self._age_s(version) >= self._last_order_s(greeting)
-            return "preempt" if due or greeting.wave == 0 else None
-        share = self._updated_share(version)
-        overdue = self._age_s(version) >= greeting.version_within_s
-        if not overdue and (
-            greeting.wave == 0 or share >= self._share_before(greeting)
-        ):
-            return "queue"
-        age_s = self._age_s(version)
-        if age_s < self._last_order_s(greeting):
-            return None
-        if age_s >= greeting.version_within_s:
-            # No engine may begin a request on older weights any more.
-            return "preempt"
-        return "queue" if greeting.wave == greeting.wave_count - 1 else "preempt"
-
-    def _last_order_s(self, greeting):
-        return greeting.version_within_s - LAST_ORDER_S
-
-    def _share_before(self, greeting):
-        """Return the share of engines that has to be updated before this wave."""
-        return greeting.wave / greeting.wave_count - SHARE_TOLERANCE
-
     def _drains_early(self):
         """Return whether this engine stops taking requests for a copy that is coming."""
         greeting = self._greeting
@@ -541,9 +490,3 @@
                 )
                 return
         _log.warning("load_timed_out", version=manifest.version)
-
-
-def _matches(manifest, number, content):
-    if content is None or number >= len(manifest.digests):
-        return False
-    return hashlib.sha256(content).hexdigest() == manifest.digests[number]
--- a/briarbeam/distribution/waves.py
+++ b/briarbeam/distribution/waves.py
@@ -1,6 +1,10 @@
 """In which order engines change their weights, so that most of them always serve."""
 
 WAVES = 3
+# Requests sent to older weights before the last engines are ordered begin in time.
+LAST_ORDER_S = 0.45
+# A wave need not wait for the very last engine of the one before.
+SHARE_TOLERANCE = 0.08
 
 
 def plan_wave(engines, target, model):
@@ -24,3 +28,29 @@
     if not serving:
         return 0.0
     return round(sum(held >= version for held in serving) / len(serving), 2)
+
+
+def choose_strategy(greeting, age_s, share):
+    """Return the strategy to load with now, or None before the engine's turn.
+
+    The waves end what they run, one after another, while the others serve. Where time
+    runs out, all but the last wave are interrupted: a load takes a third of a second,
+    and what was running goes on after it.
+
+    :param greeting: the `Greeting` with the engine's turn.
+    :param age_s: how long ago the version was named, in seconds.
+    :param share: the share of the engines that hold it.
+    """
+    due = age_s >= greeting.version_within_s - LAST_ORDER_S
+    overdue = age_s >= greeting.version_within_s
+    first, last = greeting.wave == 0, greeting.wave == greeting.wave_count - 1
+    if overdue:
+        # No engine may begin a request on older weights any more.
+        return "preempt"
+    if greeting.wave_count < WAVES:
+        return "preempt" if due or first else None
+    if first or share >= greeting.wave / greeting.wave_count - SHARE_TOLERANCE:
+        return "queue"
+    if not due:
+        return None
+    return "queue" if last else "preempt"
--- a/briarbeam/node_settings.py
+++ b/briarbeam/node_settings.py
@@ -5,33 +5,21 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Literal
 
 from pydantic import (
     BaseModel,
-    BeforeValidator,
     ConfigDict,
     Field,
     ValidationError,
     model_validator,
 )
 
+from .fields import AddressField
 from .kernel.errors import SettingsError
 from .kernel.network import Address
 
 
-def _to_address(value):
-    if isinstance(value, Address):
-        return value
-    try:
-        return Address.parse(value)
-    except (SettingsError, AttributeError) as error:
-        raise ValueError(f"expected IP:PORT as text, got {value!r}") from error
-
-
-AddressField = Annotated[Address, BeforeValidator(_to_address)]
-
-
 class _Section(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -298,7 +298,6 @@
         self._splitter = EventSplitter()
         self._head = None
         self.begun = False
-        self.broken = False
 
     @property
     def last_id(self):
--- a/briarbeam/settings.py
+++ b/briarbeam/settings.py
@@ -3,31 +3,18 @@
 import tomllib
 from difflib import get_close_matches
 from pathlib import Path
-from typing import Annotated, Literal, get_args
+from typing import Literal, get_args
 
 from pydantic import (
     BaseModel,
-    BeforeValidator,
     ConfigDict,
     Field,
     ValidationError,
     model_validator,
 )
 
+from .fields import AddressField
 from .kernel.errors import SettingsError
-from .kernel.network import Address
-
-
-def _to_address(value):
-    if isinstance(value, Address):
-        return value
-    try:
-        return Address.parse(value)
-    except (SettingsError, AttributeError) as error:
-        raise ValueError(f"expected IP:PORT as text, got {value!r}") from error
-
-
-AddressField = Annotated[Address, BeforeValidator(_to_address)]
 
 
 class _Section(BaseModel):
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -180,6 +180,16 @@
     assert bench.stager._greeting.wave == 0
 
 
+def test_plan_of_an_entry_that_is_cut_off_from_the_store_is_not_followed():
+    bench = Bench(version=1)
+    behind = Greeting("10.0.0.1", "z1", MODEL, ((1, 9.0, 1.0),), 0, 3, 8.0)
+    before = Greeting("10.0.0.2", "z1", MODEL, ((2, 1.0, 0.0),), 2, 3, 8.0)
+    after = Greeting("10.0.0.2", "z1", MODEL, ((2, 2.0, 0.7),), 2, 3, 8.0)
+    for greeting in (behind, before, behind, after):
+        bench.stager._note(greeting)
+    assert bench.stager._greeting == after
+
+
 @pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'["g"]', b"\xff", b'["x",1]'])
 def test_foreign_datagrams_are_typed_errors(data):
     with pytest.raises(MalformedDatagramError):
