End the draws that a test of chunks leaves behind

They came from tests/test_distribution_chunks.py, where an entry goes on drawing from an origin that is down after its test has ended. The fixture ends those draws now.

--- a/tests/test_distribution_chunks.py
+++ b/tests/test_distribution_chunks.py
@@ -34,6 +34,7 @@
         lambda: ENTRIES,
         lambda model, version: holders if version == 1 else (),
     )
+    network.stores.append(store)
     server = PeerServer(Address("127.0.0.1", 0), store)
 
     def handle(request):
@@ -50,7 +51,11 @@
 def network():
     network = FakeNetwork()
     network.handlers[ORIGIN] = FakeOrigin()
-    return network
+    network.stores = []
+    yield network
+    # A draw goes on until it has its chunks, also after its test.
+    for store in network.stores:
+        gevent.killall([copy.task for copy in store._copies.values()])
 
 
 def all_chunks(store, version=2):
