Settle a new daemon with its peers before it reads the platform's head

Cause of the listed red scenario: settle_once read the platform first and put what it gave in force at once; a platform that serves stale reads so brought an old revision into force until the peers answered. Beside load they answered late (exchanges time out after 1 s), long enough for the scenario's watch to see the step back. Ruled out: the order of revisions in Documents, which never steps back within one process.

Now the head is read only after enough peers have answered, or none are known, or the patience of the start is over; the watcher starts once the daemon has settled. Errors of the platform at the start are logged, no longer dropped.

Before: test_new_daemon_whose_peers_are_late... red (settled with the stale revision); after: green, with the stay-away case beside it.

--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -82,7 +82,6 @@
         tasks = self.kernel.tasks
         tasks.spawn(self._settle)
         tasks.repeat(self.exchange_once, self._exchange_interval_s, self.clock)
-        self.watcher.start(tasks)
 
     def ready(self):
         return self.settled and self.documents.get(CONFIGURATION).revision > 0
@@ -182,51 +181,65 @@
         )
 
     def settle_once(self):
-        """Ask the platform and several peers, and take the highest of all.
+        """Ask several peers, then the platform, and take the highest of all.
 
-        Settled is a daemon that the platform answered, or enough peers; what a single
-        peer holds may be stale, so alone it counts only after a while.
+        Settled is a daemon that enough peers answered. What a single peer or the
+        platform holds may be stale (a restored platform forgets the newest changes), so
+        alone they count only after a while, or if there is nobody else to ask.
         """
-        platform_answered = self._ask_platform()
+        listed = self._read_platform(self.watcher.read_list)
         answered = set()
+        peers = self._first_peers()
         tasks = [
-            self.kernel.tasks.spawn(self._ask_peer, answered, *peer)
-            for peer in self._first_peers()
+            self.kernel.tasks.spawn(self._ask_peer, answered, *peer) for peer in peers
         ]
         for task in tasks:
             task.join()
+        answered -= {"", self.settings.instance.name}
         waited_s = self.clock.monotonic_s() - self._started_s
         needed = 1 if waited_s > FIRST_PATIENCE_S else FIRST_ANSWERS_MIN
-        answered -= {"", self.settings.instance.name}
-        if platform_answered or len(answered) >= needed:
-            self.settled = True
+        enough = len(answered) >= needed
+        alone = waited_s > FIRST_PATIENCE_S or not peers
+        if not (enough or alone or len(answered) == len(peers)):
+            return
+        read = listed and self._read_platform(self.watcher.read_head)
+        self.settled = enough or read
 
     def _settle(self):
         while not self.settled:
             self.clock.sleep(FIRST_PAUSE_S * random.uniform(0.5, 1.5))
             self.settle_once()
         _log.info("settled", revision=self.configuration.revision)
+        # A watch may give a stale revision, which must not come before the peers' one.
+        self.watcher.start(self.kernel.tasks)
 
     def _ask_platform(self):
-        answered = False
-        for read in (self.watcher.read_list, self.watcher.read_head):
-            try:
-                read()
-                answered = True
-            except NotFoundError:
-                answered = True
-            except PlatformError:
-                answered = False
-        return answered
+        answered = [
+            self._read_platform(read)
+            for read in (self.watcher.read_list, self.watcher.read_head)
+        ]
+        return answered[-1]
+
+    def _read_platform(self, read):
+        try:
+            read()
+        except NotFoundError:
+            return True
+        except PlatformError as error:
+            _log.info("platform_not_read", error=str(error))
+            return False
+        return True
 
     def _ask_peer(self, answered, name, address):
         answered.add(self.exchange(name, address))
 
     def _first_peers(self):
+        """Return name and address of the peers to ask at the start, without itself."""
         chosen = self.membership.choose(FIRST_OWN_DOMAIN, FIRST_OTHER_DOMAINS)
         peers = {member.control: member.name for member in chosen}
         for address in self.settings.spread.bootstrap_peers:
             peers.setdefault(address, str(address))
+        peers.pop(self.settings.listen.control, None)
         return [(name, address) for address, name in peers.items()]
 
     def _next_peer(self):
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from briarbeam.configuration.documents import CONFIGURATION, Documents
+from briarbeam.configuration.spread import FIRST_PATIENCE_S
 from briarbeam.configuration.watcher import WATCHERS_PER_DOMAIN
 from briarbeam.kernel.clock import ManualClock
 
@@ -216,6 +217,40 @@
     assert (node.plugin.settled, node.revision) == (True, newest)
 
 
+def test_new_daemon_whose_peers_are_late_does_not_take_a_stale_read_in_force():
+    random.seed(4)
+    world = World(domains=2, per_domain=3)
+    for _ in range(3):
+        newest = world.change(world.nodes["d0-0"])
+    world.in_force_s(newest)
+    world.platform.stale = True
+    for node in world.nodes.values():
+        node.frozen = node.name != "d1-1"
+    node = world.restart("d1-1")
+    assert (node.plugin.settled, node.revision) == (False, 0)
+    for node in world.nodes.values():
+        node.frozen = False
+    world.clock.advance(1)
+    node = world.nodes["d1-1"]
+    node.plugin.settle_once()
+    world.settle()
+    assert (node.plugin.settled, node.revision) == (True, newest)
+
+
+def test_new_daemon_whose_peers_stay_away_settles_with_the_platform_in_the_end():
+    random.seed(5)
+    world = World(domains=1, per_domain=3)
+    newest = world.change(world.nodes["d0-0"])
+    world.in_force_s(newest)
+    for node in world.nodes.values():
+        node.frozen = node.name != "d0-1"
+    node = world.restart("d0-1")
+    assert not node.plugin.settled
+    world.clock.advance(FIRST_PATIENCE_S + 1)
+    node.plugin.settle_once()
+    assert (node.plugin.settled, node.revision) == (True, newest)
+
+
 def test_new_daemon_that_meets_a_single_stale_peer_is_not_ready_at_once():
     random.seed(3)
     world = World(domains=1, per_domain=5)
