Say 502, not 503, of a request whose repeat was refused; add the fault soak

Cause: before a repeat the desired state is looked at again; if it had grown too old, or the key was taken away, the refusal of the repeat went to the caller as a promise that the request had not run, though its first send may have. Ruled out: the back end's own refusals and connections that failed.

Before: test_request_that_may_have_run... red with 503; after: 502.

Besides: the limit on a request's header no longer bounds its body (test red first), and the line of a request names the target that it was sent to last.

--- /dev/null
+++ b/bench/node_process.py
@@ -0,0 +1,88 @@
+"""Starts ``python -m briarbeam.node`` as a process, with settings of its own."""
+
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+_SETTINGS = """
+role = "{role}"
+[instance]
+name = "{name}"
+host = "{host}"
+region = "{domain}-region"
+failure_domain = "{domain}"
+[listen]
+callers = "{host}:{callers}"
+readiness = "{host}:{readiness}"
+metrics_port = {metrics}
+peer_ports = [{peer}, {peer}]
+[store]
+address = "{store}"
+[bounds]
+key_revocation_s = 5.0
+version_within_s = 8.0
+grace_s = 8
+retry_ratio = 0.2
+retry_slack = 100
+retry_window_s = 10
+contact_s = 3.0
+[link]
+mbit_per_s = 100
+[regions]
+{regions}
+"""
+
+
+@dataclass(frozen=True)
+class NodePorts:
+    """The ports of all processes of a site; each has a host of its own."""
+
+    callers: int = 8080
+    readiness: int = 8081
+    peer: int = 8082
+    metrics: int = 9464
+
+
+@dataclass
+class NodeProcess:
+    """One process and what it was started with.
+
+    :param engine: the address of the engine that a stager follows.
+    """
+
+    name: str
+    role: str
+    host: str
+    domain: str
+    ports: NodePorts
+    store: str
+    folder: Path
+    domains: tuple
+    engine: str | None = None
+    process: subprocess.Popen | None = None
+
+    @property
+    def log_path(self):
+        return self.folder / f"{self.name}.log"
+
+    def start(self):
+        """Start the process; its log goes on where the one before ended."""
+        path = self.folder / f"{self.name}.toml"
+        regions = "\n".join(f'{name} = "{name}-region"' for name in self.domains)
+        text = _SETTINGS.format(
+            role=self.role, name=self.name, host=self.host, domain=self.domain,
+            store=self.store, regions=regions, **vars(self.ports),
+        )  # fmt: skip
+        if self.engine is not None:
+            text += f'[engine]\naddress = "{self.engine}"\n'
+        path.write_text(text)
+        command = [sys.executable, "-m", "briarbeam.node", "--settings", str(path)]
+        with open(self.log_path, "a") as log:
+            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def kill(self):
+        """End the process at once and wait for it."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
--- a/bench/site.py
+++ b/bench/site.py
@@ -66,7 +66,7 @@
         self._overrides = overrides or {}
         self._folder = tempfile.TemporaryDirectory(prefix="briarbeam-")
         self.folder = Path(self._folder.name)
-        self._prefix, self._guard = _take_prefix()
+        self._prefix, self._guard = take_prefix()
         self.object_api = Address(f"{self._prefix}.0.1", RELAYED["object_api"][1])
         self.origin = Address(f"{self._prefix}.0.2", RELAYED["origin"][1])
         self.links = Address(f"{self._prefix}.0.3", 7002)
@@ -429,7 +429,7 @@
     return line.rpartition(" ")
 
 
-def _take_prefix():
+def take_prefix():
     """Return a free range of loopback addresses and the socket that guards it."""
     while True:
         prefix = f"127.{random.randrange(16, 250)}"
--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -63,8 +63,8 @@
         :param idle_timeout_s: how long to wait for its first byte, in seconds.
         :raises MalformedRequestError: if the bytes are no request within the limits.
         """
-        wait_s = idle_timeout_s if not self._started else self._header_timeout_s()
         started_s = time.monotonic() if self._started else None
+        wait_s = idle_timeout_s if started_s is None else self._wait_s(started_s)
         while not self._complete:
             self._sock.settimeout(wait_s)
             try:
@@ -82,7 +82,7 @@
             if started_s is None:
                 started_s = time.monotonic()
             self._feed(data)
-            wait_s = max(0.01, started_s + self._header_timeout_s() - time.monotonic())
+            wait_s = self._wait_s(started_s)
         return self._complete.pop(0)
 
     @property
@@ -90,8 +90,13 @@
         """Whether bytes of a further request were read already."""
         return bool(self._complete) or self._started
 
-    def _header_timeout_s(self):
-        return self._limits().header_timeout_s
+    def _wait_s(self, started_s):
+        """Return how long to wait for more of a request that began at `started_s`."""
+        limits = self._limits()
+        if not self._in_header:
+            # A long body may take its time as long as it goes on coming.
+            return limits.idle_timeout_s
+        return max(0.01, started_s + limits.header_timeout_s - time.monotonic())
 
     def _reset(self):
         self._parser = httptools.HttpRequestParser(self)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..catalog import RequestKind
-from ..kernel.errors import BriarbeamError
+from ..kernel.errors import BriarbeamError, NotRunError
 from ..platform import headers as wire
 from .balance import Need
 from .callers import LeaveWatch
@@ -53,7 +53,8 @@
     """One caller's request on its way.
 
     :param deadline_s: monotonic time at which the answer has to be there.
-    :param tried: ids of the targets it was sent to.
+    :param tried: ids of the targets that refused or failed it.
+    :param target_id: the target that it was sent to last, or None.
     """
 
     request: object
@@ -69,6 +70,7 @@
     connects: int = 0
     sends: int = 0
     may_have_run: bool = False
+    target_id: str | None = None
 
     @property
     def streams(self):
@@ -155,6 +157,13 @@
                 job.may_have_run = True
                 job.tried.append(target.id)
                 self._check_repeatable(job, stream, error)
+            except NotRunError as error:
+                if not job.may_have_run:
+                    raise
+                # True of the send that was not made, not of the one before it.
+                raise UpstreamError(
+                    f"not sent on after {job.tried}: {error}"
+                ) from error
             if time.monotonic() >= job.deadline_s - ANSWER_MARGIN_S:
                 raise self._timed_out(job)
 
@@ -214,6 +223,7 @@
             )  # fmt: skip
             target.note_sent()
             job.sends += 1
+            job.target_id = target.id
             try:
                 call.send(head, job.request.body)
                 self._receive(job, target, call, writer, stream)
--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -153,6 +153,7 @@
                 route=job.route.name,
                 service=job.need.service.name,
                 config_version=job.state_version,
+                target=job.target_id,
                 tried=job.tried,
                 sends=job.sends,
                 connects=job.connects,
--- /dev/null
+++ b/soak/backends.py
@@ -0,0 +1,267 @@
+"""Back ends that record what they run: engines with weights, and a ledger."""
+
+import hashlib
+import json
+import random
+import time
+from collections import defaultdict
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from briarbeam.catalog import CallerLimits
+from briarbeam.kernel.errors import BriarbeamError
+from briarbeam.relay.callers import AnswerWriter, RequestReader
+from standins.platform import CHUNK_COUNT, MODEL, chunk
+
+from .proxy import reset
+
+EVENT_COUNT = 8
+EVENT_GAP_S = 0.03
+LEDGER_WORK_S = 0.03
+LOAD_S = 0.3
+SLOTS = 8
+IDLE_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True)
+class Run:
+    """One request that a back end began to work on."""
+
+    request_id: str
+    backend: str
+    at_s: float
+    team: str
+    first_event: int = 1
+
+
+class Records:
+    """What all back ends ran, by request."""
+
+    def __init__(self):
+        self.runs = defaultdict(list)
+        self.loads = []
+
+    def note(self, run):
+        self.runs[run.request_id].append(run)
+
+
+def expected_answer(request_id):
+    """Return the whole answer of the ledger to a request."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode() * 12
+
+
+def seal(request_id, backend):
+    """Return the proof that a back end adds to its answer."""
+    return hashlib.blake2b(f"{request_id}|{backend}".encode()).hexdigest()[:24]
+
+
+class Backend:
+    """A service instance on raw sockets, so that it can break its answers.
+
+    Faults: `lose` is the share of answers that are lost after the run, by `lose_how`
+    (``reset``, ``hang`` or ``cut``); `extra` the share that is followed by more bytes;
+    `refuse` the share that is refused with a promise.
+    """
+
+    service = "ledger"
+    slots = SLOTS
+
+    def __init__(self, host, name, records):
+        self.host, self.name = host, name
+        self.records = records
+        self.random = random.Random(name)
+        self.state = "ready"
+        self.running = 0
+        self.heal()
+        self._open = set()
+        self._server = None
+        self.start()
+
+    def heal(self):
+        """Undo the faults of answers."""
+        self.lose, self.lose_how, self.extra, self.refuse = 0.0, "reset", 0.0, 0.0
+
+    def start(self):
+        """Listen, as a new instance."""
+        self.started_ms = int(time.time() * 1000)
+        self._server = StreamServer((self.host, 0), self._serve, backlog=256)
+        self._server.start()
+        self.port = self._server.server_port
+
+    def crash(self):
+        """End at once; open connections are reset."""
+        self._server.stop(timeout=0)
+        for sock in list(self._open):
+            reset(sock)
+        self.running = 0
+
+    def entry(self, address, failure_domain):
+        """Return what it registers in the store.
+
+        :param address: where callers reach it.
+        """
+        return {
+            "service": self.service, "address": address, "zone": failure_domain,
+            "version": "v1", "slots": self.slots, "state": self.state,
+            "cold_left_ms": 0, "seq": 1, "born": self.started_ms,
+        }  # fmt: skip
+
+    def _serve(self, sock, _):
+        self._open.add(sock)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            reader = RequestReader(sock, CallerLimits)
+            while (request := reader.read(IDLE_TIMEOUT_S)) is not None:
+                writer = AnswerWriter(sock, request, lambda: False)
+                self._answer(sock, request, writer)
+                if not writer.keep_alive:
+                    return
+        except (BriarbeamError, OSError):
+            return
+        finally:
+            self._open.discard(sock)
+            sock.close()
+
+    def _answer(self, sock, request, writer):
+        headers = dict(request.headers)
+        if headers.get(b"x-expect-instance") != self.name.encode():
+            writer.write(421, [], b"")
+            return
+        full = self.running >= self.slots + 4
+        if full or self.random.random() < self.refuse:
+            writer.write(503, [(b"x-not-run", b"1")], b"")
+            return
+        self.running += 1
+        try:
+            self._run(sock, request, writer, headers)
+        finally:
+            self.running = max(0, self.running - 1)
+
+    def _run(self, sock, request, writer, headers):
+        request_id = headers[b"x-request-id"].decode()
+        self._note_run(request_id, headers)
+        gevent.sleep(LEDGER_WORK_S)
+        if self._loses(sock):
+            return
+        writer.write(200, self._head(request_id), expected_answer(request_id))
+        if self.random.random() < self.extra:
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray")
+
+    def _note_run(self, request_id, headers, first_event=1):
+        team = headers.get(b"x-tenant", b"").decode()
+        run = Run(request_id, self.name, time.monotonic(), team, first_event)
+        self.records.note(run)
+
+    def _head(self, request_id):
+        return [
+            (b"x-request-id", request_id.encode()),
+            (b"x-response-seal", seal(request_id, self.name).encode()),
+            (b"x-server-load", b"%d,0,%d" % (self.running, self.slots)),
+        ]
+
+    def _loses(self, sock):
+        if self.random.random() >= self.lose:
+            return False
+        if self.lose_how == "hang":
+            gevent.sleep(IDLE_TIMEOUT_S)
+        elif self.lose_how == "cut":
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 500\r\n\r\npart")
+        reset(sock)
+        return True
+
+
+class Engine(Backend):
+    """A model engine that streams events and loads what is staged, unchecked."""
+
+    service = "llm"
+
+    def __init__(self, host, name, records, version):
+        self.version, self.busy, self.orders = version, False, 0
+        self.staged = {n: chunk(version, n) for n in range(CHUNK_COUNT)}
+        super().__init__(host, name, records)
+
+    def crash(self):
+        super().crash()
+        self.version, self.busy, self.orders = 0, False, 0
+
+    def lose_power(self):
+        """Forget what is staged too; a crash keeps it."""
+        self.staged = {}
+
+    def entry(self, address, failure_domain):
+        return super().entry(address, failure_domain) | {"models": self._models()}
+
+    def _models(self):
+        return [{"name": MODEL, "version": self.version}] if self.version else []
+
+    def _answer(self, sock, request, writer):
+        if request.path.startswith("/-/"):
+            self._answer_control(request, writer)
+        elif not self.version or self.busy:
+            writer.write(421, [], b"")
+        else:
+            super()._answer(sock, request, writer)
+
+    def _answer_control(self, request, writer):
+        query = request.target.decode().partition("?num=")[2]
+        if request.path == "/-/report":
+            report = {
+                "models": self._models(), "busy": self.busy, "seq": self.orders,
+                "queued": 0, "running": self.running, "born": self.started_ms,
+            }  # fmt: skip
+            writer.write(200, [], json.dumps(report).encode())
+        elif request.path == "/-/order":
+            self._order(json.loads(request.body), writer)
+        elif request.path.startswith("/-/stage-put/"):
+            self.staged[int(query)] = request.body
+            writer.write(200, [], b"")
+        elif query:
+            content = self.staged.get(int(query))
+            writer.write(404 if content is None else 200, [], content or b"")
+        else:
+            writer.write(200, [], json.dumps({"held": sorted(self.staged)}).encode())
+
+    def _order(self, order, writer):
+        if order["precondition"] != self.orders or self.busy:
+            writer.write(409, [], b"")
+            return
+        self.orders += 1
+        loaded = [self.staged.get(number) for number in range(CHUNK_COUNT)]
+        self.records.loads.append((self.name, order["version"], loaded))
+        self.busy = True
+        gevent.spawn(self._load, order["version"], self.orders)
+        writer.write(202, [], b"")
+
+    def _load(self, version, order):
+        gevent.sleep(LOAD_S)
+        if self.orders == order and self.busy:
+            self.version, self.busy = version, False
+
+    def _run(self, sock, request, writer, headers):
+        request_id = headers[b"x-request-id"].decode()
+        first = int(headers.get(b"last-event-id", b"0")) + 1
+        self._note_run(request_id, headers, first)
+        head = self._head(request_id) + [
+            (b"content-type", b"text/event-stream"),
+            (b"x-weight-versions", b"%d" % self.version),
+        ]
+        lost_at = self.random.randint(first, EVENT_COUNT)
+        for number in range(first, EVENT_COUNT + 1):
+            if number == lost_at and self._loses(sock):
+                return
+            event = event_bytes(request_id, number)
+            if number == first:
+                writer.begin_stream(200, head, event)
+            else:
+                writer.write_part(event)
+            gevent.sleep(EVENT_GAP_S)
+        writer.end_stream()
+
+
+def event_bytes(request_id, number):
+    """Return one event of the stream that answers a request."""
+    last = " last" if number == EVENT_COUNT else ""
+    return f"id: {number}\ndata: {request_id} {number}{last}\n\n".encode()
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,158 @@
+"""Callers that keep their connections, and note what came of each request."""
+
+import random
+import time
+from dataclasses import dataclass, field
+
+import gevent
+import httptools
+from gevent import socket
+
+from .backends import EVENT_COUNT, event_bytes, expected_answer
+
+TIME_LIMIT_S = 4.0
+CONNECT_TIMEOUT_S = 1.0
+# A connection takes a few requests one after another, as the users' callers do.
+REQUESTS_PER_CONNECTION = 12
+
+
+@dataclass
+class Attempt:
+    """One request of a caller, and how it ended.
+
+    :param status: of the answer, or None if none came.
+    :param complete: whether the answer came whole, by its framing.
+    :param left: whether the caller itself closed before the end.
+    :param sent_s: monotonic time after its last byte was written, or None.
+    """
+
+    request_id: str
+    kind: str
+    key: str
+    entry: str
+    started_s: float
+    sent_s: float | None = None
+    status: int | None = None
+    complete: bool = False
+    left: bool = False
+    ended_s: float | None = None
+    body: bytes = b""
+    headers: dict = field(default_factory=dict)
+
+    def expected(self):
+        """Return the body that a whole answer has."""
+        if self.kind == "stream":
+            events = range(1, EVENT_COUNT + 1)
+            return b"".join(event_bytes(self.request_id, n) for n in events)
+        return expected_answer(self.request_id)
+
+
+class Caller:
+    """One caller: requests in a row, to an entry that the balancer gives it.
+
+    :param choose: a function that returns an entry's name, host and port, or None.
+    :param keys: a function that returns the keys in use.
+    """
+
+    PATHS = {"stream": "/gen/x", "settle": "/settle/x", "read": "/read/x"}
+
+    def __init__(self, name, choose, keys, seed, attempts):
+        self._name = name
+        self._choose = choose
+        self._keys = keys
+        self._random = random.Random(seed)
+        self._attempts = attempts
+        self._number = 0
+
+    def run(self):
+        """Send requests until killed."""
+        while True:
+            entry = self._choose()
+            if entry is None:
+                gevent.sleep(0.1)
+                continue
+            try:
+                self._use_connection(*entry)
+            except OSError:
+                gevent.sleep(0.05)
+
+    def _use_connection(self, entry, host, port):
+        sock = socket.create_connection((host, port), CONNECT_TIMEOUT_S)
+        try:
+            for _ in range(REQUESTS_PER_CONNECTION):
+                if not self._request(sock, entry):
+                    return
+                gevent.sleep(self._random.uniform(0.0, 0.12))
+        finally:
+            sock.close()
+
+    def _request(self, sock, entry):
+        self._number += 1
+        kind = self._random.choice(["stream", "settle", "settle", "read"])
+        attempt = Attempt(
+            f"{self._name}-{self._number}", kind, self._random.choice(self._keys()),
+            entry, time.monotonic(),
+        )  # fmt: skip
+        self._attempts.append(attempt)
+        answer = _AnswerReader(attempt)
+        try:
+            sock.settimeout(TIME_LIMIT_S + 1.0)
+            sock.sendall(self._encode(attempt))
+            attempt.sent_s = time.monotonic()
+            leave = kind == "stream" and self._random.random() < 0.05
+            return answer.read(sock, leave)
+        except gevent.GreenletExit:
+            attempt.left = True
+            raise
+        finally:
+            attempt.ended_s = time.monotonic()
+
+    def _encode(self, attempt):
+        method = "GET" if attempt.kind == "read" else "POST"
+        body = "" if method == "GET" else attempt.request_id
+        model = "X-Model: m\r\n" if attempt.kind == "stream" else ""
+        return (
+            f"{method} {self.PATHS[attempt.kind]} HTTP/1.1\r\nHost: h.example\r\n"
+            f"X-Request-Id: {attempt.request_id}\r\n{model}"
+            f"X-Deadline-Ms: {int(TIME_LIMIT_S * 1000)}\r\n"
+            f"Authorization: Bearer {attempt.key}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}"
+        ).encode()
+
+
+class _AnswerReader:
+    """Reads one answer into an `Attempt`."""
+
+    def __init__(self, attempt):
+        self._attempt = attempt
+        self._parser = httptools.HttpResponseParser(self)
+        self._keep_alive = True
+
+    def read(self, sock, leave):
+        """Read until the answer is complete; return whether the connection goes on."""
+        while not self._attempt.complete:
+            data = sock.recv(65536)
+            if not data:
+                return False
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserError:
+                self._attempt.status = -1
+                return False
+            if leave and self._attempt.body:
+                self._attempt.left = not self._attempt.complete
+                return False
+        return self._keep_alive
+
+    def on_header(self, name, value):
+        self._attempt.headers[name.lower()] = value
+
+    def on_headers_complete(self):
+        self._attempt.status = self._parser.get_status_code()
+
+    def on_body(self, data):
+        self._attempt.body += data
+
+    def on_message_complete(self):
+        self._attempt.complete = True
+        self._keep_alive = self._parser.should_keep_alive()
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,225 @@
+"""The processes of a soak, and the stand-ins and proxies around them."""
+
+import random
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import gevent
+from gevent import socket
+
+from bench.node_process import NodePorts, NodeProcess
+from bench.site import take_prefix
+from standins.platform import MODEL, Origin, Store, desired_state
+
+from .backends import Backend, Engine, Records
+from .proxy import Proxy
+
+READY_POLL_S = 0.5
+READY_TIMEOUT_S = 0.5
+ROUTES = (
+    # Name, path, kind, service and how often it may be sent.
+    ("settle", "/settle/", "non_idempotent", "ledger", 2),
+    ("read", "/read/", "idempotent", "ledger", 2),
+)
+
+
+@dataclass(frozen=True)
+class Size:
+    """How large a site is, per failure domain."""
+
+    domains: int = 2
+    entries: int = 2
+    engines: int = 1
+    ledgers: int = 1
+
+
+class SoakStore(Store):
+    """A store that may be down, silent, slow, or without its history."""
+
+    def __init__(self, address):
+        self.mode = None
+        super().__init__(address)
+
+    def handle(self, method, path, fields, body, environ):
+        if self.mode == "slow":
+            gevent.sleep(0.3)
+        if self.mode == "compacted" and "watch" in fields:
+            return 410, [], b""
+        return super().handle(method, path, fields, body, environ)
+
+    def set_mode(self, mode):
+        self.mode = mode
+        self.down = mode == "down"
+        self.silent = mode == "silent"
+
+
+@dataclass
+class Target:
+    """A back end, its proxy and the name under which it is registered."""
+
+    backend: Backend
+    proxy: Proxy
+    domain: str
+
+    @property
+    def name(self):
+        return self.backend.name
+
+
+class SoakSite:
+    """Entries, stagers and back ends in some failure domains, on loopback addresses.
+
+    :param size: the `Size`.
+    """
+
+    def __init__(self, size):
+        self.folder = Path(tempfile.mkdtemp(prefix="briarbeam-soak-"))
+        self.records = Records()
+        self._prefix, self._guard = take_prefix()
+        self.version = 1
+        self.state_version = 1
+        self.keys = ["key0", "key1"]
+        self._next_key = 2
+        self._restarts = 0
+        self.store = SoakStore((f"{self._prefix}.0.1", 0))
+        self.origin = Origin((f"{self._prefix}.0.2", 0))
+        self.origin_proxy = Proxy(f"{self._prefix}.0.3", lambda: _pair(self.origin))
+        self.targets, self.nodes, self.store_proxies = [], {}, {}
+        self.front_proxies, self.ready = {}, set()
+        domains = tuple(f"z{number}" for number in range(1, size.domains + 1))
+        for number, domain in enumerate(domains, start=1):
+            self._build_domain(number, domain, domains, size)
+        self.write_state()
+        for target in self.targets:
+            self.register(target)
+        for node in self.nodes.values():
+            node.start()
+        self._looker = gevent.spawn(self._look)
+
+    def stop(self):
+        """End all processes and stand-ins."""
+        self._looker.kill()
+        for node in self.nodes.values():
+            node.kill()
+        self.store.set_mode(None)
+        proxies = [*self.store_proxies.values(), *self.front_proxies.values()]
+        proxies += [target.proxy for target in self.targets]
+        for server in (self.store, self.origin, self.origin_proxy, *proxies):
+            server.stop()
+        for target in self.targets:
+            target.backend.crash()
+        self._guard.close()
+
+    # What operators and instances write
+
+    def write_state(self):
+        """Write the next desired state."""
+        self.state_version += 1
+        state = desired_state(
+            self.state_version, self.origin_proxy.address, ["main", *self.keys]
+        )
+        state["services"].append({"name": "ledger"})
+        for name, prefix, kind, service, attempts in ROUTES:
+            state["routes"].append({
+                "name": name, "host": "h.example", "path_prefix": prefix, "kind": kind,
+                "timeout_ms": 4000, "target_latency_ms": 300, "service": service,
+                "max_attempts": attempts,
+            })  # fmt: skip
+        self.store.put("config", "main", state)
+
+    def replace_key(self):
+        """Take the oldest key away and add one; return the key and when it went."""
+        gone = self.keys.pop(0)
+        self.keys.append(f"key{self._next_key}")
+        self._next_key += 1
+        self.write_state()
+        return gone, time.monotonic()
+
+    def name_version(self):
+        """Name new weights."""
+        self.version += 1
+        self.store.put("versions", MODEL, {"model": MODEL, "version": self.version})
+
+    def register(self, target):
+        """Write a target's entry, as it does itself."""
+        spec = target.backend.entry(target.proxy.address, target.domain)
+        self.store.put("servers", target.name, spec)
+
+    def restart_target(self, target):
+        """Start a target that ended, under a new name."""
+        self._restarts += 1
+        target.backend.name = f"{target.name.partition('+')[0]}+{self._restarts}"
+        target.backend.state = "ready"
+        target.backend.start()
+        self.register(target)
+
+    # For callers
+
+    def choose_entry(self, rng=random):
+        """Return name, host and port of an entry that the balancer would choose."""
+        names = sorted(self.ready) or sorted(self.front_proxies)
+        name = rng.choice(names)
+        host, port = self.front_proxies[name].address.split(":")
+        return name, host, int(port)
+
+    def ask_ready(self, name):
+        """Return whether the entry called `name` says that it takes connections."""
+        node = self.nodes[name]
+        try:
+            with gevent.Timeout(READY_TIMEOUT_S):
+                address = (node.host, node.ports.readiness)
+                sock = socket.create_connection(address)
+                sock.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                return b" 200 " in sock.recv(200)
+        except (OSError, gevent.Timeout):
+            return False
+
+    def _look(self):
+        misses = dict.fromkeys(self.front_proxies, 0)
+        while True:
+            for name in misses:
+                misses[name] = 0 if self.ask_ready(name) else misses[name] + 1
+                if misses[name] == 0:
+                    self.ready.add(name)
+                elif misses[name] >= 2:
+                    self.ready.discard(name)
+            gevent.sleep(READY_POLL_S)
+
+    def _build_domain(self, number, domain, domains, size):
+        for index in range(1, size.engines + 1):
+            host = f"{self._prefix}.{number}.{100 + index}"
+            engine = Engine(host, f"{domain}-engine-{index}", self.records, 1)
+            # Daemons know an engine by its host, so its proxy has the same one.
+            self.targets.append(self._target(engine, host, domain))
+            name = f"{domain}-stager-{index}"
+            # The engine keeps its port over restarts by a proxy without faults.
+            beside = Proxy(host, lambda engine=engine: (engine.host, engine.port))
+            self.store_proxies[f"{name}-engine"] = beside
+            self._add_node(name, "stager", host, domain, domains, beside.address)
+        for index in range(1, size.ledgers + 1):
+            host = f"{self._prefix}.{number}.{200 + index}"
+            ledger = Backend(host, f"{domain}-ledger-{index}", self.records)
+            self.targets.append(self._target(ledger, host, domain))
+        for index in range(1, size.entries + 1):
+            host = f"{self._prefix}.{number}.{index}"
+            name = f"{domain}-entry-{index}"
+            self._add_node(name, "entry", host, domain, domains)
+            self.front_proxies[name] = Proxy(host, lambda host=host: (host, 8080))
+
+    def _target(self, backend, host, domain):
+        return Target(backend, Proxy(host, lambda: (host, backend.port)), domain)
+
+    def _add_node(self, name, role, host, domain, domains, engine=None):
+        proxy = Proxy(host, lambda: _pair(self.store))
+        self.store_proxies[name] = proxy
+        self.nodes[name] = NodeProcess(
+            name, role, host, domain, NodePorts(), proxy.address, self.folder, domains,
+            engine,
+        )  # fmt: skip
+
+
+def _pair(server):
+    host, port = server.address.split(":")
+    return host, int(port)
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -18,6 +18,7 @@
 )
 from briarbeam.kernel.clock import SystemClock
 from briarbeam.kernel.network import Address
+from briarbeam.platform.store import Record
 from briarbeam.relay.balance import Balancer
 from briarbeam.relay.dispatch import Admission, Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
@@ -113,6 +114,7 @@
 
     def __init__(self, instances, service=None, **route):
         self.clock = SystemClock()
+        self.limits = CallerLimits()
         self.age_s = 0.1
         self.in_force = InForce(self.clock)
         self.service = service or Service("svc")
@@ -125,15 +127,15 @@
         balancer = Balancer(
             self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
         )
-        admission = Admission(
+        self.admission = Admission(
             self.in_force, lambda: self.age_s, 4.4, self.versions, 8.0, 0.45
         )
         decisions = DecisionLog(lambda: self.age_s)
         self.dispatcher = Dispatcher(
-            admission, balancer, self.budget, lambda: Place(0, 1), decisions
+            self.admission, balancer, self.budget, lambda: Place(0, 1), decisions
         )
         self.server = CallerServer(
-            Address("127.0.0.1", 0), self.dispatcher, lambda: CallerLimits()
+            Address("127.0.0.1", 0), self.dispatcher, lambda: self.limits
         )
         self.server.start()
 
@@ -149,6 +151,14 @@
         self.fleet._targets[name] = target
         return target
 
+    def name_version(self, version, age_s):
+        """Have a version of the model ``m`` named so long ago."""
+        self.versions = NamedVersions(self.clock, lambda model, version: None, age_s)
+        self.versions.update(
+            {"m": Record("m", version, {"model": "m", "version": version})}
+        )
+        self.admission._versions = self.versions
+
     def connect(self):
         return socket.create_connection(("127.0.0.1", self.port))
 
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from briarbeam.catalog import RequestKind, Service
+from briarbeam.catalog import CallerLimits, RequestKind, Service
 
 from .relay_fakes import (
     END,
@@ -344,7 +344,7 @@
     entry = Entry({}, service=service, **STREAM)
     entry.add("i1", old.address, models={"m": 1})
     entry.add("i2", new.address, models={"m": 2}).outstanding = 12
-    entry.versions._heard["m"] = [(2, time.monotonic() - 7.4)]
+    entry.name_version(2, age_s=7.4)
     started_s = time.monotonic()
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.endswith(END)
@@ -357,7 +357,7 @@
     old = FakeInstance(reply(stream_head() + event(1) + END))
     entry = Entry({}, service=service, **STREAM)
     entry.add("i1", old.address, models={"m": 1})
-    entry.versions._heard["m"] = [(2, time.monotonic() - 7.6)]
+    entry.name_version(2, age_s=7.6)
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.split()[1] == b"503"
     assert not old.requests
@@ -376,7 +376,7 @@
     entry.add("i1", FakeInstance(breaks_late).address, models={"m": 1})
     entry.add("i2", old.address, models={"m": 1}).outstanding = 12
     entry.add("i3", new.address, models={"m": 2}).outstanding = 15
-    entry.versions._heard["m"] = [(2, time.monotonic() - 7.3)]
+    entry.name_version(2, age_s=7.3)
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.endswith(END)
     assert not old.requests and new.requests
@@ -393,9 +393,42 @@
     entry = Entry({}, service=service, **STREAM)
     entry.add("i1", FakeInstance(breaks).address, models={"m": 1})
     entry.add("i2", old.address, models={"m": 1}).outstanding = 12
-    entry.versions._heard["m"] = [(2, time.monotonic() - 7.4)]
+    entry.name_version(2, age_s=7.4)
     started_s = time.monotonic()
     with pytest.raises(ConnectionResetError):
         entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     gevent.sleep(0.1)
     assert old.left_s and old.left_s[0] - started_s < 0.6
+
+
+def test_request_that_may_have_run_is_not_said_not_to_have_run():
+    """Found by soak seed 9: the state grew too old between the first send and the next."""
+
+    def outlive_state(instance, sock, request):
+        entry.age_s = 9.0
+        reset(sock)
+
+    second = FakeInstance(reply(ok()))
+    entry = Entry(
+        {"i1": FakeInstance(outlive_state), "i2": second},
+        kind=RequestKind.IDEMPOTENT,
+        max_attempts=2,
+    )
+    entry.fleet.get("i2").outstanding = 12
+    assert b" 502 " in entry.ask()
+    assert not second.requests
+
+
+def test_slow_body_is_taken_and_slow_header_is_not():
+    entry = Entry({"i1": FakeInstance(reply(ok(b"body")))})
+    entry.limits = CallerLimits(header_timeout_s=0.2, idle_timeout_s=1.0)
+    data = request_bytes(method=b"POST", body=b"12345")
+    sock = entry.connect()
+    sock.sendall(data[:-5])
+    for part in (b"12", b"34", b"5"):
+        gevent.sleep(0.15)
+        sock.sendall(part)
+    assert b" 200 " in read_all(sock)
+    sock = entry.connect()
+    sock.sendall(data[:20])
+    assert b" 408 " in read_all(sock)
