--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -24,8 +24,9 @@
 from .server import CallerServer, ReadinessServer
 
 # Waits of watches where no neighbour confirms. That on the desired state confirms it,
-# too: with a call's time-out and a further call it stays younger than the bound on keys.
-CONFIG_WAIT_S = 2.2
+# too, as of when it was sent: the state is up to twice this old. With a question to a
+# neighbour and a lost call in between it stays younger than the bound on keys.
+CONFIG_WAIT_S = 1.2
 # Other watches: an unnoticed dead connection costs this and a call's time-out.
 WATCH_WAIT_S = 4.0
 # Kept back of the bound on keys, for a request's way to its target.
--- a/briarbeam/relay/follower.py
+++ b/briarbeam/relay/follower.py
@@ -8,9 +8,9 @@
 import gevent
 import structlog
 
-# A confirmation from a neighbour counts with its own age. Above this it tells that the
-# neighbour itself has lost the store.
-NEIGHBOUR_AGE_MAX_S = 3.0
+# A confirmation from a neighbour counts with its own age, at most 2.4 s where all is
+# well. Above this the neighbour itself has lost the store.
+NEIGHBOUR_AGE_MAX_S = 3.2
 # Without a confirmation for so long, an entry goes back to short waits.
 FOLLOW_LOST_S = 2.0
 # A change reaches both within moments; a copy that differs for longer is looked at.
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -3,10 +3,12 @@
 import gevent
 import pytest
 
+from briarbeam.distribution.exchange import PROBE_INTERVAL_S
 from briarbeam.kernel.clock import ManualClock, SystemClock
 from briarbeam.kernel.errors import ExchangeError
 from briarbeam.kernel.network import Address
-from briarbeam.platform.store import Change, Record, StoreClient
+from briarbeam.platform.store import CALL_TIMEOUT_S, Change, Record, StoreClient
+from briarbeam.relay.entry import CONFIG_WAIT_S, KEY_MARGIN_S
 from briarbeam.relay.errors import RecheckError, StoreUnavailableError
 from briarbeam.relay.follower import (
     BEHIND_S,
@@ -95,6 +97,15 @@
     assert (config.rechecks, other.rechecks) == (0, 1)
 
 
+def test_state_stays_young_enough_for_keys_also_when_one_call_is_lost():
+    """A watch confirms as of when it was sent; waits of 2.2 s were too long (soak 15)."""
+    alone_s = 2 * CONFIG_WAIT_S + CALL_TIMEOUT_S
+    assert alone_s < 5.0 - KEY_MARGIN_S
+    # Two questions in a row may be lost as well.
+    assert 2 * CONFIG_WAIT_S + 2 * PROBE_INTERVAL_S < 5.0 - KEY_MARGIN_S
+    assert 2 * CONFIG_WAIT_S < NEIGHBOUR_AGE_MAX_S
+
+
 class WaitingStore:
     """Lists one record; its watches wait until they are ended."""
 
