Let small and new sites settle at once; greet engines elsewhere from few entries

Cause (configuration): a site's own advertised address counted as a peer that never answers, so a daemon with one peer waited out its patience, and a site that starts for the first time waited for peers that had nothing to say. Its own answer is not counted as a peer's now, and a platform that holds no configuration settles a daemon. Tests red before.

--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -195,12 +195,16 @@
         ]
         for task in tasks:
             task.join()
+        # Its own address may be among those to start from, by another port.
+        others = len(peers) - (self.settings.instance.name in answered)
         answered -= {"", self.settings.instance.name}
         waited_s = self.clock.monotonic_s() - self._started_s
         needed = 1 if waited_s > FIRST_PATIENCE_S else FIRST_ANSWERS_MIN
         enough = len(answered) >= needed
-        alone = waited_s > FIRST_PATIENCE_S or not peers
-        if not (enough or alone or len(answered) == len(peers)):
+        alone = waited_s > FIRST_PATIENCE_S
+        if not (enough or alone or len(answered) >= others):
+            # A site that starts for the first time need not wait for its peers.
+            self.settled = listed and self.watcher.nothing_declared()
             return
         read = listed and self._read_platform(self.watcher.read_head)
         self.settled = enough or read
--- a/briarbeam/configuration/watcher.py
+++ b/briarbeam/configuration/watcher.py
@@ -91,6 +91,16 @@
         found = self._objects.get(HEAD_KIND, HEAD_NAME, held_version=self._version)
         self._take(found)
 
+    def nothing_declared(self):
+        """Return whether the platform answers that it has no configuration at all."""
+        try:
+            self._objects.get(HEAD_KIND, HEAD_NAME)
+        except NotFoundError:
+            return True
+        except PlatformError as error:
+            _log.info("platform_not_read", error=str(error))
+        return False
+
     def read_list(self):
         """Read the instance list.
 
--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -20,10 +20,14 @@
     decode,
     encode,
 )
+from .ranking import FORWARDER_SUBJECT, rank_entries
 
 GREET_INTERVAL_S = 1.0
 # How often a round looks whether loads still come.
 SILENCE_POLL_S = 0.2
+# Entries of a failure domain that greet engines elsewhere: the one that passes loads on
+# and some to take its place.
+FAR_GREETERS = 4
 # How often a neighbour is asked how it finds the store; with the age of its own
 # confirmation this keeps the desired state younger than the bound on keys.
 PROBE_INTERVAL_S = 0.7
@@ -150,6 +154,15 @@
             gevent.sleep(pause_s)
             self._greet_all()
 
+    def _greets_far(self):
+        """Return whether this entry greets engines of other failure domains.
+
+        Those tell only one entry of each failure domain their loads, and what crosses
+        between regions is priced.
+        """
+        first = rank_entries(self.entries(), self._failure_domain, FORWARDER_SUBJECT)
+        return self._address.host in first[:FAR_GREETERS]
+
     def _neighbours(self):
         """Return the hosts of the other entries of this failure domain."""
         return [
@@ -160,7 +173,13 @@
 
     def _greet_all(self):
         silent = self._forwarder.find_silent()
+        greets_far = self._greets_far()
         for target in self._fleet.all():
+            if (
+                not greets_far
+                and target.instance.failure_domain != self._failure_domain
+            ):
+                continue
             facts = self._describe(target)
             if facts is None:
                 continue
--- a/briarbeam/distribution/forwarder.py
+++ b/briarbeam/distribution/forwarder.py
@@ -31,6 +31,7 @@
         self._send = send
         self._loads = {}
         self._entries = {}
+        self._accepting = {}
         self._batches = 0
         self._source = None
         self._heard_s = 0.0
@@ -45,6 +46,10 @@
     def take(self, host, load):
         """Take the `Load` of the engine at `host`, to be passed on."""
         self._taken_s = self._clock.monotonic_s()
+        if self._accepting.get(host) is not load.accepting:
+            # Neighbours would go on sending to an engine that is about to load.
+            self._accepting[host] = load.accepting
+            gevent.spawn(self.flush)
         self._loads[host] = load
         for entry in load.entries:
             self._entries[tuple(entry)] = None
--- a/briarbeam/distribution/ranking.py
+++ b/briarbeam/distribution/ranking.py
@@ -2,6 +2,9 @@
 
 import hashlib
 
+# By which entries are ranked for passing on loads; all daemons choose the same ones.
+FORWARDER_SUBJECT = "loads"
+
 
 def rank_entries(entries, failure_domain, subject):
     """Return hosts in the order in which they are asked, those of `failure_domain` only.
--- a/briarbeam/distribution/reporter.py
+++ b/briarbeam/distribution/reporter.py
@@ -61,9 +61,10 @@
 
     def tell_everyone(self, report, version, accepting):
         """Tell all entries at once."""
-        data = encode(_load(report, version, accepting))
-        for host, _ in self._roster:
-            self._send(data, host)
+        forwarders = set(self._roster.forwarders())
+        for entry in self._roster:
+            data = encode(_load(report, version, accepting, entry in forwarders))
+            self._send(data, entry[0])
 
     def welcome(self, report, version, accepting, host, named=()):
         """Tell a new entry, and who else there is.
--- a/briarbeam/distribution/roster.py
+++ b/briarbeam/distribution/roster.py
@@ -3,15 +3,13 @@
 import structlog
 
 from .messages import ENTRIES_PER_DATAGRAM
-from .ranking import rank_entries
+from .ranking import FORWARDER_SUBJECT, rank_entries
 
 # Three greetings without a word are taken as an entry that is gone.
 ENTRY_EXPIRY_S = 3.0
 # For how long neighbours' word counts that a forwarder is silent: a cut or a freeze
 # lasts some seconds, and an idle forwarder does no harm.
 SILENT_FOR_S = 4.0
-# Rendezvous order of forwarders: all daemons choose the same ones.
-_FORWARDER_SUBJECT = "loads"
 
 _log = structlog.get_logger()
 
@@ -80,6 +78,6 @@
         return tuple(entries[first : first + ENTRIES_PER_DATAGRAM])
 
     def _forwarder(self, failure_domain):
-        ranked = rank_entries(self._heard_s, failure_domain, _FORWARDER_SUBJECT)
+        ranked = rank_entries(self._heard_s, failure_domain, FORWARDER_SUBJECT)
         # The sort is stable: among those that are heard, rank decides.
         return min(ranked, key=lambda host: host in self._silent_until_s)
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -172,8 +172,12 @@
         Entries may see different engines, so all stagers follow the same one; entries
         that are cut off and know no newer version don't count.
         """
-        hosts = [host for host, _ in self._roster]
-        return min((h for h in hosts if self._newest_of.get(h) == newest), default=None)
+        # Daemons of other failure domains hear only some entries, forwarders among them.
+        for entries in (self._roster.forwarders(), self._roster):
+            hosts = [h for h, _ in entries if self._newest_of.get(h) == newest]
+            if hosts:
+                return min(hosts)
+        return None
 
     def _report_forever(self):
         while True:
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -237,6 +237,30 @@
     assert (node.plugin.settled, node.revision) == (True, newest)
 
 
+def test_new_daemon_that_knows_only_itself_and_one_peer_does_not_wait_for_more():
+    random.seed(6)
+    world = World(domains=1, per_domain=2)
+    newest = world.change(world.nodes["d0-0"])
+    world.in_force_s(newest)
+    node = world.restart("d0-1")
+    assert (node.plugin.settled, node.revision) == (True, newest)
+    world = World(domains=1, per_domain=1)
+    newest = world.change(world.nodes["d0-0"])
+    world.aliases["127.1.0.1:9081"] = world.nodes["d0-0"]
+    node = world.restart("d0-0")
+    world.aliases["127.1.0.1:9081"] = node
+    node.plugin.settle_once()
+    assert (node.plugin.settled, node.revision) == (True, newest)
+
+
+def test_first_daemon_of_a_new_site_does_not_wait_for_its_peers():
+    random.seed(7)
+    world = World(domains=1, per_domain=3)
+    for node in world.nodes.values():
+        node.frozen = node.name != "d0-1"
+    assert world.restart("d0-1").plugin.settled
+
+
 def test_new_daemon_whose_peers_stay_away_settles_with_the_platform_in_the_end():
     random.seed(5)
     world = World(domains=1, per_domain=3)
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -1,6 +1,6 @@
 """Which entry this one is among the others, and how long the others count."""
 
-from briarbeam.distribution.exchange import ENTRIES_UNKNOWN, EntryExchange
+from briarbeam.distribution.exchange import ENTRIES_UNKNOWN, FAR_GREETERS, EntryExchange
 from briarbeam.distribution.messages import Load
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
@@ -26,6 +26,18 @@
     assert exchange.place() == (0, ENTRIES_UNKNOWN)
 
 
+def test_few_entries_of_a_large_failure_domain_greet_engines_elsewhere():
+    _, exchange = build()
+    assert exchange._greets_far()
+    hosts = [f"10.0.0.{number}" for number in range(1, 21)]
+    greeters = []
+    for host in hosts:
+        exchange._address = Address(host, 77)
+        exchange._hear("10.0.9.9", load(*hosts))
+        greeters += [host] * exchange._greets_far()
+    assert len(greeters) == FAR_GREETERS
+
+
 def test_entry_that_is_cut_off_goes_on_taking_its_own_share_only():
     clock, exchange = build()
     exchange._hear("10.0.9.9", load("10.0.0.1", "10.0.0.2", "10.0.0.3"))
--- a/tests/test_distribution_loads.py
+++ b/tests/test_distribution_loads.py
@@ -1,7 +1,9 @@
 """Engines' loads on their way to all entries: one forwarder a failure domain."""
 
+import dataclasses
 import json
 
+import gevent
 from hypothesis import given, strategies
 
 from briarbeam.distribution.forwarder import SILENCE_S, TOLD_FOR_S, LoadForwarder
@@ -160,6 +162,22 @@
     assert (host, running) == ("10.0.0.2", {"10.9.0.1": 2, "10.9.0.2": 5})
 
 
+def test_engine_that_closes_is_passed_on_at_once():
+    sent = []
+    forwarder = LoadForwarder(
+        ManualClock(), lambda: ["10.0.0.2"], lambda *item: sent.append(item)
+    )
+    forwarder.take("10.9.0.1", load())
+    gevent.sleep(0.01)
+    sent.clear()
+    forwarder.take("10.9.0.1", load(running=4))
+    gevent.sleep(0.01)
+    assert not sent
+    forwarder.take("10.9.0.1", dataclasses.replace(load(), accepting=False))
+    gevent.sleep(0.01)
+    assert len(sent) == 1
+
+
 def test_neighbour_whose_batches_stop_is_called_silent_for_a_while():
     clock = ManualClock()
     forwarder = LoadForwarder(clock, list, lambda *item: None)
