--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -22,6 +22,8 @@
 # How long an entry lets a peer wait for a chunk that is on its way.
 PEER_WAIT_S = 0.8
 PEER_TIMEOUT_S = 1.6
+# A peer that can't be reached is left for the next one in rank soon.
+PEER_CONNECT_TIMEOUT_S = 0.3
 # The same for a manifest: a peer may have chunks of another version to fetch.
 MANIFEST_WAIT_S = 0.3
 # A version whose manifest does not come for so long is drawn when it is asked for.
@@ -390,7 +392,9 @@
 
 
 def _fetch_peer(network, peer, path):
-    request = HttpRequest("GET", path, timeout_s=PEER_TIMEOUT_S)
+    request = HttpRequest(
+        "GET", path, timeout_s=PEER_TIMEOUT_S, connect_timeout_s=PEER_CONNECT_TIMEOUT_S
+    )
     status, _, content = fetch(network, peer, request)
     if status != 200:
         raise ChunkUnavailableError(f"{peer}{path}: status {status}")
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -66,6 +66,7 @@
         be sent twice.
     :param guard: called once a fresh connection stands, with no wait between it and
         the first byte; what it raises ends the request unsent.
+    :param connect_timeout_s: how long a new connection may take to stand.
     :param greet_path: read first on the fresh connection. A peer that doesn't answer,
         or means to close, is left before a byte of the request is sent.
     """
@@ -79,6 +80,7 @@
     silence_s: float | None = None
     guard: Callable[[], None] | None = None
     greet_path: str | None = None
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
 
 
 class HttpResponse(Protocol):
@@ -207,7 +209,7 @@
             address.host,
             address.port,
             size=1,
-            connection_timeout=CONNECT_TIMEOUT_S,
+            connection_timeout=request.connect_timeout_s,
             network_timeout=None,
         )
         client._connection_pool.source_host = self._source_host
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -9,6 +9,9 @@
 from .records import decode_models
 
 CALL_TIMEOUT_S = 1.0
+# A connection stands after one round trip of a few ms. To a machine that is away it hangs,
+# and its return would go unnoticed meanwhile.
+CONNECT_TIMEOUT_S = 0.3
 
 
 class OrderResult(enum.Enum):
@@ -132,7 +135,9 @@
 
 
 def _get(network, address, path, timeout_s=CALL_TIMEOUT_S):
-    request = HttpRequest("GET", path, timeout_s=timeout_s)
+    request = HttpRequest(
+        "GET", path, timeout_s=timeout_s, connect_timeout_s=CONNECT_TIMEOUT_S
+    )
     status, _, content = fetch(network, address, request)
     if status != 200:
         raise UpstreamError(f"GET {path} of {address}: status {status}")
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -36,6 +36,8 @@
 # Changes in quick succession are read together; the bounds on them are two seconds.
 CONFIG_SETTLE_S = 0.25
 SETTLE_S = 0.5
+# Engines' entries change often while weights change, and each answer of a watch is priced.
+INSTANCE_SETTLE_S = 0.9
 
 _log = structlog.get_logger()
 
@@ -101,16 +103,16 @@
             lambda: self._follower.wait_s(CONFIG_WAIT_S), self._in_force.update, CONFIG_SETTLE_S,
         )  # fmt: skip
         followed = (
-            (records.INSTANCE_KIND, self._update_fleet),
-            (records.EVACUATION_KIND, self._update_evacuated),
-            (records.VERSION_KIND, self._versions.update),
+            (records.INSTANCE_KIND, self._update_fleet, INSTANCE_SETTLE_S),
+            (records.EVACUATION_KIND, self._update_evacuated, SETTLE_S),
+            (records.VERSION_KIND, self._versions.update, SETTLE_S),
         )
         others = [
             Mirror(
                 store, kind, self._clock, lambda: self._follower.wait_s(WATCH_WAIT_S),
-                on_change, SETTLE_S, canary=self._config,
+                on_change, settle_s, canary=self._config,
             )
-            for kind, on_change in followed
+            for kind, on_change, settle_s in followed
         ]  # fmt: skip
         self._mirrors = [self._config, *others]
         self._follower = StoreFollower(self._clock, self._config, others)
--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -1,6 +1,7 @@
 """The HTTP border: connections, replies and their ends."""
 
 import socket
+import time
 
 import gevent
 import pytest
@@ -44,6 +45,21 @@
             fetch(HttpNetwork(), address, HttpRequest("GET", "/", timeout_s=0.1))
 
 
+def test_connection_that_hangs_is_given_up_within_its_own_time(address):
+    """As to a machine that is away; its return must not wait for the whole time-out."""
+    with socket.socket() as listener, socket.socket() as first, socket.socket() as more:
+        listener.bind(tuple(address))
+        listener.listen(0)
+        for filling in (first, more):
+            filling.setblocking(False)
+            filling.connect_ex(tuple(address))
+        request = HttpRequest("GET", "/", timeout_s=5.0, connect_timeout_s=0.1)
+        started_s = time.monotonic()
+        with pytest.raises(ConnectError):
+            fetch(HttpNetwork(), address, request)
+        assert time.monotonic() - started_s < 0.5
+
+
 def test_connection_with_a_reply_outstanding_is_not_reused(address, router):
     slow = gevent.event.Event()
 
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -10,6 +10,7 @@
 import pytest
 from gevent import socket
 
+from bench.node_process import NodePorts, NodeProcess
 from standins.platform import (
     CHUNK_COUNT,
     MODEL,
@@ -21,34 +22,6 @@
 )
 
 ENTRY_HOST, SIDE_HOST = "127.0.0.1", "127.0.0.2"
-SETTINGS = """
-role = "{role}"
-[instance]
-name = "{role}-1"
-host = "{host}"
-region = "r1"
-failure_domain = "z1"
-[listen]
-callers = "127.0.0.1:{callers}"
-readiness = "127.0.0.1:{readiness}"
-metrics_port = {metrics}
-peer_ports = [{peer}, {peer}]
-[store]
-address = "{store}"
-[bounds]
-key_revocation_s = 5.0
-version_within_s = 8.0
-grace_s = 8
-retry_ratio = 0.2
-retry_slack = 100
-retry_window_s = 10
-contact_s = 3.0
-[link]
-mbit_per_s = 100
-[regions]
-z1 = "r1"
-{engine}
-"""
 
 
 def free_ports(count):
@@ -73,27 +46,30 @@
         self.store.put("config", "main", desired_state(1, self.origin.address))
         self.store.put("servers", "i-1", self.engine.entry("z1"))
         self.folder = folder
-        self.callers, self.readiness, self.peer, *metrics = free_ports(5)
         self.processes = {}
-        self.start("entry", ENTRY_HOST, metrics[0])
-        engine = f'[engine]\naddress = "{self.engine.address}"'
-        self.start("stager", SIDE_HOST, metrics[1], engine)
+        self.callers, self.readiness, peer, *metrics = free_ports(5)
         self.metrics = metrics[0]
-
-    def start(self, role, host, metrics, engine=""):
-        path = self.folder / f"{role}.toml"
-        path.write_text(SETTINGS.format(
-            role=role, host=host, callers=self.callers, readiness=self.readiness,
-            metrics=metrics, peer=self.peer, store=self.store.address, engine=engine,
-        ))  # fmt: skip
-        command = [sys.executable, "-m", "briarbeam.node", "--settings", str(path)]
-        with open(self.folder / f"{role}.log", "w") as log:
-            self.processes[role] = subprocess.Popen(command, stdout=log, stderr=log)
+        self.start("entry", ENTRY_HOST, peer, metrics[0])
+        self.start("stager", SIDE_HOST, peer, metrics[1], self.engine.address)
+
+    def start(self, role, host, peer, metrics, engine=None):
+        node = NodeProcess(
+            name=f"{role}-1",
+            role=role,
+            host=host,
+            domain="z1",
+            ports=NodePorts(self.callers, self.readiness, peer, metrics),
+            store=self.store.address,
+            folder=self.folder,
+            domains=("z1",),
+            engine=engine,
+        )
+        node.start()
+        self.processes[role] = node
 
     def stop(self):
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
+        for node in self.processes.values():
+            node.kill()
         for server in (self.store, self.origin, self.engine):
             server.silent = False
             server.stop()
@@ -124,7 +100,7 @@
             return False
 
     def log(self, role):
-        return (self.folder / f"{role}.log").read_text()
+        return self.processes[role].log_path.read_text()
 
 
 def wait_until(condition, timeout_s=15.0):
@@ -181,7 +157,7 @@
 
 
 def test_stopped_entry_leaves_the_balancer_serves_and_ends(site):
-    entry = site.processes["entry"]
+    entry = site.processes["entry"].process
     entry.send_signal(signal.SIGTERM)
     gevent.sleep(0.3)
     assert not site.ready()
