Drop kept connections with one that went silent

Cause: a machine's open connections go silent together. The next call took the next kept one and waited out its time-out too: 0.7 s for each of up to four kept connections to the store. Test red before.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -153,12 +153,14 @@
             raise
         except gevent.Timeout as error:
             client.close()
+            self._drop_idle(address)
             raise ExchangeError(
                 f"no reply from {address} to {request.method} {request.path} "
                 f"within {request.timeout_s} s"
             ) from error
         except Exception as error:
             client.close()
+            self._drop_idle(address)
             raise ExchangeError(
                 f"{request.method} {request.path} to {address} broke: {error!r}"
             ) from error
@@ -228,6 +230,11 @@
             client.close()
         return None
 
+    def _drop_idle(self, address):
+        """Close kept connections: what silenced or broke one may hold for all."""
+        for client, _ in self._idle.pop(address, ()):
+            client.close()
+
     def _give_back(self, address, client):
         idle = self._idle[address]
         idle.append((client, time.monotonic()))
--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -60,6 +60,28 @@
         assert time.monotonic() - started_s < 0.5
 
 
+def test_kept_connections_are_dropped_with_one_that_went_silent(address, router):
+    """Connections go silent together; each would cost a time-out of its own."""
+    silent = gevent.event.Event()
+    router.add("GET", "/{name}", lambda request, name: slow_unless(silent))
+    caller = HttpNetwork()
+    silent.set()
+    ask = HttpRequest("GET", "/x", timeout_s=0.2)
+    calls = [gevent.spawn(fetch, caller, address, ask) for _ in range(3)]
+    gevent.joinall(calls, raise_error=True)
+    assert len(caller._idle[address]) > 1
+    silent.clear()
+    with pytest.raises(ExchangeError):
+        fetch(caller, address, ask)
+    assert not caller._idle[address]
+
+
+def slow_unless(event):
+    gevent.sleep(0.02)
+    event.wait()
+    return Response.of_json({})
+
+
 def test_connection_with_a_reply_outstanding_is_not_reused(address, router):
     slow = gevent.event.Event()
 
