Read desired states in quick succession together, by the number of entries

In a series of changes every 0.2 s each of 14 entries of a region read each state after a pause of 0.25 s, over a link of 11.5 Mbit/s: calls timed out after 0.7 s ('no reply ... within 0.7 s', config_age_s 3.2 in the log) and were made again. Ruled out: a dead watch (changes came until then) and the follower's recheck (it came 0.7 s before the lost call).

--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -20,6 +20,9 @@
 # The store answers in about 4 ms; a call that is silent for longer than this is
 # taken as lost and made again.
 CALL_TIMEOUT_S = 0.7
+# A desired state of some hundred routes takes longer over a link between regions that
+# other entries read it over too.
+BODY_TIMEOUT_S = 2.0
 _CALLS = Counter("briarbeam_store_calls", "Calls to the store", ["call", "status"])
 
 
@@ -94,7 +97,12 @@
         target = f"/-/objects/{path}"
         if query:
             target += f"?{urlencode(query)}"
-        request = HttpRequest("GET", target, timeout_s=wait_s + self._timeout_s)
+        request = HttpRequest(
+            "GET",
+            target,
+            timeout_s=wait_s + self._timeout_s,
+            silence_s=BODY_TIMEOUT_S,
+        )
         try:
             status, _, content = fetch(self._network, self._address, request)
         except BriarbeamError as error:
--- a/briarbeam/relay/follower.py
+++ b/briarbeam/relay/follower.py
@@ -85,7 +85,8 @@
             _log.info("follow_begun")
 
     def _compare(self, mirror, summary, now_s):
-        if summary == mirror.summary:
+        # A copy that is just being read, or pauses after a change, is not behind.
+        if summary == mirror.summary or not mirror.watching:
             self._behind_since_s.pop(mirror, None)
             return
         since_s = self._behind_since_s.setdefault(mirror, now_s)
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -22,12 +22,14 @@
     :param clock: the `Clock`.
     :param wait_s: a function that returns how long the next watch waits, in seconds.
     :param on_change: called with the dictionary of records by name after each change.
+    :param settle_s: a function that returns the pause after a change, in seconds, so that
+        changes in quick succession are read together.
     :param canary: a `Mirror` of the same store, or None. While it can't reach the store
         this one makes no calls, and its return is this one's.
     """
 
     def __init__(
-        self, store, kind, clock, wait_s, on_change, settle_s=0.0, canary=None
+        self, store, kind, clock, wait_s, on_change, settle_s=lambda: 0.0, canary=None
     ):
         self._store = store
         self._kind = kind
@@ -67,8 +69,8 @@
                 changed = self._step()
                 pause_s = RETRY_MIN_S
                 self._note_reachable()
-                if changed and self._settle_s:
-                    gevent.sleep(self._settle_s)
+                if changed:
+                    gevent.sleep(self._settle_s())
             except RecheckError:
                 raise
             except HistoryGoneError:
@@ -103,6 +105,11 @@
         newest = max((r.revision for r in self._records.values()), default=0)
         return newest, len(self._records)
 
+    @property
+    def watching(self):
+        """Whether a watch is waiting for changes now."""
+        return self._task is not None
+
     def confirm(self, at_s):
         """Note that the records were the store's at `at_s`, in boot time."""
         if self.confirmed_s is not None:
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -24,6 +24,7 @@
     kind = "k"
 
     def __init__(self, summary):
+        self.watching = True
         self.summary = summary
         self.age_s = 1.0
         self.confirmed = []
@@ -106,6 +107,15 @@
     assert 2 * CONFIG_WAIT_S < NEIGHBOUR_AGE_MAX_S
 
 
+def test_copy_that_pauses_after_a_change_is_not_behind(clock):
+    follower, _, other = build(clock)
+    other.watching = False
+    for _ in range(3):
+        confirm(follower, clock, summaries=((5, 1), (8, 3)))
+        clock.advance(BEHIND_S + 0.1)
+    assert other.rechecks == 0
+
+
 class WaitingStore:
     """Lists one record; its watches wait until they are ended."""
 
@@ -164,6 +174,22 @@
     gevent.killall(tasks)
 
 
+def test_changes_in_quick_succession_are_read_together():
+    """41 entries that read each state of a series filled the link between regions."""
+
+    class ChangingStore(WaitingStore):
+        def watch(self, kind, revision, wait_s):
+            self.calls.append("watch")
+            return [Change(Record("m", revision + 1, {}), False)], revision + 1
+
+    store = ChangingStore()
+    mirror = Mirror(
+        store, "k", SystemClock(), lambda: 9.0, lambda records: None, lambda: 0.1
+    )
+    gevent.killall(run([mirror], 0.45))
+    assert 4 <= len(store.calls) <= 5
+
+
 def test_only_the_canary_asks_a_store_that_is_away():
     away, store = WaitingStore(), WaitingStore()
     away.down = True
