Share limits cautiously until entries that start together know each other

Entries that start together hear of a few others first: forty that each know two would send a cold engine 11 requests a second each. For two seconds after its start an entry takes the share of one in sixty, at a place drawn from its address.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -1,6 +1,7 @@
 """Datagrams at an entry: greets the daemons beside engines and takes their loads."""
 
 import time
+import zlib
 
 import gevent
 import structlog
@@ -36,8 +37,12 @@
 # Shares of limits count entries for much longer: one that is cut off must not take what
 # belongs to those that it no longer hears of.
 ENTRY_COUNT_EXPIRY_S = 30.0
-# Before any daemon has told of entries, limits are shared as if there were so many.
-ENTRIES_UNKNOWN = 30
+# Before it knows the entries, one shares limits as if there were so many: above the 53 of
+# the largest deployment so far, spare ones included.
+ENTRIES_UNKNOWN = 60
+# Entries that start together hear of each other within about a second; until then each
+# would take the share of a few.
+UNKNOWN_FOR_S = 2.0
 # Entries are heard of about once a second.
 PLACE_KEPT_S = 0.25
 # Changes of the fleet's weights within this are told in one greeting.
@@ -73,6 +78,7 @@
         self._soon = None
         self._place = None
         self._place_s = 0.0
+        self._started_s = clock.monotonic_s()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._forwarder = LoadForwarder(clock, self._neighbours, self._send)
 
@@ -120,11 +126,15 @@
             for (host, _), at_s in self._entries.items()
             if now_s - at_s < ENTRY_COUNT_EXPIRY_S
         }
-        if not hosts:
-            return Place(0, ENTRIES_UNKNOWN)
+        if not hosts or now_s - self._started_s < UNKNOWN_FOR_S:
+            return Place(self._unknown_position(), ENTRIES_UNKNOWN)
         ranked = sorted(hosts | {self._address.host})
         return Place(ranked.index(self._address.host), len(ranked))
 
+    def _unknown_position(self):
+        """Return a position that differs between entries, without knowing them."""
+        return zlib.crc32(self._address.host.encode()) % ENTRIES_UNKNOWN
+
     def _greet_forever(self):
         while True:
             try:
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -1,16 +1,22 @@
 """Which entry this one is among the others, and how long the others count."""
 
-from briarbeam.distribution.exchange import ENTRIES_UNKNOWN, FAR_GREETERS, EntryExchange
+from briarbeam.distribution.exchange import (
+    ENTRIES_UNKNOWN,
+    FAR_GREETERS,
+    UNKNOWN_FOR_S,
+    EntryExchange,
+)
 from briarbeam.distribution.messages import Load
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
 from briarbeam.relay.fleet import Fleet
+from briarbeam.relay.limits import ColdWindow
 
 
-def build():
+def build(host="10.0.0.2"):
     clock = ManualClock()
     fleet = Fleet(clock, dict)
-    address = Address("10.0.0.2", 77)
+    address = Address(host, 77)
     return clock, EntryExchange(
         address, "z1", fleet, clock, lambda target: None, lambda *named: None, None
     )
@@ -21,9 +27,24 @@
     return Load(1, 1, True, 0, 0, 1.0, entries=entries)
 
 
+def test_entries_that_start_together_stay_within_a_cold_engines_rate():
+    """Each would hear of a few others first and take a larger share than its own."""
+    sent = 0
+    for number in range(1, 42):
+        clock, exchange = build(f"10.0.0.{number}")
+        if number > 1:
+            exchange._hear("10.0.9.9", load("10.0.0.1", f"10.0.0.{number}"))
+        window = ColdWindow(22.0)
+        clock.advance(0.5)
+        sent += sum(window.try_send(exchange.place(), 0.5) for _ in range(30))
+        assert exchange.place().count == ENTRIES_UNKNOWN
+    assert 5 < sent <= 22 * 1.5
+
+
 def test_entry_that_has_heard_of_nobody_takes_a_small_share():
-    _, exchange = build()
-    assert exchange.place() == (0, ENTRIES_UNKNOWN)
+    clock, exchange = build()
+    clock.advance(UNKNOWN_FOR_S + 0.1)
+    assert exchange.place().count == ENTRIES_UNKNOWN
 
 
 def test_few_entries_of_a_large_failure_domain_greet_engines_elsewhere():
@@ -40,6 +61,7 @@
 
 def test_entry_that_is_cut_off_goes_on_taking_its_own_share_only():
     clock, exchange = build()
+    clock.advance(UNKNOWN_FOR_S)
     exchange._hear("10.0.9.9", load("10.0.0.1", "10.0.0.2", "10.0.0.3"))
     assert exchange.place() == (1, 3)
     clock.advance(20.0)
