Let an engine without weights serve with the older version meanwhile

An engine that joins while a new version waits for the origin fetched only that one. Now the older one comes from beside engines nearby while chunks of the newest are not there, and is loaded if it is complete first.

--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -264,7 +264,8 @@
         """Return the versions to fetch, the most urgent one first.
 
         A version that was named while another is under way goes first, unless the older
-        one is mostly here or would then miss its time.
+        one is mostly here or would then miss its time. The other one comes while chunks
+        of the first are not there.
         """
         report, greeting = self._report, self._greeting
         if report is None or greeting is None:
@@ -275,9 +276,12 @@
             for version, _, _, _ in greeting.versions
             if version > held and not self._is_complete(version)
         ]
-        if len(waiting) < 2 or not held:
-            return waiting[-1:]
+        if len(waiting) < 2:
+            return waiting
         older, newest = waiting[-2:]
+        if not held:
+            # An engine without weights may serve with the older one meanwhile.
+            return [newest, older]
         left_s = greeting.version_within_s - self._age_s(older)
         late = 0 < left_s < self._copy_time_s()
         copy = self._copies.get(older)
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -156,6 +156,17 @@
     assert bench.stager._is_complete(3)
 
 
+def test_joined_engine_serves_with_the_older_version_while_the_newest_is_not_there():
+    bench = Bench(version=0)
+    answer = bench.network.handlers[PEER]
+    bench.greet((1, 9.0, 1.0), (2, 1.0, 0.0))
+    bench.network.handlers[PEER] = lambda request: (
+        Reply(503) if request.path.startswith("/chunks/m/2/") else answer(request)
+    )
+    bench.run(0.8)
+    assert bench.engine.version == 1
+
+
 def test_older_version_that_is_mostly_here_goes_first():
     bench = Bench(version=1)
     bench.greet((2, 0.5, 0.0), (3, 0.0, 0.0), wave=1)
