List the desired state in a series of changes instead of watching each state

A watch brings every state since the last one, 65 KB each, so a pause of 1.4 s in a series of a change each 0.2 s meant seven states an entry, as many bytes as before over the same link. Now the second change within a second begins a series: after each pause the newest state is listed alone, until nothing is new. A single change is followed by a pause of 0.25 s as before.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -33,13 +33,14 @@
 KEY_MARGIN_S = 0.6
 # Kept back of the bound on versions: requests wait at a target before they begin.
 VERSION_MARGIN_S = 0.35
-# Changes in quick succession are read together; the bounds on them are two seconds, three
-# for large fleets.
+# Changes that come together are read together.
 CONFIG_SETTLE_S = 0.25
 # All entries read the same change at once, those of a region over one link: 14 states of
-# 65 KB take it 0.7 s. In a series of changes it must not be full all the time.
-CONFIG_SETTLE_PER_ENTRY_S = 0.03
-CONFIG_SETTLE_MAX_S = 1.4
+# 65 KB take it 0.7 s. In a series of changes it must not be full all the time; the bounds
+# on a change are two seconds, three for large fleets.
+CONFIG_SERIES_PAUSE_S = 0.25
+CONFIG_SERIES_PAUSE_PER_ENTRY_S = 0.03
+CONFIG_SERIES_PAUSE_MAX_S = 1.4
 SETTLE_S = 0.5
 # Engines' entries change often while weights change, and each answer of a watch is priced.
 INSTANCE_SETTLE_S = 0.9
@@ -106,7 +107,7 @@
         self._config = Mirror(
             store, records.CONFIG_KIND, self._clock,
             lambda: self._follower.wait_s(CONFIG_WAIT_S),
-            self._in_force.update, self._config_settle_s,
+            self._in_force.update, CONFIG_SETTLE_S, self._series_pause_s,
         )  # fmt: skip
         followed = (
             (records.INSTANCE_KIND, self._update_fleet, INSTANCE_SETTLE_S),
@@ -116,7 +117,7 @@
         others = [
             Mirror(
                 store, kind, self._clock, lambda: self._follower.wait_s(WATCH_WAIT_S),
-                on_change, lambda settle_s=settle_s: settle_s, canary=self._config,
+                on_change, settle_s, canary=self._config,
             )
             for kind, on_change, settle_s in followed
         ]  # fmt: skip
@@ -154,10 +155,10 @@
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
         self._peers = PeerServer(settings.peer_address, self._chunks)
 
-    def _config_settle_s(self):
+    def _series_pause_s(self):
         count = self._exchange.place().count
-        settle_s = CONFIG_SETTLE_S + CONFIG_SETTLE_PER_ENTRY_S * count
-        return min(CONFIG_SETTLE_MAX_S, settle_s)
+        pause_s = CONFIG_SERIES_PAUSE_S + CONFIG_SERIES_PAUSE_PER_ENTRY_S * count
+        return min(CONFIG_SERIES_PAUSE_MAX_S, pause_s)
 
     def _is_ready(self):
         age_s = self._config.age_s
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -1,5 +1,7 @@
 """A local copy of one kind of the store's records, kept up by a watch."""
 
+import math
+
 import gevent
 import structlog
 from gevent.event import Event
@@ -11,6 +13,8 @@
 # outage costs few calls.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# Changes that follow each other sooner than this are a series.
+SERIES_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -22,14 +26,24 @@
     :param clock: the `Clock`.
     :param wait_s: a function that returns how long the next watch waits, in seconds.
     :param on_change: called with the dictionary of records by name after each change.
-    :param settle_s: a function that returns the pause after a change, in seconds, so that
-        changes in quick succession are read together.
+    :param settle_s: the pause after a change, in seconds.
+    :param series_pause_s: a function that returns the pause in a series of changes, in
+        seconds. After it the records are listed: a watch would bring each state of the
+        series. None where records are so small that this does not matter.
     :param canary: a `Mirror` of the same store, or None. While it can't reach the store
         this one makes no calls, and its return is this one's.
     """
 
     def __init__(
-        self, store, kind, clock, wait_s, on_change, settle_s=lambda: 0.0, canary=None
+        self,
+        store,
+        kind,
+        clock,
+        wait_s,
+        on_change,
+        settle_s=0.0,
+        series_pause_s=None,
+        canary=None,
     ):
         self._store = store
         self._kind = kind
@@ -37,6 +51,9 @@
         self._wait_s = wait_s
         self._on_change = on_change
         self._settle_s = settle_s
+        self._series_pause_s = series_pause_s
+        self._in_series = False
+        self._changed_s = -math.inf
         self._records = {}
         self._revision = None
         self._canary = canary
@@ -70,7 +87,7 @@
                 pause_s = RETRY_MIN_S
                 self._note_reachable()
                 if changed:
-                    gevent.sleep(self._settle_s())
+                    self._pause_after_change()
             except RecheckError:
                 raise
             except HistoryGoneError:
@@ -129,11 +146,13 @@
 
     def _step(self):
         sent_s = self._clock.boottime_s()
-        if self._revision is None or not self.reachable.is_set():
+        if self._in_series or self._revision is None or not self.reachable.is_set():
+            before = self.summary
             records, self._revision = self._store.list(self._kind)
             self._records = {record.name: record for record in records}
             self.confirmed_s = sent_s
             self._on_change(self._records)
+            self._in_series = self._in_series and self.summary != before
             return True
         changes, self._revision = self._watch()
         for change in changes:
@@ -144,8 +163,22 @@
         self.confirmed_s = sent_s
         if changes:
             self._on_change(self._records)
+            self._note_series()
         return bool(changes)
 
+    def _note_series(self):
+        """Notice changes in quick succession."""
+        now_s = self._clock.monotonic_s()
+        if self._series_pause_s is not None:
+            self._in_series = now_s - self._changed_s < SERIES_S
+        self._changed_s = now_s
+
+    def _pause_after_change(self):
+        if self._in_series:
+            gevent.sleep(self._series_pause_s())
+        else:
+            gevent.sleep(self._settle_s)
+
     def _note_reachable(self):
         if not self.reachable.is_set():
             self.reachable.set()
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -174,20 +174,32 @@
     gevent.killall(tasks)
 
 
-def test_changes_in_quick_succession_are_read_together():
-    """41 entries that read each state of a series filled the link between regions."""
+def test_states_of_a_series_are_listed_together_and_not_each_watched():
+    """Watches of 41 entries that brought each state filled the link between regions."""
 
     class ChangingStore(WaitingStore):
+        changes_left = 8
+
+        def list(self, kind):
+            self.calls.append("list")
+            self.changes_left -= 3
+            return [Record("m", 100 - max(0, self.changes_left), {})], 100
+
         def watch(self, kind, revision, wait_s):
             self.calls.append("watch")
-            return [Change(Record("m", revision + 1, {}), False)], revision + 1
+            if self.changes_left <= 0:
+                gevent.sleep(wait_s)
+            self.changes_left -= 1
+            return [Change(Record("m", 100 - self.changes_left, {}), False)], 100
 
     store = ChangingStore()
     mirror = Mirror(
-        store, "k", SystemClock(), lambda: 9.0, lambda records: None, lambda: 0.1
-    )
+        store, "k", SystemClock(), lambda: 9.0, lambda records: None,
+        series_pause_s=lambda: 0.05,
+    )  # fmt: skip
     gevent.killall(run([mirror], 0.45))
-    assert 4 <= len(store.calls) <= 5
+    # The first list, two changes soon after each other, lists until nothing is new.
+    assert store.calls == ["list", "watch", "watch", "list", "list", "watch"]
 
 
 def test_only_the_canary_asks_a_store_that_is_away():
