Do not avoid a neighbour that waits for a manifest

Cause, from reading: a neighbour that had no manifest yet was avoided for two seconds, also as a source of chunks, so with the origin away at a name chunks would have been drawn twice. Test red before.

--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -21,17 +21,19 @@
 PEER_DRAWERS = 2
 # How long an entry lets a peer wait for a chunk that is on its way.
 PEER_WAIT_S = 0.8
+# The same for a manifest: the peer may have chunks of another version to fetch.
+MANIFEST_WAIT_S = 0.3
+# The same once no chunk has come for `STALLED_AFTER_S`, as while the origin is away.
+STALLED_WAIT_S = 0.05
+STALLED_AFTER_S = 0.5
+# Above what a peer lets wait, and a chunk's time over a slow link.
 PEER_TIMEOUT_S = 1.6
 # A peer that can't be reached is left for the next one in rank soon.
 PEER_CONNECT_TIMEOUT_S = 0.3
-# The same for a manifest: a peer may have chunks of another version to fetch.
-MANIFEST_WAIT_S = 0.3
+# Six chunks at once take 0.2 s over the origin's link; ten times that if it is narrowed.
+ORIGIN_TIMEOUT_S = 2.5
 # A version whose manifest does not come for so long is drawn when it is asked for.
 PREFETCH_WAIT_S = 30.0
-# The same once no chunk has come for so long.
-STALLED_AFTER_S = 0.5
-STALLED_WAIT_S = 0.05
-ORIGIN_TIMEOUT_S = 2.5
 # A source that failed is asked last for so long.
 AVOID_S = 2.0
 # A peer that answers but has nothing new is left for another source after so long;
@@ -266,10 +268,7 @@
             if digest != copy.manifest.digests[number]:
                 raise CorruptChunkError(f"{copy.model}/{copy.version}/{number}")
         except ChunkUnavailableError as error:
-            if copy.stalled_s() > STALL_S or source in self._holder_peers(copy):
-                self._note_failure(source, error)
-                copy.progress_s = time.monotonic()
-            gevent.sleep(RETRY_PAUSE_S)
+            self._note_missing(source, copy, error)
             return
         except BriarbeamError as error:
             self._note_failure(source, error)
@@ -306,6 +305,9 @@
                     ORIGIN_TIMEOUT_S,
                 )
             return fetch_peer_manifest(self._network, source, copy.model, copy.version)
+        except ChunkUnavailableError as error:
+            self._note_missing(source, copy, error)
+            return None
         except BriarbeamError as error:
             self._note_failure(source, error)
             gevent.sleep(RETRY_PAUSE_S)
@@ -360,6 +362,13 @@
                 return peer
         return None
 
+    def _note_missing(self, source, copy, error):
+        """Wait for a source that has not got it yet, or leave it after a while."""
+        if copy.stalled_s() > STALL_S or source in self._holder_peers(copy):
+            self._note_failure(source, error)
+            copy.progress_s = time.monotonic()
+        gevent.sleep(RETRY_PAUSE_S)
+
     def _note_failure(self, source, error):
         _DRAWN.labels(_kind(source), "failed").inc()
         if source is not None:
--- a/tests/test_distribution_chunks.py
+++ b/tests/test_distribution_chunks.py
@@ -136,6 +136,18 @@
     assert store._superseded(older)
 
 
+def test_neighbour_that_waits_for_the_manifest_is_not_avoided(network):
+    """Its chunks would be drawn from the origin a second time."""
+    network.handlers[ORIGIN].down = True
+    stores = [build(network, host, domain) for host, domain in sorted(ENTRIES)]
+    tasks = [gevent.spawn(store.manifest, MODEL, 2, 3.0) for store in stores]
+    gevent.sleep(0.9)
+    avoided = [peer for store in stores for peer in store._avoid_until_s]
+    network.handlers[ORIGIN].down = False
+    assert avoided == []
+    assert all(task.get(timeout=3).version == 2 for task in tasks)
+
+
 def test_peer_does_not_wait_long_for_an_origin_that_is_away(network):
     store = build(network, "10.0.0.1", "z1")
     store.manifest(MODEL, 2, 1.0)
