--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -14,6 +14,7 @@
 from ..platform import engines
 from .errors import ChunkUnavailableError, CorruptChunkError
 from .ranking import chunk_subject, manifest_subject, rank_entries
+from .waves import older_is_useful
 
 # Chunks under way at once, over all entries of a failure domain. The origin's link
 # carries nothing else; between regions what is in flight delays live requests.
@@ -58,12 +59,16 @@
         self.chunks = {}
         self.task = None
         self.asked_for = False
-        self.progress_s = time.monotonic()
+        self.progress_s = self._since_s = time.monotonic()
         self._wanted = set()
         self._drawing = set()
         self._wanted_more = Event()
         self._waiting = {}
 
+    def age_s(self):
+        """Return the seconds since this entry heard of the version."""
+        return time.monotonic() - self._since_s
+
     def stalled_s(self):
         """Return for how long no chunk has come, in seconds."""
         return time.monotonic() - self.progress_s
@@ -126,15 +131,26 @@
     :param entries: a function that returns pairs of host and failure domain.
     :param holders: a function of model and version that returns hosts nearby whose
         engines hold it, with a copy in their staging area.
+    :param version_within_s: the time in which a named version has to be in use.
     """
 
-    def __init__(self, network, address, failure_domain, source, entries, holders):
+    def __init__(
+        self,
+        network,
+        address,
+        failure_domain,
+        source,
+        entries,
+        holders,
+        version_within_s,
+    ):
         self._network = network
         self._address = address
         self._failure_domain = failure_domain
         self._source = source
         self._entries = entries
         self._holders = holders
+        self._version_within_s = version_within_s
         self._copies = {}
         self._avoid_until_s = {}
         self._origin_lost = False
@@ -245,16 +261,21 @@
     def _superseded(self, copy):
         """Return whether a newer version is being drawn, which goes first.
 
-        What is nearly there is ended before: it may be the last version that can be in
-        use in time if the origin goes away meanwhile.
+        What is nearly there is ended before, as long as it is of use: it may be the last
+        version that can be in use in time if the origin goes away meanwhile.
         """
-        if copy.nearly_drawn():
-            return False
-        return any(
-            other.model == copy.model
+        newer = [
+            other
+            for other in self._copies.values()
+            if other.model == copy.model
             and other.version > copy.version
             and other.undrawn()
-            for other in self._copies.values()
+        ]
+        if not copy.nearly_drawn():
+            return bool(newer)
+        return any(
+            not older_is_useful(self._version_within_s, other.age_s())
+            for other in newer
         )
 
     def _draw_chunk(self, copy, number):
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -18,7 +18,7 @@
 from .peer_server import PeerServer
 from .reporter import LoadReporter
 from .roster import Roster
-from .waves import WAVES, choose_strategy
+from .waves import WAVES, choose_strategy, older_is_useful
 
 # Of the machine's link, what chunks for entries nearby may take: at the whole of it the
 # median first token of requests there came a tenth of a second later.
@@ -285,7 +285,11 @@
         left_s = greeting.version_within_s - self._age_s(older)
         late = 0 < left_s < self._copy_time_s()
         copy = self._copies.get(older)
-        begun = copy is not None and copy.more_than_half()
+        begun = (
+            copy is not None
+            and copy.more_than_half()
+            and older_is_useful(greeting.version_within_s, self._age_s(newest))
+        )
         return [older, newest] if late or begun else [newest, older]
 
     def _age_s(self, version):
--- a/briarbeam/distribution/waves.py
+++ b/briarbeam/distribution/waves.py
@@ -3,6 +3,9 @@
 WAVES = 3
 # Requests sent to older weights before the last engines are ordered begin in time.
 LAST_ORDER_S = 0.45
+# An older version that is nearly here is of use if it can serve for a while before the
+# newest is required: its last chunks and its load take about a second and a half.
+OLDER_USEFUL_S = 2.5
 # A wave need not wait for the very last engine of the one before.
 SHARE_TOLERANCE = 0.08
 
@@ -54,3 +57,11 @@
     if not due:
         return None
     return "queue" if last else "preempt"
+
+
+def older_is_useful(version_within_s, newest_age_s):
+    """Return whether a version older than the newest is worth being ended first.
+
+    :param newest_age_s: how long ago the newest was named, in seconds.
+    """
+    return newest_age_s < version_within_s - OLDER_USEFUL_S
--- a/briarbeam/node.py
+++ b/briarbeam/node.py
@@ -4,11 +4,14 @@
 ``--settings``; its role is named there.
 """
 
+import os
 import signal
 
 # The settings are read after the imports, so what changes meanwhile is not lost; by
 # default the signal would end a process that is still starting.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# A process that is still starting has nothing to end first.
+signal.signal(signal.SIGTERM, lambda number, frame: os._exit(0))
 
 from gevent import monkey  # noqa: E402
 
@@ -16,7 +19,6 @@
 
 import argparse  # noqa: E402
 import importlib  # noqa: E402
-import os  # noqa: E402
 import sys  # noqa: E402
 
 import gevent  # noqa: E402
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -81,6 +81,7 @@
             self._source,
             self._exchange.entries,
             self._holders,
+            settings.bounds.version_within_s,
         )
         self._build_servers()
 
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -174,6 +174,8 @@
     for number in range(CHUNK_COUNT // 2 + 1):
         copy.note(number, chunk(2, number))
     assert bench.stager._rank_versions() == [2, 3]
+    bench.greet((2, 7.0, 0.0), (3, 6.5, 0.0), wave=1)
+    assert bench.stager._rank_versions() == [3, 2]
 
 
 def test_next_version_is_fetched_while_the_last_one_waits_for_its_turn():
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -168,8 +168,11 @@
     assert '"event":"stopped"' in site.log("entry")
 
 
-def test_settings_change_while_a_process_starts_does_not_end_it(tmp_path):
-    """Found by soak seed 11."""
+@pytest.mark.parametrize(
+    ("number", "status"), [(signal.SIGHUP, 2), (signal.SIGTERM, 0)]
+)
+def test_signal_while_a_process_starts(tmp_path, number, status):
+    """Found by soak seeds 11 and 23; the status 2 is that of the wrong settings."""
     path = tmp_path / "entry.toml"
     path.write_text("role = 'none'")
     command = [sys.executable, "-X", "importtime", "-m", "briarbeam.node"]
@@ -179,10 +182,10 @@
     # The settings are read after all imports; what comes before them starts late.
     for line in process.stderr:
         if b"gevent" in line:
-            process.send_signal(signal.SIGHUP)
+            process.send_signal(number)
             break
     process.stderr.read()
-    assert process.wait(timeout=10) == 2
+    assert process.wait(timeout=10) == status
 
 
 def test_instance_that_leaves_gets_no_new_request(site):
