--- a/bench/site.py
+++ b/bench/site.py
@@ -16,6 +16,7 @@
 import time
 from pathlib import Path
 
+import gevent
 import tomli_w
 
 from briarbeam.kernel.errors import NetworkError
