Tell in a request's line which weights it was sent to and until when

The line of a request now names the version that the target was thought to hold and how long requests could still begin on it; a gauge shows the version that an entry requires, so that entries that differ can be seen from outside. No decision changes.

Test: test_line_of_a_request_tells_which_weights_it_was_sent_to_and_until_when

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -55,6 +55,9 @@
     :param deadline_s: monotonic time at which the answer has to be there.
     :param tried: ids of the targets that refused or failed it.
     :param target_id: the target that it was sent to last, or None.
+    :param target_version: the version of the weights that the target was thought to hold.
+    :param superseded_in_s: how long after the send requests could still begin on that
+        version, in seconds; None while it is the newest.
     """
 
     request: object
@@ -71,6 +74,8 @@
     sends: int = 0
     may_have_run: bool = False
     target_id: str | None = None
+    target_version: int | None = None
+    superseded_in_s: float | None = None
 
     @property
     def streams(self):
@@ -222,14 +227,21 @@
                 stream.last_id if stream and stream.last_id else job.meta.last_event_id,
             )  # fmt: skip
             target.note_sent()
-            job.sends += 1
-            job.target_id = target.id
+            self._note_send(job, target, now_s)
             try:
                 call.send(head, job.request.body)
                 self._receive(job, target, call, writer, stream)
             finally:
                 target.note_done()
 
+    def _note_send(self, job, target, now_s):
+        job.sends += 1
+        job.target_id = target.id
+        if job.need.model is not None:
+            job.target_version = target.version_of(job.need.model)
+            ends_s = self._admission.weights_end_s(job, target)
+            job.superseded_in_s = None if ends_s is None else ends_s - now_s
+
     def _receive(self, job, target, call, writer, stream):
         # A last chance elsewhere is worth more than waiting for a silent target.
         may_move = job.route.repeatable and len(job.tried) + 1 < job.route.max_attempts
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import structlog
+from prometheus_client import Gauge
 
 from ..platform.records import (
     CONFIG_NAME,
@@ -11,6 +12,9 @@
 )
 from .errors import MalformedRecordError
 
+_REQUIRED = Gauge(
+    "briarbeam_required_version", "Oldest weights that a request may begin on now"
+)
 _log = structlog.get_logger()
 
 
@@ -119,7 +123,9 @@
         now_s = self._clock.monotonic_s()
         namings = self._namings.get(model, ())
         due = [n.version for n in namings if now_s - n.at_s >= within_s]
-        return due[-1] if due else 0
+        required = due[-1] if due else 0
+        _REQUIRED.set(required)
+        return required
 
     def _note(self, model, version):
         namings = self._namings.setdefault(model, [])
--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -161,6 +161,11 @@
                 required_version=job.need.required_version,
                 time_limit_s=round(job.deadline_s - job.started_s, 3),
             )
+            if job.target_version is not None:
+                fields.update(
+                    target_version=job.target_version,
+                    superseded_in_s=_rounded(job.superseded_in_s),
+                )
         age_s = self._config_age_s()
         self._log.info(
             "request",
@@ -171,7 +176,7 @@
             status=getattr(error, "status", None),
             answer_begun=writer.begun,
             elapsed_s=round(elapsed_s, 3),
-            config_age_s=None if age_s is None else round(age_s, 2),
+            config_age_s=_rounded(age_s),
             **fields,
         )
 
@@ -183,3 +188,7 @@
         left = self._left.get(success, 0)
         self._left[success] = left - 1
         return left > 0
+
+
+def _rounded(duration_s):
+    return None if duration_s is None else round(duration_s, 2)
--- a/tests/test_telemetry_decisions.py
+++ b/tests/test_telemetry_decisions.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from briarbeam.catalog import RequestKind, Service
 from briarbeam.telemetry import decisions
 from briarbeam.telemetry.decisions import BufferedOutput
 
@@ -64,3 +65,21 @@
     assert fields["outcome"] == "no_capacity"
     assert fields["ran"] == "no"
     assert fields["config_version"] == 1 and fields["config_age_s"] == 0.1
+
+
+def test_line_of_a_request_tells_which_weights_it_was_sent_to_and_until_when():
+    lines = []
+
+    class Log:
+        def info(self, event, **fields):
+            lines.append(fields)
+
+    fake = FakeInstance(reply(ok()))
+    service = Service("svc", models=("m",))
+    entry = Entry({}, service, kind=RequestKind.STREAMING)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.dispatcher._decisions._log = Log()
+    entry.name_version(2, 6.0)
+    entry.ask(headers=b"x-model: m\r\n")
+    assert lines[0]["target_version"] == 1
+    assert 1.5 < lines[0]["superseded_in_s"] <= 2.0
