--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -139,6 +139,49 @@
     assert "load_ended" in site.log("stager")
 
 
+def name(site, version):
+    site.store.put("versions", MODEL, {"model": MODEL, "version": version})
+
+
+def restart_entry(site):
+    site.processes["entry"].kill()
+    site.processes["entry"].start()
+    wait_until(site.ready)
+    wait_until(lambda: "weights_seen" in site.log("entry").split('"started"')[-1])
+
+
+def ran_on_first_version(site, start_s, end_s):
+    """Return how many of the requests sent between two times ran on version 1."""
+    wait_until(lambda: time.monotonic() >= start_s)
+    ran = 0
+    while time.monotonic() < end_s:
+        ran += "x-weight-versions: 1" in site.ask()
+        gevent.sleep(0.05)
+    return ran
+
+
+def test_entry_that_starts_between_two_names_keeps_the_first_ones_time(site):
+    """Incident inc1: the store tells the newest name only."""
+    site.origin.silent = True
+    named_s = time.monotonic()
+    name(site, 2)
+    gevent.sleep(3.0)
+    name(site, 3)
+    gevent.sleep(1.0)
+    restart_entry(site)
+    assert ran_on_first_version(site, named_s + 8.0, named_s + 9.0) == 0
+
+
+def test_entry_that_starts_late_keeps_the_time_of_a_name(site):
+    """Incident inc1: a true age counted only if it was below the assumed one."""
+    site.origin.silent = True
+    named_s = time.monotonic()
+    name(site, 2)
+    gevent.sleep(6.5)
+    restart_entry(site)
+    assert ran_on_first_version(site, named_s + 8.0, named_s + 9.0) == 0
+
+
 def test_key_that_was_taken_away_runs_nothing_even_when_the_store_is_gone(site):
     site.store.silent = True
     gevent.sleep(5.0)
