Count the time of a name from the name, at entries that start or hear it late too

Cause: each entry counted a version's time from when it heard of the name, and that knowledge ended with the process. The store's record holds the newest name only. An entry that started between two names learnt when the newer one was named, and so let the oldest version go on until that one's time. A true age above the assumed one was not taken, and the assumed one counted from the first list, however late that came. The same cause in two more places: a name from an outage of the store, or from a pause after a change, counted as new; and time in which a machine was suspended did not count.

Change: daemons keep the history of names, in boot time, and tell it as a whole; what is told is complete from its first name on, so a word about the newest name alone gives older versions no more time. Of several true times the oldest holds. What an entry can't know is assumed: at its start, and at the store's return, for as long as no call would have shown a change. Names are watched without a pause.

In test_relay_state.py required() is 1 instead of 0 where version 1 is known to be the first: as strict, since an engine without weights serves nobody.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -60,19 +60,19 @@
     :param fleet: the `Fleet` to greet and to note reports in.
     :param describe: a function of a target that returns what to tell it of versions.
     :param follower: the `StoreFollower`, which compares with a neighbour.
-    :param on_named: called with a version and the seconds since it was named, which
-        daemons beside engines tell an entry that has just started.
+    :param on_namings: called with pairs of version and age that a daemon beside an
+        engine tells an entry which lacks them.
     """
 
     def __init__(
-        self, address, failure_domain, fleet, clock, describe, on_named, follower
+        self, address, failure_domain, fleet, clock, describe, on_namings, follower
     ):
         self._address = address
         self._failure_domain = failure_domain
         self._fleet = fleet
         self._clock = clock
         self._describe = describe
-        self._on_named = on_named
+        self._on_namings = on_namings
         self._follower = follower
         self._entries = {}
         self._soon = None
@@ -243,8 +243,8 @@
     def _hear(self, host, load):
         self._note_entries(load.entries)
         self._note(host, load)
-        if load.named:
-            self._on_named(*load.named)
+        if load.namings:
+            self._on_namings(load.namings)
         if load.forward:
             self._forwarder.take(host, load)
 
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -23,9 +23,9 @@
 
     :param host: the entry's IP number; chunks are served at the port it came from.
     :param model: the model that the engine is to hold, or None if not known yet.
-    :param versions: for each named version the seconds since it was heard of, the share
-        of the engines that hold it or a newer one, and whether the entry heard it named,
-        or found it at its start and only assumes the time; the last one is wanted.
+    :param versions: for each of the last names the version, the seconds since then, the
+        share of the engines that hold it or a newer one, and whether the time is certain
+        or only assumed; the last one is wanted.
     :param wave: when the engine's turn to load is, from 0.
     :param wave_count: how many turns there are.
     :param version_within_s: the time in which a named version has to be in use.
@@ -51,8 +51,8 @@
     :param forward: whether the entry is to pass it on to its neighbours.
     :param entries: pairs of IP number and failure domain of some of the entries that
         greeted it lately; empty in most datagrams, to keep them small.
-    :param named: the newest version whose time of naming is known and the seconds since
-        then, for entries that have just started; empty in most datagrams.
+    :param namings: pairs of version and seconds since it was named, oldest first, for
+        an entry that lacks them; empty in most datagrams.
     """
 
     started_ms: int
@@ -63,7 +63,7 @@
     pace: float
     forward: bool = False
     entries: tuple = ()
-    named: tuple = ()
+    namings: tuple = ()
 
 
 @dataclass(frozen=True)
--- a/briarbeam/distribution/reporter.py
+++ b/briarbeam/distribution/reporter.py
@@ -66,14 +66,14 @@
             data = encode(_load(report, version, accepting, entry in forwarders))
             self._send(data, entry[0])
 
-    def welcome(self, report, version, accepting, host, named=()):
+    def welcome(self, report, version, accepting, host, namings=()):
         """Tell a new entry, and who else there is.
 
-        :param named: as in `Load`.
+        :param namings: as in `Load`.
         """
         for _ in range(0, len(self._roster), ENTRIES_PER_DATAGRAM):
             entries = self._roster.next_slice()
-            load = _load(report, version, accepting, entries=entries, named=named)
+            load = _load(report, version, accepting, entries=entries, namings=namings)
             self._send(encode(load), host)
 
     def _tell_one_directly(self, data):
@@ -89,8 +89,8 @@
     return report is not None and report.running + report.waiting >= BUSY_LOAD
 
 
-def _load(report, version, accepting, forward=False, entries=(), named=()):
+def _load(report, version, accepting, forward=False, entries=(), namings=()):
     return Load(
         report.started_ms, version, accepting, report.running, report.waiting,
-        report.pace, forward, entries, named,
+        report.pace, forward, entries, namings,
     )  # fmt: skip
--- a/briarbeam/distribution/role.py
+++ b/briarbeam/distribution/role.py
@@ -15,6 +15,7 @@
         if settings.engine is not None:
             self._stager = Stager(
                 network,
+                clock,
                 settings.engine.address,
                 settings.peer_address,
                 settings.instance.failure_domain,
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -15,6 +15,7 @@
 from .errors import ChunkUnavailableError, MalformedDatagramError
 from .fetcher import ChunkFetcher
 from .messages import MAX_BYTES, Greeting, decode
+from .namings import NamingHistory
 from .peer_server import PeerServer
 from .reporter import LoadReporter
 from .roster import Roster
@@ -49,12 +50,15 @@
     """Follows one engine.
 
     :param network: the `Network`.
+    :param clock: the `Clock`.
     :param engine: the engine's `Address`, on this machine.
     :param address: where datagrams come in; chunks are served at the same port.
     :param link_bytes_per_s: the rate of this machine's link.
     """
 
-    def __init__(self, network, engine, address, failure_domain, link_bytes_per_s):
+    def __init__(
+        self, network, clock, engine, address, failure_domain, link_bytes_per_s
+    ):
         self._network = network
         self._engine = engine
         self._address = address
@@ -66,7 +70,8 @@
         )
         self._newest_of = {}
         self._greeting = None
-        self._named_s = {}
+        self._clock = clock
+        self._namings = NamingHistory(clock)
         self._manifest_due_s = {}
         self._report = None
         self._serving = Semaphore()
@@ -133,15 +138,15 @@
                 self._note(message)
 
     def _note(self, greeting):
-        now_s = time.monotonic()
         is_new = self._roster.note(
             greeting.host, greeting.failure_domain, greeting.silent_forwarder
         )
-        for version, age_s, _, sure in greeting.versions:
-            self._note_naming(version, now_s - age_s, sure)
-        is_unsure = not all(sure for _, _, _, sure in greeting.versions)
-        if self._report is not None and (is_new or (is_unsure and self._named())):
-            self._reporter.welcome(*self._load(), greeting.host, self._named())
+        for version, age_s, _, certain in greeting.versions:
+            self._namings.note(version, age_s, certain)
+        told = self._namings.certain()
+        lacks = self._lacks(greeting, told)
+        if self._report is not None and (is_new or lacks):
+            self._reporter.welcome(*self._load(), greeting.host, told if lacks else ())
         if greeting.model is None or not greeting.versions:
             return
         newest = greeting.versions[-1][0]
@@ -152,19 +157,12 @@
         if newest > known or greeting.host == self._leader(known):
             self._greeting = greeting
 
-    def _note_naming(self, version, named_s, sure):
-        """Keep when a version was named; what an entry only assumes counts least."""
-        known = self._named_s.get(version)
-        if known is None or (sure, -named_s) > (known[1], -known[0]):
-            self._named_s[version] = (named_s, sure)
-
-    def _named(self):
-        """Return the newest version whose naming an entry has heard, and its age."""
-        sure = [version for version, (_, sure) in self._named_s.items() if sure]
-        if not sure:
-            return ()
-        version = max(sure)
-        return version, round(self._age_s(version), 3)
+    def _lacks(self, greeting, told):
+        """Return whether the entry that greeted knows less than `told`."""
+        known = NamingHistory(self._clock)
+        for version, age_s, _, certain in greeting.versions:
+            known.note(version, age_s, certain)
+        return known.lacks(told)
 
     def _leader(self, newest):
         """Return the host of the entry whose plan is followed.
@@ -282,21 +280,16 @@
         if not held:
             # An engine without weights may serve with the older one meanwhile.
             return [newest, older]
-        left_s = greeting.version_within_s - self._age_s(older)
+        left_s = greeting.version_within_s - self._namings.age_s(older)
         late = 0 < left_s < self._copy_time_s()
         copy = self._copies.get(older)
         begun = (
             copy is not None
             and copy.more_than_half()
-            and older_is_useful(greeting.version_within_s, self._age_s(newest))
+            and older_is_useful(greeting.version_within_s, self._namings.age_s(newest))
         )
         return [older, newest] if late or begun else [newest, older]
 
-    def _age_s(self, version):
-        """Return how long ago an entry first heard of `version`, in seconds."""
-        now_s = time.monotonic()
-        return now_s - self._named_s.get(version, (now_s, False))[0]
-
     def _updated_share(self, version):
         """Return the share of the engines that hold `version` or a newer one."""
         shares = {known: share for known, _, share, _ in self._greeting.versions}
@@ -369,7 +362,7 @@
         strategy = "queue"
         if held:
             share = self._updated_share(version)
-            strategy = choose_strategy(greeting, self._age_s(version), share)
+            strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
             return
         self._stage(copy)
@@ -436,7 +429,7 @@
             held=self._held(report),
             orders=report.orders,
             running=report.running,
-            age_s=round(self._age_s(manifest.version), 3),
+            age_s=round(self._namings.age_s(manifest.version), 3),
             strategy=strategy,
             result=result.value,
         )
--- a/briarbeam/kernel/clock.py
+++ b/briarbeam/kernel/clock.py
@@ -52,15 +52,20 @@
     def __init__(self, start=datetime(2026, 1, 1, tzinfo=UTC)):
         self._start = start
         self._elapsed_s = 0.0
+        self._suspended_s = 0.0
 
     def now(self):
-        return self._start + timedelta(seconds=self._elapsed_s)
+        return self._start + timedelta(seconds=self.boottime_s())
 
     def monotonic_s(self):
         return self._elapsed_s
 
     def boottime_s(self):
-        return self._elapsed_s
+        return self._elapsed_s + self._suspended_s
+
+    def suspend(self, duration_s):
+        """Let time pass that the monotonic clock does not count."""
+        self._suspended_s += duration_s
 
     def sleep(self, duration_s):
         self.advance(duration_s)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -227,20 +227,19 @@
                 stream.last_id if stream and stream.last_id else job.meta.last_event_id,
             )  # fmt: skip
             target.note_sent()
-            self._note_send(job, target, now_s)
+            self._note_send(job, target)
             try:
                 call.send(head, job.request.body)
                 self._receive(job, target, call, writer, stream)
             finally:
                 target.note_done()
 
-    def _note_send(self, job, target, now_s):
+    def _note_send(self, job, target):
         job.sends += 1
         job.target_id = target.id
         if job.need.model is not None:
             job.target_version = target.version_of(job.need.model)
-            ends_s = self._admission.weights_end_s(job, target)
-            job.superseded_in_s = None if ends_s is None else ends_s - now_s
+            job.superseded_in_s = self._admission.weights_left_s(job, target)
 
     def _receive(self, job, target, call, writer, stream):
         # A last chance elsewhere is worth more than waiting for a silent target.
@@ -265,10 +264,10 @@
 
     def _limit_by_weights(self, job, target, silence_s):
         """Return how long to wait for the first event, given the target's weights."""
-        ends_s = self._admission.weights_end_s(job, target)
-        if ends_s is None:
+        left_s = self._admission.weights_left_s(job, target)
+        if left_s is None:
             return silence_s
-        left_s = max(0.01, ends_s - SUPERSEDED_MARGIN_S - time.monotonic())
+        left_s = max(0.01, left_s - SUPERSEDED_MARGIN_S)
         return left_s if silence_s is None else min(silence_s, left_s)
 
     def _note_reply(self, target, reply):
@@ -389,16 +388,17 @@
         self._version_within_s = version_within_s
         self._send_margin_s = send_margin_s
 
-    def weights_end_s(self, job, target):
-        """Return when requests may no longer begin on the target's weights, or None.
+    def weights_left_s(self, job, target):
+        """Return how long requests may still begin on the target's weights.
 
-        :returns: a monotonic time in seconds; None while they are the newest.
+        :returns: seconds; None while they are the newest.
         """
-        if job.need.model is None:
+        model = job.need.model
+        if model is None:
             return None
-        version = target.version_of(job.need.model)
-        superseded_s = self._versions.superseded_s(job.need.model, version)
-        return None if superseded_s is None else superseded_s + self._version_within_s
+        return self._versions.superseded_in_s(
+            model, target.version_of(model), self._version_within_s
+        )
 
     def admit(self, request, meta):
         """Return the `Job` for `request`.
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -61,6 +61,7 @@
             clock,
             self._on_version,
             settings.bounds.version_within_s - settings.bounds.contact_s,
+            lambda: self._version_mirror.unseen_s,
         )
         self._fleet = Fleet(clock, self._services)
         self._build_mirrors(StoreClient(network, settings.store.address))
@@ -70,7 +71,7 @@
             self._fleet,
             clock,
             self._describe,
-            self._on_naming_told,
+            self._on_namings_told,
             self._follower,
         )
         self._fleet.on_weights = self._exchange.greet_shortly
@@ -113,7 +114,7 @@
         followed = (
             (records.INSTANCE_KIND, self._update_fleet, INSTANCE_SETTLE_S),
             (records.EVACUATION_KIND, self._update_evacuated, SETTLE_S),
-            (records.VERSION_KIND, self._versions.update, SETTLE_S),
+            (records.VERSION_KIND, self._versions.update, 0.0),
         )
         others = [
             Mirror(
@@ -123,6 +124,7 @@
             for kind, on_change, settle_s in followed
         ]  # fmt: skip
         self._mirrors = [self._config, *others]
+        self._version_mirror = others[-1]
         self._follower = StoreFollower(self._clock, self._config, others)
 
     def _build_servers(self):
@@ -199,10 +201,10 @@
             _log.info("evacuated", failure_domains=sorted(evacuated))
         self._fleet.evacuated = evacuated
 
-    def _on_naming_told(self, version, age_s):
+    def _on_namings_told(self, told):
         state = self._in_force.state
         if state is not None:
-            self._versions.learn_age(state.find_model(), version, age_s)
+            self._versions.learn(state.find_model(), told)
 
     def _on_version(self, model, version):
         self._exchange.greet_soon()
@@ -221,8 +223,8 @@
         return {
             "model": model,
             "versions": tuple(
-                (version, age_s, updated_share(engines, model, version), sure)
-                for version, age_s, sure in self._versions.ages(model)
+                (version, age_s, updated_share(engines, model, version), certain)
+                for version, age_s, certain in self._versions.describe(model)
             ),
             **plan_wave(engines, target, model),
             "version_within_s": self._settings.bounds.version_within_s,
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -1,10 +1,9 @@
 """The desired state in force here, and how sure it is."""
 
-from dataclasses import dataclass
-
 import structlog
 from prometheus_client import Gauge
 
+from ..distribution.namings import FIRST_VERSION, NamingHistory
 from ..platform.records import (
     CONFIG_NAME,
     decode_desired_state,
@@ -12,6 +11,9 @@
 )
 from .errors import MalformedRecordError
 
+# An age that is known to within this counts as certain, at its upper bound.
+CERTAIN_WITHIN_S = 1.0
+
 _REQUIRED = Gauge(
     "briarbeam_required_version", "Oldest weights that a request may begin on now"
 )
@@ -50,19 +52,25 @@
 
 
 class NamedVersions:
-    """The weights' versions that operators named, and when each was heard of.
+    """The weights' versions that operators named, and when.
+
+    What is found named after a time without the store has only an assumed age. It is
+    required once callers' requests are bound by it again, until others tell its age.
 
     :param clock: the `Clock`.
     :param on_change: called with model and version after each change.
-    :param first_age_s: how long ago what the first list names is taken to have been
-        named; the store does not say when it was. `learn_age` tells better.
+    :param assumed_age_s: the age that is assumed at the start and at the store's return.
+    :param unseen_s: a function that returns for how long the records were not seen before
+        the last change; infinite before they were seen first.
     """
 
-    def __init__(self, clock, on_change, first_age_s):
+    def __init__(self, clock, on_change, assumed_age_s, unseen_s):
         self._clock = clock
         self._on_change = on_change
-        self._first_age_s = first_age_s
-        self._namings = {}
+        self._assumed_age_s = max(0.0, assumed_age_s)
+        self._unseen_s = unseen_s
+        self._started_s = clock.boottime_s()
+        self._histories = {}
         self._first = True
 
     def update(self, records):
@@ -76,78 +84,68 @@
             self._note(model, version)
         self._first = False
 
+    def history(self, model):
+        """Return the `NamingHistory` of `model`."""
+        if model not in self._histories:
+            self._histories[model] = NamingHistory(self._clock)
+        return self._histories[model]
+
     def newest(self, model):
         """Return the newest version named of `model`; 1 before any was named."""
-        namings = self._namings.get(model)
-        return namings[-1].version if namings else 1
-
-    def superseded_s(self, model, version):
-        """Return when the first version above `version` was heard of, or None.
-
-        :returns: a monotonic time in seconds.
-        """
-        for naming in self._namings.get(model, ()):
-            if naming.version > version:
-                return naming.at_s
-        return None
-
-    def ages(self, model):
-        """Return for the last two versions the seconds since each was heard of.
-
-        :returns: triples of version, age and whether the version was heard named, or
-            its age is only assumed; oldest first.
-        """
-        now_s = self._clock.monotonic_s()
-        namings = self._namings.get(model) or [_Naming(1, now_s)]
-        return tuple(
-            (naming.version, round(now_s - naming.at_s, 3), not naming.assumed)
-            for naming in namings[-2:]
-        )
+        return self.history(model).newest or FIRST_VERSION
 
-    def learn_age(self, model, version, age_s):
-        """Take over from another daemon how long ago a version was named.
+    def describe(self, model):
+        """Return triples of version, age in seconds and certainty of the last names."""
+        return self.history(model).describe() or ((FIRST_VERSION, 0.0, False),)
 
-        Counts only for versions that were found named at the start; of several daemons'
-        words the oldest holds, as long as it is younger than what was assumed.
-        """
-        named_s = self._clock.monotonic_s() - age_s
-        for naming in self._namings.get(model, ()):
-            if naming.version != version or not naming.assumed:
-                continue
-            if (named_s < naming.at_s) if naming.told else (named_s > naming.at_s):
-                naming.at_s, naming.told = named_s, True
-                _log.info("naming_learned", version=version, age_s=round(age_s, 3))
+    def superseded_in_s(self, model, version, within_s):
+        """Return how long requests may still begin on `version`, or None for ever."""
+        named_s = self.history(model).superseded_s(version)
+        return (
+            None if named_s is None else named_s + within_s - self._clock.boottime_s()
+        )
+
+    def learn(self, model, told):
+        """Take over what another daemon knows for certain, as `NamingHistory.learn`."""
+        history = self.history(model)
+        newest = history.newest
+        if history.lacks(told):
+            _log.info(
+                "namings_learned", model=model, known=history.describe(), told=told
+            )
+        history.learn(told)
+        if history.newest > newest:
+            self._on_change(model, history.newest)
 
     def required(self, model, within_s):
-        """Return the newest version that was heard of `within_s` seconds ago or more."""
-        now_s = self._clock.monotonic_s()
-        namings = self._namings.get(model, ())
-        due = [n.version for n in namings if now_s - n.at_s >= within_s]
-        required = due[-1] if due else 0
+        """Return the newest version that was named `within_s` seconds ago or more."""
+        required = self.history(model).required(within_s)
         _REQUIRED.set(required)
         return required
 
     def _note(self, model, version):
-        namings = self._namings.setdefault(model, [])
-        if namings and version <= namings[-1].version:
+        history = self.history(model)
+        if version <= history.newest:
             return
-        age_s = max(0.0, self._first_age_s) if self._first else 0.0
-        heard_s = self._clock.monotonic_s() - age_s
-        namings.append(_Naming(version, heard_s, assumed=self._first))
-        _log.info("version_named", model=model, version=version, assumed_age_s=age_s)
+        if not history and not self._first:
+            # No name was there before: engines may hold the first version.
+            known_for_s = self._clock.boottime_s() - self._started_s
+            history.note(FIRST_VERSION, known_for_s, True)
+        age_s, certain = self._age_s()
+        history.note(version, age_s, certain)
+        _log.info(
+            "version_named",
+            model=model,
+            version=version,
+            age_s=round(age_s, 3),
+            certain=certain,
+        )
         self._on_change(model, version)
 
-
-@dataclass
-class _Naming:
-    """When a version was named.
-
-    :param at_s: monotonic time.
-    :param assumed: it was found named at the start, so the time is a guess.
-    :param told: another daemon told the time since.
-    """
-
-    version: int
-    at_s: float
-    assumed: bool = False
-    told: bool = False
+    def _age_s(self):
+        """Return the age of a name that was just seen, and whether that is certain."""
+        if self._first:
+            running_s = self._clock.boottime_s() - self._started_s
+            return self._assumed_age_s + running_s, False
+        unseen_s = self._unseen_s()
+        return min(unseen_s, self._assumed_age_s), unseen_s <= CERTAIN_WITHIN_S
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -22,6 +22,8 @@
 class Mirror:
     """Keeps the records of a kind, and when they were last confirmed.
 
+    `unseen_s` is for how long no call would have shown a change, before the last one did.
+
     :param store: the `StoreClient`.
     :param clock: the `Clock`.
     :param wait_s: a function that returns how long the next watch waits, in seconds.
@@ -60,6 +62,8 @@
         self._task = None
         self.reachable = Event()
         self.reachable.set()
+        self.unseen_s = math.inf
+        self._answered_s = -math.inf
         self.confirmed_s = None
         self.restored_s = None
 
@@ -150,6 +154,7 @@
             before = self.summary
             records, self._revision = self._store.list(self._kind)
             self._records = {record.name: record for record in records}
+            self._note_answer(self._clock.boottime_s())
             self.confirmed_s = sent_s
             self._on_change(self._records)
             self._in_series = self._in_series and self.summary != before
@@ -160,12 +165,18 @@
                 self._records.pop(change.record.name, None)
             else:
                 self._records[change.record.name] = change.record
+        self._note_answer(sent_s)
         self.confirmed_s = sent_s
         if changes:
             self._on_change(self._records)
             self._note_series()
         return bool(changes)
 
+    def _note_answer(self, unseen_until_s):
+        """Note that the store answered a call that shows all changes from then on."""
+        self.unseen_s = unseen_until_s - self._answered_s
+        self._answered_s = self._clock.boottime_s()
+
     def _note_series(self):
         """Notice changes in quick succession."""
         now_s = self._clock.monotonic_s()
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -122,7 +122,7 @@
         self.fleet = Fleet(self.clock, lambda: self.in_force.state.services)
         for name, fake in instances.items():
             self.add(name, fake.address)
-        self.versions = NamedVersions(self.clock, lambda model, version: None, 0.0)
+        self.versions = versions_of(self.clock, 0.0)
         self.budget = RetryBudget(0.2, 100, 10.0)
         balancer = Balancer(
             self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
@@ -153,7 +153,7 @@
 
     def name_version(self, version, age_s):
         """Have a version of the model ``m`` named so long ago."""
-        self.versions = NamedVersions(self.clock, lambda model, version: None, age_s)
+        self.versions = versions_of(self.clock, age_s)
         self.versions.update(
             {"m": Record("m", version, {"model": "m", "version": version})}
         )
@@ -169,6 +169,13 @@
         return read_all(sock)
 
 
+def versions_of(clock, assumed_age_s=5.0, unseen_s=0.0):
+    """Return the `NamedVersions` of an entry that has just started."""
+    return NamedVersions(
+        clock, lambda model, version: None, assumed_age_s, lambda: unseen_s
+    )
+
+
 def request_bytes(path=b"/a/x", key=b"k1", method=b"GET", headers=b"", body=b""):
     """Return a caller's request that asks for the connection's end."""
     head = b"%b %b HTTP/1.1\r\nhost: h.example\r\n" % (method, path)
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -9,6 +9,7 @@
 from briarbeam.distribution.messages import Greeting, Load, decode, encode
 from briarbeam.distribution.stager import Stager
 from briarbeam.distribution.waves import plan_wave, updated_share
+from briarbeam.kernel.clock import SystemClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform import engines
 
@@ -34,7 +35,9 @@
         self.engine = self.network.handlers[ENGINE] = FakeEngine(version)
         self.network.handlers[PEER] = self._answer
         self.slow_s = 0.0
-        self.stager = Stager(self.network, ENGINE, Address("10.0.0.5", 77), "z1", 1e4)
+        self.stager = Stager(
+            self.network, SystemClock(), ENGINE, Address("10.0.0.5", 77), "z1", 1e4
+        )
         self.sent = []
         self.stager._send = lambda data, host: self.sent.append(decode(data))
         self.stager._report = engines.fetch_report(self.network, ENGINE)
@@ -265,7 +268,8 @@
     bench.stager._note(
         Greeting("10.0.0.9", "z1", MODEL, ((2, 5.0, 0.0, False),), 0, 3, 8.0)
     )
-    (told,) = [load.named for load in bench.sent if load.named]
-    assert told[0] == 2 and 1.0 <= told[1] < 1.2
+    (told,) = [load.namings for load in bench.sent if load.namings]
+    ((version, age_s),) = told
+    assert version == 2 and 1.0 <= age_s < 1.2
     # A guess moves nothing that was heard.
-    assert bench.stager._age_s(2) < 1.2
+    assert bench.stager._namings.age_s(2) < 1.2
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -9,10 +9,11 @@
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.platform.store import Change, Record
 from briarbeam.relay.errors import HistoryGoneError, StoreUnavailableError
-from briarbeam.relay.inforce import InForce, NamedVersions
+from briarbeam.relay.inforce import InForce
 from briarbeam.relay.limits import ColdWindow, Place, RetryBudget
 from briarbeam.relay.mirror import Mirror
 
+from .relay_fakes import versions_of
 from .test_platform_records import CONFIG
 
 
@@ -113,7 +114,7 @@
 
 def test_named_version_is_required_after_its_time_and_at_a_start_sooner():
     clock = ManualClock()
-    versions = NamedVersions(clock, lambda model, version: None, 5.0)
+    versions = versions_of(clock)
     versions.update(named(2))
     assert versions.required("m", 8.0) == 0
     clock.advance(3.0)
@@ -130,27 +131,27 @@
 def test_version_found_at_the_start_is_required_as_late_as_others_tell():
     clock = ManualClock()
     clock.advance(100.0)
-    versions = NamedVersions(clock, lambda model, version: None, 5.0)
+    versions = versions_of(clock)
     versions.update(named(2))
-    assert versions.ages("m") == ((2, 5.0, False),)
-    versions.learn_age("m", 2, 0.5)
-    versions.learn_age("m", 2, 0.7)
-    versions.learn_age("m", 2, 0.1)
+    assert versions.describe("m") == ((2, 5.0, False),)
+    versions.learn("m", ((1, 90.0), (2, 0.5)))
+    versions.learn("m", ((1, 90.0), (2, 0.7)))
+    versions.learn("m", ((1, 90.0), (2, 0.1)))
     clock.advance(7.0)
-    assert versions.required("m", 8.0) == 0
+    assert versions.required("m", 8.0) == 1
     clock.advance(0.3)
     assert versions.required("m", 8.0) == 2
 
 
 def test_version_that_was_heard_named_keeps_its_time():
     clock = ManualClock()
-    versions = NamedVersions(clock, lambda model, version: None, 5.0)
+    versions = versions_of(clock)
     versions.update({})
     versions.update(named(2))
     clock.advance(8.0)
-    versions.learn_age("m", 2, 1.0)
+    versions.learn("m", ((2, 1.0),))
     assert versions.required("m", 8.0) == 2
-    assert versions.ages("m") == ((2, 8.0, True),)
+    assert versions.describe("m")[-1] == (2, 8.0, True)
 
 
 @given(entries=st.integers(1, 60), rate=st.sampled_from([26.0, 10.0, 3.0]))
