Tell names with their gaps, and only while an entry lacks what it can take over

Cause: certain() left out names whose time is only assumed and told the others as complete. An entry that was away from the store for over a second when version 2 was named, and heard version 3, makes a stager hold (1, certain), (2, assumed), (3, certain); it told 1 and 3, and an entry that starts then gave version 1 time until that of 3. learn() marked a first name as certain though names before it can be missing, which other histories took as complete. Where it did not, the entry stayed assumed for ever and lacks() called for each greeting's answer. The age of the first name told was not compared, so that a wrong one stayed.

Change: names are told with their certainty, so that gaps stay visible; the first certain name after a gap is taken over as assumed, at the oldest of the times; lacks() asks for no more than that. superseded_s() is the oldest time of all newer names. In test_entry_that_only_assumes_when_a_version_was_named_is_told the stager knows the first version too, as it does where a name was heard; telling the newest name alone changed nothing at the entry, which keeps its own assumption.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -60,8 +60,8 @@
     :param fleet: the `Fleet` to greet and to note reports in.
     :param describe: a function of a target that returns what to tell it of versions.
     :param follower: the `StoreFollower`, which compares with a neighbour.
-    :param on_namings: called with pairs of version and age that a daemon beside an
-        engine tells an entry which lacks them.
+    :param on_namings: called with the names that a daemon beside an engine tells an
+        entry which lacks them.
     """
 
     def __init__(
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -51,8 +51,8 @@
     :param forward: whether the entry is to pass it on to its neighbours.
     :param entries: pairs of IP number and failure domain of some of the entries that
         greeted it lately; empty in most datagrams, to keep them small.
-    :param namings: pairs of version and seconds since it was named, oldest first, for
-        an entry that lacks them; empty in most datagrams.
+    :param namings: for an entry that lacks them, names as `NamingHistory.certain` returns
+        them; empty in most datagrams.
     """
 
     started_ms: int
--- a/briarbeam/distribution/namings.py
+++ b/briarbeam/distribution/namings.py
@@ -20,7 +20,8 @@
     """When a version was named.
 
     :param named_s: boot time, which counts time suspended.
-    :param certain: False while the time is only assumed.
+    :param certain: False while the time is only assumed; names right before it may then
+        be missing, too.
     """
 
     version: int
@@ -31,7 +32,7 @@
 class NamingHistory:
     """The names of one model, oldest first.
 
-    Between two names that are certain there is none that is not known here.
+    Between two names in a row that are certain there is none that is not known here.
 
     :param clock: the `Clock`.
     """
@@ -63,29 +64,27 @@
     def learn(self, told):
         """Take over what another daemon knows for certain.
 
-        :param told: pairs of version and age in seconds, oldest first. It knows every
-            name between them, but not the names before the first.
+        :param told: as `certain` returns it.
         """
-        first_version, first_age_s = told[0]
-        assumed = self._first_assumed(first_version)
-        if assumed is not None and first_version > FIRST_VERSION:
-            # Versions below the first may have been superseded before it.
-            self._assume(first_version, first_age_s, assumed.named_s)
-            told = told[1:]
-        for version, age_s in told:
-            self.note(version, age_s, True)
+        for version, age_s, certain, complete in _with_completeness(told):
+            known = self._find(version)
+            if complete or (certain and known is not None and known.certain):
+                self.note(version, age_s, True)
+            elif certain or known is None:
+                self._assume(version, age_s)
 
     def lacks(self, told):
-        """Return whether `told`, as in `learn`, says more than this history.
-
-        The age of the first name does not count: daemons know it since they started.
-        """
+        """Return whether `told`, as in `learn`, says more than this history."""
         now_s = self._clock.boottime_s()
-        for position, (version, age_s) in enumerate(told):
+        for version, age_s, certain, complete in _with_completeness(told):
+            if not certain:
+                continue
             known = self._find(version)
-            if known is None or not known.certain:
+            if known is None or (complete and not known.certain):
                 return True
-            if position and age_s > now_s - known.named_s + AGE_TOLERANCE_S:
+            late_s = age_s - (now_s - known.named_s)
+            # Each daemon counts the first version from its own start.
+            if version != FIRST_VERSION and late_s > AGE_TOLERANCE_S:
                 return True
         return False
 
@@ -94,10 +93,8 @@
 
         :returns: boot time in seconds.
         """
-        for naming in self._namings:
-            if naming.version > version:
-                return naming.named_s
-        return None
+        newer_s = [n.named_s for n in self._namings if n.version > version]
+        return min(newer_s, default=None)
 
     def required(self, within_s):
         """Return the newest version named `within_s` seconds ago or more; 0 if none."""
@@ -119,8 +116,11 @@
         )
 
     def certain(self):
-        """Return what others may `learn` from this history."""
-        return tuple((v, age_s) for v, age_s, certain in self.describe() if certain)
+        """Return what others may `learn`: as `describe`, up to the last certain name."""
+        told = list(self.describe())
+        while told and not told[-1][2]:
+            told.pop()
+        return tuple(told)
 
     def _find(self, version):
         return next((n for n in self._namings if n.version == version), None)
@@ -130,16 +130,27 @@
         self._namings.sort(key=lambda n: n.version)
         del self._namings[:-KEPT_MAX]
 
-    def _first_assumed(self, version):
-        """Return the first name from `version` on if its time is only assumed."""
-        later = [n for n in self._namings if n.version >= version]
-        return later[0] if later and not later[0].certain else None
+    def _assume(self, version, age_s):
+        """Note a name before which others may be missing.
 
-    def _assume(self, version, age_s, not_after_s):
+        Those would have superseded older versions before it; what was assumed of them
+        here still holds.
+        """
+        later = [n for n in self._namings if n.version >= version]
         named_s = self._clock.boottime_s() - age_s
+        if later and not later[0].certain:
+            named_s = min(named_s, later[0].named_s)
         known = self._find(version)
         if known is None:
-            known = Naming(version, named_s, True)
-            self._insert(known)
-        known.certain = named_s <= not_after_s
-        known.named_s = min(named_s, not_after_s)
+            self._insert(Naming(version, named_s, False))
+        else:
+            known.named_s = named_s
+
+
+def _with_completeness(told):
+    """Add to each name whether, besides, no other was made between it and the last one."""
+    after_certain = False
+    for version, age_s, certain in told:
+        complete = certain and (after_certain or version == FIRST_VERSION)
+        yield version, age_s, certain, complete
+        after_certain = certain
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -263,13 +263,16 @@
 
 def test_entry_that_only_assumes_when_a_version_was_named_is_told():
     bench = Bench(version=1)
-    bench.greet((2, 1.0, 0.0))
+    bench.greet((1, 90.0, 1.0), (2, 1.0, 0.0))
     bench.sent.clear()
     bench.stager._note(
         Greeting("10.0.0.9", "z1", MODEL, ((2, 5.0, 0.0, False),), 0, 3, 8.0)
     )
     (told,) = [load.namings for load in bench.sent if load.namings]
-    ((version, age_s),) = told
-    assert version == 2 and 1.0 <= age_s < 1.2
+    assert [(version, certain) for version, _, certain in told] == [
+        (1, True),
+        (2, True),
+    ]
+    assert 1.0 <= told[1][1] < 1.2
     # A guess moves nothing that was heard.
     assert bench.stager._namings.age_s(2) < 1.2
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -134,9 +134,9 @@
     versions = versions_of(clock)
     versions.update(named(2))
     assert versions.describe("m") == ((2, 5.0, False),)
-    versions.learn("m", ((1, 90.0), (2, 0.5)))
-    versions.learn("m", ((1, 90.0), (2, 0.7)))
-    versions.learn("m", ((1, 90.0), (2, 0.1)))
+    versions.learn("m", ((1, 90.0, True), (2, 0.5, True)))
+    versions.learn("m", ((1, 90.0, True), (2, 0.7, True)))
+    versions.learn("m", ((1, 90.0, True), (2, 0.1, True)))
     clock.advance(7.0)
     assert versions.required("m", 8.0) == 1
     clock.advance(0.3)
@@ -149,7 +149,7 @@
     versions.update({})
     versions.update(named(2))
     clock.advance(8.0)
-    versions.learn("m", ((2, 1.0),))
+    versions.learn("m", ((2, 1.0, True),))
     assert versions.required("m", 8.0) == 2
     assert versions.describe("m")[-1] == (2, 8.0, True)
 
