Send nothing to engines before the names are known; bound what is told before the list

What callers could see: requests that begin on a version whose time is over, at an entry that has the desired state and the instances but whose call for the named versions was lost or is slow: until it is made again, about 0.8 s later, no version is required at all. The entry is ready meanwhile.

An empty history means that nothing was named as well as that nothing is known yet. Besides, a stager's word that comes before the first list was taken without the age that is assumed at the start, so that a word about the newest name alone gave older versions its time.

Evidence: both tests failed before: the request was sent on and answered with 200, and version 1 had 7.0 s left instead of 3.0 s.

Change: until the store or another daemon has told the names, requests for a model are refused as not run and the entry is not ready; a word before the first list is bounded by the assumed age as one after it is. The fake entry of the tests lists an empty store first.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -166,7 +166,8 @@
     def _is_ready(self):
         age_s = self._config.age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
-        return not self._stopping and age_s is not None and age_s < bound_s
+        known = age_s is not None and self._versions.known
+        return not self._stopping and known and age_s < bound_s
 
     def _limits(self):
         state = self._in_force.state
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -84,6 +84,11 @@
             self._note(model, version)
         self._first = False
 
+    @property
+    def known(self):
+        """Whether the store or another daemon has told what was named."""
+        return not self._first or any(self._histories.values())
+
     def history(self, model):
         """Return the `NamingHistory` of `model`."""
         if model not in self._histories:
@@ -113,6 +118,9 @@
             _log.info(
                 "namings_learned", model=model, known=history.describe(), told=told
             )
+        if self._first and not history:
+            newest_told = told[-1][0]
+            history.note(newest_told, *self._age_s())
         history.learn(told)
         if history.newest > newest:
             self._on_change(model, history.newest)
--- a/tests/test_distribution_namings.py
+++ b/tests/test_distribution_namings.py
@@ -153,6 +153,15 @@
     assert history.required(6.0) == 2
 
 
+def test_word_of_others_that_comes_before_the_first_list_gives_no_more_time():
+    clock = ManualClock()
+    clock.advance(100.0)
+    versions = versions_of(clock, ASSUMED_S)
+    versions.learn("m", ((3, 1.0, True),))
+    versions.update(named(3))
+    assert versions.superseded_in_s("m", 1, WITHIN_S) <= WITHIN_S - ASSUMED_S
+
+
 @st.composite
 def days(draw):
     """Return times of names, and entries with their start and a cut from the store."""
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -19,6 +19,7 @@
     reset,
     state,
     stream_head,
+    versions_of,
 )
 
 UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
@@ -363,6 +364,18 @@
     assert not old.requests
 
 
+def test_nothing_is_sent_to_engines_before_the_named_versions_are_known():
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({}, service, kind=RequestKind.STREAMING)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.admission._versions = versions_of(entry.clock)
+    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 503")
+    assert not fake.requests
+    entry.admission._versions.learn("m", ((1, 9.0, True), (2, 1.0, True)))
+    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 200")
+
+
 def test_broken_stream_goes_on_only_on_weights_that_may_still_begin():
     def breaks_late(instance, sock, request):
         sock.sendall(stream_head() + event(1))
