Count an instance's grace after an outage from the store's return

What callers could see: requests sent to an instance up to 3.4 s after the store's return, though it left 1.7 s after it; and on a machine that was ever suspended, to each instance that leaves without notice for 1.7 s, with the pause after a change 2.6 s, where 2 s are allowed.

The grace began when the entry was missed, and "recent" compared monotonic time with the boot time at which the store came back, so that after a suspension each outage was recent for ever.

Evidence: both tests failed before; the target was kept until 3.2 s and 31.7 s where the store had come back at 0 s.

Change: the grace ends so long after the store's return, in boot time, whenever the entry is missed.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -133,6 +133,7 @@
     :param clock: the `Clock`.
     :param services: a function that returns the declared `Service` objects by name.
 
+    `store_restored_s` is the boot time of the store's last return, or None.
     `on_weights` is called without arguments when a target appears or holds other weights.
     """
 
@@ -249,15 +250,16 @@
         return Target(instance, now_s + cold_s, window)
 
     def _lapse(self, target, now_s):
-        """Let an entry go: at once, or a little later if the store was away.
+        """Let an entry go: at once, or a little after the return of a store that was away.
 
         Entries lapse while the store is away, and living instances write theirs again.
         """
         if target.lapse_at_s is not None:
             return
-        restored_s = self.store_restored_s
-        recent = restored_s is not None and now_s - restored_s < LAPSE_GRACE_S
-        grace_s = LAPSE_GRACE_S if recent and not target.instance.draining else 0.0
+        grace_s = 0.0
+        if self.store_restored_s is not None and not target.instance.draining:
+            restored_for_s = self._clock.boottime_s() - self.store_restored_s
+            grace_s = max(0.0, LAPSE_GRACE_S - restored_for_s)
         target.lapse_at_s = now_s + grace_s
 
 
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -121,6 +121,28 @@
     assert fleet.targets("s") == []
 
 
+def test_instance_that_leaves_after_an_outage_is_not_kept_beyond_the_time_to_return():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.store_restored_s = clock.boottime_s()
+    clock.advance(1.5)
+    fleet.update({})
+    clock.advance(0.5)
+    assert fleet.targets("s") == []
+
+
+def test_outage_before_a_suspension_is_not_taken_as_recent():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    clock.suspend(60.0)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.store_restored_s = clock.boottime_s()
+    clock.advance(30.0)
+    fleet.update({})
+    assert fleet.targets("s") == []
+
+
 def test_entry_that_goes_while_the_store_is_well_is_gone_at_once():
     fleet = Fleet(ManualClock(), dict)
     fleet.update({"i1": Record("i1", 1, ENTRY)})
