Check a target's weights again right before a request is sent to it

What callers could see: a request that begins on a version whose time ended between the choice of the target and the send, as at a process that is suspended there.

Cause: what is decided again before the send were keys and leaving instances only; the version was required when the target was chosen.

Evidence: test_weights_whose_time_ends_before_the_send_get_nothing failed before: 200 from version 1, 9 s after version 2 was named.

Change: the required version is worked out again before the send; a target below it is left for another as one that is leaving.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -454,6 +454,11 @@
                     raise UnknownKeyError("the key was taken away")
         if target.instance.draining:
             raise ConnectFailedError(f"{target.id} is leaving")
+        model = job.need.model
+        if model is not None:
+            required = self._required_version(job.need.service, job.meta)
+            if target.version_of(model) < required:
+                raise ConnectFailedError(f"{target.id} holds superseded weights")
 
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
