Do not take an instance as cold because its entry was written again

What callers could see: after a cut zone or an outage of the store is over, engines whose entries lapsed get only the rate of a cold engine for cold_start_s, shared among all entries, though they ran all the time.

Coldness counts from when an entry first hears of an instance, and what it knew of it ended with the entry's lapse.

Change: the fleet remembers lapsed instances; one that is written again with the same start is the same target. What its entry says of coldness holds as before.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -18,6 +18,8 @@
 # An entry that lapsed during an outage of the store is written again within about
 # two seconds of the store's return; leaving instances must be dropped within two.
 LAPSE_GRACE_S = 1.7
+# Instances remembered after their entry lapsed, in case it is written again.
+GONE_MAX = 100
 # A report older than this tells less than this entry's own counts.
 REPORT_MAX_AGE_S = 1.5
 # What an engine whose load nobody tells is thought to have of other entries, as a factor
@@ -141,6 +143,7 @@
         self._clock = clock
         self._services = services
         self._targets = {}
+        self._gone = {}
         self._bad = {}
         self._first = True
         self.evacuated = frozenset()
@@ -169,7 +172,9 @@
         now_s = self._clock.monotonic_s()
         for name in [n for n, t in self._targets.items() if _has_lapsed(t, now_s)]:
             _log.info("instance_gone", instance=name)
-            del self._targets[name]
+            self._gone[name] = self._targets.pop(name)
+        while len(self._gone) > GONE_MAX:
+            del self._gone[next(iter(self._gone))]
         return [t for t in self._targets.values() if t.instance.service == service]
 
     def all(self):
@@ -213,7 +218,7 @@
         return instance
 
     def _put(self, instance, now_s):
-        known = self._targets.get(instance.id)
+        known = self._targets.get(instance.id) or self._take_back(instance)
         service = self._services().get(instance.service)
         if known is None or known.instance.started_ms != instance.started_ms:
             known = self._new(instance, service, now_s, restarted=known is not None)
@@ -231,6 +236,20 @@
         if instance.cold_left_s > 0:
             known.cold_until_s = max(known.cold_until_s, now_s + instance.cold_left_s)
 
+    def _take_back(self, instance):
+        """Return the target of a lapsed entry that is written again, or None.
+
+        An instance that has not started anew meanwhile is no colder than it was.
+        """
+        target = self._gone.pop(instance.id, None)
+        if target is None or not instance.started_ms:
+            return None
+        target.report = None
+        self._targets[instance.id] = target
+        _log.info("instance_returned", instance=instance.id)
+        self.on_weights()
+        return target
+
     def _new(self, instance, service, now_s, restarted):
         cold_s = 0.0
         if service is not None and not self._first:
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briarbeam.catalog import RequestKind
+from briarbeam.catalog import RequestKind, Service
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform import headers as wire
@@ -143,6 +143,22 @@
     assert fleet.targets("s") == []
 
 
+def test_instance_whose_entry_lapsed_is_not_cold_when_it_is_written_again():
+    clock = ManualClock()
+    service = Service("s", cold_start_s=3.0, cold_requests_per_s=26.0)
+    fleet = Fleet(clock, lambda: {"s": service})
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.update({})
+    assert fleet.targets("s") == []
+    clock.advance(2.0)
+    fleet.update({"i1": Record("i1", 2, ENTRY)})
+    assert not fleet.get("i1").is_cold(clock.monotonic_s())
+    fleet.update({})
+    assert fleet.targets("s") == []
+    fleet.update({"i1": Record("i1", 3, dict(ENTRY, born=1800))})
+    assert fleet.get("i1").is_cold(clock.monotonic_s())
+
+
 def test_entry_that_goes_while_the_store_is_well_is_gone_at_once():
     fleet = Fleet(ManualClock(), dict)
     fleet.update({"i1": Record("i1", 1, ENTRY)})
