Fetch no weights for a joined engine that it could not serve with

What callers could see: nothing at once; an engine without weights drew version 1 beside the wanted one, from neighbours or the origin's narrow link, however long ago its time was over, and went on with it while it loaded the wanted one.

Cause: since entries tell the whole history of names, greetings hold version 1 as soon as version 2 is named; before, they began with the first one that was named. That an older version can serve meanwhile was decided without its time.

Evidence: both tests failed before: [2, 1] instead of [2], 9 s after version 2 was named with a bound of 8 s, and [1] instead of [] with version 2 complete.

Change: a version is fetched only while requests may begin on it and nothing newer is complete.

--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -269,10 +269,11 @@
         if report is None or greeting is None:
             return []
         held = self._held(report)
+        here = max([held, *filter(self._is_complete, self._copies)])
         waiting = [
             version
             for version, _, _, _ in greeting.versions
-            if version > held and not self._is_complete(version)
+            if version > here and not self._is_over(version)
         ]
         if len(waiting) < 2:
             return waiting
@@ -295,6 +296,15 @@
         shares = {known: share for known, _, share, _ in self._greeting.versions}
         return shares.get(version, 0.0)
 
+    def _is_over(self, version):
+        """Return whether no request may begin on `version` any more."""
+        superseded_s = self._namings.superseded_s(version)
+        if superseded_s is None:
+            return False
+        return (
+            self._clock.boottime_s() - superseded_s >= self._greeting.version_within_s
+        )
+
     def _is_complete(self, version):
         copy = self._copies.get(version)
         return copy is not None and not copy.missing()
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -170,6 +170,21 @@
     assert bench.engine.version == 1
 
 
+def test_joined_engine_gets_no_weights_on_which_nothing_may_begin():
+    bench = Bench(version=0)
+    bench.greet((1, 90.0, 1.0), (2, 9.0, 0.0))
+    assert bench.stager._rank_versions() == [2]
+
+
+def test_joined_engine_fetches_nothing_older_than_what_is_complete():
+    bench = Bench(version=0)
+    bench.greet((1, 90.0, 1.0), (2, 1.0, 0.0))
+    copy = bench.stager._open_copy(2)
+    for number in range(CHUNK_COUNT):
+        copy.note(number, chunk(2, number))
+    assert bench.stager._rank_versions() == []
+
+
 def test_older_version_that_is_mostly_here_goes_first():
     bench = Bench(version=1)
     bench.greet((2, 0.5, 0.0), (3, 0.0, 0.0), wave=1)
