Decide from the name's time whether an older copy is still of use

What callers could see: at an entry that started or heard of a version late, the older version goes on being drawn before the one that is wanted, though it could not serve in time any more.

Copy.age_s counted from when this entry first heard of the version, while the bound counts from its name.

Evidence: before, a copy that was just opened let the older one go first, whatever the age of its name. The test now moves the name's time instead of the copy's.

Change: the chunk store asks how long requests may still begin on the older version.

--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -14,7 +14,7 @@
 from ..platform import engines
 from .errors import ChunkUnavailableError, CorruptChunkError
 from .ranking import chunk_subject, manifest_subject, rank_entries
-from .waves import older_is_useful
+from .waves import OLDER_USEFUL_S
 
 # Chunks under way at once, over all entries of a failure domain. The origin's link
 # carries nothing else; between regions what is in flight delays live requests.
@@ -59,16 +59,12 @@
         self.chunks = {}
         self.task = None
         self.asked_for = False
-        self.progress_s = self._since_s = time.monotonic()
+        self.progress_s = time.monotonic()
         self._wanted = set()
         self._drawing = set()
         self._wanted_more = Event()
         self._waiting = {}
 
-    def age_s(self):
-        """Return the seconds since this entry heard of the version."""
-        return time.monotonic() - self._since_s
-
     def stalled_s(self):
         """Return for how long no chunk has come, in seconds."""
         return time.monotonic() - self.progress_s
@@ -131,7 +127,8 @@
     :param entries: a function that returns pairs of host and failure domain.
     :param holders: a function of model and version that returns hosts nearby whose
         engines hold it, with a copy in their staging area.
-    :param version_within_s: the time in which a named version has to be in use.
+    :param superseded_in_s: a function of model and version that returns how long requests
+        may still begin on it, in seconds, or None for ever.
     """
 
     def __init__(
@@ -142,7 +139,7 @@
         source,
         entries,
         holders,
-        version_within_s,
+        superseded_in_s,
     ):
         self._network = network
         self._address = address
@@ -150,7 +147,7 @@
         self._source = source
         self._entries = entries
         self._holders = holders
-        self._version_within_s = version_within_s
+        self._superseded_in_s = superseded_in_s
         self._copies = {}
         self._avoid_until_s = {}
         self._origin_lost = False
@@ -264,19 +261,16 @@
         What is nearly there is ended before, as long as it is of use: it may be the last
         version that can be in use in time if the origin goes away meanwhile.
         """
-        newer = [
-            other
-            for other in self._copies.values()
-            if other.model == copy.model
+        newer = any(
+            other.model == copy.model
             and other.version > copy.version
             and other.undrawn()
-        ]
-        if not copy.nearly_drawn():
-            return bool(newer)
-        return any(
-            not older_is_useful(self._version_within_s, other.age_s())
-            for other in newer
+            for other in self._copies.values()
         )
+        if not newer or not copy.nearly_drawn():
+            return newer
+        left_s = self._superseded_in_s(copy.model, copy.version)
+        return left_s is not None and left_s <= OLDER_USEFUL_S
 
     def _draw_chunk(self, copy, number):
         source, content = None, None
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -84,7 +84,7 @@
             self._source,
             self._exchange.entries,
             self._holders,
-            settings.bounds.version_within_s,
+            self._superseded_in_s,
         )
         self._build_servers()
 
@@ -209,6 +209,10 @@
         if state is not None:
             self._versions.learn(state.find_model(), told)
 
+    def _superseded_in_s(self, model, version):
+        within_s = self._settings.bounds.version_within_s
+        return self._versions.superseded_in_s(model, version, within_s)
+
     def _on_version(self, model, version):
         self._exchange.greet_soon()
         gevent.spawn_later(
--- a/tests/test_distribution_chunks.py
+++ b/tests/test_distribution_chunks.py
@@ -35,7 +35,7 @@
         lambda: SOURCE,
         lambda: ENTRIES,
         lambda model, version: holders if version == 1 else (),
-        8.0,
+        lambda model, version: None,
     )
     network.stores.append(store)
     server = PeerServer(Address("127.0.0.1", 0), store)
@@ -129,13 +129,23 @@
     for number in range(5):
         older.note(number, b"")
     newer.want(range(8))
-    store = ChunkStore(None, Address("10.0.0.1", 77), "z1", None, None, None, 8.0)
+    left_s = {2: 8.0}
+    store = ChunkStore(
+        None,
+        Address("10.0.0.1", 77),
+        "z1",
+        None,
+        None,
+        None,
+        lambda model, version: left_s[version],
+    )
     store._copies = {(MODEL, 2): older, (MODEL, 3): newer}
     assert not store._superseded(older)
-    # Too late to be of use: the newer one is required before it could serve.
-    newer._since_s -= 6.0
+    # Too late to be of use: the newer one is required before it could serve, however
+    # lately this entry heard of it.
+    left_s[2] = 2.0
     assert store._superseded(older)
-    newer._since_s += 6.0
+    left_s[2] = 8.0
     older.chunks.pop(4)
     older.chunks.pop(3)
     assert store._superseded(older)
