Refuse datagrams whose names have another form instead of ending the listener

What callers could see: while daemons of two releases run beside each other, an entry hears no loads any more and fills engines blindly.

The task that reads datagrams handles typed errors only; a name of another form ended it for good.

Evidence: the four added cases of test_foreign_datagrams_are_typed_errors failed before; the first one is what a stager of the release before the fix sends.

Change: names are checked where datagrams are decoded.

--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -124,6 +124,10 @@
         if name == "b":
             loads = tuple((host, Load(*values)) for host, values in message.loads)
             message = LoadBatch(loads, message.entries)
+        elif name == "l":
+            _check_rows(message.namings, (int, float, bool))
+        elif name == "g":
+            _check_rows(message.versions, (int, float, float, bool))
     except (ValueError, KeyError, TypeError) as error:
         raise MalformedDatagramError(
             f"datagram of {len(data)} bytes: {error!r}"
@@ -131,6 +135,14 @@
     return message
 
 
+def _check_rows(rows, kinds):
+    for row in rows:
+        for value, kind in zip(row, kinds, strict=True):
+            whole = kind is float and type(value) is int
+            if type(value) is not kind and not whole:
+                raise TypeError(f"{value!r} is no {kind.__name__}")
+
+
 def encode_batches(loads, entries=()):
     """Return the datagrams that carry `loads`, none above `MAX_BYTES`.
 
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -245,7 +245,17 @@
     assert bench.stager._greeting == after
 
 
-@pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'["g"]', b"\xff", b'["x",1]'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"", b"{}", b"[1]", b'["g"]', b"\xff", b'["x",1]',
+        # What daemons of an earlier release tell of names.
+        b'["l",1,2,true,0,0,1.0,false,[],[3,1.2]]',
+        b'["l",1,2,true,0,0,1.0,false,[],[[3,1.2]]]',
+        b'["g","10.0.0.1","z1","m",[[2,1.0]]]',
+        b'["g","10.0.0.1","z1","m",[["2",1.0,0.0,true]]]',
+    ],
+)  # fmt: skip
 def test_foreign_datagrams_are_typed_errors(data):
     with pytest.raises(MalformedDatagramError):
         decode(data)
