Correct a name's time before its error uses up the margin

What callers could see: a request that begins some hundredths of a second too late on a superseded version, at an entry that took a told age over late, as while it loads its modules.

Cause: entries were corrected from 0.2 s on, but 0.15 s before the bound a waiting request is taken back.

Evidence: test_time_that_is_wrong_by_what_is_kept_back_of_the_bound_is_corrected failed before.

Change: the tolerance is 0.1 s.

--- a/briarbeam/distribution/namings.py
+++ b/briarbeam/distribution/namings.py
@@ -11,8 +11,9 @@
 # Names kept, and told to others. Several within the time that a version has are rare.
 KEPT_MAX = 16
 TOLD_MAX = 4
-# Differences in age below this come from the way of a datagram.
-AGE_TOLERANCE_S = 0.2
+# Differences in age below this come from the way of a datagram. What is kept back of the
+# bound on versions has to cover them.
+AGE_TOLERANCE_S = 0.1
 
 
 @dataclass
--- a/tests/test_distribution_namings.py
+++ b/tests/test_distribution_namings.py
@@ -5,6 +5,7 @@
 
 from briarbeam.distribution.namings import NamingHistory
 from briarbeam.kernel.clock import ManualClock
+from briarbeam.relay.dispatch import SUPERSEDED_MARGIN_S
 
 from .relay_fakes import versions_of
 from .test_relay_state import named
@@ -141,6 +142,15 @@
     assert not versions.history("m").lacks(told)
 
 
+def test_time_that_is_wrong_by_what_is_kept_back_of_the_bound_is_corrected():
+    clock = ManualClock()
+    clock.advance(100.0)
+    history = NamingHistory(clock)
+    history.note(1, 90.0, True)
+    history.note(2, 1.0, True)
+    assert history.lacks(((1, 90.0, True), (2, 1.0 + SUPERSEDED_MARGIN_S, True)))
+
+
 def test_older_time_of_the_first_name_told_is_taken_over():
     clock = ManualClock()
     clock.advance(100.0)
