Count time suspended in the age of a fencing number

What callers could see: an order to an engine that a suspended daemon had prepared is sent after its successor's, within the time that the successor takes as over.

Evidence: test_paused_daemon_does_not_send_the_order_it_had_prepared[suspend] failed before: the order was sent.

Change: the age is counted in boot time.

--- a/briarbeam/weights/fence.py
+++ b/briarbeam/weights/fence.py
@@ -26,7 +26,7 @@
     """One order's number.
 
     :param version: the version of the record that holds it.
-    :param taken_at_s: monotonic time before it was taken.
+    :param taken_at_s: boot time before it was taken, which counts time suspended.
     """
 
     number: int
@@ -57,7 +57,7 @@
         :raises PlatformError: if the record can't be updated now.
         :raises ConflictError: if another daemon took a number at the same time.
         """
-        taken_at_s = self._clock.monotonic_s()
+        taken_at_s = self._clock.boottime_s()
         held_version, held = self._read()
         self._outlast(held_version, held)
         number = held.get("fence", 0) + 1
@@ -81,7 +81,7 @@
 
         A daemon that was paused after it took a number must not use it.
         """
-        age_s = self._clock.monotonic_s() - fence.taken_at_s
+        age_s = self._clock.boottime_s() - fence.taken_at_s
         if age_s > FRESH_S:
             raise OrderError(f"fence {fence.number} is {age_s:.1f} s old, not sent")
 
--- a/tests/test_weights_changeover.py
+++ b/tests/test_weights_changeover.py
@@ -186,13 +186,14 @@
     assert bench.gate.loaded == {"chat": "v2"}
 
 
-def test_paused_daemon_does_not_send_the_order_it_had_prepared():
+@pytest.mark.parametrize("pause", ["advance", "suspend"])
+def test_paused_daemon_does_not_send_the_order_it_had_prepared(pause):
     bench = Bench()
     take = bench.fences.take
 
     def take_and_freeze():
         fence = take()
-        bench.clock.advance(FRESH_S + 1)
+        getattr(bench.clock, pause)(FRESH_S + 1)
         return fence
 
     bench.fences.take = take_and_freeze
