--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -454,6 +454,11 @@
                     raise UnknownKeyError("the key was taken away")
         if target.instance.draining:
             raise ConnectFailedError(f"{target.id} is leaving")
+        model = job.need.model
+        if model is not None:
+            required = self._required_version(job.need.service, job.meta)
+            if target.version_of(model) < required:
+                raise ConnectFailedError(f"{target.id} holds superseded weights")
 
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
@@ -475,6 +480,8 @@
     def _required_version(self, service, meta):
         if not service.models or meta.model is None:
             return 0
+        if not self._versions.known:
+            raise NoDesiredStateError("the named versions are not known yet")
         within_s = self._version_within_s - self._send_margin_s
         return self._versions.required(meta.model, within_s)
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -10,6 +10,7 @@
 from ..distribution.exchange import EntryExchange
 from ..distribution.peer_server import PeerServer
 from ..distribution.waves import plan_wave, updated_share
+from ..kernel.clock import process_started_s
 from ..node import roles
 from ..platform import records
 from ..platform.store import StoreClient
@@ -60,6 +61,7 @@
         self._versions = NamedVersions(
             clock,
             self._on_version,
+            process_started_s(),
             settings.bounds.version_within_s - settings.bounds.contact_s,
             lambda: self._version_mirror.unseen_s,
         )
@@ -82,7 +84,7 @@
             self._source,
             self._exchange.entries,
             self._holders,
-            settings.bounds.version_within_s,
+            self._superseded_in_s,
         )
         self._build_servers()
 
@@ -166,7 +168,8 @@
     def _is_ready(self):
         age_s = self._config.age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
-        return not self._stopping and age_s is not None and age_s < bound_s
+        known = age_s is not None and self._versions.known
+        return not self._stopping and known and age_s < bound_s
 
     def _limits(self):
         state = self._in_force.state
@@ -206,6 +209,10 @@
         if state is not None:
             self._versions.learn(state.find_model(), told)
 
+    def _superseded_in_s(self, model, version):
+        within_s = self._settings.bounds.version_within_s
+        return self._versions.superseded_in_s(model, version, within_s)
+
     def _on_version(self, model, version):
         self._exchange.greet_soon()
         gevent.spawn_later(
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -170,6 +170,21 @@
     assert bench.engine.version == 1
 
 
+def test_joined_engine_gets_no_weights_on_which_nothing_may_begin():
+    bench = Bench(version=0)
+    bench.greet((1, 90.0, 1.0), (2, 9.0, 0.0))
+    assert bench.stager._rank_versions() == [2]
+
+
+def test_joined_engine_fetches_nothing_older_than_what_is_complete():
+    bench = Bench(version=0)
+    bench.greet((1, 90.0, 1.0), (2, 1.0, 0.0))
+    copy = bench.stager._open_copy(2)
+    for number in range(CHUNK_COUNT):
+        copy.note(number, chunk(2, number))
+    assert bench.stager._rank_versions() == []
+
+
 def test_older_version_that_is_mostly_here_goes_first():
     bench = Bench(version=1)
     bench.greet((2, 0.5, 0.0), (3, 0.0, 0.0), wave=1)
@@ -230,7 +245,17 @@
     assert bench.stager._greeting == after
 
 
-@pytest.mark.parametrize("data", [b"", b"{}", b"[1]", b'["g"]', b"\xff", b'["x",1]'])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"", b"{}", b"[1]", b'["g"]', b"\xff", b'["x",1]',
+        # What daemons of an earlier release tell of names.
+        b'["l",1,2,true,0,0,1.0,false,[],[3,1.2]]',
+        b'["l",1,2,true,0,0,1.0,false,[],[[3,1.2]]]',
+        b'["g","10.0.0.1","z1","m",[[2,1.0]]]',
+        b'["g","10.0.0.1","z1","m",[["2",1.0,0.0,true]]]',
+    ],
+)  # fmt: skip
 def test_foreign_datagrams_are_typed_errors(data):
     with pytest.raises(MalformedDatagramError):
         decode(data)
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -19,6 +19,7 @@
     reset,
     state,
     stream_head,
+    versions_of,
 )
 
 UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
@@ -318,6 +319,25 @@
     assert not fake.requests
 
 
+def test_weights_whose_time_ends_before_the_send_get_nothing():
+    """As when the process is suspended between the choice of a target and the send."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.name_version(2, age_s=1.0)
+    original = entry.admission.recheck
+
+    def recheck(job, target):
+        entry.name_version(2, age_s=9.0)
+        original(job, target)
+
+    entry.admission.recheck = recheck
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not fake.requests
+
+
 def test_engine_without_the_model_gets_nothing():
     service = Service("svc", models=("m",))
     empty, full = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
@@ -363,6 +383,18 @@
     assert not old.requests
 
 
+def test_nothing_is_sent_to_engines_before_the_named_versions_are_known():
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({}, service, kind=RequestKind.STREAMING)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.admission._versions = versions_of(entry.clock)
+    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 503")
+    assert not fake.requests
+    entry.admission._versions.learn("m", ((1, 9.0, True), (2, 1.0, True)))
+    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 200")
+
+
 def test_broken_stream_goes_on_only_on_weights_that_may_still_begin():
     def breaks_late(instance, sock, request):
         sock.sendall(stream_head() + event(1))
