Count a name that was read after a pause of the process from before it

What callers would see: an entry that was stopped while a version was named runs requests on the older version for as much too long as it was stopped.

Cause: a watch shows a name at once, so what it brings counted as new and its time as certain. The answer for a stopped process waits in its socket.

Change: Pulse notices that the process did not run for a while; what is read just after counts as up to so old, and its time as assumed, until others tell it.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -10,6 +10,7 @@
 from ..distribution.exchange import EntryExchange
 from ..distribution.peer_server import PeerServer
 from ..distribution.waves import plan_wave, updated_share
+from ..kernel.pulse import Pulse
 from ..node import roles
 from ..platform import records
 from ..platform.store import StoreClient
@@ -57,11 +58,12 @@
         self._clock = clock
         self._stopping = False
         self._in_force = InForce(clock)
+        self._pulse = Pulse(clock)
         self._versions = NamedVersions(
             clock,
             self._on_version,
             settings.bounds.version_within_s - settings.bounds.contact_s,
-            lambda: self._version_mirror.unseen_s,
+            self._names_unseen_s,
             clock.started_s,
         )
         self._fleet = Fleet(clock, self._services)
@@ -92,6 +94,7 @@
         for mirror in self._mirrors:
             gevent.spawn(mirror.run)
         gevent.spawn(self._follower.run)
+        gevent.spawn(self._pulse.run)
         self._exchange.start()
         self._peers.start()
         self._callers.start()
@@ -213,6 +216,10 @@
             random.uniform(0.0, 0.01), self._chunks.prefetch, model, version
         )
 
+    def _names_unseen_s(self):
+        """Return for how long a name that is read now may have been there unseen."""
+        return max(self._version_mirror.unseen_s, self._pulse.may_have_waited_s())
+
     def _describe(self, target):
         """Return what the daemon beside an engine is told, or None for others."""
         state = self._in_force.state
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -194,6 +194,19 @@
     assert ran_on_first_version(site, started_s + 3.0, started_s + 4.0) == 0
 
 
+def test_entry_that_was_stopped_while_a_version_was_named_does_not_take_it_as_new(site):
+    """The answer of its watch waits for it, and nobody else tells the name's time."""
+    site.origin.silent = True
+    site.processes["stager"].kill()
+    process = site.processes["entry"].process
+    process.send_signal(signal.SIGSTOP)
+    named_s = time.monotonic()
+    name(site, 2)
+    gevent.sleep(4.0)
+    process.send_signal(signal.SIGCONT)
+    assert ran_on_first_version(site, named_s + 8.0, named_s + 9.0) == 0
+
+
 def test_key_that_was_taken_away_runs_nothing_even_when_the_store_is_gone(site):
     site.store.silent = True
     gevent.sleep(5.0)
