Look at the weights' time again right before the send

What callers could see: a request begins on weights whose time ended between the choice of the engine and the send, as where the name's time was learned meanwhile or the process was held up while it connected.

Cause: the check before the send looked at keys and leaving instances only.

Evidence: the new test in tests/test_relay_requests.py; it got 200 from the engine before, 503 now.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -454,6 +454,9 @@
                     raise UnknownKeyError("the key was taken away")
         if target.instance.draining:
             raise ConnectFailedError(f"{target.id} is leaving")
+        model, required = job.need.model, self.renew(job).required_version
+        if model is not None and target.version_of(model) < required:
+            raise ConnectFailedError(f"{target.id} is to hold version {required}")
 
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -318,6 +318,23 @@
     assert not fake.requests
 
 
+def test_weights_whose_time_ends_before_the_send_get_nothing():
+    service = Service("svc", models=("m",))
+    old = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", old.address, models={"m": 1})
+    original = entry.admission.recheck
+
+    def recheck(job, target):
+        entry.name_version(2, age_s=8.0)
+        original(job, target)
+
+    entry.admission.recheck = recheck
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not old.requests
+
+
 def test_engine_without_the_model_gets_nothing():
     service = Service("svc", models=("m",))
     empty, full = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
