Don't think a restarted engine to hold the weights from before

What callers could see: requests begin on superseded weights at an engine that restarted under its id and took an older copy meanwhile.

Cause: entries ignored a report of a newer start until the store's entry told of it, which takes up to three seconds (heartbeat, lag and the pause after a change), and went on with the last report of the start before: its weights, its load and that it accepts.

Evidence: the new test in tests/test_platform_records.py; version_of gave 3, the weights from before, where the engine's daemon had said 2.

Change: a report of a newer start counts, one of an older start than any known does not.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -71,6 +71,12 @@
     def id(self):
         return self.instance.id
 
+    @property
+    def started_ms(self):
+        """The newest start that is known; the store's entry can be seconds behind."""
+        reported_ms = self.report.started_ms if self.report is not None else 0
+        return max(self.instance.started_ms, reported_ms)
+
     def version_of(self, model):
         """Return the version of `model` that it holds, 0 if none."""
         if self.report is not None:
@@ -186,7 +192,7 @@
     def note_report(self, host, report):
         """Take a report from the daemon at `host` over."""
         for target in self.find_by_host(host):
-            if target.instance.started_ms not in (0, report.started_ms):
+            if report.started_ms < target.started_ms:
                 continue
             if target.report is None or target.report.version != report.version:
                 self.on_weights()
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -21,7 +21,7 @@
     MalformedRecordError,
     StoreUnavailableError,
 )
-from briarbeam.relay.fleet import Fleet
+from briarbeam.relay.fleet import Fleet, LoadReport
 
 from .distribution_fakes import FakeNetwork, Reply
 
@@ -109,6 +109,19 @@
     assert fleet.get("i1") is not before
 
 
+def test_engine_that_restarted_is_not_thought_to_hold_the_weights_from_before():
+    """The daemon beside it tells so seconds before its entry in the store does."""
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    for started_ms, version in ((1700, 3), (1800, 2), (1700, 3)):
+        report = LoadReport(0.0, started_ms, True, version, 0, 0)
+        fleet.note_report("10.0.0.9", report)
+    assert fleet.get("i1").version_of("m") == 2
+    fleet.update({"i1": Record("i1", 2, dict(ENTRY, born=1800))})
+    fleet.note_report("10.0.0.9", LoadReport(0.0, 1700, True, 3, 0, 0))
+    assert fleet.get("i1").version_of("m") == 0
+
+
 def test_entry_that_lapsed_in_an_outage_counts_a_little_longer_but_not_a_leaving_one():
     clock = ManualClock()
     fleet = Fleet(clock, dict)
