--- a/briarbeam/kernel/clock.py
+++ b/briarbeam/kernel/clock.py
@@ -4,17 +4,20 @@
 are float seconds, as ``time`` and ``threading`` take them.
 """
 
-import os
 import time
 from datetime import UTC, datetime, timedelta
-from pathlib import Path
 from typing import Protocol
 
 import gevent
 
 
 class Clock(Protocol):
-    """What a decision may know and do about time."""
+    """What a decision may know and do about time.
+
+    `started_s` is the boot time at which the process started.
+    """
+
+    started_s: float
 
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
@@ -30,7 +33,13 @@
 
 
 class SystemClock:
-    """The machine's clock."""
+    """The machine's clock.
+
+    :param started_s: boot time at which the process started; now, if not given.
+    """
+
+    def __init__(self, started_s=None):
+        self.started_s = self.boottime_s() if started_s is None else started_s
 
     def now(self):
         return datetime.now(UTC)
@@ -55,6 +64,7 @@
         self._start = start
         self._elapsed_s = 0.0
         self._suspended_s = 0.0
+        self.started_s = 0.0
 
     def now(self):
         return self._start + timedelta(seconds=self.boottime_s())
@@ -77,10 +87,3 @@
         if duration_s < 0:
             raise ValueError(f"duration_s must not be negative, got {duration_s}")
         self._elapsed_s += duration_s
-
-
-def process_started_s():
-    """Return the boot time at which this process started, before it loaded its modules."""
-    # The name, in parentheses, may hold spaces; the start is the 20th field after it.
-    fields = Path("/proc/self/stat").read_text().rpartition(")")[2].split()
-    return int(fields[19]) / os.sysconf("SC_CLK_TCK")
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -175,9 +175,9 @@
     return NamedVersions(
         clock,
         lambda model, version: None,
-        clock.boottime_s(),
         assumed_age_s,
         lambda: unseen_s,
+        clock.boottime_s(),
     )
 
 
