Explain a request with the names of weights that other daemons had heard

That version 2 was named is not among what this entry knew after its start, so the context did not hold the cause; 20 lines were of instances that the request had nothing to do with.

Change: the context holds the first line of any daemon about each name, the names that the entry was told (`namings_learned`), and the loads of the engines that it was sent to, all of the last minute; lines of other instances only if the request was sent nowhere. A name's line tells the time of the name (`named_at`), so that daemons can be compared. Files without a daemon's name in their lines count as named after it. `started` and `instance_seen` tell the host, which connects an engine with the daemon beside it.

--- a/briarbeam/cli/explain.py
+++ b/briarbeam/cli/explain.py
@@ -2,7 +2,6 @@
 
 import json
 import sys
-from datetime import datetime
 from pathlib import Path
 
 from cleo.commands.command import Command
@@ -10,14 +9,7 @@
 
 from .client import EXIT_FAILED
 from .commands import commands
-
-# Changes of belief within this before a request are printed with it.
-CONTEXT_S = 10.0
-_BELIEFS = frozenset({
-    "store_lost", "store_regained", "history_gone", "desired_state_in_force",
-    "version_named", "evacuated", "instance_seen", "instance_changed", "instance_gone",
-    "weights_seen", "started", "stopping", "load_ordered", "load_ended",
-})  # fmt: skip
+from .context import context_of, naming_times, time_of
 
 
 @commands.register("explain")
@@ -35,7 +27,7 @@
     ]
 
     def handle(self):
-        records = sorted(read_records(self.argument("files")), key=_time)
+        records = sorted(read_records(self.argument("files")), key=time_of)
         request_id = self.argument("request_id")
         found = [r for r in records if r.get("request_id") == request_id]
         if not found:
@@ -43,7 +35,7 @@
             return EXIT_FAILED
         shown = found
         if self.option("context"):
-            shown = sorted(found + context_of(records, found), key=_time)
+            shown = sorted(found + context_of(records, found), key=time_of)
         for record in shown:
             self.line(format_record(record))
         return 0
@@ -52,37 +44,30 @@
 def read_records(paths):
     """Return the JSON objects in the lines of `paths`, or of standard input.
 
-    A line may have words before its object, such as a host's name.
+    A line may have words before its object, the last of them the daemon's name; without
+    any, its file's name counts as that.
     """
+    if not paths:
+        return _parse_lines(sys.stdin.read(), "-")
+    records = []
+    for path in map(Path, paths):
+        records += _parse_lines(path.read_text(errors="replace"), path.stem)
+    return records
+
+
+def _parse_lines(text, name):
     records = []
-    texts = [Path(path).read_text(errors="replace") for path in paths or ()]
-    if not texts:
-        texts = [sys.stdin.read()]
-    for line in "\n".join(texts).splitlines():
+    for line in text.splitlines():
         words, brace, rest = line.partition("{")
         try:
             record = json.loads(brace + rest)
         except ValueError:
             continue
-        record["source"] = words.split()[-1] if words.split() else "-"
+        record["source"] = words.split()[-1] if words.split() else name
         records.append(record)
     return records
 
 
-def context_of(records, found):
-    """Return changes of belief in the daemons of `found`, shortly before its lines."""
-    sources = {record["source"] for record in found}
-    last = max(map(_time, found))
-    return [
-        record
-        for record in records
-        if record.get("event") in _BELIEFS
-        and record["source"] in sources
-        and _time(record) <= last
-        and _seconds_between(record, last) <= CONTEXT_S
-    ]
-
-
 def format_record(record):
     """Return a record as one line: time, daemon, event and the other fields."""
     rest = {
@@ -91,18 +76,8 @@
         if key not in ("timestamp", "source", "event", "level")
         and value not in (None, [])
     }
+    times = naming_times(record)
+    if times:
+        rest["named_at"] = times
     fields = " ".join(f"{key}={value}" for key, value in rest.items())
-    return f"{_time(record)} {record['source']} {record.get('event')} {fields}"
-
-
-def _time(record):
-    return str(record.get("timestamp", ""))
-
-
-def _seconds_between(record, last):
-    try:
-        return (
-            datetime.fromisoformat(last) - datetime.fromisoformat(_time(record))
-        ).total_seconds()
-    except ValueError:
-        return 0.0
+    return f"{time_of(record)} {record['source']} {record.get('event')} {fields}"
--- a/briarbeam/node.py
+++ b/briarbeam/node.py
@@ -71,6 +71,7 @@
             "started",
             role=self._settings.role,
             instance=instance.name,
+            host=instance.host,
             failure_domain=instance.failure_domain,
         )
         self._stopping.wait()
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -237,6 +237,7 @@
         _log.info(
             "instance_seen",
             instance=instance.id,
+            host=instance.address.host,
             service=instance.service,
             failure_domain=instance.failure_domain,
             restarted=restarted,
