--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,6 @@
-"""The pages and the code name the same settings, metrics and files."""
+"""The pages and the code name the same settings, metrics, events and files."""
 
+import ast
 import re
 from pathlib import Path
 
@@ -8,6 +9,51 @@
 ROOT = Path(__file__).parent.parent
 DOCS = {path.name: path.read_text() for path in (ROOT / "docs").glob("*.md")}
 CODE = "".join(path.read_text() for path in (ROOT / "briarbeam").rglob("*.py"))
+NODE_PARTS = ("relay", "distribution", "platform", "telemetry", "node.py")
+LEVELS = {"debug", "info", "warning", "error", "exception"}
+
+
+def logged_events():
+    """Return the fields of each event that a process of `briarbeam.node` logs."""
+    events = {"lines_dropped": {"count"}}
+    for part in NODE_PARTS:
+        path = ROOT / "briarbeam" / part
+        for file in [path] if path.is_file() else path.rglob("*.py"):
+            for node in ast.walk(ast.parse(file.read_text())):
+                if _is_log_call(node):
+                    event = ast.literal_eval(node.args[0])
+                    fields = {word.arg for word in node.keywords}
+                    events.setdefault(event, set()).update(fields)
+    events["request"] |= _fields_added_to_requests()
+    return events
+
+
+def _is_log_call(node):
+    return (
+        isinstance(node, ast.Call)
+        and isinstance(node.func, ast.Attribute)
+        and node.func.attr in LEVELS
+        and ast.unparse(node.func.value) in ("_log", "self._log")
+    )
+
+
+def _fields_added_to_requests():
+    tree = ast.parse((ROOT / "briarbeam/telemetry/decisions.py").read_text())
+    found = {"omitted_before"}
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Call) and ast.unparse(node.func) == "fields.update":
+            found |= {word.arg for word in node.keywords}
+    return found
+
+
+def event_rows():
+    """Return pairs of the events and the fields in each row of the operations page."""
+    section = DOCS["OPERATIONS.md"].split("## Lines")[1].split("\n## ")[0]
+    rows = [line.split("|") for line in section.splitlines() if line.startswith("| `")]
+    return [
+        (set(re.findall(r"`(\w+)`", row[1])), set(re.findall(r"`(\w+)`", row[3])))
+        for row in rows
+    ]
 
 
 def test_each_setting_is_on_the_operators_page():
@@ -28,3 +74,15 @@
             assert name in DOCS or (ROOT / name).exists(), (page, name)
         for name in re.findall(r"\btests/[\w/]+\.py\b", text):
             assert (ROOT / name).exists(), (page, name)
+
+
+def test_each_event_is_on_the_operations_page_and_no_others():
+    named = set().union(*(events for events, _ in event_rows()))
+    assert named == set(logged_events())
+
+
+def test_each_field_on_the_operations_page_is_one_of_its_events():
+    logged = logged_events()
+    for events, fields in event_rows():
+        known = set().union(*(logged.get(event, set()) for event in events))
+        assert fields - known == set(), events
