Keep no history of names for models that callers make up

What callers could do: each new value of the model header left an empty history of names in the entry for good, and set the gauge `briarbeam_required_version` to 0.

Cause: since names are kept as a history, looking one up creates it; the request path looks it up by the name that the caller sent.

Fix: only names from the store or from other daemons begin a history. The test asks for 100 made-up models; 101 histories were kept before, 1 is now.

--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -100,7 +100,8 @@
 
     def superseded_in_s(self, model, version, within_s):
         """Return how long requests may still begin on `version`, or None for ever."""
-        named_s = self.history(model).superseded_s(version)
+        history = self._histories.get(model)
+        named_s = history.superseded_s(version) if history is not None else None
         return (
             None if named_s is None else named_s + within_s - self._clock.boottime_s()
         )
@@ -118,8 +119,13 @@
             self._on_change(model, history.newest)
 
     def required(self, model, within_s):
-        """Return the newest version that was named `within_s` seconds ago or more."""
-        required = self.history(model).required(within_s)
+        """Return the newest version that was named `within_s` seconds ago or more.
+
+        :returns: 0 if there is none; callers name models that don't exist.
+        """
+        if model not in self._histories:
+            return 0
+        required = self._histories[model].required(within_s)
         _REQUIRED.set(required)
         return required
 
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -143,6 +143,15 @@
     assert versions.required("m", 8.0) == 2
 
 
+def test_models_that_callers_make_up_take_no_memory():
+    versions = versions_of(ManualClock())
+    versions.update(named(2))
+    for number in range(100):
+        assert versions.required(f"made-up-{number}", 8.0) == 0
+        assert versions.superseded_in_s(f"made-up-{number}", 1, 8.0) is None
+    assert len(versions._histories) == 1
+
+
 def test_version_that_was_heard_named_keeps_its_time():
     clock = ManualClock()
     versions = versions_of(clock)
