Work out the required version when it is read, for each model

What was seen: `briarbeam_required_version` was set by requests only. An entry without requests showed what it had required at its last one, so two entries that agreed could look different, which is the alarm on this gauge; requests for several models overwrote each other.

Change: the gauge has the model as its label, for models that were named, and is worked out when metrics are read. The request path no longer sets it.

Test: test_entry_that_gets_no_requests_shows_the_version_that_it_requires failed before (no such line) and passes.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -472,11 +472,15 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
+    def required_version(self, model):
+        """Return the oldest version of `model` that requests may be sent to now."""
+        within_s = self._version_within_s - self._send_margin_s
+        return self._versions.required(model, within_s)
+
     def _required_version(self, service, meta):
         if not service.models or meta.model is None:
             return 0
-        within_s = self._version_within_s - self._send_margin_s
-        return self._versions.required(meta.model, within_s)
+        return self.required_version(meta.model)
 
 
 def _choose(services):
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -4,6 +4,7 @@
 
 import gevent
 import structlog
+from prometheus_client import Gauge
 
 from ..catalog import CallerLimits
 from ..distribution.chunks import ChunkStore
@@ -45,6 +46,11 @@
 # Engines' entries change often while weights change, and each answer of a watch is priced.
 INSTANCE_SETTLE_S = 0.9
 
+_REQUIRED = Gauge(
+    "briarbeam_required_version",
+    "Oldest weights that a request may be sent to now",
+    ["model"],
+)
 _log = structlog.get_logger()
 
 
@@ -129,7 +135,7 @@
 
     def _build_servers(self):
         settings, bounds = self._settings, self._settings.bounds
-        admission = Admission(
+        self._admission = Admission(
             self._in_force,
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
@@ -148,7 +154,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         dispatcher = Dispatcher(
-            admission,
+            self._admission,
             balancer,
             budget,
             self._exchange.place,
@@ -208,6 +214,10 @@
 
     def _on_version(self, model, version):
         self._exchange.greet_soon()
+        # Worked out when it is read: it changes with time, without a request.
+        _REQUIRED.labels(model).set_function(
+            lambda: self._admission.required_version(model)
+        )
         gevent.spawn_later(
             random.uniform(0.0, 0.01), self._chunks.prefetch, model, version
         )
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -1,7 +1,6 @@
 """The desired state in force here, and how sure it is."""
 
 import structlog
-from prometheus_client import Gauge
 
 from ..distribution.namings import FIRST_VERSION, NamingHistory
 from ..platform.records import (
@@ -14,9 +13,6 @@
 # An age that is known to within this counts as certain, at its upper bound.
 CERTAIN_WITHIN_S = 1.0
 
-_REQUIRED = Gauge(
-    "briarbeam_required_version", "Oldest weights that a request may begin on now"
-)
 _log = structlog.get_logger()
 
 
@@ -123,11 +119,8 @@
 
         :returns: 0 if there is none; callers name models that don't exist.
         """
-        if model not in self._histories:
-            return 0
-        required = self._histories[model].required(within_s)
-        _REQUIRED.set(required)
-        return required
+        history = self._histories.get(model)
+        return 0 if history is None else history.required(within_s)
 
     def _note(self, model, version):
         history = self.history(model)
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -237,6 +237,17 @@
     wait_until(lambda: site.ask().split()[1] == "503", 2.0)
 
 
+def test_entry_that_gets_no_requests_shows_the_version_that_it_requires(site):
+    site.origin.silent = True
+    name(site, 2)
+    gevent.sleep(1.0)
+    restart_entry(site)
+    request = "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    shown = 'briarbeam_required_version{model="m"} %s\n'
+    assert shown % "0.0" in site.fetch(site.metrics, request)
+    wait_until(lambda: shown % "2.0" in site.fetch(site.metrics, request), 9.0)
+
+
 def test_metrics_are_served_and_a_wrong_settings_file_is_refused(site, tmp_path):
     text = site.fetch(
         site.metrics, "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
