Count what begins on superseded weights, beside the engine and at the entry

The entry that lacked a name saw nothing odd in its own sends.

Change: - `briarbeam_overdue_begins_total` at each stager: requests that it sees begin at its engine, from one report to the next, on weights whose time was over by the names that it knows for certain; the event `overdue_begun` once for each version. It does not depend on what the sending entry believes.

--- /dev/null
+++ b/briarbeam/distribution/overdue.py
@@ -0,0 +1,48 @@
+"""Requests that begin at an engine on weights whose time is over."""
+
+import structlog
+from prometheus_client import Counter
+
+_BEGUN = Counter(
+    "briarbeam_overdue_begins",
+    "Requests seen to begin on superseded weights after their time",
+)
+_log = structlog.get_logger()
+
+
+class OverdueWatch:
+    """Compares an engine's reports, whichever entries sent it the requests.
+
+    :param namings: the `NamingHistory`.
+    """
+
+    def __init__(self, namings):
+        self._namings = namings
+        self._overdue = None
+        self._told = None
+
+    def note(self, report, version, within_s):
+        """Count what began since the report before, if the time was over by then.
+
+        One that ends between two reports hides one that begins.
+
+        :param version: the weights that the engine holds, 0 for none.
+        :param within_s: how long requests may begin on superseded weights.
+        """
+        before, self._overdue = self._overdue, None
+        if not self._is_over(version, within_s) or report.busy:
+            return
+        self._overdue = report
+        if before is None or before.started_ms != report.started_ms:
+            return
+        begun = report.running - before.running
+        if begun <= 0:
+            return
+        _BEGUN.inc(begun)
+        if self._told != version:
+            self._told = version
+            _log.warning("overdue_begun", version=version, running=report.running)
+
+    def _is_over(self, version, within_s):
+        ages_s = [age_s for named, age_s in self._namings.certain() if named > version]
+        return version > 0 and max(ages_s, default=0.0) > within_s
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -16,6 +16,7 @@
 from .fetcher import ChunkFetcher
 from .messages import MAX_BYTES, Greeting, decode
 from .namings import NamingHistory
+from .overdue import OverdueWatch
 from .peer_server import PeerServer
 from .reporter import LoadReporter
 from .roster import Roster
@@ -72,6 +73,7 @@
         self._greeting = None
         self._clock = clock
         self._namings = NamingHistory(clock)
+        self._overdue = OverdueWatch(self._namings)
         self._manifest_due_s = {}
         self._report = None
         self._serving = Semaphore()
@@ -183,6 +185,9 @@
                 self._report = engines.fetch_report(self._network, self._engine)
                 load = self._load()
                 _VERSION.set(load[1])
+                if self._greeting is not None:
+                    within_s = self._greeting.version_within_s
+                    self._overdue.note(self._report, load[1], within_s)
                 self._reporter.tell(*load)
             except BriarbeamError as error:
                 if self._report is not None:
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -240,6 +240,7 @@
         if job.need.model is not None:
             job.target_version = target.version_of(job.need.model)
             job.superseded_in_s = self._admission.weights_left_s(job, target)
+            self._decisions.note_send(job.superseded_in_s)
 
     def _receive(self, job, target, call, writer, stream):
         # A last chance elsewhere is worth more than waiting for a silent target.
--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -30,6 +30,11 @@
     ["route_kind"],
     buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4),
 )
+_SUPERSEDED_LEFT = Histogram(
+    "briarbeam_superseded_send_left_seconds",
+    "Seconds in which requests could still begin on superseded weights, at each send",
+    buckets=(0.0, 0.15, 0.35, 0.75, 1.5, 3.0, 6.0),
+)
 
 
 class BufferedOutput:
@@ -131,6 +136,14 @@
         self._left = {}
         self._omitted = 0
 
+    def note_send(self, superseded_in_s):
+        """Count a request that is sent to an engine.
+
+        :param superseded_in_s: as in `Job`.
+        """
+        if superseded_in_s is not None:
+            _SUPERSEDED_LEFT.observe(max(0.0, superseded_in_s))
+
     def note_request(self, request, meta, job, writer, error):
         """Log how `request` was answered, and count it.
 
--- /dev/null
+++ b/tests/test_distribution_overdue.py
@@ -0,0 +1,88 @@
+"""Requests that begin on superseded weights are seen beside the engine."""
+
+import dataclasses
+
+import gevent
+import pytest
+from prometheus_client import REGISTRY
+
+from briarbeam.distribution.namings import NamingHistory
+from briarbeam.distribution.overdue import OverdueWatch
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.platform.engines import EngineReport
+
+from .test_distribution_stager import Bench
+
+WITHIN_S = 8.0
+REPORT = EngineReport({"m": 1}, False, 0, 3, 0, 7, 1.0)
+
+
+def begun():
+    return REGISTRY.get_sample_value("briarbeam_overdue_begins_total")
+
+
+class Play:
+    """An engine that holds version 1 while version 2 was named.
+
+    :param certain: whether the time of that name is known.
+    """
+
+    def __init__(self, certain=True):
+        self.clock = ManualClock()
+        self.namings = NamingHistory(self.clock)
+        self.namings.note(2, 0.0, certain)
+        self.watch = OverdueWatch(self.namings)
+        self.before = begun()
+
+    def report(self, age_s, version=1, **fields):
+        """Note a report so long after the name; return what was counted so far."""
+        self.clock.advance(age_s - self.namings.age_s(2))
+        report = dataclasses.replace(REPORT, **fields)
+        self.watch.note(report, version, WITHIN_S)
+        return begun() - self.before
+
+
+def test_requests_that_begin_after_the_time_are_counted():
+    """Incident inc1: nothing beside the engines told that they began too late."""
+    play = Play()
+    assert play.report(8.1, running=3) == 0
+    assert play.report(8.2, running=5) == 2
+    assert play.report(8.3, running=4) == 2
+    assert play.report(8.4, running=5) == 3
+
+
+def test_request_that_began_in_time_may_run_on():
+    play = Play()
+    assert play.report(7.98, running=3) == 0
+    assert play.report(8.03, running=5) == 0
+    assert play.report(8.08, running=5) == 0
+
+
+@pytest.mark.parametrize(
+    "fields", [{"version": 2}, {"version": 0}, {"busy": True}, {"started_ms": 8}]
+)
+def test_what_an_engine_goes_on_with_on_other_weights_or_after_a_start_is_not_counted(
+    fields,
+):
+    play = Play()
+    assert play.report(8.1) == 0
+    assert play.report(8.2, running=5, **fields) == 0
+
+
+def test_time_that_is_only_assumed_raises_no_alarm():
+    play = Play(certain=False)
+    assert play.report(8.1) == 0
+    assert play.report(8.2, running=5) == 0
+
+
+def test_stager_watches_its_engine():
+    bench, before = Bench(version=1), begun()
+    bench.greet((2, 9.0, 0.0), within_s=WITHIN_S)
+    task = gevent.spawn(bench.stager._report_forever)
+    try:
+        gevent.sleep(0.05)
+        bench.engine.running = 2
+        gevent.sleep(0.3)
+    finally:
+        task.kill()
+    assert begun() - before == 2
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -86,3 +86,14 @@
     for events, fields in event_rows():
         known = set().union(*(logged.get(event, set()) for event in events))
         assert fields - known == set(), events
+
+
+def test_each_metric_of_a_node_is_on_the_operations_page():
+    text = "".join(
+        file.read_text()
+        for part in NODE_PARTS[:-1]
+        for file in (ROOT / "briarbeam" / part).rglob("*.py")
+    )
+    exposed = set(re.findall(r'"(briarbeam_[a-z_]+)"', text))
+    named = set(re.findall(r"`(briarbeam_[a-z_]+)`", DOCS["OPERATIONS.md"]))
+    assert exposed - named == set()
--- a/tests/test_telemetry_decisions.py
+++ b/tests/test_telemetry_decisions.py
@@ -5,6 +5,7 @@
 import time
 
 import gevent
+from prometheus_client import REGISTRY
 
 from briarbeam.catalog import RequestKind, Service
 from briarbeam.telemetry import decisions
@@ -83,3 +84,28 @@
     entry.ask(headers=b"x-model: m\r\n")
     assert lines[0]["target_version"] == 1
     assert 1.5 < lines[0]["superseded_in_s"] <= 2.0
+
+
+def test_sends_to_superseded_weights_are_counted_by_the_time_left():
+    def counted():
+        name = "briarbeam_superseded_send_left_seconds_bucket"
+        bounds = ("0.0", "0.35", "1.5", "3.0")
+        return [REGISTRY.get_sample_value(name, {"le": bound}) for bound in bounds]
+
+    fake = FakeInstance(reply(ok()))
+    service = Service("svc", models=("m",))
+    entry = Entry({}, service, kind=RequestKind.STREAMING)
+    entry.add("i1", fake.address, models={"m": 1})
+    before = counted()
+    entry.ask(headers=b"x-model: m\r\n")
+    assert counted() == before
+    entry.name_version(2, 6.0)
+    entry.ask(headers=b"x-model: m\r\n")
+    assert [now - then for now, then in zip(counted(), before, strict=True)] == [
+        0, 0, 0, 1,
+    ]  # fmt: skip
+    log = entry.dispatcher._decisions
+    log.note_send(-1.0)
+    assert [now - then for now, then in zip(counted(), before, strict=True)] == [
+        1, 1, 1, 2,
+    ]  # fmt: skip
