Count log lines, not halves of them, and never tear one

What was seen: an entry whose log reader stood still for 10 s, at 60 requests a second and some 250 malformed ones, reported 3,592 lines dropped, more than it had written then.

Cause: the logger prints the message and its end of line in two writes, and each counted as a line of the buffer. So the buffer held 1,000 lines instead of 2,000, the count was twice too high, and with an odd number before them the last kept line lost its end and was joined with the next one, which no longer parses.

Fix: one write a line.

Test: test_reader_that_stands_still_loses_whole_lines_and_as_many_as_are_counted failed in both cases before (1,000 lines kept; a line of two records).

--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -117,7 +117,7 @@
                 serializer=json.dumps, separators=(",", ":"), default=repr
             ),
         ],
-        logger_factory=structlog.PrintLoggerFactory(output),
+        logger_factory=structlog.WriteLoggerFactory(output),
         cache_logger_on_first_use=True,
     )
     return output
--- a/tests/test_telemetry_decisions.py
+++ b/tests/test_telemetry_decisions.py
@@ -5,6 +5,8 @@
 import time
 
 import gevent
+import pytest
+import structlog
 from prometheus_client import REGISTRY
 
 from briarbeam.catalog import RequestKind, Service
@@ -34,6 +36,38 @@
     output.close()
 
 
+@pytest.fixture
+def default_logs():
+    yield
+    structlog.reset_defaults()
+
+
+@pytest.mark.parametrize("earlier_count", [0, 1])
+def test_reader_that_stands_still_loses_whole_lines_and_as_many_as_are_counted(
+    default_logs, earlier_count
+):
+    reading, writing = os.pipe()
+    output = decisions.configure_node_logs(BufferedOutput(writing))
+    log = structlog.get_logger()
+    output._lines.extend([b'{"event":"earlier"}\n'] * earlier_count)
+    written = decisions.BUFFER_MAX_LINES + 500
+    for number in range(written):
+        log.info("line", number=number)
+    gevent.sleep(0.05)
+    text = b""
+    while b'"last"' not in text:
+        text += os.read(reading, 65536)
+        gevent.sleep(0.001)
+        if output._task is None and b'"last"' not in text:
+            log.info("last")
+    os.close(reading)
+    records = [json.loads(line) for line in text.splitlines()]
+    kept = [r for r in records if r["event"] == "line"]
+    dropped = [r["count"] for r in records if r["event"] == "lines_dropped"]
+    assert len(kept) == decisions.BUFFER_MAX_LINES - earlier_count
+    assert sum(dropped) == written - len(kept)
+
+
 def test_lines_of_successes_are_bounded_and_failures_go_first(monkeypatch):
     lines = []
 
