--- a/briarbeam/distribution/overdue.py
+++ b/briarbeam/distribution/overdue.py
@@ -44,5 +44,9 @@
             _log.warning("overdue_begun", version=version, running=report.running)
 
     def _is_over(self, version, within_s):
-        ages_s = [age_s for named, age_s in self._namings.certain() if named > version]
+        ages_s = [
+            age_s
+            for named, age_s, certain in self._namings.describe()
+            if certain and named > version
+        ]
         return version > 0 and max(ages_s, default=0.0) > within_s
