Bound the lines of malformed requests

What was seen: while the log's reader stood still for 10 s, 3,040 malformed requests of one caller wrote a line each; they filled the buffer, and 1,342 lines, of others too, were lost.

Cause: `request_malformed` was the one line about requests without a rate, and `briarbeam_answers` did not count these answers.

Change: up to five such lines a second, `omitted_before` tells of the others, and they count as answers.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -124,6 +124,10 @@
         finally:
             self._decisions.note_request(request, meta, job, writer, outcome)
 
+    def note_malformed(self, error):
+        """Log that a caller's bytes were refused as no request."""
+        self._decisions.note_malformed(error)
+
     def refuse(self, request, writer, error):
         """Answer `request` with `error`, which says that it did not run."""
         meta = wire.decode_request(request.headers)
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -91,6 +91,7 @@
             try:
                 request = self._read(sock, reader)
             except MalformedRequestError as error:
+                self._dispatcher.note_malformed(error)
                 _refuse_malformed(sock, error)
                 return
             if request is None:
@@ -149,7 +150,6 @@
 
 
 def _refuse_malformed(sock, error):
-    _log.info("request_malformed", cause=str(error), status=error.status)
     head = b"HTTP/1.1 %d Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     try:
         sock.sendall(head % error.status)
--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -20,6 +20,7 @@
 # Lines a second of successes; failures and refusals have five times as many.
 SUCCESSES_PER_S = 5
 FAILURES_PER_S = 25
+MALFORMED_PER_S = 5
 _WRITE_MAX_BYTES = 32768
 
 _DROPPED = Counter("briarbeam_log_lines_dropped", "Log lines left out", ["reason"])
@@ -135,6 +136,22 @@
         self._second = 0
         self._left = {}
         self._omitted = 0
+        self._malformed_omitted = 0
+
+    def note_malformed(self, error):
+        """Log that bytes which are no request were refused, and count it."""
+        _ANSWERS.labels("none", error.code).inc()
+        if not self._take("malformed"):
+            self._malformed_omitted += 1
+            _DROPPED.labels("rate").inc()
+            return
+        omitted, self._malformed_omitted = self._malformed_omitted, 0
+        self._log.info(
+            "request_malformed",
+            cause=str(error),
+            status=error.status,
+            omitted_before=omitted,
+        )
 
     def note_send(self, superseded_in_s):
         """Count a request that is sent to an engine.
@@ -193,13 +210,21 @@
             **fields,
         )
 
-    def _take(self, success):
+    def _take(self, kind):
+        """Return whether a line may be written.
+
+        :param kind: whether it tells of a success, or ``"malformed"``.
+        """
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
-            self._left = {True: SUCCESSES_PER_S, False: FAILURES_PER_S}
-        left = self._left.get(success, 0)
-        self._left[success] = left - 1
+            self._left = {
+                True: SUCCESSES_PER_S,
+                False: FAILURES_PER_S,
+                "malformed": MALFORMED_PER_S,
+            }
+        left = self._left.get(kind, 0)
+        self._left[kind] = left - 1
         return left > 0
 
 
--- a/tests/test_telemetry_decisions.py
+++ b/tests/test_telemetry_decisions.py
@@ -10,10 +10,11 @@
 from prometheus_client import REGISTRY
 
 from briarbeam.catalog import RequestKind, Service
+from briarbeam.relay.errors import MalformedRequestError
 from briarbeam.telemetry import decisions
 from briarbeam.telemetry.decisions import BufferedOutput
 
-from .relay_fakes import Entry, FakeInstance, ok, reply
+from .relay_fakes import Entry, FakeInstance, ok, read_all, reply
 
 
 def test_reader_that_stands_still_delays_nobody_and_costs_counted_lines():
@@ -84,6 +85,29 @@
     assert log._take(False)
 
 
+def test_flood_of_malformed_requests_leaves_few_lines_and_those_of_others(monkeypatch):
+    lines = []
+
+    class Log:
+        def info(self, event, **fields):
+            lines.append((event, fields))
+
+    entry = Entry({})
+    entry.dispatcher._decisions._log = Log()
+    monkeypatch.setattr(decisions.time, "monotonic", lambda: 1000.0)
+    for _ in range(3 * decisions.MALFORMED_PER_S):
+        sock = entry.connect()
+        sock.sendall(b"NOT HTTP\r\n\r\n")
+        assert b" 400 " in read_all(sock)
+    entry.ask()
+    events = [event for event, _ in lines]
+    assert events.count("request_malformed") == decisions.MALFORMED_PER_S
+    assert events[-1] == "request"
+    monkeypatch.setattr(decisions.time, "monotonic", lambda: 1001.0)
+    entry.dispatcher.note_malformed(MalformedRequestError("x"))
+    assert lines[-1][1]["omitted_before"] == 2 * decisions.MALFORMED_PER_S
+
+
 def test_a_refused_request_leaves_a_line_with_its_cause():
     lines = []
 
