--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -124,6 +124,10 @@
         finally:
             self._decisions.note_request(request, meta, job, writer, outcome)
 
+    def note_malformed(self, error):
+        """Log that a caller's bytes were refused as no request."""
+        self._decisions.note_malformed(error)
+
     def refuse(self, request, writer, error):
         """Answer `request` with `error`, which says that it did not run."""
         meta = wire.decode_request(request.headers)
@@ -240,6 +244,7 @@
         if job.need.model is not None:
             job.target_version = target.version_of(job.need.model)
             job.superseded_in_s = self._admission.weights_left_s(job, target)
+            self._decisions.note_send(job.superseded_in_s)
 
     def _receive(self, job, target, call, writer, stream):
         # A last chance elsewhere is worth more than waiting for a silent target.
@@ -477,13 +482,17 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
+    def required_version(self, model):
+        """Return the oldest version of `model` that requests may be sent to now."""
+        within_s = self._version_within_s - self._send_margin_s
+        return self._versions.required(model, within_s)
+
     def _required_version(self, service, meta):
         if not service.models or meta.model is None:
             return 0
         if not self._versions.known:
             raise NoDesiredStateError("the named versions are not known yet")
-        within_s = self._version_within_s - self._send_margin_s
-        return self._versions.required(meta.model, within_s)
+        return self.required_version(meta.model)
 
 
 def _choose(services):
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -1,7 +1,6 @@
 """The desired state in force here, and how sure it is."""
 
 import structlog
-from prometheus_client import Gauge
 
 from ..distribution.namings import FIRST_VERSION, NamingHistory
 from ..platform.records import (
@@ -14,9 +13,6 @@
 # An age that is known to within this counts as certain, at its upper bound.
 CERTAIN_WITHIN_S = 1.0
 
-_REQUIRED = Gauge(
-    "briarbeam_required_version", "Oldest weights that a request may begin on now"
-)
 _log = structlog.get_logger()
 
 
@@ -106,7 +102,8 @@
 
     def superseded_in_s(self, model, version, within_s):
         """Return how long requests may still begin on `version`, or None for ever."""
-        named_s = self.history(model).superseded_s(version)
+        history = self._histories.get(model)
+        named_s = history.superseded_s(version) if history is not None else None
         return (
             None if named_s is None else named_s + within_s - self._clock.boottime_s()
         )
@@ -127,10 +124,12 @@
             self._on_change(model, history.newest)
 
     def required(self, model, within_s):
-        """Return the newest version that was named `within_s` seconds ago or more."""
-        required = self.history(model).required(within_s)
-        _REQUIRED.set(required)
-        return required
+        """Return the newest version that was named `within_s` seconds ago or more.
+
+        :returns: 0 if there is none; callers name models that don't exist.
+        """
+        history = self._histories.get(model)
+        return 0 if history is None else history.required(within_s)
 
     def _note(self, model, version):
         history = self.history(model)
--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -20,6 +20,7 @@
 # Lines a second of successes; failures and refusals have five times as many.
 SUCCESSES_PER_S = 5
 FAILURES_PER_S = 25
+MALFORMED_PER_S = 5
 _WRITE_MAX_BYTES = 32768
 
 _DROPPED = Counter("briarbeam_log_lines_dropped", "Log lines left out", ["reason"])
@@ -30,6 +31,11 @@
     ["route_kind"],
     buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4),
 )
+_SUPERSEDED_LEFT = Histogram(
+    "briarbeam_superseded_send_left_seconds",
+    "Seconds in which requests could still begin on superseded weights, at each send",
+    buckets=(0.0, 0.15, 0.35, 0.75, 1.5, 3.0, 6.0),
+)
 
 
 class BufferedOutput:
@@ -112,7 +118,7 @@
                 serializer=json.dumps, separators=(",", ":"), default=repr
             ),
         ],
-        logger_factory=structlog.PrintLoggerFactory(output),
+        logger_factory=structlog.WriteLoggerFactory(output),
         cache_logger_on_first_use=True,
     )
     return output
@@ -130,6 +136,30 @@
         self._second = 0
         self._left = {}
         self._omitted = 0
+        self._malformed_omitted = 0
+
+    def note_malformed(self, error):
+        """Log that bytes which are no request were refused, and count it."""
+        _ANSWERS.labels("none", error.code).inc()
+        if not self._take("malformed"):
+            self._malformed_omitted += 1
+            _DROPPED.labels("rate").inc()
+            return
+        omitted, self._malformed_omitted = self._malformed_omitted, 0
+        self._log.info(
+            "request_malformed",
+            cause=str(error),
+            status=error.status,
+            omitted_before=omitted,
+        )
+
+    def note_send(self, superseded_in_s):
+        """Count a request that is sent to an engine.
+
+        :param superseded_in_s: as in `Job`.
+        """
+        if superseded_in_s is not None:
+            _SUPERSEDED_LEFT.observe(max(0.0, superseded_in_s))
 
     def note_request(self, request, meta, job, writer, error):
         """Log how `request` was answered, and count it.
@@ -180,13 +210,21 @@
             **fields,
         )
 
-    def _take(self, success):
+    def _take(self, kind):
+        """Return whether a line may be written.
+
+        :param kind: whether it tells of a success, or ``"malformed"``.
+        """
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
-            self._left = {True: SUCCESSES_PER_S, False: FAILURES_PER_S}
-        left = self._left.get(success, 0)
-        self._left[success] = left - 1
+            self._left = {
+                True: SUCCESSES_PER_S,
+                False: FAILURES_PER_S,
+                "malformed": MALFORMED_PER_S,
+            }
+        left = self._left.get(kind, 0)
+        self._left[kind] = left - 1
         return left > 0
 
 
