--- a/briarbeam/kernel/clock.py
+++ b/briarbeam/kernel/clock.py
@@ -12,7 +12,12 @@
 
 
 class Clock(Protocol):
-    """What a decision may know and do about time."""
+    """What a decision may know and do about time.
+
+    `started_s` is the boot time at which the process started.
+    """
+
+    started_s: float
 
     def now(self) -> datetime:
         """Return the wall-clock time in UTC."""
@@ -28,7 +33,13 @@
 
 
 class SystemClock:
-    """The machine's clock."""
+    """The machine's clock.
+
+    :param started_s: boot time at which the process started; now, if not given.
+    """
+
+    def __init__(self, started_s=None):
+        self.started_s = self.boottime_s() if started_s is None else started_s
 
     def now(self):
         return datetime.now(UTC)
@@ -53,6 +64,7 @@
         self._start = start
         self._elapsed_s = 0.0
         self._suspended_s = 0.0
+        self.started_s = 0.0
 
     def now(self):
         return self._start + timedelta(seconds=self.boottime_s())
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -459,6 +459,11 @@
                     raise UnknownKeyError("the key was taken away")
         if target.instance.draining:
             raise ConnectFailedError(f"{target.id} is leaving")
+        model = job.need.model
+        if model is not None:
+            required = self._required_version(job.need.service, job.meta)
+            if target.version_of(model) < required:
+                raise ConnectFailedError(f"{target.id} holds superseded weights")
 
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
@@ -477,15 +482,13 @@
                 retry_after_s=RETRY_AFTER_S,
             )
 
-    def required_version(self, model):
-        """Return the oldest version of `model` that requests may be sent to now."""
-        within_s = self._version_within_s - self._send_margin_s
-        return self._versions.required(model, within_s)
-
     def _required_version(self, service, meta):
         if not service.models or meta.model is None:
             return 0
-        return self.required_version(meta.model)
+        if not self._versions.known:
+            raise NoDesiredStateError("the named versions are not known yet")
+        within_s = self._version_within_s - self._send_margin_s
+        return self._versions.required(meta.model, within_s)
 
 
 def _choose(services):
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -11,6 +11,7 @@
 from ..distribution.exchange import EntryExchange
 from ..distribution.peer_server import PeerServer
 from ..distribution.waves import plan_wave, updated_share
+from ..kernel.pulse import Pulse
 from ..node import roles
 from ..platform import records
 from ..platform.store import StoreClient
@@ -63,11 +64,13 @@
         self._clock = clock
         self._stopping = False
         self._in_force = InForce(clock)
+        self._pulse = Pulse(clock)
         self._versions = NamedVersions(
             clock,
             self._on_version,
             settings.bounds.version_within_s - settings.bounds.contact_s,
-            lambda: self._version_mirror.unseen_s,
+            self._names_unseen_s,
+            clock.started_s,
         )
         self._fleet = Fleet(clock, self._services)
         self._build_mirrors(StoreClient(network, settings.store.address))
@@ -88,7 +91,7 @@
             self._source,
             self._exchange.entries,
             self._holders,
-            settings.bounds.version_within_s,
+            self._superseded_in_s,
         )
         self._build_servers()
 
@@ -97,6 +100,7 @@
         for mirror in self._mirrors:
             gevent.spawn(mirror.run)
         gevent.spawn(self._follower.run)
+        gevent.spawn(self._pulse.run)
         self._exchange.start()
         self._peers.start()
         self._callers.start()
@@ -135,7 +139,7 @@
 
     def _build_servers(self):
         settings, bounds = self._settings, self._settings.bounds
-        self._admission = Admission(
+        admission = Admission(
             self._in_force,
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
@@ -154,7 +158,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         dispatcher = Dispatcher(
-            self._admission,
+            admission,
             balancer,
             budget,
             self._exchange.place,
@@ -172,7 +176,8 @@
     def _is_ready(self):
         age_s = self._config.age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
-        return not self._stopping and age_s is not None and age_s < bound_s
+        known = age_s is not None and self._versions.known
+        return not self._stopping and known and age_s < bound_s
 
     def _limits(self):
         state = self._in_force.state
@@ -212,16 +217,26 @@
         if state is not None:
             self._versions.learn(state.find_model(), told)
 
+    def _superseded_in_s(self, model, version):
+        within_s = self._settings.bounds.version_within_s
+        return self._versions.superseded_in_s(model, version, within_s)
+
     def _on_version(self, model, version):
         self._exchange.greet_soon()
         # Worked out when it is read: it changes with time, without a request.
         _REQUIRED.labels(model).set_function(
-            lambda: self._admission.required_version(model)
+            lambda: self._versions.required(
+                model, self._settings.bounds.version_within_s - VERSION_MARGIN_S
+            )
         )
         gevent.spawn_later(
             random.uniform(0.0, 0.01), self._chunks.prefetch, model, version
         )
 
+    def _names_unseen_s(self):
+        """Return for how long a name that is read now may have been there unseen."""
+        return max(self._version_mirror.unseen_s, self._pulse.may_have_waited_s())
+
     def _describe(self, target):
         """Return what the daemon beside an engine is told, or None for others."""
         state = self._in_force.state
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -58,14 +58,15 @@
     :param assumed_age_s: the age that is assumed at the start and at the store's return.
     :param unseen_s: a function that returns for how long the records were not seen before
         the last change; infinite before they were seen first.
+    :param started_s: boot time at which the process started.
     """
 
-    def __init__(self, clock, on_change, assumed_age_s, unseen_s):
+    def __init__(self, clock, on_change, assumed_age_s, unseen_s, started_s):
         self._clock = clock
         self._on_change = on_change
         self._assumed_age_s = max(0.0, assumed_age_s)
         self._unseen_s = unseen_s
-        self._started_s = clock.boottime_s()
+        self._started_s = started_s
         self._histories = {}
         self._first = True
 
@@ -80,6 +81,11 @@
             self._note(model, version)
         self._first = False
 
+    @property
+    def known(self):
+        """Whether the store or another daemon has told what was named."""
+        return not self._first or any(self._histories.values())
+
     def history(self, model):
         """Return the `NamingHistory` of `model`."""
         if model not in self._histories:
@@ -110,6 +116,9 @@
             _log.info(
                 "namings_learned", model=model, known=history.describe(), told=told
             )
+        if self._first and not history:
+            newest_told = told[-1][0]
+            history.note(newest_told, *self._age_s())
         history.learn(told)
         if history.newest > newest:
             self._on_change(model, history.newest)
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -123,6 +123,7 @@
         for name, fake in instances.items():
             self.add(name, fake.address)
         self.versions = versions_of(self.clock, 0.0)
+        self.versions.update({})
         self.budget = RetryBudget(0.2, 100, 10.0)
         balancer = Balancer(
             self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
@@ -172,7 +173,11 @@
 def versions_of(clock, assumed_age_s=5.0, unseen_s=0.0):
     """Return the `NamedVersions` of an entry that has just started."""
     return NamedVersions(
-        clock, lambda model, version: None, assumed_age_s, lambda: unseen_s
+        clock,
+        lambda model, version: None,
+        assumed_age_s,
+        lambda: unseen_s,
+        clock.boottime_s(),
     )
 
 
--- a/tests/test_distribution_namings.py
+++ b/tests/test_distribution_namings.py
@@ -5,6 +5,7 @@
 
 from briarbeam.distribution.namings import NamingHistory
 from briarbeam.kernel.clock import ManualClock
+from briarbeam.relay.dispatch import SUPERSEDED_MARGIN_S
 
 from .relay_fakes import versions_of
 from .test_relay_state import named
@@ -141,6 +142,15 @@
     assert not versions.history("m").lacks(told)
 
 
+def test_time_that_is_wrong_by_what_is_kept_back_of_the_bound_is_corrected():
+    clock = ManualClock()
+    clock.advance(100.0)
+    history = NamingHistory(clock)
+    history.note(1, 90.0, True)
+    history.note(2, 1.0, True)
+    assert history.lacks(((1, 90.0, True), (2, 1.0 + SUPERSEDED_MARGIN_S, True)))
+
+
 def test_older_time_of_the_first_name_told_is_taken_over():
     clock = ManualClock()
     clock.advance(100.0)
@@ -153,6 +163,15 @@
     assert history.required(6.0) == 2
 
 
+def test_word_of_others_that_comes_before_the_first_list_gives_no_more_time():
+    clock = ManualClock()
+    clock.advance(100.0)
+    versions = versions_of(clock, ASSUMED_S)
+    versions.learn("m", ((3, 1.0, True),))
+    versions.update(named(3))
+    assert versions.superseded_in_s("m", 1, WITHIN_S) <= WITHIN_S - ASSUMED_S
+
+
 @st.composite
 def days(draw):
     """Return times of names, and entries with their start and a cut from the store."""
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from briarbeam.catalog import RequestKind
+from briarbeam.catalog import RequestKind, Service
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform import headers as wire
@@ -21,7 +21,7 @@
     MalformedRecordError,
     StoreUnavailableError,
 )
-from briarbeam.relay.fleet import Fleet
+from briarbeam.relay.fleet import Fleet, LoadReport
 
 from .distribution_fakes import FakeNetwork, Reply
 
@@ -109,6 +109,19 @@
     assert fleet.get("i1") is not before
 
 
+def test_engine_that_restarted_is_not_thought_to_hold_the_weights_from_before():
+    """The daemon beside it tells so seconds before its entry in the store does."""
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    for started_ms, version in ((1700, 3), (1800, 2), (1700, 3)):
+        report = LoadReport(0.0, started_ms, True, version, 0, 0)
+        fleet.note_report("10.0.0.9", report)
+    assert fleet.get("i1").version_of("m") == 2
+    fleet.update({"i1": Record("i1", 2, dict(ENTRY, born=1800))})
+    fleet.note_report("10.0.0.9", LoadReport(0.0, 1700, True, 3, 0, 0))
+    assert fleet.get("i1").version_of("m") == 0
+
+
 def test_entry_that_lapsed_in_an_outage_counts_a_little_longer_but_not_a_leaving_one():
     clock = ManualClock()
     fleet = Fleet(clock, dict)
@@ -121,6 +134,44 @@
     assert fleet.targets("s") == []
 
 
+def test_instance_that_leaves_after_an_outage_is_not_kept_beyond_the_time_to_return():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.store_restored_s = clock.boottime_s()
+    clock.advance(1.5)
+    fleet.update({})
+    clock.advance(0.5)
+    assert fleet.targets("s") == []
+
+
+def test_outage_before_a_suspension_is_not_taken_as_recent():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    clock.suspend(60.0)
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.store_restored_s = clock.boottime_s()
+    clock.advance(30.0)
+    fleet.update({})
+    assert fleet.targets("s") == []
+
+
+def test_instance_whose_entry_lapsed_is_not_cold_when_it_is_written_again():
+    clock = ManualClock()
+    service = Service("s", cold_start_s=3.0, cold_requests_per_s=26.0)
+    fleet = Fleet(clock, lambda: {"s": service})
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.update({})
+    assert fleet.targets("s") == []
+    clock.advance(2.0)
+    fleet.update({"i1": Record("i1", 2, ENTRY)})
+    assert not fleet.get("i1").is_cold(clock.monotonic_s())
+    fleet.update({})
+    assert fleet.targets("s") == []
+    fleet.update({"i1": Record("i1", 3, dict(ENTRY, born=1800))})
+    assert fleet.get("i1").is_cold(clock.monotonic_s())
+
+
 def test_entry_that_goes_while_the_store_is_well_is_gone_at_once():
     fleet = Fleet(ManualClock(), dict)
     fleet.update({"i1": Record("i1", 1, ENTRY)})
