--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -139,7 +139,7 @@
 
     def _build_servers(self):
         settings, bounds = self._settings, self._settings.bounds
-        self._admission = Admission(
+        admission = Admission(
             self._in_force,
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
@@ -158,7 +158,7 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
         dispatcher = Dispatcher(
-            self._admission,
+            admission,
             balancer,
             budget,
             self._exchange.place,
@@ -225,7 +225,9 @@
         self._exchange.greet_soon()
         # Worked out when it is read: it changes with time, without a request.
         _REQUIRED.labels(model).set_function(
-            lambda: self._admission.required_version(model)
+            lambda: self._versions.required(
+                model, self._settings.bounds.version_within_s - VERSION_MARGIN_S
+            )
         )
         gevent.spawn_later(
             random.uniform(0.0, 0.01), self._chunks.prefetch, model, version
