Tell names in a small datagram of their own

What callers could see: nothing where names of failure domains are short. Else an entry that starts is told neither names nor other entries: the datagram does not fit and is cut off.

Cause: names were added to the datagrams that tell a new entry of all others, which can be nearly full; an entry that lacked only names was told of all others again, too.

Evidence: test_entry_that_lacks_names_is_told_in_one_datagram_that_fits failed before: two datagrams of 481 and 1621 bytes, where 1400 are read.

Change: names go into a datagram without entries, which is the only one if the entry is known.

--- a/briarbeam/distribution/reporter.py
+++ b/briarbeam/distribution/reporter.py
@@ -66,16 +66,21 @@
             data = encode(_load(report, version, accepting, entry in forwarders))
             self._send(data, entry[0])
 
-    def welcome(self, report, version, accepting, host, namings=()):
-        """Tell a new entry, and who else there is.
-
-        :param namings: as in `Load`.
-        """
+    def welcome(self, report, version, accepting, host):
+        """Tell a new entry, and who else there is."""
         for _ in range(0, len(self._roster), ENTRIES_PER_DATAGRAM):
             entries = self._roster.next_slice()
-            load = _load(report, version, accepting, entries=entries, namings=namings)
+            load = _load(report, version, accepting, entries=entries)
             self._send(encode(load), host)
 
+    def tell_namings(self, report, version, accepting, host, namings):
+        """Tell an entry when versions were named.
+
+        :param namings: as in `Load`.
+        """
+        load = _load(report, version, accepting, namings=namings)
+        self._send(encode(load), host)
+
     def _tell_one_directly(self, data):
         """Tell one of the other entries, in turn, in case their forwarder fails."""
         forwarders = {host for host, _ in self._roster.forwarders()}
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -146,9 +146,10 @@
         for version, age_s, _, certain in greeting.versions:
             self._namings.note(version, age_s, certain)
         told = self._namings.certain()
-        lacks = self._lacks(greeting, told)
-        if self._report is not None and (is_new or lacks):
-            self._reporter.welcome(*self._load(), greeting.host, told if lacks else ())
+        if self._report is not None and is_new:
+            self._reporter.welcome(*self._load(), greeting.host)
+        if self._report is not None and self._lacks(greeting, told):
+            self._reporter.tell_namings(*self._load(), greeting.host, told)
         if greeting.model is None or not greeting.versions:
             return
         newest = greeting.versions[-1][0]
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -6,7 +6,13 @@
 import pytest
 
 from briarbeam.distribution.errors import MalformedDatagramError
-from briarbeam.distribution.messages import Greeting, Load, decode, encode
+from briarbeam.distribution.messages import (
+    MAX_BYTES,
+    Greeting,
+    Load,
+    decode,
+    encode,
+)
 from briarbeam.distribution.stager import Stager
 from briarbeam.distribution.waves import plan_wave, updated_share
 from briarbeam.kernel.clock import SystemClock
@@ -286,6 +292,21 @@
     assert updated_share(engines_, MODEL, 1) == 1.0
 
 
+def test_entry_that_lacks_names_is_told_in_one_datagram_that_fits():
+    bench = Bench(version=1)
+    names = ((1, 9000.123, 1.0, True), *((v, 99.123, 1.0, True) for v in (21, 22, 23)))
+    for number in range(100, 150):
+        bench.stager._note(
+            Greeting(f"10.200.100.{number}", "failure-domain-a", MODEL, names)
+        )
+    sizes_bytes = []
+    bench.stager._send = lambda data, host: sizes_bytes.append(len(data))
+    late = Greeting("10.200.100.100", "failure-domain-a", MODEL, names[:-1])
+    bench.stager._note(late)
+    assert len(sizes_bytes) == 1
+    assert sizes_bytes[0] < MAX_BYTES
+
+
 def test_entry_that_only_assumes_when_a_version_was_named_is_told():
     bench = Bench(version=1)
     bench.greet((1, 90.0, 1.0), (2, 1.0, 0.0))
