Take no age as current that waited while the process was paused

What callers could see: after a pause of its process a stager tells names as if they had just been made, and an entry that was paused between its question and a stager's word gives older versions the length of the pause. Fresh greetings correct it within a second.

A datagram's age counts from when it is read.

Evidence: both tests failed before: version 3, of unknown age, was told as certain, and an entry required version 1 instead of 2 after a pause of 5 s.

Change: for a moment after a pause ages in greetings are taken as assumed, and an entry learns no names; it is told again.

--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -10,6 +10,7 @@
 from prometheus_client import Counter, Gauge
 
 from ..kernel.errors import BriarbeamError
+from ..kernel.pulse import Pulse
 from ..platform import engines
 from .copies import Copy, matches
 from .errors import ChunkUnavailableError, MalformedDatagramError
@@ -73,6 +74,7 @@
         self._greeting = None
         self._clock = clock
         self._namings = NamingHistory(clock)
+        self._pulse = Pulse(clock)
         self._overdue = OverdueWatch(self._namings)
         self._manifest_due_s = {}
         self._report = None
@@ -91,6 +93,7 @@
         self._sock.bind(tuple(self._address))
         self._peers.start()
         gevent.spawn(self._listen_forever)
+        gevent.spawn(self._pulse.run)
         gevent.spawn(self._report_forever)
         gevent.spawn(self._fetch_forever)
         gevent.spawn(self._load_forever)
@@ -143,8 +146,10 @@
         is_new = self._roster.note(
             greeting.host, greeting.failure_domain, greeting.silent_forwarder
         )
+        # What waited during a pause is older than it says.
+        waited = self._pulse.may_have_waited_s() > 0
         for version, age_s, _, certain in greeting.versions:
-            self._namings.note(version, age_s, certain)
+            self._namings.note(version, age_s, certain and not waited)
         told = self._namings.certain()
         if self._report is not None and is_new:
             self._reporter.welcome(*self._load(), greeting.host)
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -214,7 +214,8 @@
 
     def _on_namings_told(self, told):
         state = self._in_force.state
-        if state is not None:
+        # What waited during a pause is older than it says; it will be told again.
+        if state is not None and not self._pulse.may_have_waited_s():
             self._versions.learn(state.find_model(), told)
 
     def _superseded_in_s(self, model, version):
--- a/tests/test_distribution_namings.py
+++ b/tests/test_distribution_namings.py
@@ -1,11 +1,15 @@
 """When versions were named: what daemons know of it, and learn from each other."""
 
+from types import SimpleNamespace
+
 from hypothesis import given
 from hypothesis import strategies as st
 
 from briarbeam.distribution.namings import NamingHistory
 from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.pulse import Pulse
 from briarbeam.relay.dispatch import SUPERSEDED_MARGIN_S
+from briarbeam.relay.entry import EntryRole
 
 from .relay_fakes import versions_of
 from .test_relay_state import named
@@ -172,6 +176,18 @@
     assert versions.superseded_in_s("m", 1, WITHIN_S) <= WITHIN_S - ASSUMED_S
 
 
+def test_word_of_others_that_waited_during_a_pause_is_not_taken_as_current():
+    clock = ManualClock()
+    clock.advance(100.0)
+    entry = EntryRole.__new__(EntryRole)
+    entry._in_force = SimpleNamespace(state=SimpleNamespace(find_model=lambda: "m"))
+    entry._pulse = Pulse(clock)
+    entry._versions = start_at(clock, 2)
+    clock.suspend(5.0)
+    entry._on_namings_told(((1, 90.0, True), (2, 1.0, True)))
+    assert entry._versions.required("m", WITHIN_S) == 2
+
+
 @st.composite
 def days(draw):
     """Return times of names, and entries with their start and a cut from the store."""
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -15,7 +15,7 @@
 )
 from briarbeam.distribution.stager import Stager
 from briarbeam.distribution.waves import plan_wave, updated_share
-from briarbeam.kernel.clock import SystemClock
+from briarbeam.kernel.clock import ManualClock, SystemClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform import engines
 
@@ -36,13 +36,18 @@
 class Bench:
     """A stager, its engine and one entry that has all versions."""
 
-    def __init__(self, version=0):
+    def __init__(self, version=0, clock=None):
         self.network = FakeNetwork()
         self.engine = self.network.handlers[ENGINE] = FakeEngine(version)
         self.network.handlers[PEER] = self._answer
         self.slow_s = 0.0
         self.stager = Stager(
-            self.network, SystemClock(), ENGINE, Address("10.0.0.5", 77), "z1", 1e4
+            self.network,
+            clock or SystemClock(),
+            ENGINE,
+            Address("10.0.0.5", 77),
+            "z1",
+            1e4,
         )
         self.sent = []
         self.stager._send = lambda data, host: self.sent.append(decode(data))
@@ -292,6 +297,15 @@
     assert updated_share(engines_, MODEL, 1) == 1.0
 
 
+def test_greetings_that_waited_during_a_pause_tell_no_certain_age():
+    clock = ManualClock()
+    bench = Bench(version=1, clock=clock)
+    bench.greet((1, 90.0, 1.0), (2, 0.1, 0.0))
+    clock.suspend(5.0)
+    bench.greet((1, 90.2, 1.0), (2, 0.3, 0.0), (3, 0.1, 0.0))
+    assert 3 not in [version for version, _, _ in bench.stager._namings.certain()]
+
+
 def test_entry_that_lacks_names_is_told_in_one_datagram_that_fits():
     bench = Bench(version=1)
     names = ((1, 9000.123, 1.0, True), *((v, 99.123, 1.0, True) for v in (21, 22, 23)))
