--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -401,9 +401,8 @@
         model = job.need.model
         if model is None:
             return None
-        return self._versions.superseded_in_s(
-            model, target.version_of(model), self._version_within_s
-        )
+        version = target.version_of(model)
+        return self._versions.superseded_in_s(model, version, self._version_within_s)
 
     def admit(self, request, meta):
         """Return the `Job` for `request`.
@@ -459,11 +458,9 @@
                     raise UnknownKeyError("the key was taken away")
         if target.instance.draining:
             raise ConnectFailedError(f"{target.id} is leaving")
-        model = job.need.model
-        if model is not None:
-            required = self._required_version(job.need.service, job.meta)
-            if target.version_of(model) < required:
-                raise ConnectFailedError(f"{target.id} holds superseded weights")
+        need = self.renew(job)
+        if need.model and target.version_of(need.model) < need.required_version:
+            raise ConnectFailedError(f"{target.id} holds superseded weights")
 
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
