Use no weights before the names of versions were read

Cause: an entry knows nothing of names before its first list of them, and took that for there being none: required_version 0 and no end of any weights' time. The list of names comes on its own call. Where the store is hard to reach it comes late.

Evidence: front-dk-a-16 started at 42.99 s; it read the desired state at 46.4 s and the engines at 54.8 s, its lists of names had timed out since 43.69 s, and its requests carry required_version 0, superseded_in_s null. What daemons beside engines tell does not help: theirs was ((1, 48.6),), without versions 2 and 3.

--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -123,6 +123,7 @@
         for name, fake in instances.items():
             self.add(name, fake.address)
         self.versions = versions_of(self.clock, 0.0)
+        self.versions.update({})
         self.budget = RetryBudget(0.2, 100, 10.0)
         balancer = Balancer(
             self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -19,6 +19,7 @@
     reset,
     state,
     stream_head,
+    versions_of,
 )
 
 UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
@@ -318,6 +319,19 @@
     assert not fake.requests
 
 
+def test_no_weights_are_used_before_the_names_were_read():
+    """What others tell may lack the newest name."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.admission._versions = versions_of(entry.clock)
+    entry.admission._versions.learn("m", ((1, 40.0),))
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not fake.requests
+
+
 def test_weights_whose_time_ends_before_the_send_get_nothing():
     service = Service("svc", models=("m",))
     old = FakeInstance(reply(stream_head() + event(1) + END))
