Bound how old the names of versions may be that requests rely on

What callers could see: an entry that reaches the store for its desired state, but for longer than a version's time not for the names, runs requests on superseded weights.

Cause: the desired state is used no longer than its confirmation allows; the names were used for ever.

Change: requests for a model are refused with 503 once an unseen name could be older than its time. A neighbour's confirmation tells the age of each of its copies, and watches of names wait 2.5 s instead of 4 s where no neighbour confirms: tests/test_relay_follower.py holds that names stay young enough with a call lost.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -224,7 +224,7 @@
                 self._confirm(host, message)
             elif isinstance(message, Confirmation):
                 self._follower.note_confirmation(
-                    message.sent_s, message.config_age_s, message.summaries
+                    message.sent_s, message.ages_s, message.summaries
                 )
 
     def _probe_forever(self):
@@ -235,9 +235,10 @@
                 self._send(encode(Probe(self._clock.boottime_s())), source)
 
     def _confirm(self, host, probe):
-        age_s, summaries = self._follower.describe()
-        if age_s is not None and not self._follower.following:
-            answer = Confirmation(probe.sent_s, round(age_s, 3), summaries)
+        ages_s, summaries = self._follower.describe()
+        if ages_s[0] is not None and not self._follower.following:
+            rounded_s = tuple(a if a is None else round(a, 3) for a in ages_s)
+            answer = Confirmation(probe.sent_s, rounded_s, summaries)
             self._send(encode(answer), host)
 
     def _hear(self, host, load):
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -94,12 +94,13 @@
     """What a neighbour holds of the store.
 
     :param sent_s: as in the `Probe`.
-    :param config_age_s: how long ago the store confirmed its desired state to it.
+    :param ages_s: how long ago the store confirmed each of its mirrors to it, None for
+        not yet; the desired state comes first.
     :param summaries: the summary of each of its mirrors, in a fixed order.
     """
 
     sent_s: float
-    config_age_s: float
+    ages_s: tuple
     summaries: tuple
 
 
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -368,6 +368,8 @@
         last confirmed, in seconds, or None.
     :param key_age_max_s: the age above which no request with a key is sent.
     :param versions: the `NamedVersions`.
+    :param names_age_s: a function that returns how long ago these were last confirmed, in
+        seconds, or None.
     :param version_within_s: after this, only the newest named weights may begin.
     :param send_margin_s: how much sooner nothing is sent to older weights any more.
     """
@@ -378,6 +380,7 @@
         confirmed_age_s,
         key_age_max_s,
         versions,
+        names_age_s,
         version_within_s,
         send_margin_s,
     ):
@@ -385,6 +388,7 @@
         self._confirmed_age_s = confirmed_age_s
         self._key_age_max_s = key_age_max_s
         self._versions = versions
+        self._names_age_s = names_age_s
         self._version_within_s = version_within_s
         self._send_margin_s = send_margin_s
 
@@ -478,9 +482,11 @@
     def _required_version(self, service, meta):
         if not service.models or meta.model is None:
             return 0
-        if not self._versions.known:
-            raise NoDesiredStateError("the named versions are not known yet")
         within_s = self._version_within_s - self._send_margin_s
+        age_s = self._names_age_s()
+        if age_s is None or age_s > within_s:
+            # A newer name may be there for longer than its time.
+            raise NoDesiredStateError(f"names of versions were read {age_s} s ago")
         return self._versions.required(meta.model, within_s)
 
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -30,6 +30,9 @@
 CONFIG_WAIT_S = 1.2
 # Other watches: an unnoticed dead connection costs this and a call's time-out.
 WATCH_WAIT_S = 4.0
+# That on the names of versions confirms them as of when it was sent, as above; with a
+# lost call they stay younger than the bound on versions.
+NAMES_WAIT_S = 2.5
 # Kept back of the bound on keys, for a request's way to its target.
 KEY_MARGIN_S = 0.6
 # Kept back of the bound on versions: requests wait at a target before they begin.
@@ -116,16 +119,22 @@
             self._in_force.update, CONFIG_SETTLE_S, self._series_pause_s,
         )  # fmt: skip
         followed = (
-            (records.INSTANCE_KIND, self._update_fleet, INSTANCE_SETTLE_S),
-            (records.EVACUATION_KIND, self._update_evacuated, SETTLE_S),
-            (records.VERSION_KIND, self._versions.update, 0.0),
+            (
+                records.INSTANCE_KIND,
+                self._update_fleet,
+                INSTANCE_SETTLE_S,
+                WATCH_WAIT_S,
+            ),
+            (records.EVACUATION_KIND, self._update_evacuated, SETTLE_S, WATCH_WAIT_S),
+            (records.VERSION_KIND, self._versions.update, 0.0, NAMES_WAIT_S),
         )
         others = [
             Mirror(
-                store, kind, self._clock, lambda: self._follower.wait_s(WATCH_WAIT_S),
+                store, kind, self._clock,
+                lambda alone_s=alone_s: self._follower.wait_s(alone_s),
                 on_change, settle_s, canary=self._config,
             )
-            for kind, on_change, settle_s in followed
+            for kind, on_change, settle_s, alone_s in followed
         ]  # fmt: skip
         self._mirrors = [self._config, *others]
         self._version_mirror = others[-1]
@@ -138,6 +147,7 @@
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
             self._versions,
+            lambda: self._version_mirror.age_s,
             bounds.version_within_s,
             VERSION_MARGIN_S,
         )
--- a/briarbeam/relay/follower.py
+++ b/briarbeam/relay/follower.py
@@ -59,26 +59,28 @@
         return LONG_WAIT_S if self.following else alone_s
 
     def describe(self):
-        """Return the age of the desired state and the summaries of all mirrors.
+        """Return the ages and the summaries of all mirrors.
 
-        The age is None before there is a desired state.
+        An age is None before the first list.
         """
-        return self._mirrors[0].age_s, tuple(m.summary for m in self._mirrors)
+        ages_s = tuple(m.age_s for m in self._mirrors)
+        return ages_s, tuple(m.summary for m in self._mirrors)
 
-    def note_confirmation(self, sent_s, config_age_s, summaries):
+    def note_confirmation(self, sent_s, ages_s, summaries):
         """Take over what a neighbour answered to what was asked at `sent_s`.
 
         :param sent_s: boot time of this entry.
-        :param config_age_s: as in `describe`.
+        :param ages_s: as in `describe`.
         """
         now_s = self._clock.boottime_s()
-        if config_age_s > NEIGHBOUR_AGE_MAX_S or sent_s > now_s:
+        if ages_s[0] > NEIGHBOUR_AGE_MAX_S or sent_s > now_s:
             return
-        for mirror, summary in zip(self._mirrors, summaries, strict=False):
+        for mirror, age_s, summary in zip(
+            self._mirrors, ages_s, summaries, strict=False
+        ):
             self._compare(mirror, tuple(summary), now_s)
-        config = self._mirrors[0]
-        if tuple(summaries[0]) == config.summary:
-            config.confirm(sent_s - config_age_s)
+            if age_s is not None and tuple(summary) == mirror.summary:
+                mirror.confirm(sent_s - age_s)
         self._confirmed_s = sent_s
         if not self.following and self._confirmed():
             self.following = True
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -85,11 +85,6 @@
             self._note(model, version)
         self._first = False
 
-    @property
-    def known(self):
-        """Whether the store's records were seen; before, a newer name may be there."""
-        return not self._first
-
     def history(self, model):
         """Return the `NamingHistory` of `model`."""
         if model not in self._histories:
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -115,7 +115,7 @@
     def __init__(self, instances, service=None, **route):
         self.clock = SystemClock()
         self.limits = CallerLimits()
-        self.age_s = 0.1
+        self.age_s = self.names_age_s = 0.1
         self.in_force = InForce(self.clock)
         self.service = service or Service("svc")
         self.in_force.state = state(self.service, **route)
@@ -123,13 +123,18 @@
         for name, fake in instances.items():
             self.add(name, fake.address)
         self.versions = versions_of(self.clock, 0.0)
-        self.versions.update({})
         self.budget = RetryBudget(0.2, 100, 10.0)
         balancer = Balancer(
             self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
         )
         self.admission = Admission(
-            self.in_force, lambda: self.age_s, 4.4, self.versions, 8.0, 0.45
+            self.in_force,
+            lambda: self.age_s,
+            4.4,
+            self.versions,
+            lambda: self.names_age_s,
+            8.0,
+            0.45,
         )
         decisions = DecisionLog(lambda: self.age_s)
         self.dispatcher = Dispatcher(
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -8,16 +8,22 @@
 from briarbeam.kernel.errors import ExchangeError
 from briarbeam.kernel.network import Address
 from briarbeam.platform.store import CALL_TIMEOUT_S, Change, Record, StoreClient
-from briarbeam.relay.entry import CONFIG_WAIT_S, KEY_MARGIN_S
+from briarbeam.relay.entry import (
+    CONFIG_WAIT_S,
+    KEY_MARGIN_S,
+    NAMES_WAIT_S,
+    VERSION_MARGIN_S,
+)
 from briarbeam.relay.errors import RecheckError, StoreUnavailableError
 from briarbeam.relay.follower import (
     BEHIND_S,
     FOLLOW_LOST_S,
     LONG_WAIT_S,
     NEIGHBOUR_AGE_MAX_S,
+    POLL_S,
     StoreFollower,
 )
-from briarbeam.relay.mirror import Mirror
+from briarbeam.relay.mirror import RETRY_MIN_S, Mirror
 
 
 class FakeMirror:
@@ -49,8 +55,11 @@
     return StoreFollower(clock, config, [other]), config, other
 
 
-def confirm(follower, clock, summaries=((5, 1), (7, 3)), age_s=1.0, sent_ago_s=0.0):
-    follower.note_confirmation(clock.boottime_s() - sent_ago_s, age_s, summaries)
+def confirm(
+    follower, clock, summaries=((5, 1), (7, 3)), age_s=1.0, sent_ago_s=0.0, other_s=1.0
+):
+    sent_s = clock.boottime_s() - sent_ago_s
+    follower.note_confirmation(sent_s, (age_s, other_s), summaries)
 
 
 def test_watches_wait_long_only_while_a_neighbour_confirms(clock):
@@ -73,6 +82,24 @@
     assert follower.wait_s(2.2) == 2.2
 
 
+def test_each_copy_is_confirmed_with_the_neighbours_own_age_of_it(clock):
+    follower, config, other = build(clock)
+    confirm(follower, clock, other_s=None)
+    assert (len(config.confirmed), other.confirmed) == (1, [])
+    confirm(follower, clock, summaries=((5, 1), (8, 3)), other_s=2.0)
+    assert other.confirmed == []
+    confirm(follower, clock, other_s=2.5)
+    assert other.confirmed == [clock.boottime_s() - 2.5]
+
+
+def test_names_stay_young_enough_for_versions_also_when_one_call_is_lost():
+    """The shortest bound so far is 8 s."""
+    alone_s = 2 * NAMES_WAIT_S + CALL_TIMEOUT_S + RETRY_MIN_S
+    assert alone_s < 8.0 - VERSION_MARGIN_S
+    # A neighbour's word counts until others are missed for too long.
+    assert 2 * NAMES_WAIT_S + FOLLOW_LOST_S + POLL_S < 8.0 - VERSION_MARGIN_S
+
+
 def test_another_state_is_not_confirmed(clock):
     follower, config, _ = build(clock)
     confirm(follower, clock, summaries=((6, 1), (7, 3)))
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -19,7 +19,6 @@
     reset,
     state,
     stream_head,
-    versions_of,
 )
 
 UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
@@ -325,13 +324,26 @@
     fake = FakeInstance(reply(stream_head() + event(1) + END))
     entry = Entry({}, service=service, **STREAM)
     entry.add("i1", fake.address, models={"m": 1})
-    entry.admission._versions = versions_of(entry.clock)
-    entry.admission._versions.learn("m", ((1, 40.0),))
+    entry.names_age_s = None
+    entry.versions.learn("m", ((1, 40.0),))
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.split()[1] == b"503"
     assert not fake.requests
 
 
+def test_no_weights_are_used_while_names_may_be_there_that_were_not_seen():
+    """An entry may reach the store for its desired state and not for the names."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    for age_s, status in ((7.4, b"200"), (7.6, b"503")):
+        entry.names_age_s = age_s
+        answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+        assert answer.split()[1] == status
+    assert len(fake.requests) == 1
+
+
 def test_weights_whose_time_ends_before_the_send_get_nothing():
     service = Service("svc", models=("m",))
     old = FakeInstance(reply(stream_head() + event(1) + END))
