Don't answer 404 from a desired state that is too old

Cause: keys are checked only against a desired state that was confirmed lately, routes against one of any age.

Evidence: front-og-a-6, which gave both answers, lost the store at 16.8 s and logged no newer desired state before its end at 42 s. The new test in tests/test_relay_requests.py got 404 before, 503 now.

Change: without a recent confirmation a missing route is answered with 503, which callers retry. Requests without a key on routes that are known go on as before.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -414,6 +414,8 @@
             raise NoDesiredStateError("no desired state is known yet")
         route = state.find_route(meta.host, request.path)
         if route is None:
+            # A newer desired state may have it.
+            self._check_confirmed()
             raise RouteNotFoundError(f"no route for {meta.host}{request.path}")
         team = self._find_team(state, route, meta)
         service = state.services.get(_choose(route.services))
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -75,6 +75,14 @@
     assert not fake.requests
 
 
+def test_route_that_an_old_desired_state_lacks_is_not_said_to_be_none():
+    entry = Entry({})
+    entry.age_s = 4.5
+    assert entry.ask(path=b"/new/x").split()[1] == b"503"
+    entry.age_s = 0.1
+    assert entry.ask(path=b"/new/x").split()[1] == b"404"
+
+
 @pytest.mark.parametrize("method", [b"GET", b"POST"])
 def test_instance_that_did_not_run_it_is_followed_by_another(method):
     first, second = FakeInstance(reply(NOT_RUN)), FakeInstance(reply(ok()))
