--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -76,6 +76,14 @@
     assert not fake.requests
 
 
+def test_route_that_an_old_desired_state_lacks_is_not_said_to_be_none():
+    entry = Entry({})
+    entry.age_s = 4.5
+    assert entry.ask(path=b"/new/x").split()[1] == b"503"
+    entry.age_s = 0.1
+    assert entry.ask(path=b"/new/x").split()[1] == b"404"
+
+
 @pytest.mark.parametrize("method", [b"GET", b"POST"])
 def test_instance_that_did_not_run_it_is_followed_by_another(method):
     first, second = FakeInstance(reply(NOT_RUN)), FakeInstance(reply(ok()))
@@ -319,6 +327,32 @@
     assert not fake.requests
 
 
+def test_no_weights_are_used_before_the_names_were_read():
+    """What others tell may lack the newest name."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.names_age_s = None
+    entry.versions.learn("m", ((1, 40.0),))
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not fake.requests
+
+
+def test_no_weights_are_used_while_names_may_be_there_that_were_not_seen():
+    """An entry may reach the store for its desired state and not for the names."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    for age_s, status in ((7.4, b"200"), (7.6, b"503")):
+        entry.names_age_s = age_s
+        answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+        assert answer.split()[1] == status
+    assert len(fake.requests) == 1
+
+
 def test_weights_whose_time_ends_before_the_send_get_nothing():
     """As when the process is suspended between the choice of a target and the send."""
     service = Service("svc", models=("m",))
