--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -488,8 +488,6 @@
     def _required_version(self, service, meta):
         if not service.models or meta.model is None:
             return 0
-        if not self._versions.known:
-            raise NoDesiredStateError("the named versions are not known yet")
         within_s = self._version_within_s - self._send_margin_s
         age_s = self._names_age_s()
         if age_s is None or age_s > within_s:
