Leave a silent engine only for another target, and a full one later

Cause: an entry that had no first event after 1.1 s closed the connection first and asked for a second send afterwards. While engines are full the budget of second sends is spent, so 336 of the 367 such failures logged from 13 to 19 s had one try. What the engine had read was lost and read again for the caller's next attempt.

Now the next target is chosen before the silent one is left, and without one the request stays, as long as the engine's load is told; an engine that is silent in that, too, is given up as before, since its caller may ask again. A full engine gets 2.2 s, under the 3.2 s after which callers leave.

--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -106,6 +106,11 @@
     def _load(self, target, now_s):
         return target.load(now_s, self._place().count)
 
+    def is_full(self, target):
+        """Return whether more requests are thought to be at `target` than it has slots."""
+        load = self._load(target, self._clock.monotonic_s())
+        return load > target.instance.slots
+
     def eligible(self, need):
         """Return the targets that could ever run `need` now, busy or not."""
         return [
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -1,6 +1,7 @@
 """The way of one request: checked, sent to a target, sent once more where allowed."""
 
 import dataclasses
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -9,6 +10,7 @@
 from ..kernel.errors import BriarbeamError, NotRunError
 from ..platform import headers as wire
 from .balance import Need
+from .caller_stream import CallerStream
 from .callers import LeaveWatch
 from .errors import (
     CallerLeftError,
@@ -20,12 +22,16 @@
     UnknownKeyError,
     UpstreamError,
 )
-from .events import EventSplitter
 from .exchange import ConnectFailedError, Exchange, SilentError
 
 # How long a repeatable request waits for its first bytes before another target gets
 # it: about four times what a busy engine takes, under what callers bear.
 FIRST_PART_SILENCE_S = 1.1
+# After that it is looked again for another target so often.
+LOOK_AGAIN_S = 0.3
+# The first wait where the engine is known to be full: its queue explains the silence, and what
+# it has read of the prompt would be read again elsewhere. Callers leave after 3.2 s.
+FULL_SILENCE_S = 2.2
 # How long a stream that can be resumed may pause before another target goes on:
 # engines cut off their neighbours' work after 1.5 s, callers leave after two or more.
 STREAM_SILENCE_S = 1.0
@@ -54,6 +60,7 @@
 
     :param deadline_s: monotonic time at which the answer has to be there.
     :param tried: ids of the targets that refused or failed it.
+    :param next_target: the target that takes it from a silent one, or None.
     :param target_id: the target that it was sent to last, or None.
     :param target_version: the version of the weights that the target was thought to hold.
     :param superseded_in_s: how long after the send requests could still begin on that
@@ -73,6 +80,7 @@
     connects: int = 0
     sends: int = 0
     may_have_run: bool = False
+    next_target: object = None
     target_id: str | None = None
     target_version: int | None = None
     superseded_in_s: float | None = None
@@ -142,9 +150,10 @@
         writer.write(error.status, headers, body)
 
     def _run(self, job, writer):
-        stream = _Stream(writer) if job.streams else None
+        stream = CallerStream(writer) if job.streams else None
         while True:
-            target = self._pick(job)
+            target = job.next_target or self._pick(job, job.tried)
+            job.next_target = None
             if target is None:
                 raise self._no_target(job)
             try:
@@ -172,17 +181,18 @@
             if time.monotonic() >= job.deadline_s - ANSWER_MARGIN_S:
                 raise self._timed_out(job)
 
-    def _pick(self, job):
+    def _pick(self, job, tried):
         """Return the next target, or None if there is none or no further send."""
-        if job.tried:
-            now_s = time.monotonic()
-            if len(job.tried) >= job.route.max_attempts:
-                return None
-            service = job.need.service.name
-            if not self._budget.try_retry(service, self._place().count, now_s):
-                return None
+        if len(tried) >= max(1, job.route.max_attempts):
+            return None
         job.need = self._admission.renew(job)
-        return self._balancer.pick(job.need, job.tried)
+        target = self._balancer.pick(job.need, tried)
+        if target is None or not tried:
+            return target
+        service, now_s = job.need.service.name, time.monotonic()
+        if not self._budget.try_retry(service, self._place().count, now_s):
+            return None
+        return target
 
     def _no_target(self, job):
         if job.may_have_run:
@@ -244,10 +254,9 @@
     def _receive(self, job, target, call, writer, stream):
         # A last chance elsewhere is worth more than waiting for a silent target.
         may_move = job.route.repeatable and len(job.tried) + 1 < job.route.max_attempts
-        silence_s = FIRST_PART_SILENCE_S if may_move else None
-        if stream is not None:
-            silence_s = self._limit_by_weights(job, target, silence_s)
-        head = self._read(job, lambda until_s: call.read_head(until_s), silence_s)
+        silence_s = self._patience_s(target) if may_move else None
+        weights_s = self._weights_until_s(job, target) if stream else math.inf
+        head = self._read(job, target, call.read_head, silence_s, weights_s)
         reply = wire.decode_reply(head.status, head.headers)
         self._note_reply(target, reply)
         if reply.not_run:
@@ -259,16 +268,20 @@
         if stream is not None and head.status == 200 and head.is_event_stream():
             self._forward_stream(job, target, call, head, stream, may_move)
         else:
-            self._forward_whole(job, call, head, writer, stream)
+            self._forward_whole(job, target, call, head, writer, stream)
         target.note_success()
 
-    def _limit_by_weights(self, job, target, silence_s):
-        """Return how long to wait for the first event, given the target's weights."""
+    def _patience_s(self, target):
+        """Return how long to wait for the first bytes before looking elsewhere."""
+        busy = self._balancer.is_full(target)
+        return FULL_SILENCE_S if busy else FIRST_PART_SILENCE_S
+
+    def _weights_until_s(self, job, target):
+        """Return until when to wait for the first event, given the target's weights."""
         left_s = self._admission.weights_left_s(job, target)
         if left_s is None:
-            return silence_s
-        left_s = max(0.01, left_s - SUPERSEDED_MARGIN_S)
-        return left_s if silence_s is None else min(silence_s, left_s)
+            return math.inf
+        return time.monotonic() + max(0.01, left_s - SUPERSEDED_MARGIN_S)
 
     def _note_reply(self, target, reply):
         if reply.running is not None:
@@ -276,90 +289,53 @@
         if reply.weights_version is not None:
             target.seen_version = reply.weights_version
 
-    def _forward_whole(self, job, call, head, writer, stream):
-        body = self._read(job, lambda until_s: call.read_body(until_s), None)
+    def _forward_whole(self, job, target, call, head, writer, stream):
+        body = self._read(job, target, call.read_body, None)
         if stream is not None and stream.begun:
             raise UpstreamError("a resumed stream got another kind of answer")
         writer.write(head.status, wire.returned_headers(head.headers), body)
 
     def _forward_stream(self, job, target, call, head, stream, may_move):
         stream.accept(head)
-        silence_s = FIRST_PART_SILENCE_S if may_move else None
-        silence_s = self._limit_by_weights(job, target, silence_s)
+        silence_s = self._patience_s(target) if may_move else None
+        weights_s = self._weights_until_s(job, target)
         while True:
-            part = self._read(job, lambda until_s: call.read_part(until_s), silence_s)
+            part = self._read(job, target, call.read_part, silence_s, weights_s)
             if part is None:
                 break
             if stream.feed(part):
                 silence_s = STREAM_SILENCE_S if may_move else None
+                weights_s = math.inf
         stream.finish()
 
-    def _read(self, job, read, silence_s):
-        now_s = time.monotonic()
-        until_s = job.deadline_s
-        if silence_s is not None:
-            until_s = min(until_s, now_s + silence_s)
-        try:
-            return read(until_s)
-        except SilentError as error:
-            if time.monotonic() < job.deadline_s:
-                raise
-            raise DeadlineError(str(error)) from error
+    def _read(self, job, target, read, silence_s, weights_s=math.inf):
+        """Return what `read` does, which waits until a time.
+
+        A target that is silent for `silence_s` is left if another one may take the
+        request, or if its load is not told either: then it is no queue that delays the
+        answer, and the caller may ask again. At `weights_s` it is left in any case.
+        """
+        silence_s = math.inf if silence_s is None else silence_s
+        while True:
+            look_s = time.monotonic() + silence_s
+            try:
+                return read(min(job.deadline_s, weights_s, look_s))
+            except SilentError as error:
+                now_s = time.monotonic()
+                if now_s >= job.deadline_s:
+                    raise DeadlineError(str(error)) from error
+                if now_s >= weights_s:
+                    raise
+                job.next_target = self._pick(job, (*job.tried, target.id))
+                if job.next_target is not None or not target.is_told(now_s):
+                    raise
+                silence_s = min(silence_s, LOOK_AGAIN_S)
 
 
 class _NotRun(Exception):
     """The target states that it did not run the request."""
 
 
-class _Stream:
-    """The one answer that a caller sees, whichever targets it comes from."""
-
-    def __init__(self, writer):
-        self._writer = writer
-        self._splitter = EventSplitter()
-        self._head = None
-        self.begun = False
-
-    @property
-    def last_id(self):
-        return self._splitter.last_id
-
-    @property
-    def can_resume(self):
-        """Whether the last event that the caller has is known."""
-        return self.last_id is not None
-
-    def accept(self, head):
-        """Take the head of an answer; the first one is the caller's."""
-        if self._head is None or not self.begun:
-            self._head = head
-        self._splitter.drop_partial()
-
-    def feed(self, part):
-        """Forward the events that are whole with `part`; return whether there were any."""
-        whole = self._splitter.feed(part)
-        if not whole:
-            return False
-        if self.begun:
-            self._writer.write_part(whole)
-            return True
-        self.begun = True
-        headers = wire.returned_headers(self._head.headers)
-        self._writer.begin_stream(self._head.status, headers, whole)
-        return True
-
-    def finish(self):
-        """End the answer as complete."""
-        rest = self._splitter.rest
-        if not self.begun:
-            self.begun = True
-            headers = wire.returned_headers(self._head.headers)
-            self._writer.begin_stream(self._head.status, headers, rest)
-        elif rest:
-            self._writer.write_part(rest)
-        self._writer.end_stream()
-
-
 class Admission:
     """Decides whether a request may be sent at all, and with what needs.
 
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -89,10 +89,15 @@
     def is_cold(self, now_s):
         return now_s < self.cold_until_s
 
+    def is_told(self, now_s):
+        """Return whether its load was told lately."""
+        report = self.report
+        return report is not None and now_s - report.received_s < REPORT_MAX_AGE_S
+
     def load(self, now_s, entry_count):
         """Return how many requests it is thought to hold."""
         report = self.report
-        if report is not None and now_s - report.received_s < REPORT_MAX_AGE_S:
+        if self.is_told(now_s):
             return report.running + report.waiting + self.sent_since_report
         if self.answer_load is not None and now_s - self.answer_load_s < 1.0:
             return max(self.outstanding, self.answer_load)
