Think an engine that nobody hears of as busy as the others

Cause: an engine whose load was not told for 1.5 s was taken to hold only what this entry itself had sent, mostly nothing. Free engines are drawn by the fourth power of their free slots, so all entries chose it: in the new test 400 of 400 draws among ten engines.

Now it counts at least the mean of the engines whose load is told. Two of the new tests failed before.

--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -1,5 +1,6 @@
 """Which target a request goes to."""
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -12,6 +13,8 @@
 # Free slots count by this power: with the second power two requests in a hundred more
 # met a full engine at nine tenths of the capacity.
 FREE_EXPONENT = 4
+# The mean load is worked out anew only now and then, not for each target of a request.
+USUAL_LOAD_KEPT_S = 0.05
 # How much more often a target nearby is chosen than an equally busy one elsewhere.
 NEAR_PREFERENCE = 2.0
 
@@ -46,6 +49,7 @@
         self._failure_domain = failure_domain
         self._regions = regions
         self._place = place
+        self._usual = {}
 
     def pick(self, need, tried=()):
         """Return a target for `need`, or None if none may take it.
@@ -104,7 +108,25 @@
         return target.instance.failure_domain == self._failure_domain
 
     def _load(self, target, now_s):
-        return target.load(now_s, self._place().count)
+        load = target.load(now_s, self._place().count)
+        if target.instance.models is None or target.is_told(now_s):
+            return load
+        # An engine that nobody hears of is not free: all entries would choose it at once.
+        return max(load, self._usual_load(target.instance.service, now_s))
+
+    def _usual_load(self, service, now_s):
+        """Return the mean load of the engines of `service` whose load is told."""
+        found_s, load = self._usual.get(service, (-math.inf, 0.0))
+        if now_s - found_s >= USUAL_LOAD_KEPT_S:
+            count = self._place().count
+            loads = [
+                target.load(now_s, count)
+                for target in self._fleet.targets(service)
+                if target.is_told(now_s) and target.report.accepting
+            ]
+            load = sum(loads) / len(loads) if loads else 0.0
+            self._usual[service] = now_s, load
+        return load
 
     def is_full(self, target):
         """Return whether more requests are thought to be at `target` than it has slots."""
--- /dev/null
+++ b/tests/test_relay_balance.py
@@ -0,0 +1,57 @@
+"""The choice of a target by what is known of each."""
+
+import collections
+
+from briarbeam.catalog import Instance, Service
+from briarbeam.kernel.network import Address
+from briarbeam.relay.balance import Balancer, Need
+from briarbeam.relay.fleet import Fleet, LoadReport, Target
+from briarbeam.relay.limits import ColdWindow, Place
+
+SERVICE = Service("svc", models=("m",))
+NEED = Need(SERVICE, "m", 0, ())
+
+
+class Clock:
+    def monotonic_s(self):
+        return 100.0
+
+
+def fleet_of(loads, told_s=99.9):
+    """Return a `Fleet` of engines with 12 slots.
+
+    :param loads: by id, how many requests each runs.
+    """
+    fleet = Fleet(Clock(), lambda: {"svc": SERVICE})
+    for name, running in loads.items():
+        address = Address("10.0.0.1", 80)
+        instance = Instance(name, "svc", address, "z1", 12, models={"m": 1})
+        target = Target(instance, 0.0, ColdWindow(0.0))
+        target.report = LoadReport(told_s, 1, True, 1, running, 0)
+        fleet._targets[name] = target
+    return fleet
+
+
+def chosen(fleet, draws=400):
+    """Return how often each target is picked, by id."""
+    balancer = Balancer(fleet, Clock(), "z2", {"z1": "r1"}, lambda: Place(0, 40))
+    picks = [balancer.pick(NEED) for _ in range(draws)]
+    return collections.Counter(target.id for target in picks if target is not None)
+
+
+def test_engine_whose_load_nobody_tells_is_not_chosen_by_all_entries():
+    """Behind a narrowed link it looked free, and was sent a queue of requests."""
+    fleet = fleet_of({f"i{n}": 9 for n in range(10)})
+    fleet.get("i0").report.received_s = 95.0
+    assert chosen(fleet)["i0"] < 100
+
+
+def test_full_fleet_leaves_no_room_at_an_engine_whose_load_nobody_tells():
+    fleet = fleet_of({f"i{n}": 15 for n in range(10)})
+    fleet.get("i0").report.received_s = 95.0
+    assert not chosen(fleet)
+
+
+def test_engines_are_chosen_though_nobody_tells_any_load():
+    fleet = fleet_of({"i0": 15, "i1": 15}, told_s=95.0)
+    assert set(chosen(fleet)) == {"i0", "i1"}
