Fetch chunks in different orders at daemons that fetch together

Cause: all daemons asked for the lowest chunk that they lacked. Where many fetch, they also share the link of one entry while those of the others are idle.

Now each asks for one of the eight lowest at random. More would cost named versions time: an entry draws lowest first, and what is not drawn yet has to be waited for.

Two of the new tests failed before.

--- a/briarbeam/distribution/copies.py
+++ b/briarbeam/distribution/copies.py
@@ -2,11 +2,14 @@
 
 import hashlib
 import math
+import random
 import time
 
 # A chunk that no entry has yet is asked for again after this; an entry has made the
 # daemon wait for it already.
 MISSED_PAUSE_S = 0.25
+# Chunks are drawn lowest first, so a copy that follows closely may ask for few others.
+SPREAD = 8
 # After so many misses in a row another version may use the link for so long.
 MISSES_MAX = 2
 REST_S = 0.5
@@ -24,12 +27,18 @@
         self._rests_until_s = 0.0
 
     def next_number(self):
-        """Return the chunk to ask for next, lowest first; None while all must wait."""
+        """Return the chunk to ask for next, one of the lowest; None while all must wait.
+
+        In step, daemons that fetch together would all ask one entry after another, and
+        wait for its link, or for it to begin to draw, while the others are idle.
+        """
         now_s = time.monotonic()
-        for number in self.missing():
-            if self._missed_until_s.get(number, 0.0) <= now_s:
-                return number
-        return None
+        open_numbers = [
+            number
+            for number in self.missing()
+            if self._missed_until_s.get(number, 0.0) <= now_s
+        ]
+        return random.choice(open_numbers[:SPREAD]) if open_numbers else None
 
     def note(self, number, content):
         """Keep a chunk that was verified."""
--- /dev/null
+++ b/tests/test_distribution_copies.py
@@ -0,0 +1,56 @@
+"""Copies of the weights on their way to several engines at once."""
+
+from briarbeam.distribution.copies import Copy
+from briarbeam.distribution.ranking import chunk_subject, rank_entries
+from briarbeam.platform.engines import Manifest
+
+CHUNKS, ENTRIES, DAEMONS = 96, 10, 10
+# Seconds that a chunk takes over the link of a daemon, and over that of an entry.
+DAEMON_CHUNK_S, ENTRY_CHUNK_S = 0.054, 0.0098
+STEP_S = 0.001
+
+
+def feeders():
+    """Return the entry that feeds each chunk."""
+    entries = [(f"10.0.0.{n}", "z1") for n in range(ENTRIES)]
+    subjects = [chunk_subject("m", 2, number) for number in range(CHUNKS)]
+    return [rank_entries(entries, "z1", subject)[0] for subject in subjects]
+
+
+def fetch_together(copies):
+    """Return the seconds until all `copies` are complete; links are shared evenly."""
+    feeder, under_way, elapsed_s = feeders(), {}, 0.0
+    while any(copy.missing() for copy in copies):
+        for copy in copies:
+            if copy not in under_way and copy.missing():
+                under_way[copy] = [copy.next_number(), 1.0]
+        asked = [feeder[number] for number, _ in under_way.values()]
+        for copy, (number, left) in list(under_way.items()):
+            sharing = asked.count(feeder[number])
+            left -= STEP_S / max(DAEMON_CHUNK_S, ENTRY_CHUNK_S * sharing)
+            under_way[copy][1] = left
+            if left <= 0:
+                copy.note(number, b"")
+                del under_way[copy]
+        elapsed_s += STEP_S
+    return elapsed_s
+
+
+def test_daemons_that_join_together_ask_several_entries_from_the_start():
+    """An entry begins to draw when it is first asked; they came to one after another."""
+    feeder, manifest = feeders(), Manifest("m", 2, ("",) * CHUNKS)
+    numbers = [Copy(manifest).next_number() for _ in range(40)]
+    assert len({feeder[number] for number in numbers}) >= 4
+
+
+def test_daemons_that_fetch_together_do_not_wait_for_one_entry_after_another():
+    """In step they share the link of one entry while those of the others are idle."""
+    manifest = Manifest("m", 2, ("",) * CHUNKS)
+    copies = [Copy(manifest) for _ in range(DAEMONS)]
+    assert fetch_together(copies) < 1.25 * CHUNKS * DAEMON_CHUNK_S
+
+
+def test_chunks_that_no_entry_had_are_not_asked_for_at_once():
+    copy = Copy(Manifest("m", 2, ("",) * 3))
+    copy.note_missed(0)
+    assert 0 not in {copy.next_number() for _ in range(50)}
