Say 502, not 503, of a request that was sent while names grow too old

What callers could see: 503, which promises that the request did not run, though it had been sent to an engine before: the entry's copy of names grew older than a version's time meanwhile, and the look for a second target raised that no names are known. Besides, an engine that was chosen shortly before its weights' time ended counted as failed and was avoided just when it held the newer weights.

Change: without a renewed need there is no second target; what was sent is waited for or answered as unknown. An engine that may not have the request is no failed one.

Three tests in tests/test_relay_requests.py failed before: 503 instead of 502 at a broken connection and at a silent engine; one failure noted where none was.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -22,7 +22,7 @@
     UnknownKeyError,
     UpstreamError,
 )
-from .exchange import ConnectFailedError, Exchange, SilentError
+from .exchange import ConnectFailedError, Exchange, SilentError, TargetUnfitError
 
 # How long a repeatable request waits for its first bytes before another target gets
 # it: about four times what a busy engine takes, under what callers bear.
@@ -163,8 +163,9 @@
             try:
                 self._attempt(job, target, writer, stream)
                 return
-            except ConnectFailedError:
-                target.note_failure(time.monotonic())
+            except TargetUnfitError as error:
+                if isinstance(error, ConnectFailedError):
+                    target.note_failure(time.monotonic())
                 job.connects += 1
                 if job.connects >= CONNECTS_MAX:
                     raise self._no_target(job) from None
@@ -189,7 +190,13 @@
         """Return the next target, or None if there is none or no further send."""
         if len(tried) >= max(1, job.route.max_attempts):
             return None
-        job.need = self._admission.renew(job)
+        try:
+            job.need = self._admission.renew(job)
+        except NotRunError:
+            if not tried:
+                raise
+            # True of a further send only, not of those before it.
+            return None
         target = self._balancer.pick(job.need, tried)
         if target is None or not tried:
             return target
@@ -441,10 +448,10 @@
                 if known is None or known.name != job.team.name:
                     raise UnknownKeyError("the key was taken away")
         if target.instance.draining:
-            raise ConnectFailedError(f"{target.id} is leaving")
+            raise TargetUnfitError(f"{target.id} is leaving")
         need = self.renew(job)
         if need.model and target.version_of(need.model) < need.required_version:
-            raise ConnectFailedError(f"{target.id} holds superseded weights")
+            raise TargetUnfitError(f"{target.id} holds superseded weights")
 
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
--- a/briarbeam/relay/exchange.py
+++ b/briarbeam/relay/exchange.py
@@ -18,7 +18,13 @@
 SEND_INLINE_BYTES = 8192
 
 
-class ConnectFailedError(NotRunError):
+class TargetUnfitError(NotRunError):
+    """The instance may not have the request any more; nothing was sent."""
+
+    code = "target_unfit"
+
+
+class ConnectFailedError(TargetUnfitError):
     """No connection to the instance; nothing was sent."""
 
     code = "connect_failed"
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briarbeam.catalog import CallerLimits, RequestKind, Service
+from briarbeam.relay.dispatch import FIRST_PART_SILENCE_S
 from briarbeam.relay.fleet import LoadReport
 from briarbeam.relay.limits import RetryBudget
 
@@ -372,6 +373,39 @@
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.split()[1] == b"503"
     assert not fake.requests
+    # It did nothing wrong and is needed as soon as it holds the newer weights.
+    assert entry.fleet.get("i1").failures == 0
+
+
+def entry_whose_names_grow_old(script):
+    """Return an `Entry` whose names are too old from the first send on."""
+    service = Service("svc", models=("m",))
+    entry = Entry({}, service=service, **STREAM)
+
+    def answer(instance, sock, request):
+        entry.names_age_s = 9.0
+        script(instance, sock, request)
+
+    fake = FakeInstance(answer)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.add("i2", fake.address, models={"m": 1})
+    return entry
+
+
+def test_request_that_was_sent_is_not_said_to_be_not_run_when_names_grow_old():
+    entry = entry_whose_names_grow_old(lambda instance, sock, request: reset(sock))
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"502"
+
+
+def test_request_at_a_silent_engine_is_not_said_to_be_not_run_when_names_grow_old():
+    def late(instance, sock, request):
+        gevent.sleep(FIRST_PART_SILENCE_S + 0.4)
+        sock.sendall(stream_head() + event(1) + END)
+
+    entry = entry_whose_names_grow_old(late)
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] in (b"200", b"502")
 
 
 def test_engine_without_the_model_gets_nothing():
