Write one line, not one a datagram, while datagrams can't be sent

Change: a line when sends begin to fail and when they work again, and a counter; both daemons share the sender.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -9,6 +9,7 @@
 
 from ..relay.fleet import LoadReport
 from ..relay.limits import Place
+from .datagrams import DatagramSender
 from .errors import MalformedDatagramError
 from .forwarder import LoadForwarder
 from .messages import (
@@ -80,6 +81,7 @@
         self._place_s = 0.0
         self._started_s = clock.monotonic_s()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sender = DatagramSender(self._sock, address.port)
         self._forwarder = LoadForwarder(clock, self._neighbours, self._send)
 
     def start(self):
@@ -202,10 +204,7 @@
             self._send(encode(greeting), target.instance.address.host)
 
     def _send(self, data, host):
-        try:
-            self._sock.sendto(data, (host, self._address.port))
-        except OSError as error:
-            _log.debug("greeting_not_sent", host=host, error=repr(error))
+        self._sender.send(data, host)
 
     def _listen_forever(self):
         while True:
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -13,6 +13,7 @@
 from ..kernel.pulse import Pulse
 from ..platform import engines
 from .copies import Copy, matches
+from .datagrams import DatagramSender
 from .errors import ChunkUnavailableError, MalformedDatagramError
 from .fetcher import ChunkFetcher
 from .messages import MAX_BYTES, Greeting, decode
@@ -87,6 +88,7 @@
             network, self._roster, failure_domain, address.port
         )
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sender = DatagramSender(self._sock, address.port)
 
     def start(self):
         """Bind, and follow the engine in the background."""
@@ -214,10 +216,7 @@
             self._reporter.tell_everyone(*self._load())
 
     def _send(self, data, host):
-        try:
-            self._sock.sendto(data, (host, self._address.port))
-        except OSError as error:
-            _log.debug("load_not_sent", host=host, error=repr(error))
+        self._sender.send(data, host)
 
     def _held(self, report):
         model = self._greeting.model if self._greeting else None
