Send nothing to an instance that another one replaced at its address

Cause: engines come back under new ids while the entries of those before, with their weights, stay in the store until they lapse. Each entry sent to them, the instance that had taken over the address refused the identity, and the next request went there again.

Now such a target is left out for four seconds after a 421, or when the daemon at its address reports the start of another known instance; a report of its own start ends that.

Three of the new tests failed before.

--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -135,10 +135,12 @@
 
     def eligible(self, need):
         """Return the targets that could ever run `need` now, busy or not."""
+        now_s = self._clock.monotonic_s()
         return [
             target
             for target in self._fleet.targets(need.service.name)
             if not target.instance.draining
+            and target.replaced_until_s <= now_s
             and target.instance.failure_domain not in self._fleet.evacuated
             and self._region_allowed(target, need)
             and self._holds_weights(target, need)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -260,6 +260,8 @@
         reply = wire.decode_reply(head.status, head.headers)
         self._note_reply(target, reply)
         if reply.not_run:
+            if reply.status == 421:
+                target.note_replaced(time.monotonic())
             raise _NotRun(reply.status)
         if reply.request_id not in (None, job.meta.request_id):
             raise UpstreamError(f"{target.id} answered another request")
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -30,6 +30,9 @@
 AVOID_MIN_S = 0.4
 AVOID_MAX_S = 4.0
 
+# The store drops the entry of an instance that crashed after about four seconds.
+REPLACED_FOR_S = 4.0
+
 _log = structlog.get_logger()
 
 
@@ -67,6 +70,7 @@
     avoid_until_s: float = 0.0
     lapse_at_s: float | None = None
     seen_version: int | None = None
+    replaced_until_s: float = 0.0
     results: deque = field(default_factory=lambda: deque(maxlen=20))
 
     @property
@@ -133,6 +137,10 @@
         pause_s = min(AVOID_MAX_S, AVOID_MIN_S * 2 ** (self.failures - 1))
         self.avoid_until_s = now_s + pause_s * random.uniform(0.8, 1.2)
 
+    def note_replaced(self, now_s):
+        """Note that another instance answers at its address."""
+        self.replaced_until_s = now_s + REPLACED_FOR_S
+
     def failure_ratio(self):
         """Return the share of the last answers that were failures."""
         if len(self.results) < 4:
@@ -202,9 +210,16 @@
 
     def note_report(self, host, report):
         """Take a report from the daemon at `host` over."""
-        for target in self.find_by_host(host):
+        targets = self.find_by_host(host)
+        known = any(t.instance.started_ms == report.started_ms for t in targets)
+        for target in targets:
             if report.started_ms < target.started_ms:
                 continue
+            if target.instance.started_ms == report.started_ms:
+                target.replaced_until_s = 0.0
+            elif known and target.instance.started_ms:
+                target.note_replaced(report.received_s)
+                continue
             if target.report is None or target.report.version != report.version:
                 self.on_weights()
                 _log.info(
--- a/tests/test_relay_balance.py
+++ b/tests/test_relay_balance.py
@@ -17,7 +17,7 @@
         return 100.0
 
 
-def fleet_of(loads, told_s=99.9):
+def fleet_of(loads, told_s=99.9, started_ms=1):
     """Return a `Fleet` of engines with 12 slots.
 
     :param loads: by id, how many requests each runs.
@@ -25,7 +25,9 @@
     fleet = Fleet(Clock(), lambda: {"svc": SERVICE})
     for name, running in loads.items():
         address = Address("10.0.0.1", 80)
-        instance = Instance(name, "svc", address, "z1", 12, models={"m": 1})
+        instance = Instance(
+            name, "svc", address, "z1", 12, started_ms=started_ms, models={"m": 1}
+        )
         target = Target(instance, 0.0, ColdWindow(0.0))
         target.report = LoadReport(told_s, 1, True, 1, running, 0)
         fleet._targets[name] = target
@@ -55,3 +57,25 @@
 def test_engines_are_chosen_though_nobody_tells_any_load():
     fleet = fleet_of({"i0": 15, "i1": 15}, told_s=95.0)
     assert set(chosen(fleet)) == {"i0", "i1"}
+
+
+def test_instance_that_another_one_replaced_at_its_address_gets_nothing():
+    """After a loss of power, entries of dead engines stayed for seconds in the store."""
+    fleet = fleet_of({"i1": 3})
+    fleet._targets |= fleet_of({"i2": 9}, started_ms=2)._targets
+    fleet.note_report("10.0.0.1", LoadReport(99.9, 2, True, 1, 9, 0))
+    assert set(chosen(fleet)) == {"i2"}
+
+
+def test_instance_is_chosen_again_when_its_own_report_comes():
+    fleet = fleet_of({"i1": 3})
+    target = fleet.get("i1")
+    target.note_replaced(99.0)
+    fleet.note_report("10.0.0.1", LoadReport(99.9, 1, True, 1, 0, 0))
+    assert set(chosen(fleet)) == {"i1"}
+
+
+def test_late_report_of_the_instance_before_changes_nothing():
+    fleet = fleet_of({"i1": 3}, started_ms=2)
+    fleet.note_report("10.0.0.1", LoadReport(99.9, 1, True, 1, 0, 0))
+    assert set(chosen(fleet)) == {"i1"}
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -522,3 +522,13 @@
     tell_load(entry, "i1", running=16)
     assert entry.ask(method=b"POST").endswith(END)
     assert not second.requests
+
+
+def test_address_that_another_instance_took_over_gets_no_second_request():
+    other = FakeInstance(
+        reply(b"HTTP/1.1 421 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+    )
+    entry = Entry({"i1": other})
+    assert entry.ask().split()[1] == b"503"
+    assert entry.ask().split()[1] == b"503"
+    assert len(other.requests) == 1
