Be ready once the names were read, as requests for a model need it

An entry that only heard of names from others took callers and refused them. The property known goes: it said less than the age of the names, which decides since the bound on it.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -186,7 +186,7 @@
     def _is_ready(self):
         age_s = self._config.age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
-        known = age_s is not None and self._versions.known
+        known = age_s is not None and self._version_mirror.age_s is not None
         return not self._stopping and known and age_s < bound_s
 
     def _limits(self):
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -81,11 +81,6 @@
             self._note(model, version)
         self._first = False
 
-    @property
-    def known(self):
-        """Whether the store or another daemon has told what was named."""
-        return not self._first or any(self._histories.values())
-
     def history(self, model):
         """Return the `NamingHistory` of `model`."""
         if model not in self._histories:
