--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -28,6 +28,9 @@
 from briarbeam.telemetry.decisions import DecisionLog
 
 SEAL = b"x-response-seal: s1\r\n"
+UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
+STREAM = {"kind": RequestKind.STREAMING, "resumable": True, "max_gap_s": 0.4}
+NOT_RUN = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
 
 def ok(body=b"done", extra=b""):
@@ -98,6 +101,13 @@
     return lambda instance, sock, request: sock.sendall(data)
 
 
+def never(instance, sock, request):
+    """Answer nothing until the other side closes."""
+    while sock.recv(100):
+        pass
+    instance.left_s.append(time.monotonic())
+
+
 def reset(sock):
     """Break a connection so that its other side sees a reset."""
     linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -5,16 +5,17 @@
 import gevent
 import pytest
 
-from briarbeam.catalog import CallerLimits, RequestKind, Service
-from briarbeam.relay.dispatch import FIRST_PART_SILENCE_S
-from briarbeam.relay.fleet import LoadReport
-from briarbeam.relay.limits import RetryBudget
+from briarbeam.catalog import CallerLimits, RequestKind
 
 from .relay_fakes import (
     END,
+    NOT_RUN,
+    STREAM,
+    UNSAFE,
     Entry,
     FakeInstance,
     event,
+    never,
     ok,
     read_all,
     reply,
@@ -22,20 +23,8 @@
     reset,
     state,
     stream_head,
-    versions_of,
 )
 
-UNSAFE = {"kind": RequestKind.NON_IDEMPOTENT}
-STREAM = {"kind": RequestKind.STREAMING, "resumable": True, "max_gap_s": 0.4}
-NOT_RUN = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
-
-
-def never(instance, sock, request):
-    """Answer nothing until the other side closes."""
-    while sock.recv(100):
-        pass
-    instance.left_s.append(time.monotonic())
-
 
 def drop(instance, sock, request):
     reset(sock)
@@ -330,94 +319,6 @@
     assert not fake.requests
 
 
-def test_no_weights_are_used_before_the_names_were_read():
-    """What others tell may lack the newest name."""
-    service = Service("svc", models=("m",))
-    fake = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", fake.address, models={"m": 1})
-    entry.names_age_s = None
-    entry.versions.learn("m", ((1, 40.0, True),))
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.split()[1] == b"503"
-    assert not fake.requests
-
-
-def test_no_weights_are_used_while_names_may_be_there_that_were_not_seen():
-    """An entry may reach the store for its desired state and not for the names."""
-    service = Service("svc", models=("m",))
-    fake = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", fake.address, models={"m": 1})
-    for age_s, status in ((7.4, b"200"), (7.6, b"503")):
-        entry.names_age_s = age_s
-        answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-        assert answer.split()[1] == status
-    assert len(fake.requests) == 1
-
-
-def test_weights_whose_time_ends_before_the_send_get_nothing():
-    """As when the process is suspended between the choice of a target and the send."""
-    service = Service("svc", models=("m",))
-    fake = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", fake.address, models={"m": 1})
-    entry.name_version(2, age_s=1.0)
-    original = entry.admission.recheck
-
-    def recheck(job, target):
-        entry.name_version(2, age_s=9.0)
-        original(job, target)
-
-    entry.admission.recheck = recheck
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.split()[1] == b"503"
-    assert not fake.requests
-    # It did nothing wrong and is needed as soon as it holds the newer weights.
-    assert entry.fleet.get("i1").failures == 0
-
-
-def entry_whose_names_grow_old(script):
-    """Return an `Entry` whose names are too old from the first send on."""
-    service = Service("svc", models=("m",))
-    entry = Entry({}, service=service, **STREAM)
-
-    def answer(instance, sock, request):
-        entry.names_age_s = 9.0
-        script(instance, sock, request)
-
-    fake = FakeInstance(answer)
-    entry.add("i1", fake.address, models={"m": 1})
-    entry.add("i2", fake.address, models={"m": 1})
-    return entry
-
-
-def test_request_that_was_sent_is_not_said_to_be_not_run_when_names_grow_old():
-    entry = entry_whose_names_grow_old(lambda instance, sock, request: reset(sock))
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.split()[1] == b"502"
-
-
-def test_request_at_a_silent_engine_is_not_said_to_be_not_run_when_names_grow_old():
-    def late(instance, sock, request):
-        gevent.sleep(FIRST_PART_SILENCE_S + 0.4)
-        sock.sendall(stream_head() + event(1) + END)
-
-    entry = entry_whose_names_grow_old(late)
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.split()[1] in (b"200", b"502")
-
-
-def test_engine_without_the_model_gets_nothing():
-    service = Service("svc", models=("m",))
-    empty, full = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
-    entry = Entry({}, service=service)
-    entry.add("i1", empty.address, models={})
-    entry.add("i2", full.address, models={"m": 1})
-    assert entry.ask(headers=b"x-model: m\r\n").split()[1] == b"200"
-    assert not empty.requests
-
-
 def test_homes_of_route_and_team_keep_a_request_in_its_region():
     away, home = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
     entry = Entry({}, allowed_regions=frozenset({"r2"}))
@@ -427,84 +328,6 @@
     assert not away.requests
 
 
-def test_request_that_waits_on_superseded_weights_is_taken_back_in_time():
-    service = Service("svc", models=("m",))
-    old = FakeInstance(never)
-    new = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", old.address, models={"m": 1})
-    entry.add("i2", new.address, models={"m": 2}).outstanding = 12
-    entry.name_version(2, age_s=7.4)
-    started_s = time.monotonic()
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.endswith(END)
-    assert 0.3 < time.monotonic() - started_s < 0.6
-    assert old.left_s[0] - started_s < 0.6
-
-
-def test_nothing_is_sent_to_weights_whose_time_is_nearly_over():
-    service = Service("svc", models=("m",))
-    old = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", old.address, models={"m": 1})
-    entry.name_version(2, age_s=7.6)
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.split()[1] == b"503"
-    assert not old.requests
-
-
-def test_nothing_is_sent_to_engines_before_the_named_versions_are_known():
-    service = Service("svc", models=("m",))
-    fake = FakeInstance(reply(ok()))
-    entry = Entry({}, service, kind=RequestKind.STREAMING)
-    entry.add("i1", fake.address, models={"m": 1})
-    entry.admission._versions = versions_of(entry.clock)
-    entry.names_age_s = None
-    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 503")
-    assert not fake.requests
-    entry.admission._versions.update({})
-    entry.names_age_s = 0.1
-    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 200")
-
-
-def test_broken_stream_goes_on_only_on_weights_that_may_still_begin():
-    def breaks_late(instance, sock, request):
-        sock.sendall(stream_head() + event(1))
-        gevent.sleep(0.5)
-        reset(sock)
-
-    service = Service("svc", models=("m",))
-    old = FakeInstance(reply(stream_head() + event(2) + END))
-    new = FakeInstance(reply(stream_head() + event(2) + END))
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", FakeInstance(breaks_late).address, models={"m": 1})
-    entry.add("i2", old.address, models={"m": 1}).outstanding = 12
-    entry.add("i3", new.address, models={"m": 2}).outstanding = 15
-    entry.name_version(2, age_s=7.3)
-    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    assert answer.endswith(END)
-    assert not old.requests and new.requests
-
-
-def test_resumed_stream_that_waits_on_superseded_weights_is_taken_back():
-    def breaks(instance, sock, request):
-        sock.sendall(stream_head() + event(1))
-        gevent.sleep(0.05)
-        reset(sock)
-
-    service = Service("svc", models=("m",))
-    old = FakeInstance(never)
-    entry = Entry({}, service=service, **STREAM)
-    entry.add("i1", FakeInstance(breaks).address, models={"m": 1})
-    entry.add("i2", old.address, models={"m": 1}).outstanding = 12
-    entry.name_version(2, age_s=7.4)
-    started_s = time.monotonic()
-    with pytest.raises(ConnectionResetError):
-        entry.ask(method=b"POST", headers=b"x-model: m\r\n")
-    gevent.sleep(0.1)
-    assert old.left_s and old.left_s[0] - started_s < 0.6
-
-
 def test_request_that_may_have_run_is_not_said_not_to_have_run():
     """Found by soak seed 9: the state grew too old between the first send and the next."""
 
@@ -536,69 +359,3 @@
     sock = entry.connect()
     sock.sendall(data[:20])
     assert b" 408 " in read_all(sock)
-
-
-def tell_load(entry, name, running=0):
-    """Have an instance's load known to the entry."""
-    report = LoadReport(time.monotonic(), 0, True, 1, running, 0)
-    entry.fleet.get(name).report = report
-
-
-def test_running_request_is_not_given_up_while_no_other_target_may_take_it():
-    """Requests at busy engines failed after 1.1 s when no second send was left."""
-
-    def slow(instance, sock, request):
-        gevent.sleep(1.4)
-        sock.sendall(stream_head() + event(1) + END)
-
-    second = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({"i1": FakeInstance(slow), "i2": second}, **STREAM)
-    entry.fleet.get("i2").outstanding = 12
-    tell_load(entry, "i1")
-    entry.dispatcher._budget = RetryBudget(0.0, 0, 10.0)
-    answer = entry.ask(method=b"POST")
-    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(END)
-    assert not second.requests
-
-
-def test_silent_instance_is_left_once_another_target_may_take_the_request():
-    second = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({"i1": FakeInstance(never), "i2": second}, **STREAM)
-    entry.fleet.get("i2").outstanding = 99
-    tell_load(entry, "i1")
-    gevent.spawn_later(1.3, setattr, entry.fleet.get("i2"), "outstanding", 0)
-    started_s = time.monotonic()
-    assert entry.ask(method=b"POST").endswith(END)
-    assert 1.3 < time.monotonic() - started_s < 2.2
-
-
-def test_silent_instance_whose_load_nobody_tells_either_is_given_up():
-    """Its caller may ask again; it was kept until its time limit."""
-    entry = Entry({"i1": FakeInstance(never)}, **STREAM)
-    started_s = time.monotonic()
-    assert entry.ask(method=b"POST").split()[1] == b"502"
-    assert time.monotonic() - started_s < 1.4
-
-
-def test_full_engine_is_given_the_time_that_its_queue_takes():
-    def slow(instance, sock, request):
-        gevent.sleep(1.4)
-        sock.sendall(stream_head() + event(1) + END)
-
-    second = FakeInstance(reply(stream_head() + event(1) + END))
-    entry = Entry({"i1": FakeInstance(slow), "i2": second}, **STREAM)
-    entry.fleet.get("i2").outstanding = 99
-    gevent.spawn_later(0.5, setattr, entry.fleet.get("i2"), "outstanding", 0)
-    tell_load(entry, "i1", running=16)
-    assert entry.ask(method=b"POST").endswith(END)
-    assert not second.requests
-
-
-def test_address_that_another_instance_took_over_gets_no_second_request():
-    other = FakeInstance(
-        reply(b"HTTP/1.1 421 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
-    )
-    entry = Entry({"i1": other})
-    assert entry.ask().split()[1] == b"503"
-    assert entry.ask().split()[1] == b"503"
-    assert len(other.requests) == 1
--- /dev/null
+++ b/tests/test_relay_silence.py
@@ -0,0 +1,85 @@
+"""Instances that are silent, full or gone: when a request is left, and for whom."""
+
+import time
+
+import gevent
+
+from briarbeam.relay.fleet import LoadReport
+from briarbeam.relay.limits import RetryBudget
+
+from .relay_fakes import (
+    END,
+    STREAM,
+    Entry,
+    FakeInstance,
+    event,
+    never,
+    reply,
+    stream_head,
+)
+
+
+def tell_load(entry, name, running=0):
+    """Have an instance's load known to the entry."""
+    report = LoadReport(time.monotonic(), 0, True, 1, running, 0)
+    entry.fleet.get(name).report = report
+
+
+def test_running_request_is_not_given_up_while_no_other_target_may_take_it():
+    """Requests at busy engines failed after 1.1 s when no second send was left."""
+
+    def slow(instance, sock, request):
+        gevent.sleep(1.4)
+        sock.sendall(stream_head() + event(1) + END)
+
+    second = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({"i1": FakeInstance(slow), "i2": second}, **STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    tell_load(entry, "i1")
+    entry.dispatcher._budget = RetryBudget(0.0, 0, 10.0)
+    answer = entry.ask(method=b"POST")
+    assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(END)
+    assert not second.requests
+
+
+def test_silent_instance_is_left_once_another_target_may_take_the_request():
+    second = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({"i1": FakeInstance(never), "i2": second}, **STREAM)
+    entry.fleet.get("i2").outstanding = 99
+    tell_load(entry, "i1")
+    gevent.spawn_later(1.3, setattr, entry.fleet.get("i2"), "outstanding", 0)
+    started_s = time.monotonic()
+    assert entry.ask(method=b"POST").endswith(END)
+    assert 1.3 < time.monotonic() - started_s < 2.2
+
+
+def test_silent_instance_whose_load_nobody_tells_either_is_given_up():
+    """Its caller may ask again; it was kept until its time limit."""
+    entry = Entry({"i1": FakeInstance(never)}, **STREAM)
+    started_s = time.monotonic()
+    assert entry.ask(method=b"POST").split()[1] == b"502"
+    assert time.monotonic() - started_s < 1.4
+
+
+def test_full_engine_is_given_the_time_that_its_queue_takes():
+    def slow(instance, sock, request):
+        gevent.sleep(1.4)
+        sock.sendall(stream_head() + event(1) + END)
+
+    second = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({"i1": FakeInstance(slow), "i2": second}, **STREAM)
+    entry.fleet.get("i2").outstanding = 99
+    gevent.spawn_later(0.5, setattr, entry.fleet.get("i2"), "outstanding", 0)
+    tell_load(entry, "i1", running=16)
+    assert entry.ask(method=b"POST").endswith(END)
+    assert not second.requests
+
+
+def test_address_that_another_instance_took_over_gets_no_second_request():
+    other = FakeInstance(
+        reply(b"HTTP/1.1 421 No\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n")
+    )
+    entry = Entry({"i1": other})
+    assert entry.ask().split()[1] == b"503"
+    assert entry.ask().split()[1] == b"503"
+    assert len(other.requests) == 1
--- /dev/null
+++ b/tests/test_relay_weights.py
@@ -0,0 +1,189 @@
+"""Requests and the time of weights: what may still begin on an older version."""
+
+import time
+
+import gevent
+import pytest
+
+from briarbeam.catalog import RequestKind, Service
+from briarbeam.relay.dispatch import FIRST_PART_SILENCE_S
+
+from .relay_fakes import (
+    END,
+    STREAM,
+    Entry,
+    FakeInstance,
+    event,
+    never,
+    ok,
+    reply,
+    reset,
+    stream_head,
+    versions_of,
+)
+
+
+def test_no_weights_are_used_before_the_names_were_read():
+    """What others tell may lack the newest name."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.names_age_s = None
+    entry.versions.learn("m", ((1, 40.0, True),))
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not fake.requests
+
+
+def test_no_weights_are_used_while_names_may_be_there_that_were_not_seen():
+    """An entry may reach the store for its desired state and not for the names."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    for age_s, status in ((7.4, b"200"), (7.6, b"503")):
+        entry.names_age_s = age_s
+        answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+        assert answer.split()[1] == status
+    assert len(fake.requests) == 1
+
+
+def test_weights_whose_time_ends_before_the_send_get_nothing():
+    """As when the process is suspended between the choice of a target and the send."""
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.name_version(2, age_s=1.0)
+    original = entry.admission.recheck
+
+    def recheck(job, target):
+        entry.name_version(2, age_s=9.0)
+        original(job, target)
+
+    entry.admission.recheck = recheck
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not fake.requests
+    # It did nothing wrong and is needed as soon as it holds the newer weights.
+    assert entry.fleet.get("i1").failures == 0
+
+
+def entry_whose_names_grow_old(script):
+    """Return an `Entry` whose names are too old from the first send on."""
+    service = Service("svc", models=("m",))
+    entry = Entry({}, service=service, **STREAM)
+
+    def answer(instance, sock, request):
+        entry.names_age_s = 9.0
+        script(instance, sock, request)
+
+    fake = FakeInstance(answer)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.add("i2", fake.address, models={"m": 1})
+    return entry
+
+
+def test_request_that_was_sent_is_not_said_to_be_not_run_when_names_grow_old():
+    entry = entry_whose_names_grow_old(lambda instance, sock, request: reset(sock))
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"502"
+
+
+def test_request_at_a_silent_engine_is_not_said_to_be_not_run_when_names_grow_old():
+    def late(instance, sock, request):
+        gevent.sleep(FIRST_PART_SILENCE_S + 0.4)
+        sock.sendall(stream_head() + event(1) + END)
+
+    entry = entry_whose_names_grow_old(late)
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] in (b"200", b"502")
+
+
+def test_engine_without_the_model_gets_nothing():
+    service = Service("svc", models=("m",))
+    empty, full = FakeInstance(reply(ok())), FakeInstance(reply(ok()))
+    entry = Entry({}, service=service)
+    entry.add("i1", empty.address, models={})
+    entry.add("i2", full.address, models={"m": 1})
+    assert entry.ask(headers=b"x-model: m\r\n").split()[1] == b"200"
+    assert not empty.requests
+
+
+def test_request_that_waits_on_superseded_weights_is_taken_back_in_time():
+    service = Service("svc", models=("m",))
+    old = FakeInstance(never)
+    new = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", old.address, models={"m": 1})
+    entry.add("i2", new.address, models={"m": 2}).outstanding = 12
+    entry.name_version(2, age_s=7.4)
+    started_s = time.monotonic()
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.endswith(END)
+    assert 0.3 < time.monotonic() - started_s < 0.6
+    assert old.left_s[0] - started_s < 0.6
+
+
+def test_nothing_is_sent_to_weights_whose_time_is_nearly_over():
+    service = Service("svc", models=("m",))
+    old = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", old.address, models={"m": 1})
+    entry.name_version(2, age_s=7.6)
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"503"
+    assert not old.requests
+
+
+def test_nothing_is_sent_to_engines_before_the_named_versions_are_known():
+    service = Service("svc", models=("m",))
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({}, service, kind=RequestKind.STREAMING)
+    entry.add("i1", fake.address, models={"m": 1})
+    entry.admission._versions = versions_of(entry.clock)
+    entry.names_age_s = None
+    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 503")
+    assert not fake.requests
+    entry.admission._versions.update({})
+    entry.names_age_s = 0.1
+    assert entry.ask(headers=b"x-model: m\r\n").startswith(b"HTTP/1.1 200")
+
+
+def test_broken_stream_goes_on_only_on_weights_that_may_still_begin():
+    def breaks_late(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        gevent.sleep(0.5)
+        reset(sock)
+
+    service = Service("svc", models=("m",))
+    old = FakeInstance(reply(stream_head() + event(2) + END))
+    new = FakeInstance(reply(stream_head() + event(2) + END))
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", FakeInstance(breaks_late).address, models={"m": 1})
+    entry.add("i2", old.address, models={"m": 1}).outstanding = 12
+    entry.add("i3", new.address, models={"m": 2}).outstanding = 15
+    entry.name_version(2, age_s=7.3)
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.endswith(END)
+    assert not old.requests and new.requests
+
+
+def test_resumed_stream_that_waits_on_superseded_weights_is_taken_back():
+    def breaks(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        gevent.sleep(0.05)
+        reset(sock)
+
+    service = Service("svc", models=("m",))
+    old = FakeInstance(never)
+    entry = Entry({}, service=service, **STREAM)
+    entry.add("i1", FakeInstance(breaks).address, models={"m": 1})
+    entry.add("i2", old.address, models={"m": 1}).outstanding = 12
+    entry.name_version(2, age_s=7.4)
+    started_s = time.monotonic()
+    with pytest.raises(ConnectionResetError):
+        entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    gevent.sleep(0.1)
+    assert old.left_s and old.left_s[0] - started_s < 0.6
