Refuse a neighbour's confirmation of another form instead of ending the listener

What callers could see: while entries of two releases run beside each other, one that follows a neighbour of the release before hears no loads and no confirmations any more.

Cause: a confirmation tells the ages of all copies since today, not that of the desired state alone; the task that reads datagrams handles typed errors only. The same as with names before; found in reading the whole change.

Three cases of test_foreign_datagrams_are_typed_errors failed before; the first is what the release before sends.

--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -129,6 +129,10 @@
             _check_rows(message.namings, (int, float, bool))
         elif name == "g":
             _check_rows(message.versions, (int, float, float, bool))
+        elif name == "c":
+            _check_rows([message.ages_s[:1]], (float,))
+            _check_rows([(a,) for a in message.ages_s if a is not None], (float,))
+            _check_rows(message.summaries, (int, int))
     except (ValueError, KeyError, TypeError) as error:
         raise MalformedDatagramError(
             f"datagram of {len(data)} bytes: {error!r}"
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -265,6 +265,8 @@
         b'["l",1,2,true,0,0,1.0,false,[],[[3,1.2]]]',
         b'["g","10.0.0.1","z1","m",[[2,1.0]]]',
         b'["g","10.0.0.1","z1","m",[["2",1.0,0.0,true]]]',
+        # What they tell of the store.
+        b'["c",1.0,0.5,[[2,1]]]', b'["c",1.0,[null],[[2,1]]]', b'["c",1.0,[],[]]',
     ],
 )  # fmt: skip
 def test_foreign_datagrams_are_typed_errors(data):
