Say that a route or a key is unknown only while the desired state is young enough

Cause: what denies a request was bound by the age up to which keys may be used, not by the time in which an accepted desired state is in force.

Change: 404 and 401 are said of a desired state that was confirmed within that time; above it the answer is 503, which says to come back. Both tests failed with the one bound before: 404 and 401 at 3.1 s.

--- a/bench/node_process.py
+++ b/bench/node_process.py
@@ -21,6 +21,7 @@
 address = "{store}"
 [bounds]
 key_revocation_s = 5.0
+config_apply_s = 2.0
 version_within_s = 8.0
 grace_s = 8
 retry_ratio = 0.2
--- a/briarbeam/node_settings.py
+++ b/briarbeam/node_settings.py
@@ -55,11 +55,13 @@
     """What the operators' rules allow, in the units of their names.
 
     `key_revocation_s`: after it no request runs with a key that was taken away.
+    `config_apply_s`: after it every request is handled as an accepted desired state says.
     `version_within_s`: after it every request runs on the newest named weights.
     `grace_s`: from SIGTERM to SIGKILL.
     """
 
     key_revocation_s: float = Field(gt=0)
+    config_apply_s: float = Field(gt=0)
     version_within_s: float = Field(gt=0)
     grace_s: float = Field(gt=0)
     retry_ratio: float = Field(ge=0)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -357,6 +357,8 @@
     :param confirmed_age_s: a function that returns how long ago the desired state was
         last confirmed, in seconds, or None.
     :param key_age_max_s: the age above which no request with a key is sent.
+    :param denial_age_max_s: the age above which no route or key is said to be unknown: a
+        newer desired state that is in force by now may have it.
     :param versions: the `NamedVersions`.
     :param names_age_s: a function that returns how long ago these were last confirmed, in
         seconds, or None.
@@ -369,6 +371,7 @@
         in_force,
         confirmed_age_s,
         key_age_max_s,
+        denial_age_max_s,
         versions,
         names_age_s,
         version_within_s,
@@ -377,6 +380,7 @@
         self._in_force = in_force
         self._confirmed_age_s = confirmed_age_s
         self._key_age_max_s = key_age_max_s
+        self._denial_age_max_s = denial_age_max_s
         self._versions = versions
         self._names_age_s = names_age_s
         self._version_within_s = version_within_s
@@ -403,8 +407,7 @@
             raise NoDesiredStateError("no desired state is known yet")
         route = state.find_route(meta.host, request.path)
         if route is None:
-            # A newer desired state may have it.
-            self._check_confirmed()
+            self._check_confirmed(self._denial_age_max_s)
             raise RouteNotFoundError(f"no route for {meta.host}{request.path}")
         team = self._find_team(state, route, meta)
         service = state.services.get(_choose(route.services))
@@ -441,7 +444,7 @@
         :raises NotRunError: if something changed since it was admitted.
         """
         if job.team is not None:
-            self._check_confirmed()
+            self._check_confirmed(self._key_age_max_s)
             state = self._in_force.state
             if state.version != job.state_version:
                 known = state.teams_by_key.get(job.meta.key)
@@ -456,15 +459,16 @@
     def _find_team(self, state, route, meta):
         if route.public or not state.uses_keys:
             return None
-        self._check_confirmed()
+        self._check_confirmed(self._key_age_max_s)
         team = state.teams_by_key.get(meta.key)
         if team is None:
+            self._check_confirmed(self._denial_age_max_s)
             raise UnknownKeyError("the request carries no key of a team")
         return team
 
-    def _check_confirmed(self):
+    def _check_confirmed(self, age_max_s):
         age_s = self._confirmed_age_s()
-        if age_s is None or age_s > self._key_age_max_s:
+        if age_s is None or age_s > age_max_s:
             raise NoDesiredStateError(
                 f"the desired state was confirmed {age_s} s ago",
                 retry_after_s=RETRY_AFTER_S,
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -152,6 +152,7 @@
             self._in_force,
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
+            bounds.config_apply_s,
             self._versions,
             lambda: self._version_mirror.age_s,
             bounds.version_within_s,
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -142,6 +142,7 @@
             self.in_force,
             lambda: self.age_s,
             4.4,
+            3.0,
             self.versions,
             lambda: self.names_age_s,
             8.0,
--- a/tests/test_node_settings.py
+++ b/tests/test_node_settings.py
@@ -25,6 +25,7 @@
 address = "10.0.9.1:80"
 [bounds]
 key_revocation_s = 5000e-3
+config_apply_s = 2000e-3
 version_within_s = 8000e-3
 grace_s = 8
 retry_ratio = 0.2
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -70,10 +70,16 @@
 
 def test_route_that_an_old_desired_state_lacks_is_not_said_to_be_none():
     entry = Entry({})
-    entry.age_s = 4.5
-    assert entry.ask(path=b"/new/x").split()[1] == b"503"
-    entry.age_s = 0.1
-    assert entry.ask(path=b"/new/x").split()[1] == b"404"
+    for age_s, status in ((4.5, b"503"), (3.1, b"503"), (0.1, b"404")):
+        entry.age_s = age_s
+        assert entry.ask(path=b"/new/x").split()[1] == status
+
+
+def test_key_that_an_old_desired_state_lacks_is_not_said_to_be_unknown():
+    entry = Entry({})
+    for age_s, status in ((3.1, b"503"), (0.1, b"401")):
+        entry.age_s = age_s
+        assert entry.ask(key=b"new").split()[1] == status
 
 
 @pytest.mark.parametrize("method", [b"GET", b"POST"])
