Tell homes, target and age of a request's send, and what the store's answers weigh

A request's line has homes, target_domain and sent_state_age_s; store_read tells large answers; metrics for version and age of the state, and for bytes and duration of reads. No decision changes.

--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -4,10 +4,12 @@
 """
 
 import json
+import time
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
-from prometheus_client import Counter
+import structlog
+from prometheus_client import Counter, Histogram
 
 from ..kernel.errors import BriarbeamError
 from ..kernel.network import HttpRequest, fetch
@@ -23,7 +25,19 @@
 # A desired state of some hundred routes takes longer over a link between regions that
 # other entries read it over too.
 BODY_TIMEOUT_S = 2.0
+# Answers above this are told of one by one; they matter to links between regions.
+LARGE_BODY_BYTES = 16384
 _CALLS = Counter("briarbeam_store_calls", "Calls to the store", ["call", "status"])
+_READ_BYTES = Counter(
+    "briarbeam_store_read_bytes", "Bytes of the store's answers", ["kind"]
+)
+_LIST_SECONDS = Histogram(
+    "briarbeam_store_list_seconds",
+    "Seconds from a list's call to the end of its answer",
+    ["kind"],
+    buckets=(0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0),
+)
+_log = structlog.get_logger()
 
 
 @dataclass(frozen=True)
@@ -103,6 +117,7 @@
             timeout_s=wait_s + self._timeout_s,
             silence_s=BODY_TIMEOUT_S,
         )
+        sent_s = time.monotonic()
         try:
             status, _, content = fetch(self._network, self._address, request)
         except BriarbeamError as error:
@@ -111,6 +126,7 @@
             _CALLS.labels(call, "none").inc()
             raise StoreUnavailableError(f"GET {target}: {error}") from error
         _CALLS.labels(call, status).inc()
+        self._note_body(call, path, len(content), time.monotonic() - sent_s)
         if status == 410:
             raise HistoryGoneError(f"GET {target}: the history is gone")
         if status != 200:
@@ -120,6 +136,19 @@
         except ValueError as error:
             raise StoreUnavailableError(f"GET {target}: not JSON") from error
 
+    def _note_body(self, call, kind, size_bytes, elapsed_s):
+        _READ_BYTES.labels(kind).inc(size_bytes)
+        if call == "list":
+            _LIST_SECONDS.labels(kind).observe(elapsed_s)
+        if size_bytes >= LARGE_BODY_BYTES:
+            _log.info(
+                "store_read",
+                call=call,
+                kind=kind,
+                size_bytes=size_bytes,
+                elapsed_s=round(elapsed_s, 3),
+            )
+
 
 def _decode_record(item):
     metadata = item["metadata"]
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -62,6 +62,8 @@
     :param tried: ids of the targets that refused or failed it.
     :param next_target: the target that takes it from a silent one, or None.
     :param target_id: the target that it was sent to last, or None.
+    :param target_domain: the failure domain of that target, or None.
+    :param state_age_s: the age of the desired state at the last send, in seconds.
     :param target_version: the version of the weights that the target was thought to hold.
     :param superseded_in_s: how long after the send requests could still begin on that
         version, in seconds; None while it is the newest.
@@ -82,6 +84,8 @@
     may_have_run: bool = False
     next_target: object = None
     target_id: str | None = None
+    target_domain: str | None = None
+    state_age_s: float | None = None
     target_version: int | None = None
     superseded_in_s: float | None = None
 
@@ -258,6 +262,8 @@
     def _note_send(self, job, target):
         job.sends += 1
         job.target_id = target.id
+        job.target_domain = target.instance.failure_domain
+        job.state_age_s = self._admission.state_age_s()
         if job.need.model is not None:
             job.target_version = target.version_of(job.need.model)
             job.superseded_in_s = self._admission.weights_left_s(job, target)
@@ -386,6 +392,10 @@
         self._version_within_s = version_within_s
         self._send_margin_s = send_margin_s
 
+    def state_age_s(self):
+        """Return how long ago the desired state was last confirmed, or None."""
+        return self._confirmed_age_s()
+
     def weights_left_s(self, job, target):
         """Return how long requests may still begin on the target's weights.
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -1,5 +1,6 @@
 """The role ``entry``: takes callers' requests from the balancer and answers them."""
 
+import math
 import random
 
 import gevent
@@ -55,6 +56,10 @@
     "Oldest weights that a request may be sent to now",
     ["model"],
 )
+_STATE_AGE = Gauge(
+    "briarbeam_desired_state_age_seconds",
+    "Seconds since the desired state was last confirmed; NaN before the first time",
+)
 _log = structlog.get_logger()
 
 
@@ -145,6 +150,7 @@
         self._mirrors = [self._config, *others]
         self._version_mirror = others[-1]
         self._follower = StoreFollower(self._clock, self._config, others)
+        _STATE_AGE.set_function(lambda: _or_nan(self._config.age_s))
 
     def _build_servers(self):
         settings, bounds = self._settings, self._settings.bounds
@@ -266,3 +272,7 @@
             **plan_wave(engines, target, model),
             "version_within_s": self._settings.bounds.version_within_s,
         }
+
+
+def _or_nan(value):
+    return math.nan if value is None else value
--- a/briarbeam/relay/inforce.py
+++ b/briarbeam/relay/inforce.py
@@ -1,6 +1,7 @@
 """The desired state in force here, and how sure it is."""
 
 import structlog
+from prometheus_client import Gauge
 
 from ..distribution.namings import FIRST_VERSION, NamingHistory
 from ..platform.records import (
@@ -13,6 +14,7 @@
 # An age that is known to within this counts as certain, at its upper bound.
 CERTAIN_WITHIN_S = 1.0
 
+_VERSION = Gauge("briarbeam_desired_state_version", "Desired state in force here")
 _log = structlog.get_logger()
 
 
@@ -39,6 +41,7 @@
         if self.state is not None and state.version <= self.state.version:
             return
         self.state = state
+        _VERSION.set(state.version)
         _log.info(
             "desired_state_in_force",
             version=state.version,
--- a/briarbeam/telemetry/decisions.py
+++ b/briarbeam/telemetry/decisions.py
@@ -183,7 +183,10 @@
                 route=job.route.name,
                 service=job.need.service.name,
                 config_version=job.state_version,
+                homes=_homes(job.need.allowed_regions),
                 target=job.target_id,
+                target_domain=job.target_domain,
+                sent_state_age_s=_rounded(job.state_age_s),
                 tried=job.tried,
                 sends=job.sends,
                 connects=job.connects,
@@ -228,5 +231,11 @@
         return left > 0
 
 
+def _homes(allowed_regions):
+    """Return the regions that bind a request, None where all are allowed."""
+    binding = [regions for regions in allowed_regions if regions]
+    return sorted(frozenset.intersection(*binding)) if binding else None
+
+
 def _rounded(duration_s):
     return None if duration_s is None else round(duration_s, 2)
--- a/tests/test_telemetry_decisions.py
+++ b/tests/test_telemetry_decisions.py
@@ -167,3 +167,23 @@
     assert [now - then for now, then in zip(counted(), before, strict=True)] == [
         1, 1, 1, 2,
     ]  # fmt: skip
+
+
+def test_line_tells_the_homes_the_target_and_the_age_a_request_was_sent_by():
+    """Incident HOME: no line told where a request was allowed to go, or where it went."""
+    lines = []
+
+    class Log:
+        def info(self, event, **fields):
+            lines.append(fields)
+
+    entry = Entry(
+        {"i1": FakeInstance(reply(ok()))}, allowed_regions=frozenset({"r1", "r3"})
+    )
+    entry.age_s = 0.25
+    entry.dispatcher._decisions._log = Log()
+    entry.ask()
+    told = lines[-1]
+    assert told["homes"] == ["r1", "r3"]
+    assert (told["target"], told["target_domain"]) == ("i1", "z1")
+    assert told["sent_state_age_s"] == 0.25
