Go by the newest desired state at each send, not by the one a request came under

Cause: Admission.renew renewed only the version of the weights, and the check right before a send looked at key, weights and draining.

Admission and Job have modules of their own; the tests that hooked Admission.recheck hook Dispatcher._recheck, which does the same and more.

--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -135,16 +135,19 @@
 
     def eligible(self, need):
         """Return the targets that could ever run `need` now, busy or not."""
-        now_s = self._clock.monotonic_s()
-        return [
-            target
-            for target in self._fleet.targets(need.service.name)
-            if not target.instance.draining
-            and target.replaced_until_s <= now_s
+        targets = self._fleet.targets(need.service.name)
+        return [target for target in targets if self.is_eligible(target, need)]
+
+    def is_eligible(self, target, need):
+        """Return whether `target` could ever run `need` now, busy or not."""
+        return (
+            target.instance.service == need.service.name
+            and not target.instance.draining
+            and target.replaced_until_s <= self._clock.monotonic_s()
             and target.instance.failure_domain not in self._fleet.evacuated
             and self._region_allowed(target, need)
             and self._holds_weights(target, need)
-        ]
+        )
 
     def any_loading(self, need):
         """Return whether some target of the service is loading weights just now."""
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -1,25 +1,19 @@
 """The way of one request: checked, sent to a target, sent once more where allowed."""
 
-import dataclasses
 import math
 import random
 import time
-from dataclasses import dataclass, field
 
-from ..catalog import RequestKind
 from ..kernel.errors import BriarbeamError, NotRunError
 from ..platform import headers as wire
-from .balance import Need
+from .admission import RETRY_AFTER_S
 from .caller_stream import CallerStream
 from .callers import LeaveWatch
 from .errors import (
     CallerLeftError,
     DeadlineError,
     NoCapacityError,
-    NoDesiredStateError,
     NotStartedError,
-    RouteNotFoundError,
-    UnknownKeyError,
     UpstreamError,
 )
 from .exchange import ConnectFailedError, Exchange, SilentError, TargetUnfitError
@@ -42,9 +36,7 @@
 ANSWER_MARGIN_S = 0.05
 # Connections that fail cost nothing but time; more than this many is a partition.
 CONNECTS_MAX = 4
-# When a caller may come back after a refusal; callers wait up to a third of their time.
-RETRY_AFTER_S = 0.6
-# The same where no instance can serve it just now, as while weights are loaded: about
+# When a caller may come back where no instance can serve it just now, as while weights are loaded: about
 # as long as one load takes.
 LOAD_RETRY_AFTER_S = 0.35
 # The same where no instance is even loading what it needs. Callers come back once, so
@@ -54,46 +46,6 @@
 _FAILED_STATUSES = frozenset({500, 502, 503, 504, 429})
 
 
-@dataclass
-class Job:
-    """One caller's request on its way.
-
-    :param deadline_s: monotonic time at which the answer has to be there.
-    :param tried: ids of the targets that refused or failed it.
-    :param next_target: the target that takes it from a silent one, or None.
-    :param target_id: the target that it was sent to last, or None.
-    :param target_domain: the failure domain of that target, or None.
-    :param state_age_s: the age of the desired state at the last send, in seconds.
-    :param target_version: the version of the weights that the target was thought to hold.
-    :param superseded_in_s: how long after the send requests could still begin on that
-        version, in seconds; None while it is the newest.
-    """
-
-    request: object
-    meta: wire.RequestMeta
-    route: object
-    team: object
-    need: Need
-    priority: int
-    started_s: float
-    deadline_s: float
-    state_version: int
-    tried: list = field(default_factory=list)
-    connects: int = 0
-    sends: int = 0
-    may_have_run: bool = False
-    next_target: object = None
-    target_id: str | None = None
-    target_domain: str | None = None
-    state_age_s: float | None = None
-    target_version: int | None = None
-    superseded_in_s: float | None = None
-
-    @property
-    def streams(self):
-        return self.route.kind is RequestKind.STREAMING
-
-
 class Dispatcher:
     """Answers callers' requests.
 
@@ -195,7 +147,7 @@
         if len(tried) >= max(1, job.route.max_attempts):
             return None
         try:
-            job.need = self._admission.renew(job)
+            self._admission.renew(job)
         except NotRunError:
             if not tried:
                 raise
@@ -241,7 +193,7 @@
         with Exchange(target.instance.address, job.request.method == b"HEAD") as call:
             call.connect()
             # Decided again right before the send: the process may have been suspended.
-            self._admission.recheck(job, target)
+            self._recheck(job, target)
             now_s = time.monotonic()
             left_s = job.deadline_s - now_s
             if left_s <= ANSWER_MARGIN_S:
@@ -259,6 +211,15 @@
             finally:
                 target.note_done()
 
+    def _recheck(self, job, target):
+        """Raise unless `job` may still be sent to `target` at this moment.
+
+        :raises NotRunError: if something changed since the target was picked.
+        """
+        self._admission.renew(job)
+        if not self._balancer.is_eligible(target, job.need):
+            raise TargetUnfitError(f"{target.id} may not take it any more")
+
     def _note_send(self, job, target):
         job.sends += 1
         job.target_id = target.id
@@ -354,149 +315,3 @@
 
 class _NotRun(Exception):
     """The target states that it did not run the request."""
-
-
-class Admission:
-    """Decides whether a request may be sent at all, and with what needs.
-
-    :param in_force: the `InForce` desired state.
-    :param confirmed_age_s: a function that returns how long ago the desired state was
-        last confirmed, in seconds, or None.
-    :param key_age_max_s: the age above which no request with a key is sent.
-    :param denial_age_max_s: the age above which no route or key is said to be unknown: a
-        newer desired state that is in force by now may have it.
-    :param versions: the `NamedVersions`.
-    :param names_age_s: a function that returns how long ago these were last confirmed, in
-        seconds, or None.
-    :param version_within_s: after this, only the newest named weights may begin.
-    :param send_margin_s: how much sooner nothing is sent to older weights any more.
-    """
-
-    def __init__(
-        self,
-        in_force,
-        confirmed_age_s,
-        key_age_max_s,
-        denial_age_max_s,
-        versions,
-        names_age_s,
-        version_within_s,
-        send_margin_s,
-    ):
-        self._in_force = in_force
-        self._confirmed_age_s = confirmed_age_s
-        self._key_age_max_s = key_age_max_s
-        self._denial_age_max_s = denial_age_max_s
-        self._versions = versions
-        self._names_age_s = names_age_s
-        self._version_within_s = version_within_s
-        self._send_margin_s = send_margin_s
-
-    def state_age_s(self):
-        """Return how long ago the desired state was last confirmed, or None."""
-        return self._confirmed_age_s()
-
-    def weights_left_s(self, job, target):
-        """Return how long requests may still begin on the target's weights.
-
-        :returns: seconds; None while they are the newest.
-        """
-        model = job.need.model
-        if model is None:
-            return None
-        version = target.version_of(model)
-        return self._versions.superseded_in_s(model, version, self._version_within_s)
-
-    def admit(self, request, meta):
-        """Return the `Job` for `request`.
-
-        :raises NotRunError: if it may not be sent.
-        """
-        state = self._in_force.state
-        if state is None:
-            raise NoDesiredStateError("no desired state is known yet")
-        route = state.find_route(meta.host, request.path)
-        if route is None:
-            self._check_confirmed(self._denial_age_max_s)
-            raise RouteNotFoundError(f"no route for {meta.host}{request.path}")
-        team = self._find_team(state, route, meta)
-        service = state.services.get(_choose(route.services))
-        if service is None:
-            raise NoCapacityError(f"route {route.name} names no declared service")
-        left_s = route.timeout_s
-        if meta.time_left_s is not None:
-            left_s = min(left_s, meta.time_left_s)
-        need = Need(
-            service=service,
-            model=meta.model if service.models else None,
-            required_version=self._required_version(service, meta),
-            allowed_regions=(
-                route.allowed_regions,
-                team.allowed_regions if team else frozenset(),
-            ),
-        )
-        priority = route.priority
-        if team is not None and team.priority is not None:
-            priority = team.priority
-        return Job(
-            request, meta, route, team, need, priority,
-            request.read_at_s, request.read_at_s + left_s, state.version,
-        )  # fmt: skip
-
-    def renew(self, job):
-        """Return what `job` asks of its next target; time has passed since the last."""
-        required = self._required_version(job.need.service, job.meta)
-        return dataclasses.replace(job.need, required_version=required)
-
-    def recheck(self, job, target):
-        """Raise unless the request may still be sent to `target` at this moment.
-
-        :raises NotRunError: if something changed since it was admitted.
-        """
-        if job.team is not None:
-            self._check_confirmed(self._key_age_max_s)
-            state = self._in_force.state
-            if state.version != job.state_version:
-                known = state.teams_by_key.get(job.meta.key)
-                if known is None or known.name != job.team.name:
-                    raise UnknownKeyError("the key was taken away")
-        if target.instance.draining:
-            raise TargetUnfitError(f"{target.id} is leaving")
-        need = self.renew(job)
-        if need.model and target.version_of(need.model) < need.required_version:
-            raise TargetUnfitError(f"{target.id} holds superseded weights")
-
-    def _find_team(self, state, route, meta):
-        if route.public or not state.uses_keys:
-            return None
-        self._check_confirmed(self._key_age_max_s)
-        team = state.teams_by_key.get(meta.key)
-        if team is None:
-            self._check_confirmed(self._denial_age_max_s)
-            raise UnknownKeyError("the request carries no key of a team")
-        return team
-
-    def _check_confirmed(self, age_max_s):
-        age_s = self._confirmed_age_s()
-        if age_s is None or age_s > age_max_s:
-            raise NoDesiredStateError(
-                f"the desired state was confirmed {age_s} s ago",
-                retry_after_s=RETRY_AFTER_S,
-            )
-
-    def _required_version(self, service, meta):
-        if not service.models or meta.model is None:
-            return 0
-        within_s = self._version_within_s - self._send_margin_s
-        age_s = self._names_age_s()
-        if age_s is None or age_s > within_s:
-            # A newer name may be there for longer than its time.
-            raise NoDesiredStateError(f"names of versions were read {age_s} s ago")
-        return self._versions.required(meta.model, within_s)
-
-
-def _choose(services):
-    if len(services) == 1:
-        return services[0][0]
-    names, weights = zip(*services, strict=True)
-    return random.choices(names, weights)[0]
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -17,8 +17,9 @@
 from ..platform import records
 from ..platform.store import StoreClient
 from ..telemetry.decisions import DecisionLog
+from .admission import Admission
 from .balance import Balancer
-from .dispatch import Admission, Dispatcher
+from .dispatch import Dispatcher
 from .fleet import Fleet
 from .follower import StoreFollower
 from .inforce import InForce, NamedVersions
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -19,8 +19,9 @@
 from briarbeam.kernel.clock import SystemClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform.store import Record
+from briarbeam.relay.admission import Admission
 from briarbeam.relay.balance import Balancer
-from briarbeam.relay.dispatch import Admission, Dispatcher
+from briarbeam.relay.dispatch import Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.inforce import InForce, NamedVersions
 from briarbeam.relay.limits import ColdWindow, Place, RetryBudget
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -313,14 +313,13 @@
     fake = FakeInstance(reply(ok()))
     entry = Entry({"i1": fake})
     meta_state = state(entry.service, version=2, keys=("k9",))
-    admission = entry.dispatcher._admission
-    original = admission.recheck
+    original = entry.dispatcher._recheck
 
     def recheck(job, target):
         entry.in_force.state = meta_state
         original(job, target)
 
-    admission.recheck = recheck
+    entry.dispatcher._recheck = recheck
     assert entry.ask().split()[1] == b"401"
     assert not fake.requests
 
--- a/tests/test_relay_weights.py
+++ b/tests/test_relay_weights.py
@@ -56,13 +56,13 @@
     entry = Entry({}, service=service, **STREAM)
     entry.add("i1", fake.address, models={"m": 1})
     entry.name_version(2, age_s=1.0)
-    original = entry.admission.recheck
+    original = entry.dispatcher._recheck
 
     def recheck(job, target):
         entry.name_version(2, age_s=9.0)
         original(job, target)
 
-    entry.admission.recheck = recheck
+    entry.dispatcher._recheck = recheck
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.split()[1] == b"503"
     assert not fake.requests
