Bring the desired state from neighbours, and refuse by one that others know to be superseded

Callers saw: public requests ran outside their homes for up to eight seconds after a change, and in darkhan and oyu-gobi most requests were refused for twenty.

One entry of each failure domain, the one that passes loads on, reads the store. The others take compressed copies from each other along a tree of three, and make no call for the state while a neighbour confirms it. Greetings, confirmations and a datagram of its own name the newest revision held, over daemons beside engines too, so an entry that can't read or be given a state still knows that there is one, and refuses after half a second. With the store away for all nobody can know a newer one, and public requests go on; an entry that hears of no daemon any more stops them once its state may be superseded. A reader that falls silent is replaced by the next forwarder, which stops following at once; entries that others read for come back later to a lost store.

--- a/briarbeam/distribution/errors.py
+++ b/briarbeam/distribution/errors.py
@@ -19,3 +19,9 @@
     """The bytes of a chunk do not match its digest."""
 
     code = "corrupt_chunk"
+
+
+class MalformedCopyError(BriarbeamError):
+    """The bytes from another entry are no copy of a desired state."""
+
+    code = "malformed_copy"
--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -19,6 +19,7 @@
     Load,
     LoadBatch,
     Probe,
+    StateNews,
     decode,
     encode,
 )
@@ -63,10 +64,19 @@
     :param follower: the `StoreFollower`, which compares with a neighbour.
     :param on_namings: called with the names that a daemon beside an engine tells an
         entry which lacks them.
+    :param spread: the `StateSpread`, which is told of desired states.
     """
 
     def __init__(
-        self, address, failure_domain, fleet, clock, describe, on_namings, follower
+        self,
+        address,
+        failure_domain,
+        fleet,
+        clock,
+        describe,
+        on_namings,
+        follower,
+        spread,
     ):
         self._address = address
         self._failure_domain = failure_domain
@@ -83,6 +93,11 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sender = DatagramSender(self._sock, address.port)
         self._forwarder = LoadForwarder(clock, self._neighbours, self._send)
+        self._spread = spread
+        spread.send = lambda news, host: self._send(encode(news), host)
+        spread.neighbours = self._neighbours
+        spread.on_change = self.greet_shortly
+        follower.is_reader = self._forwarder.forwards
 
     def start(self):
         """Bind, and greet and listen in the background."""
@@ -101,6 +116,10 @@
         if self._soon is None:
             self._soon = gevent.spawn_later(COALESCE_S, self._greet_coalesced)
 
+    def has_reader(self):
+        """Return whether a neighbour reads the store for this entry."""
+        return self._forwarder.has_neighbour()
+
     def entries(self):
         """Return pairs of host and failure domain of the entries known to be there."""
         now_s = self._clock.monotonic_s()
@@ -199,6 +218,7 @@
                 self._address.host,
                 self._failure_domain,
                 silent_forwarder=silent,
+                state_revision=self._spread.revision,
                 **facts,
             )
             self._send(encode(greeting), target.instance.address.host)
@@ -215,6 +235,7 @@
                 _log.warning("datagram_refused", error=repr(error))
                 gevent.sleep(0.01)
                 continue
+            self._spread.note_word()
             if isinstance(message, Load):
                 self._hear(host, message)
             elif isinstance(message, LoadBatch):
@@ -222,9 +243,9 @@
             elif isinstance(message, Probe):
                 self._confirm(host, message)
             elif isinstance(message, Confirmation):
-                self._follower.note_confirmation(
-                    message.sent_s, message.ages_s, message.summaries
-                )
+                self._note_confirmation(host, message)
+            elif isinstance(message, StateNews):
+                self._spread.note_news(message)
 
     def _probe_forever(self):
         while True:
@@ -233,6 +254,13 @@
             if source is not None:
                 self._send(encode(Probe(self._clock.boottime_s())), source)
 
+    def _note_confirmation(self, host, message):
+        if message.summaries:
+            self._spread.note_neighbour(host, message.summaries[0][0])
+        self._follower.note_confirmation(
+            message.sent_s, message.ages_s, message.summaries
+        )
+
     def _confirm(self, host, probe):
         ages_s, summaries = self._follower.describe()
         if ages_s[0] is not None and not self._follower.following:
--- a/briarbeam/distribution/forwarder.py
+++ b/briarbeam/distribution/forwarder.py
@@ -85,10 +85,16 @@
         """Return the neighbour whose batches have stopped coming, or None."""
         return self._source if SILENCE_S < self._silence_s() < TOLD_FOR_S else None
 
+    def forwards(self):
+        """Return whether this entry passes loads on now."""
+        return self._clock.monotonic_s() - self._taken_s <= SILENCE_S
+
+    def has_neighbour(self):
+        """Return whether another entry passes loads on, or did so a moment ago."""
+        return self._silence_s() < TOLD_FOR_S
+
     def _silence_s(self):
         """Return for how long no batch came; for ever if this entry forwards."""
-        now_s = self._clock.monotonic_s()
-        forwards = now_s - self._taken_s <= SILENCE_S
-        if self._source is None or forwards:
+        if self._source is None or self.forwards():
             return math.inf
-        return now_s - self._heard_s
+        return self._clock.monotonic_s() - self._heard_s
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -30,6 +30,7 @@
     :param wave_count: how many turns there are.
     :param version_within_s: the time in which a named version has to be in use.
     :param silent_forwarder: the neighbour from which loads came and come no more, or None.
+    :param state_revision: the store's revision of the desired state that it holds, 0 for none.
     """
 
     host: str
@@ -40,6 +41,7 @@
     wave_count: int = 1
     version_within_s: float = 0.0
     silent_forwarder: str | None = None
+    state_revision: int = 0
 
 
 @dataclass(frozen=True)
@@ -104,7 +106,29 @@
     summaries: tuple
 
 
-_KINDS = {"g": Greeting, "l": Load, "b": LoadBatch, "p": Probe, "c": Confirmation}
+@dataclass(frozen=True)
+class StateNews:
+    """Tells that a desired state exists, and who holds it.
+
+    :param revision: the store's revision of it.
+    :param host: the IP number of an entry that holds it.
+    :param root: the IP number of the entry that spreads it in its failure domain, or None
+        where it is only told of.
+    """
+
+    revision: int
+    host: str
+    root: str | None = None
+
+
+_KINDS = {
+    "g": Greeting,
+    "l": Load,
+    "b": LoadBatch,
+    "p": Probe,
+    "c": Confirmation,
+    "s": StateNews,
+}
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 
 
@@ -129,6 +153,9 @@
             _check_rows(message.namings, (int, float, bool))
         elif name == "g":
             _check_rows(message.versions, (int, float, float, bool))
+            _check_rows([(message.state_revision,)], (int,))
+        elif name == "s":
+            _check_rows([(message.revision, message.host)], (int, str))
         elif name == "c":
             _check_rows([message.ages_s[:1]], (float,))
             _check_rows([(a,) for a in message.ages_s if a is not None], (float,))
--- a/briarbeam/distribution/peer_server.py
+++ b/briarbeam/distribution/peer_server.py
@@ -1,4 +1,4 @@
-"""Serves chunks and manifests to other daemons."""
+"""Serves chunks, manifests and desired states to other daemons."""
 
 import json
 
@@ -19,10 +19,13 @@
 
     :param address: where to listen.
     :param store: what has methods `manifest` and `chunk`, as `ChunkStore`.
+    :param state_copy: a function of a revision that returns the bytes of a desired state
+        that is as new, or raises `ChunkUnavailableError`; None where none is held.
     """
 
-    def __init__(self, address, store):
+    def __init__(self, address, store, state_copy=None):
         self._store = store
+        self._state_copy = state_copy
         self._server = StreamServer(tuple(address), self._serve)
 
     def start(self):
@@ -37,6 +40,8 @@
                 return json.dumps(manifest.digests).encode()
             if kind == "chunks":
                 return self._store.chunk(parts[0], int(parts[1]), int(parts[2]))
+            if kind == "states" and self._state_copy is not None:
+                return self._state_copy(int(parts[0]))
         except (IndexError, ValueError) as error:
             raise ChunkUnavailableError(f"no such path: {path}") from error
         raise ChunkUnavailableError(f"no such path: {path}")
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -16,12 +16,13 @@
 from .datagrams import DatagramSender
 from .errors import ChunkUnavailableError, MalformedDatagramError
 from .fetcher import ChunkFetcher
-from .messages import MAX_BYTES, Greeting, decode
+from .messages import MAX_BYTES, Greeting, decode, encode
 from .namings import NamingHistory
 from .overdue import OverdueWatch
 from .peer_server import PeerServer
 from .reporter import LoadReporter
 from .roster import Roster
+from .state_relay import StateRelay
 from .waves import WAVES, choose_strategy, older_is_useful
 
 # Of the machine's link, what chunks for entries nearby may take: at the whole of it the
@@ -72,6 +73,11 @@
             lambda data, host: self._send(data, host), self._roster, failure_domain
         )
         self._newest_of = {}
+        self._states = StateRelay(
+            self._roster,
+            failure_domain,
+            lambda news, host: self._send(encode(news), host),
+        )
         self._greeting = None
         self._clock = clock
         self._namings = NamingHistory(clock)
@@ -152,6 +158,7 @@
         waited = self._pulse.may_have_waited_s() > 0
         for version, age_s, _, certain in greeting.versions:
             self._namings.note(version, age_s, certain and not waited)
+        self._states.note(greeting)
         told = self._namings.certain()
         if self._report is not None and is_new:
             self._reporter.welcome(*self._load(), greeting.host)
--- a/briarbeam/relay/admission.py
+++ b/briarbeam/relay/admission.py
@@ -14,6 +14,11 @@
 
 # When a caller may come back after a refusal; callers wait up to a third of their time.
 RETRY_AFTER_S = 0.6
+# For how long requests go by a desired state once a newer one is known of. Neighbours
+# bring it within a fraction of that.
+SUPERSEDED_STATE_MAX_S = 0.5
+# When a caller may come back to an entry that is fetching the newer state.
+SUPERSEDED_RETRY_AFTER_S = 0.3
 
 
 class Admission:
@@ -22,6 +27,7 @@
     Decided when it comes and again before each send, by the state that is in force then.
 
     :param in_force: the `InForce` desired state.
+    :param news: what daemons tell each other of the desired state, as `StateSpread`.
     :param confirmed_age_s: a function that returns how long ago the desired state was
         last confirmed, in seconds, or None.
     :param key_age_max_s: the age above which no request with a key is sent.
@@ -37,6 +43,7 @@
     def __init__(
         self,
         in_force,
+        news,
         confirmed_age_s,
         key_age_max_s,
         denial_age_max_s,
@@ -46,6 +53,7 @@
         send_margin_s,
     ):
         self._in_force = in_force
+        self._news = news
         self._confirmed_age_s = confirmed_age_s
         self._key_age_max_s = key_age_max_s
         self._denial_age_max_s = denial_age_max_s
@@ -110,11 +118,21 @@
     def _state(self):
         """Return the desired state to go by.
 
-        :raises NoDesiredStateError: if there is none.
+        :raises NoDesiredStateError: if there is none, or it is known to be superseded.
         """
         state = self._in_force.state
         if state is None:
             raise NoDesiredStateError("no desired state is known yet")
+        superseded_s = self._news.superseded_for_s()
+        if superseded_s is not None and superseded_s > SUPERSEDED_STATE_MAX_S:
+            raise NoDesiredStateError(
+                f"a newer desired state than {state.version} has been known of for "
+                f"{superseded_s:.2f} s and is not here yet",
+                retry_after_s=SUPERSEDED_RETRY_AFTER_S,
+            )
+        if self._news.is_isolated():
+            # Others may know of a newer one, and nobody can tell.
+            self._check_confirmed(self._denial_age_max_s)
         return state
 
     def _resolve(self, state, request, meta, service_name=None):
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -26,12 +26,13 @@
 from .limits import RetryBudget
 from .mirror import Mirror
 from .server import CallerServer, ReadinessServer
+from .spread import StateSpread
 
-# Waits of watches where no neighbour confirms. That on the desired state confirms it,
-# too, as of when it was sent: the state is up to twice this old. With a question to a
-# neighbour and a lost call in between it stays younger than the bound on keys.
-CONFIG_WAIT_S = 1.2
-# Other watches: an unnoticed dead connection costs this and a call's time-out.
+# How long watches on the desired state wait. They confirm it as of when they were sent:
+# the state is up to twice this old. With a question to a neighbour, and some time until
+# another entry reads it for all, it stays younger than the bound on keys.
+CONFIG_WAIT_S = 0.6
+# Other watches, where no neighbour confirms: an unnoticed dead connection costs this and a call's time-out.
 WATCH_WAIT_S = 4.0
 # That on the names of versions confirms them as of when it was sent, as above; with a
 # lost call they stay younger than the bound on versions.
@@ -42,12 +43,10 @@
 VERSION_MARGIN_S = 0.35
 # Changes that come together are read together.
 CONFIG_SETTLE_S = 0.25
-# All entries read the same change at once, those of a region over one link: 14 states of
-# 65 KB take it 0.7 s. In a series of changes it must not be full all the time; the bounds
-# on a change are two seconds, three for large fleets.
-CONFIG_SERIES_PAUSE_S = 0.25
-CONFIG_SERIES_PAUSE_PER_ENTRY_S = 0.03
-CONFIG_SERIES_PAUSE_MAX_S = 1.4
+# Entries that start wait so long for a neighbour's copy of the desired state; together
+# they would fill the link to the store with copies of the same one.
+HEAD_START_MIN_S = 0.05
+HEAD_START_MAX_S = 0.6
 SETTLE_S = 0.5
 # Engines' entries change often while weights change, and each answer of a watch is priced.
 INSTANCE_SETTLE_S = 0.9
@@ -83,6 +82,9 @@
         )
         self._fleet = Fleet(clock, self._services)
         self._build_mirrors(StoreClient(network, settings.store.address))
+        self._spread = StateSpread(
+            network, settings.peer_address, clock, self._config, self._is_brought
+        )
         self._exchange = EntryExchange(
             settings.peer_address,
             settings.instance.failure_domain,
@@ -91,6 +93,7 @@
             self._describe,
             self._on_namings_told,
             self._follower,
+            self._spread,
         )
         self._fleet.on_weights = self._exchange.greet_shortly
         self._chunks = ChunkStore(
@@ -126,10 +129,17 @@
 
     def _build_mirrors(self, store):
         self._config = Mirror(
-            store, records.CONFIG_KIND, self._clock,
-            lambda: self._follower.wait_s(CONFIG_WAIT_S),
-            self._in_force.update, CONFIG_SETTLE_S, self._series_pause_s,
-        )  # fmt: skip
+            store,
+            records.CONFIG_KIND,
+            self._clock,
+            lambda: CONFIG_WAIT_S,
+            self._update_state,
+            CONFIG_SETTLE_S,
+            is_large=True,
+            is_brought=lambda: self._is_brought(),
+            is_reader=lambda: not self._exchange.has_reader(),
+            head_start_s=random.uniform(HEAD_START_MIN_S, HEAD_START_MAX_S),
+        )
         followed = (
             (
                 records.INSTANCE_KIND,
@@ -157,6 +167,7 @@
         settings, bounds = self._settings, self._settings.bounds
         admission = Admission(
             self._in_force,
+            self._spread,
             lambda: self._config.age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
             bounds.config_apply_s,
@@ -184,12 +195,15 @@
         )
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
-        self._peers = PeerServer(settings.peer_address, self._chunks)
+        self._peers = PeerServer(settings.peer_address, self._chunks, self._spread.copy)
+
+    def _is_brought(self):
+        """Return whether neighbours bring the desired state."""
+        return self._follower.following and not self._spread.needs_own_read()
 
-    def _series_pause_s(self):
-        count = self._exchange.place().count
-        pause_s = CONFIG_SERIES_PAUSE_S + CONFIG_SERIES_PAUSE_PER_ENTRY_S * count
-        return min(CONFIG_SERIES_PAUSE_MAX_S, pause_s)
+    def _update_state(self, found):
+        self._in_force.update(found)
+        self._spread.note_taken()
 
     def _is_ready(self):
         age_s = self._config.age_s
@@ -259,8 +273,12 @@
     def _describe(self, target):
         """Return what the daemon beside an engine is told, or None for others."""
         state = self._in_force.state
+        if state is None:
+            # The daemon may know who holds one.
+            has_engine = target.instance.models is not None
+            return {"model": None, "versions": ()} if has_engine else None
         service = self._services().get(target.instance.service)
-        if state is None or service is None or not service.models:
+        if service is None or not service.models:
             return None
         model = state.find_model()
         engines = self._fleet.targets(service.name)
--- a/briarbeam/relay/follower.py
+++ b/briarbeam/relay/follower.py
@@ -2,7 +2,8 @@
 
 Each call to the store is priced, a waiting watch as one. The entry that passes loads on
 in a failure domain watches with short waits; its neighbours ask it about once a second
-whether their copies are the same as its own, and let their watches wait for long.
+whether their copies are the same as its own, and let their watches wait for long. The
+desired state they take from it, see `spread`, and don't watch at all.
 """
 
 import gevent
@@ -28,10 +29,14 @@
     :param clock: the `Clock`.
     :param config: the `Mirror` of the desired state.
     :param others: the other mirrors, in the same order at every entry.
+
+    `is_reader` is a function that tells whether this entry passes loads on itself.
     """
 
     def __init__(self, clock, config, others):
         self._clock = clock
+        self._config = config
+        self.is_reader = lambda: False
         self._mirrors = [config, *others]
         self._confirmed_s = None
         self._behind_since_s = {}
@@ -45,7 +50,7 @@
 
     def check(self):
         """Go back to short waits if no neighbour has confirmed for too long."""
-        if self.following and not self._confirmed():
+        if self.following and (self.is_reader() or not self._confirmed()):
             self.following = False
             _log.info("follow_lost")
             for mirror in self._mirrors:
@@ -78,11 +83,12 @@
         for mirror, age_s, summary in zip(
             self._mirrors, ages_s, summaries, strict=False
         ):
-            self._compare(mirror, tuple(summary), now_s)
+            if mirror is not self._config:
+                self._compare(mirror, tuple(summary), now_s)
             if age_s is not None and tuple(summary) == mirror.summary:
                 mirror.confirm(sent_s - age_s)
         self._confirmed_s = sent_s
-        if not self.following and self._confirmed():
+        if not self.following and self._confirmed() and not self.is_reader():
             self.following = True
             _log.info("follow_begun")
 
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -1,6 +1,7 @@
 """A local copy of one kind of the store's records, kept up by a watch."""
 
 import math
+import random
 
 import gevent
 import structlog
@@ -13,8 +14,17 @@
 # outage costs few calls.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# The same where another entry reads the records, and will give them to this one.
+PATIENCE_MIN_S = 1.0
+PATIENCE_MAX_S = 2.5
 # Changes that follow each other sooner than this are a series.
 SERIES_S = 1.0
+# In a series the store is left alone for this many times as long as a list took, so that
+# lists leave most of a link to other traffic.
+PAUSE_PER_READ = 2.0
+SERIES_PAUSE_MAX_S = 1.4
+# How often it is looked whether others still bring the records.
+BROUGHT_POLL_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -29,9 +39,13 @@
     :param wait_s: a function that returns how long the next watch waits, in seconds.
     :param on_change: called with the dictionary of records by name after each change.
     :param settle_s: the pause after a change, in seconds.
-    :param series_pause_s: a function that returns the pause in a series of changes, in
-        seconds. After it the records are listed: a watch would bring each state of the
-        series. None where records are so small that this does not matter.
+    :param is_large: whether the records are so large that links notice. In a series of
+        changes they are listed after pauses, as a watch would bring each state of it.
+    :param is_brought: a function that tells whether others bring the records, see `take`;
+        then the store is not asked.
+    :param is_reader: a function that tells whether nobody else reads the records for this
+        entry; otherwise it comes back later to a store that was lost.
+    :param head_start_s: for how long others may bring the records before the first list.
     :param canary: a `Mirror` of the same store, or None. While it can't reach the store
         this one makes no calls, and its return is this one's.
     """
@@ -44,7 +58,10 @@
         wait_s,
         on_change,
         settle_s=0.0,
-        series_pause_s=None,
+        is_large=False,
+        is_brought=None,
+        is_reader=None,
+        head_start_s=0.0,
         canary=None,
     ):
         self._store = store
@@ -53,7 +70,11 @@
         self._wait_s = wait_s
         self._on_change = on_change
         self._settle_s = settle_s
-        self._series_pause_s = series_pause_s
+        self._is_large = is_large
+        self._is_brought = is_brought or (lambda: False)
+        self._is_reader = is_reader or (lambda: True)
+        self._head_start_s = head_start_s
+        self._list_s = 0.0
         self._in_series = False
         self._changed_s = -math.inf
         self._records = {}
@@ -74,6 +95,7 @@
 
     def run(self):
         """Follow the store for ever."""
+        self._await_first_copy()
         while True:
             try:
                 self._follow()
@@ -99,7 +121,7 @@
                 self._revision = None
             except StoreUnavailableError as error:
                 self._note_unreachable(error)
-                gevent.sleep(pause_s)
+                gevent.sleep(pause_s if self._is_reader() else _patience_s())
                 pause_s = min(RETRY_MAX_S, pause_s * 2)
             except Exception:
                 # A change that can't be taken over must not end the watch for good.
@@ -123,8 +145,7 @@
 
         Two copies of the store's records with the same summary are the same.
         """
-        newest = max((r.revision for r in self._records.values()), default=0)
-        return newest, len(self._records)
+        return _newest(self._records), len(self._records)
 
     @property
     def watching(self):
@@ -136,6 +157,23 @@
         if self.confirmed_s is not None:
             self.confirmed_s = max(self.confirmed_s, at_s)
 
+    def held(self):
+        """Return the records by name, and the store's revision to watch on from."""
+        return dict(self._records), self._revision or 0
+
+    def take(self, records, revision, at_s):
+        """Take over records that another entry holds, if they are newer.
+
+        :param revision: the store's revision that a watch goes on from.
+        :param at_s: when they were the store's, in boot time of this entry.
+        """
+        if _newest(records) <= self.summary[0]:
+            return
+        self._records = dict(records)
+        self._revision = revision
+        self.confirmed_s = max(at_s, self.confirmed_s or -math.inf)
+        self._on_change(self._records)
+
     def recheck(self):
         """List the records anew, if only a watch is waiting now."""
         if self._task is not None:
@@ -148,17 +186,33 @@
         finally:
             self._task = None
 
+    def _await_first_copy(self):
+        end_s = self._clock.monotonic_s() + self._head_start_s
+        while self._revision is None and self._clock.monotonic_s() < end_s:
+            gevent.sleep(BROUGHT_POLL_S / 2)
+
+    def _rests(self):
+        # Others wait for this mirror to find the store again once it was lost.
+        return (
+            self._revision is not None
+            and self.reachable.is_set()
+            and self._is_brought()
+        )
+
+    def _needs_list(self):
+        if self._in_series or self._revision is None:
+            return True
+        # A watch brings large records only if they changed.
+        return not self.reachable.is_set() and not self._is_large
+
     def _step(self):
+        if self._rests():
+            self._in_series = False
+            gevent.sleep(BROUGHT_POLL_S)
+            return False
         sent_s = self._clock.boottime_s()
-        if self._in_series or self._revision is None or not self.reachable.is_set():
-            before = self.summary
-            records, self._revision = self._store.list(self._kind)
-            self._records = {record.name: record for record in records}
-            self._note_answer(self._clock.boottime_s())
-            self.confirmed_s = sent_s
-            self._on_change(self._records)
-            self._in_series = self._in_series and self.summary != before
-            return True
+        if self._needs_list():
+            return self._list(sent_s)
         changes, self._revision = self._watch()
         for change in changes:
             if change.removed:
@@ -172,6 +226,22 @@
             self._note_series()
         return bool(changes)
 
+    def _list(self, sent_s):
+        before = self.summary
+        records, revision = self._store.list(self._kind)
+        answered_s = self._clock.boottime_s()
+        self._list_s = answered_s - sent_s
+        found = {record.name: record for record in records}
+        if self._is_large and _newest(found) < self.summary[0]:
+            # Another entry brought a newer state while the answer was under way.
+            return False
+        self._records, self._revision = found, revision
+        self._note_answer(answered_s)
+        self.confirmed_s = sent_s
+        self._on_change(self._records)
+        self._in_series = self._in_series and self.summary != before
+        return True
+
     def _note_answer(self, unseen_until_s):
         """Note that the store answered a call that shows all changes from then on."""
         self.unseen_s = unseen_until_s - self._answered_s
@@ -180,15 +250,15 @@
     def _note_series(self):
         """Notice changes in quick succession."""
         now_s = self._clock.monotonic_s()
-        if self._series_pause_s is not None:
+        if self._is_large:
             self._in_series = now_s - self._changed_s < SERIES_S
         self._changed_s = now_s
 
     def _pause_after_change(self):
+        pause_s = self._settle_s
         if self._in_series:
-            gevent.sleep(self._series_pause_s())
-        else:
-            gevent.sleep(self._settle_s)
+            pause_s = max(pause_s, PAUSE_PER_READ * self._list_s)
+        gevent.sleep(min(SERIES_PAUSE_MAX_S, pause_s))
 
     def _note_reachable(self):
         if not self.reachable.is_set():
@@ -200,3 +270,11 @@
         if self.reachable.is_set():
             self.reachable.clear()
             _log.warning("store_lost", kind=self._kind, error=str(error))
+
+
+def _newest(records):
+    return max((record.revision for record in records.values()), default=0)
+
+
+def _patience_s():
+    return random.uniform(PATIENCE_MIN_S, PATIENCE_MAX_S)
--- /dev/null
+++ b/briarbeam/relay/spread.py
@@ -0,0 +1,204 @@
+"""How a desired state goes from entry to entry, and what others know of newer ones.
+
+One entry of each failure domain reads it from the store; the others take compressed
+copies from each other, along a tree that all work out alike. What daemons tell each other
+anyway names the newest revision that they hold, so an entry that lacks it knows that.
+"""
+
+import random
+import time
+
+import gevent
+import structlog
+from prometheus_client import Counter
+
+from ..distribution.errors import ChunkUnavailableError
+from ..distribution.messages import StateNews
+from ..distribution.ranking import rank_entries
+from ..distribution.state_copy import decode_copy, encode_copy, pack_records
+from ..kernel.errors import BriarbeamError
+from ..kernel.network import Address, HttpRequest, fetch
+
+# How many neighbours each entry tells of a new state: a hundred have it in four steps,
+# and three copies of 60 KB take a link of 20 Mbit/s 0.07 s.
+FANOUT = 3
+PULL_TIMEOUT_S = 0.6
+PULL_CONNECT_TIMEOUT_S = 0.2
+# How long an entry that reads the store itself waits for that before it asks others.
+READER_PATIENCE_S = 0.4
+# An entry that could get a newer state from nobody for so long reads the store itself;
+# the spread keeps neighbours from doing so at once.
+OWN_READ_AFTER_S = 0.8
+OWN_READ_SPREAD_S = 0.8
+# Entries that hold a state, remembered in case one of them can't give it.
+HOLDERS_MAX = 4
+# An entry that hears from no other daemon for so long is cut off from all.
+ISOLATED_AFTER_S = 3.0
+# Tells which entries are asked first, see `rank_entries`.
+_SUBJECT = "states"
+
+_COPIES = Counter(
+    "briarbeam_state_copies", "Desired states taken from other entries", ["result"]
+)
+_log = structlog.get_logger()
+
+
+class StateSpread:
+    """Takes newer desired states from other entries, and tells others of them.
+
+    :param network: the `Network`.
+    :param address: this entry's `Address` for its peers; all use the same port.
+    :param mirror: the `Mirror` of the desired state.
+    :param is_brought: a function that tells whether neighbours bring the state, so that
+        nobody reads it from the store here.
+    """
+
+    def __init__(self, network, address, clock, mirror, is_brought):
+        self._network = network
+        self._address = address
+        self._clock = clock
+        self._mirror = mirror
+        self._is_brought = is_brought
+        self._heard_s = {}
+        self._holders = []
+        self._pulling = None
+        self._packed = (0, b"")
+        self._word_s = None
+        self._told = 0
+        self._own_read_after_s = OWN_READ_AFTER_S + random.uniform(0, OWN_READ_SPREAD_S)
+        self.send = lambda news, host: None
+        self.neighbours = list
+        self.on_change = lambda: None
+
+    @property
+    def revision(self):
+        """The store's revision of the desired state that is held, 0 for none."""
+        return self._mirror.summary[0]
+
+    def superseded_for_s(self):
+        """Return for how long a newer state has been known of, or None."""
+        held = self.revision
+        since_s = [at_s for revision, at_s in self._heard_s.items() if revision > held]
+        return self._clock.boottime_s() - min(since_s) if since_s else None
+
+    def needs_own_read(self):
+        """Return whether others fail to give a state that is known to be there."""
+        superseded_s = self.superseded_for_s()
+        return superseded_s is not None and superseded_s > self._own_read_after_s
+
+    def is_isolated(self):
+        """Return whether other daemons were heard before, and none is any more."""
+        if self._word_s is None:
+            return False
+        return self._clock.boottime_s() - self._word_s > ISOLATED_AFTER_S
+
+    def note_word(self):
+        """Note that another daemon was heard."""
+        self._word_s = self._clock.boottime_s()
+
+    def note_news(self, news):
+        """Take a `StateNews`; a newer state is fetched and passed on."""
+        self.note_word()
+        if news.revision > self.revision:
+            self._note_newer(news)
+        elif news.root is not None and news.revision == self.revision:
+            self._tell_children(news.root)
+
+    def note_neighbour(self, host, revision):
+        """Compare with what a neighbour holds, and tell it what it lacks."""
+        self.note_word()
+        if revision < self.revision:
+            self.send(StateNews(self.revision, self._address.host), host)
+        elif revision > self.revision:
+            self._note_newer(StateNews(revision, host))
+
+    def note_taken(self):
+        """Note that the mirror has taken records over, from the store or a neighbour."""
+        held = self.revision
+        self._heard_s = {r: at_s for r, at_s in self._heard_s.items() if r > held}
+        if held > self._told:
+            self._told = held
+            self._tell_children(self._address.host)
+            self.on_change()
+
+    def copy(self, revision):
+        """Return the bytes of a copy of the state held, for a peer.
+
+        :raises ChunkUnavailableError: if it is older than `revision`.
+        """
+        held, age_s = self.revision, self._mirror.age_s
+        if held < revision or not held or age_s is None:
+            raise ChunkUnavailableError(f"state {revision} is not here, {held} is")
+        if self._packed[0] != held:
+            records, store_revision = self._mirror.held()
+            self._packed = held, pack_records(records, store_revision)
+        return encode_copy(self._packed[1], age_s)
+
+    def _note_newer(self, news):
+        if news.revision not in self._heard_s:
+            _log.info("state_heard", revision=news.revision, host=news.host)
+        self._heard_s.setdefault(news.revision, self._clock.boottime_s())
+        holder = (news.revision, news.host, news.root)
+        self._holders = [h for h in self._holders if h[1] != news.host]
+        self._holders = [*self._holders, holder][-HOLDERS_MAX:]
+        if self._pulling is None:
+            self._pulling = gevent.spawn(self._pull_newest)
+
+    def _pull_newest(self):
+        try:
+            if not self._is_brought():
+                gevent.sleep(READER_PATIENCE_S)
+            while holder := self._next_holder():
+                self._pull(*holder)
+        finally:
+            self._pulling = None
+
+    def _next_holder(self):
+        held = self.revision
+        self._holders = [h for h in self._holders if h[0] > held]
+        # The one that told last holds what is newest, or is nearest.
+        return self._holders.pop() if self._holders else None
+
+    def _pull(self, revision, host, root):
+        sent_s, started_s = self._clock.boottime_s(), time.monotonic()
+        request = HttpRequest(
+            "GET",
+            f"/states/{revision}",
+            timeout_s=PULL_TIMEOUT_S,
+            connect_timeout_s=PULL_CONNECT_TIMEOUT_S,
+        )
+        try:
+            address = Address(host, self._address.port)
+            status, _, data = fetch(self._network, address, request)
+            if status != 200:
+                raise ChunkUnavailableError(f"state {revision}: status {status}")
+            copy = decode_copy(data)
+        except BriarbeamError as error:
+            _COPIES.labels("failed").inc()
+            _log.info(
+                "state_not_pulled", revision=revision, host=host, error=str(error)
+            )
+            return
+        _COPIES.labels("ok").inc()
+        _log.info(
+            "state_pulled",
+            revision=revision,
+            host=host,
+            size_bytes=len(data),
+            elapsed_s=round(time.monotonic() - started_s, 3),
+        )
+        # Told of first: what it was spread from is the root of the tree.
+        self._told = max(self._told, *(r.revision for r in copy.records.values()), 0)
+        self._mirror.take(copy.records, copy.store_revision, sent_s - copy.age_s)
+        if root is not None:
+            self._tell_children(root)
+
+    def _tell_children(self, root):
+        """Tell the neighbours that follow this entry in the tree that begins at `root`."""
+        hosts = [(host, None) for host in {*self.neighbours(), self._address.host}]
+        order = [root]
+        order += [h for h in rank_entries(hosts, None, _SUBJECT) if h != root]
+        first = order.index(self._address.host) * FANOUT + 1
+        news = StateNews(self.revision, self._address.host, root)
+        for host in order[first : first + FANOUT]:
+            self.send(news, host)
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -116,6 +116,19 @@
     sock.close()
 
 
+class FakeNews:
+    """What daemons tell each other of the desired state."""
+
+    superseded_s = None
+    isolated = False
+
+    def superseded_for_s(self):
+        return self.superseded_s
+
+    def is_isolated(self):
+        return self.isolated
+
+
 class Entry:
     """A relay on loopback before some fake instances.
 
@@ -139,8 +152,10 @@
         balancer = Balancer(
             self.fleet, self.clock, "z1", {"z1": "r1", "z2": "r2"}, lambda: Place(0, 1)
         )
+        self.news = FakeNews()
         self.admission = Admission(
             self.in_force,
+            self.news,
             lambda: self.age_s,
             4.4,
             3.0,
--- /dev/null
+++ b/tests/state_fakes.py
@@ -0,0 +1,93 @@
+"""Entries of a failure domain in one process, for the spread of desired states."""
+
+import gevent
+
+from briarbeam.distribution.errors import ChunkUnavailableError
+from briarbeam.kernel.clock import SystemClock
+from briarbeam.kernel.errors import ExchangeError
+from briarbeam.kernel.network import Address
+from briarbeam.platform.store import Record
+from briarbeam.relay.mirror import Mirror
+from briarbeam.relay.spread import StateSpread
+
+from .distribution_fakes import Reply
+
+PORT = 7700
+
+
+def state_records(revision, routes=1):
+    """Return the store's records of a desired state."""
+    spec = {"version": revision, "routes": [{"name": f"r{n}"} for n in range(routes)]}
+    return {"main": Record("main", revision, spec)}
+
+
+class Member:
+    """One entry: its mirror, its spread, and the states it took over in turn."""
+
+    def __init__(self, group, host, brought):
+        self.group, self.host, self.brought = group, host, brought
+        self.alive = True
+        self.taken = []
+        self.mirror = Mirror(None, "config", group.clock, lambda: 1.0, self._changed)
+        self.spread = StateSpread(
+            group, Address(host, PORT), group.clock, self.mirror, lambda: self.brought
+        )
+        self.spread.send = lambda news, to: group.tell(self, news, to)
+        self.spread.neighbours = lambda: [h for h in group.members if h != host]
+
+    def _changed(self, records):
+        self.taken.append(records["main"].revision)
+        self.spread.note_taken()
+
+    def read_store(self, revision, routes=1):
+        """Take a state over as its reader does."""
+        at_s = self.group.clock.boottime_s()
+        self.mirror.take(state_records(revision, routes), revision, at_s)
+
+
+class Group:
+    """All entries and the network between them.
+
+    :param loses: a function of sender, news and receiver that tells whether it is lost.
+    """
+
+    def __init__(self, count, loses=lambda sender, news, to: False):
+        self.clock = SystemClock()
+        self.loses = loses
+        self.pulls = []
+        self.members = {}
+        for number in range(count):
+            host = f"10.0.{number // 250}.{number % 250 + 1}"
+            self.members[host] = Member(self, host, brought=number > 0)
+
+    @property
+    def reader(self):
+        return next(iter(self.members.values()))
+
+    @property
+    def others(self):
+        return list(self.members.values())[1:]
+
+    def tell(self, sender, news, to):
+        """Deliver a datagram, or lose it."""
+        member = self.members.get(to)
+        if member is not None and member.alive and not self.loses(sender, news, to):
+            gevent.spawn(member.spread.note_news, news)
+
+    def send(self, address, request):
+        """Answer a peer's request for a copy, as `Network.send`."""
+        member = self.members[address.host]
+        self.pulls.append(address.host)
+        gevent.sleep(0.001)
+        if not member.alive:
+            raise ExchangeError(f"no reply from {address.host}")
+        try:
+            revision = int(request.path.rsplit("/", 1)[1])
+            return Reply(200, member.spread.copy(revision))
+        except ChunkUnavailableError as error:
+            return Reply(error.status, b"")
+
+    def holds(self, revision):
+        """Return how many of the living entries hold a state."""
+        living = [m for m in self.members.values() if m.alive]
+        return sum(member.spread.revision == revision for member in living)
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -10,7 +10,9 @@
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
 from briarbeam.relay.fleet import Fleet
+from briarbeam.relay.follower import StoreFollower
 from briarbeam.relay.limits import ColdWindow
+from briarbeam.relay.spread import StateSpread
 
 
 def build(host="10.0.0.2"):
@@ -18,8 +20,9 @@
     fleet = Fleet(clock, dict)
     address = Address(host, 77)
     return clock, EntryExchange(
-        address, "z1", fleet, clock, lambda target: None, lambda *named: None, None
-    )
+        address, "z1", fleet, clock, lambda target: None, lambda *named: None,
+        StoreFollower(clock, None, []), StateSpread(None, address, clock, None, bool),
+    )  # fmt: skip
 
 
 def load(*hosts):
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -222,7 +222,7 @@
     store = ChangingStore()
     mirror = Mirror(
         store, "k", SystemClock(), lambda: 9.0, lambda records: None,
-        series_pause_s=lambda: 0.05,
+        settle_s=0.05, is_large=True,
     )  # fmt: skip
     gevent.killall(run([mirror], 0.45))
     # The first list, two changes soon after each other, lists until nothing is new.
@@ -249,3 +249,72 @@
 
     with pytest.raises(RecheckError):
         StoreClient(Network(), Address("10.0.0.1", 1)).watch("k", 1, 1.0)
+
+
+def large_mirror(store, **options):
+    return Mirror(
+        store, "k", SystemClock(), lambda: 9.0, lambda records: None,
+        is_large=True, **options,
+    )  # fmt: skip
+
+
+def test_store_is_not_asked_for_what_neighbours_bring():
+    """Watches that waited for long brought every entry a copy of each change."""
+    store, brought = WaitingStore(), [False]
+    mirror = large_mirror(store, is_brought=lambda: brought[0])
+    tasks = run([mirror], 0.05)
+    assert store.calls == ["list", "watch"]
+    gevent.killall(tasks)
+    brought[0] = True
+    tasks = run([mirror], 0.25)
+    assert store.calls == ["list", "watch"]
+    brought[0] = False
+    gevent.sleep(0.15)
+    assert store.calls == ["list", "watch", "watch"]
+    gevent.killall(tasks)
+
+
+def test_list_that_a_neighbours_copy_overtook_changes_nothing():
+    class SlowStore(WaitingStore):
+        def list(self, kind):
+            gevent.sleep(0.1)
+            return super().list(kind)
+
+    store = SlowStore()
+    mirror = large_mirror(store)
+    tasks = run([mirror], 0.05)
+    mirror.take({"m": Record("m", 7, {})}, 7, SystemClock().boottime_s())
+    gevent.sleep(0.1)
+    assert mirror.summary == (7, 1)
+    gevent.killall(tasks)
+
+
+def test_large_records_are_watched_on_and_not_listed_after_an_outage():
+    """At a store's return all entries listed the same state at once."""
+    store = WaitingStore()
+    mirror = large_mirror(store)
+    tasks = run([mirror], 0.05)
+    gevent.killall(tasks)
+    mirror.reachable.clear()
+    tasks = run([mirror], 0.05)
+    assert store.calls == ["list", "watch", "watch"]
+    gevent.killall(tasks)
+
+
+def test_entry_for_which_another_reads_comes_back_later_to_a_store_that_was_lost():
+    store = WaitingStore()
+    store.down = True
+    tasks = run([large_mirror(store, is_reader=lambda: False)], 0.9)
+    assert store.calls == ["list"]
+    gevent.killall(tasks)
+
+
+def test_entry_that_reads_for_others_follows_nobody(clock):
+    follower, config, _ = build(clock)
+    confirm(follower, clock)
+    assert follower.following
+    follower.is_reader = lambda: True
+    follower.check()
+    assert not follower.following
+    confirm(follower, clock)
+    assert not follower.following
--- /dev/null
+++ b/tests/test_relay_spread.py
@@ -0,0 +1,205 @@
+"""How a desired state goes from entry to entry, and what is known of newer ones."""
+
+import gevent
+import pytest
+
+from briarbeam.distribution.errors import MalformedCopyError, MalformedDatagramError
+from briarbeam.distribution.messages import Greeting, StateNews, decode, encode
+from briarbeam.distribution.roster import Roster
+from briarbeam.distribution.state_copy import decode_copy, encode_copy, pack_records
+from briarbeam.distribution.state_relay import StateRelay
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.network import Address
+from briarbeam.relay.mirror import Mirror
+from briarbeam.relay.spread import FANOUT, ISOLATED_AFTER_S, StateSpread
+
+from .relay_fakes import Entry, FakeInstance, ok, reply
+from .state_fakes import Group, state_records
+
+
+@pytest.mark.parametrize("count", [2, 5, 41, 100])
+def test_state_that_one_entry_read_reaches_all_with_few_copies_over_each_link(count):
+    """A copy an entry over one link was the cause of incident HOME."""
+    group = Group(count)
+    group.reader.read_store(5)
+    gevent.sleep(0.3)
+    assert group.holds(5) == count
+    assert len(group.pulls) == count - 1
+    assert max(group.pulls.count(host) for host in group.members) <= FANOUT
+
+
+def test_entry_that_missed_the_news_is_told_by_whoever_compares():
+    group = Group(8, loses=lambda sender, news, to: news.root is not None)
+    group.reader.read_store(5)
+    gevent.sleep(0.05)
+    assert group.holds(5) == 1
+    for member in group.others:
+        member.spread.note_neighbour(group.reader.host, 5)
+    gevent.sleep(0.1)
+    assert group.holds(5) == 8
+
+
+def test_neighbour_that_holds_an_older_state_is_told_of_the_newer_one():
+    group = Group(2)
+    follower = group.others[0]
+    follower.read_store(6)
+    group.reader.spread.note_neighbour(follower.host, 6)
+    follower.spread.note_neighbour(group.reader.host, 0)
+    # A reader gives its own read of the store a moment first.
+    gevent.sleep(0.6)
+    assert group.reader.spread.revision == 6
+
+
+def test_holder_that_died_is_followed_by_another_one():
+    group = Group(3)
+    group.reader.read_store(5)
+    gevent.sleep(0.05)
+    late = group.others[1]
+    late.mirror._records = state_records(4)
+    group.reader.alive = False
+    late.spread.note_news(StateNews(5, group.others[0].host))
+    late.spread.note_news(StateNews(5, group.reader.host))
+    gevent.sleep(0.1)
+    assert late.spread.revision == 5
+
+
+def test_state_that_nobody_can_give_is_read_by_the_entry_itself():
+    group = Group(2)
+    follower = group.others[0]
+    group.reader.alive = False
+    follower.spread.note_news(StateNews(5, group.reader.host))
+    gevent.sleep(0.05)
+    assert not follower.spread.needs_own_read()
+    gevent.sleep(1.7)
+    assert follower.spread.needs_own_read()
+    follower.read_store(5)
+    assert not follower.spread.needs_own_read()
+
+
+def spread_of(clock):
+    mirror = Mirror(None, "config", clock, lambda: 1.0, lambda records: None)
+    spread = StateSpread(None, Address("10.0.0.1", 7700), clock, mirror, bool)
+    spread._pulling = True
+    return mirror, spread
+
+
+def test_age_of_a_word_counts_from_the_first_that_told_of_anything_newer():
+    clock = ManualClock()
+    mirror, spread = spread_of(clock)
+    mirror.take(state_records(4), 4, 0.0)
+    assert spread.superseded_for_s() is None
+    spread.note_news(StateNews(5, "10.0.0.2"))
+    clock.suspend(2.0)
+    spread.note_news(StateNews(6, "10.0.0.3"))
+    assert spread.superseded_for_s() == 2.0
+    mirror.take(state_records(5), 5, 0.0)
+    assert spread.superseded_for_s() == 0.0
+    mirror.take(state_records(6), 6, 0.0)
+    assert spread.superseded_for_s() is None
+
+
+def test_entry_counts_as_cut_off_only_if_others_were_heard_before():
+    clock = ManualClock()
+    _, spread = spread_of(clock)
+    clock.advance(60.0)
+    assert not spread.is_isolated()
+    spread.note_word()
+    clock.advance(ISOLATED_AFTER_S)
+    assert not spread.is_isolated()
+    clock.suspend(0.1)
+    assert spread.is_isolated()
+
+
+def test_older_copy_replaces_no_newer_state_and_confirms_nothing():
+    clock = ManualClock()
+    mirror, _ = spread_of(clock)
+    clock.advance(10.0)
+    mirror.take(state_records(5), 5, 8.0)
+    mirror.take(state_records(4), 9, 10.0)
+    assert mirror.summary == (5, 1)
+    assert mirror.held()[1] == 5
+    assert mirror.age_s == 2.0
+
+
+def test_copy_keeps_records_revision_and_age():
+    records = state_records(5, routes=300)
+    copy = decode_copy(encode_copy(pack_records(records, 9), 1.25))
+    assert (copy.records, copy.store_revision, copy.age_s) == (records, 9, 1.25)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"1.0\n",
+        b"1.0\nnot packed",
+        encode_copy(pack_records(state_records(5), 9), 1.0)[:-4],
+        encode_copy(pack_records(state_records("x"), 9), 1.0),
+        b"x\n" + pack_records(state_records(5), 9),
+    ],
+)
+def test_bytes_that_are_no_copy_are_refused_with_a_type(data):
+    with pytest.raises(MalformedCopyError):
+        decode_copy(data)
+
+
+def test_copy_that_unpacks_to_too_much_is_refused():
+    huge = pack_records(state_records(5, routes=400_000), 9)
+    with pytest.raises(MalformedCopyError):
+        decode_copy(encode_copy(huge, 1.0))
+
+
+def test_news_of_another_form_are_refused():
+    assert decode(encode(StateNews(5, "h", "r"))) == StateNews(5, "h", "r")
+    for data in (b'["s","x","h"]', b'["s",5]', b'["s",true,"h"]', b'["s",5,7]'):
+        with pytest.raises(MalformedDatagramError):
+            decode(data)
+
+
+def greeting(host, revision, domain="z1"):
+    return Greeting(host, domain, "m", (), state_revision=revision)
+
+
+def test_daemon_beside_an_engine_tells_entries_of_a_state_that_they_lack():
+    """Entries that can't see each other hear of a newer state all the same."""
+    told = []
+    roster = Roster(lambda: 0.0)
+    relay = StateRelay(roster, "z1", lambda news, host: told.append((news, host)))
+    for host, domain in (("a", "z1"), ("b", "z1"), ("far", "z2")):
+        roster.note(host, domain)
+        relay.note(greeting(host, 4, domain))
+    assert told == []
+    relay.note(greeting("far", 5, "z2"))
+    forwarder = next(h for h, domain in roster.forwarders() if domain == "z1")
+    assert told == [(StateNews(5, "far"), forwarder)]
+    relay.note(greeting("a", 5))
+    relay.note(greeting("far", 5, "z2"))
+    told.clear()
+    relay.note(greeting("b", 4))
+    assert told == [(StateNews(5, "a"), "b")]
+
+
+def entry_with_public_route():
+    fake = FakeInstance(reply(ok()))
+    return Entry({"i1": fake}, public=True), fake
+
+
+def test_state_that_is_known_to_be_superseded_serves_nothing_for_long():
+    entry, fake = entry_with_public_route()
+    for superseded_s, status in ((0.1, b"200"), (0.6, b"503")):
+        entry.news.superseded_s = superseded_s
+        answer = entry.ask(key=b"")
+        assert answer.split()[1] == status
+    assert b"retry-after: 0.3" in answer
+    assert len(fake.requests) == 1
+
+
+def test_old_state_serves_public_requests_unless_the_entry_hears_of_nobody():
+    """While the store is away for all nobody can change it; one that is alone can't know."""
+    entry, fake = entry_with_public_route()
+    entry.age_s = 60.0
+    assert entry.ask(key=b"").split()[1] == b"200"
+    entry.news.isolated = True
+    assert entry.ask(key=b"").split()[1] == b"503"
+    entry.age_s = 2.9
+    assert entry.ask(key=b"").split()[1] == b"200"
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -9,6 +9,7 @@
 from gevent import socket
 
 from bench.node_process import NodePorts, NodeProcess
+from briarbeam.relay.entry import CONFIG_WAIT_S
 from standins.platform import (
     CHUNK_COUNT,
     Engine,
@@ -133,11 +134,9 @@
 
     def has_state(self, number, version):
         """Return whether an entry's log tells that it took a version over."""
-        for line in self.nodes[number].log_path.read_text().splitlines():
-            if "desired_state_in_force" in line:
-                if json.loads(line)["version"] == version:
-                    return True
-        return False
+        lines = self.nodes[number].log_path.read_text().splitlines()
+        taken = [json.loads(line) for line in lines if "desired_state_in_force" in line]
+        return version in [line["version"] for line in taken]
 
     def all_have_state(self, version):
         return all(self.has_state(n, version) for n in range(len(self.nodes)))
@@ -165,6 +164,8 @@
         sites.append(site)
         wait_until(site.is_serving)
         wait_until(site.all_follow)
+        # Watches that were under way when an entry began to follow end by themselves.
+        gevent.sleep(2 * CONFIG_WAIT_S)
         return site
 
     yield start
