Ask readers of other failure domains where the own way to the store is cut

What callers would see: with the link between two regions cut, entries of the one without the store refuse all requests with keys after 4.4 s, though a third region reaches both. Cause: a state was confirmed by neighbours of the same failure domain only. A reader whose state is older than 1.8 s now asks the first entry of each other failure domain, with the same question and the same ages, and follows nobody by that. An entry that refuses by a superseded state is not ready either, so that callers come to others.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -34,6 +34,9 @@
 # How often a neighbour is asked how it finds the store; with the age of its own
 # confirmation this keeps the desired state younger than the bound on keys.
 PROBE_INTERVAL_S = 0.7
+# A reader whose desired state is older than this asks readers of other failure domains,
+# which may have a way to the store that it lacks.
+ASK_FAR_AFTER_S = 1.8
 # A lost greeting about a new version would cost a second of the few there are.
 URGENT_REPEATS_S = (0.0, 0.1, 0.3)
 # Shares of limits count entries for much longer: one that is cut off must not take what
@@ -250,9 +253,23 @@
     def _probe_forever(self):
         while True:
             gevent.sleep(PROBE_INTERVAL_S)
-            source = self._forwarder.find_source()
-            if source is not None:
-                self._send(encode(Probe(self._clock.boottime_s())), source)
+            for host in self._probed():
+                self._send(encode(Probe(self._clock.boottime_s())), host)
+
+    def _probed(self):
+        """Return the hosts of the entries to ask how they find the store."""
+        source = self._forwarder.find_source()
+        if source is not None:
+            return [source]
+        age_s = self._follower.describe()[0][0]
+        if age_s is None or age_s < ASK_FAR_AFTER_S:
+            return []
+        entries = self.entries()
+        domains = {domain for _, domain in entries} - {self._failure_domain}
+        return [
+            rank_entries(entries, domain, FORWARDER_SUBJECT)[0]
+            for domain in sorted(domains)
+        ]
 
     def _note_confirmation(self, host, message):
         if message.summaries:
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -17,7 +17,7 @@
 from ..platform import records
 from ..platform.store import StoreClient
 from ..telemetry.decisions import DecisionLog
-from .admission import Admission
+from .admission import SUPERSEDED_STATE_MAX_S, Admission
 from .balance import Balancer
 from .dispatch import Dispatcher
 from .fleet import Fleet
@@ -209,7 +209,13 @@
         age_s = self._config.age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
         known = age_s is not None and self._version_mirror.age_s is not None
-        return not self._stopping and known and age_s < bound_s
+        superseded_s = self._spread.superseded_for_s() or 0.0
+        return (
+            not self._stopping
+            and known
+            and age_s < bound_s
+            and superseded_s <= SUPERSEDED_STATE_MAX_S
+        )
 
     def _limits(self):
         state = self._in_force.state
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -1,6 +1,7 @@
 """Which entry this one is among the others, and how long the others count."""
 
 from briarbeam.distribution.exchange import (
+    ASK_FAR_AFTER_S,
     ENTRIES_UNKNOWN,
     FAR_GREETERS,
     UNKNOWN_FOR_S,
@@ -70,3 +71,28 @@
     clock.advance(20.0)
     assert exchange.place() == (1, 3)
     assert exchange.entries() == {("10.0.0.2", "z1")}
+
+
+class FakeFollower:
+    """Tells how old the desired state is."""
+
+    def __init__(self, age_s):
+        self.age_s = age_s
+
+    def describe(self):
+        return (self.age_s,), ((1, 1),)
+
+
+def test_reader_without_a_way_to_the_store_asks_readers_of_other_failure_domains():
+    """Two failure domains that can't see each other may both see a third one."""
+    _, exchange = build()
+    exchange._entries.update({("10.0.1.1", "z2"): 0.0, ("10.0.2.1", "z3"): 0.0})
+    for age_s, asked in (
+        (None, []),
+        (ASK_FAR_AFTER_S - 0.1, []),
+        (ASK_FAR_AFTER_S, ["10.0.1.1", "10.0.2.1"]),
+    ):
+        exchange._follower = FakeFollower(age_s)
+        assert exchange._probed() == asked
+    exchange._forwarder.note_batch("10.0.0.9")
+    assert exchange._probed() == ["10.0.0.9"]
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -318,3 +318,11 @@
     assert not follower.following
     confirm(follower, clock)
     assert not follower.following
+
+
+def test_reader_takes_the_word_of_another_failure_domain_without_following_it(clock):
+    follower, config, _ = build(clock)
+    follower.is_reader = lambda: True
+    confirm(follower, clock, age_s=0.5)
+    assert config.confirmed == [clock.boottime_s() - 0.5]
+    assert not follower.following
