--- a/tests/test_relay_spread.py
+++ b/tests/test_relay_spread.py
@@ -179,6 +179,23 @@
     assert told == [(StateNews(5, "a"), "b")]
 
 
+def test_entries_that_start_together_hear_at_once_of_the_first_that_holds_a_state():
+    """Each would read a copy of its own over the link to the store otherwise."""
+    told = []
+    roster = Roster(lambda: 0.0)
+    relay = StateRelay(roster, "z1", lambda news, host: told.append(host))
+    for host, domain in (("a", "z1"), ("b", "z1"), ("c", "z1"), ("far", "z2")):
+        roster.note(host, domain)
+        relay.note(greeting(host, 0, domain))
+    relay.note(greeting("b", 5))
+    assert told == ["a", "c"]
+    told.clear()
+    relay.note(greeting("c", 5))
+    relay.note(greeting("a", 5))
+    relay.note(greeting("a", 6))
+    assert set(told) <= {"b", "c"} and len(told) == 1
+
+
 def entry_with_public_route():
     fake = FakeInstance(reply(ok()))
     return Entry({"i1": fake}, public=True), fake
