Pass a pulled state on, give up only silent pulls, and read for oneself by rank

Whoever takes a state over now passes it on, once; a pull ends by silence; ranks read 0.3 s apart. The fake reply ends, as a real one does.

--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -5,31 +5,40 @@
 anyway names the newest revision that they hold, so an entry that lacks it knows that.
 """
 
-import random
 import time
 
 import gevent
 import structlog
 from prometheus_client import Counter
 
-from ..distribution.errors import ChunkUnavailableError
+from ..distribution.errors import ChunkUnavailableError, MalformedCopyError
 from ..distribution.messages import StateNews
 from ..distribution.ranking import rank_entries
-from ..distribution.state_copy import decode_copy, encode_copy, pack_records
+from ..distribution.state_copy import (
+    MAX_BYTES,
+    decode_copy,
+    encode_copy,
+    pack_records,
+)
 from ..kernel.errors import BriarbeamError
-from ..kernel.network import Address, HttpRequest, fetch
+from ..kernel.network import Address, HttpRequest
 
 # How many neighbours each entry tells of a new state: a hundred have it in four steps,
 # and three copies of 60 KB take a link of 20 Mbit/s 0.07 s.
 FANOUT = 3
-PULL_TIMEOUT_S = 0.6
+# How long a neighbour may be silent, before its answer and in it. A copy that comes slowly
+# is not given up: asked for again, it would come more slowly.
+PULL_SILENCE_S = 0.6
 PULL_CONNECT_TIMEOUT_S = 0.2
+PULL_BLOCK_BYTES = 16384
 # How long an entry that reads the store itself waits for that before it asks others.
 READER_PATIENCE_S = 0.4
-# An entry that could get a newer state from nobody for so long reads the store itself;
-# the spread keeps neighbours from doing so at once.
+# An entry that could get a newer state from nobody for so long reads the store itself, and
+# later by the second figure for each neighbour before it in rank: the first one's copy
+# spreads meanwhile.
 OWN_READ_AFTER_S = 0.8
-OWN_READ_SPREAD_S = 0.8
+OWN_READ_PER_RANK_S = 0.3
+OWN_READ_MAX_S = 3.2
 # Entries that hold a state, remembered in case one of them can't give it.
 HOLDERS_MAX = 4
 # An entry that hears from no other daemon for so long is cut off from all.
@@ -65,7 +74,7 @@
         self._packed = (0, b"")
         self._word_s = None
         self._told = 0
-        self._own_read_after_s = OWN_READ_AFTER_S + random.uniform(0, OWN_READ_SPREAD_S)
+        self._root = None
         self.send = lambda news, host: None
         self.neighbours = list
         self.on_change = lambda: None
@@ -84,7 +93,11 @@
     def needs_own_read(self):
         """Return whether others fail to give a state that is known to be there."""
         superseded_s = self.superseded_for_s()
-        return superseded_s is not None and superseded_s > self._own_read_after_s
+        if superseded_s is None or superseded_s < OWN_READ_AFTER_S:
+            return False
+        rank = self._ranked().index(self._address.host)
+        after_s = min(OWN_READ_MAX_S, OWN_READ_AFTER_S + rank * OWN_READ_PER_RANK_S)
+        return superseded_s >= after_s
 
     def is_isolated(self):
         """Return whether other daemons were heard before, and none is any more."""
@@ -101,8 +114,6 @@
         self.note_word()
         if news.revision > self.revision:
             self._note_newer(news)
-        elif news.root is not None and news.revision == self.revision:
-            self._tell_children(news.root)
 
     def note_neighbour(self, host, revision):
         """Compare with what a neighbour holds, and tell it what it lacks."""
@@ -117,9 +128,9 @@
         held = self.revision
         self._heard_s = {r: at_s for r, at_s in self._heard_s.items() if r > held}
         if held > self._told:
-            self._told = held
-            self._tell_children(self._address.host)
-            self.on_change()
+            self._tell_children(self._root or self._address.host)
+            if self._root is None:
+                self.on_change()
 
     def copy(self, revision):
         """Return the bytes of a copy of the state held, for a peer.
@@ -138,6 +149,8 @@
         if news.revision not in self._heard_s:
             _log.info("state_heard", revision=news.revision, host=news.host)
         self._heard_s.setdefault(news.revision, self._clock.boottime_s())
+        if news.host is None:
+            return
         holder = (news.revision, news.host, news.root)
         self._holders = [h for h in self._holders if h[1] != news.host]
         self._holders = [*self._holders, holder][-HOLDERS_MAX:]
@@ -146,7 +159,7 @@
 
     def _pull_newest(self):
         try:
-            if not self._is_brought():
+            if self.revision and not self._is_brought():
                 gevent.sleep(READER_PATIENCE_S)
             while holder := self._next_holder():
                 self._pull(*holder)
@@ -161,17 +174,8 @@
 
     def _pull(self, revision, host, root):
         sent_s, started_s = self._clock.boottime_s(), time.monotonic()
-        request = HttpRequest(
-            "GET",
-            f"/states/{revision}",
-            timeout_s=PULL_TIMEOUT_S,
-            connect_timeout_s=PULL_CONNECT_TIMEOUT_S,
-        )
         try:
-            address = Address(host, self._address.port)
-            status, _, data = fetch(self._network, address, request)
-            if status != 200:
-                raise ChunkUnavailableError(f"state {revision}: status {status}")
+            data = self._fetch(revision, host)
             copy = decode_copy(data)
         except BriarbeamError as error:
             _COPIES.labels("failed").inc()
@@ -187,17 +191,48 @@
             size_bytes=len(data),
             elapsed_s=round(time.monotonic() - started_s, 3),
         )
-        # Told of first: what it was spread from is the root of the tree.
-        self._told = max(self._told, *(r.revision for r in copy.records.values()), 0)
-        self._mirror.take(copy.records, copy.store_revision, sent_s - copy.age_s)
-        if root is not None:
-            self._tell_children(root)
+        self._root = root
+        try:
+            self._mirror.take(copy.records, copy.store_revision, sent_s - copy.age_s)
+        finally:
+            self._root = None
+
+    def _fetch(self, revision, host):
+        """Return the bytes of a copy from the entry at `host`.
+
+        :raises BriarbeamError: if it does not give one.
+        """
+        request = HttpRequest(
+            "GET",
+            f"/states/{revision}",
+            timeout_s=PULL_SILENCE_S,
+            connect_timeout_s=PULL_CONNECT_TIMEOUT_S,
+        )
+        address = Address(host, self._address.port)
+        response = self._network.send(address, request)
+        try:
+            if response.status != 200:
+                raise ChunkUnavailableError(
+                    f"state {revision}: status {response.status}"
+                )
+            data = bytearray()
+            while part := response.read(PULL_BLOCK_BYTES):
+                data += part
+                if len(data) > MAX_BYTES:
+                    raise MalformedCopyError(f"copy above {MAX_BYTES} bytes")
+            return bytes(data)
+        finally:
+            response.close()
+
+    def _ranked(self):
+        """Return this entry and its neighbours in an order that all work out alike."""
+        hosts = [(host, None) for host in {*self.neighbours(), self._address.host}]
+        return rank_entries(hosts, None, _SUBJECT)
 
     def _tell_children(self, root):
         """Tell the neighbours that follow this entry in the tree that begins at `root`."""
-        hosts = [(host, None) for host in {*self.neighbours(), self._address.host}]
-        order = [root]
-        order += [h for h in rank_entries(hosts, None, _SUBJECT) if h != root]
+        self._told = self.revision
+        order = [root, *(host for host in self._ranked() if host != root)]
         first = order.index(self._address.host) * FANOUT + 1
         news = StateNews(self.revision, self._address.host, root)
         for host in order[first : first + FANOUT]:
--- a/tests/distribution_fakes.py
+++ b/tests/distribution_fakes.py
@@ -33,7 +33,8 @@
         self.status, self.headers, self._body = status, {}, body
 
     def read(self, size_bytes=None):
-        return self._body
+        body, self._body = self._body, b""
+        return body
 
     def close(self):
         pass
