Name a holder of another failure domain to the forwarder alone, and refuse impossible ages

Now the forwarder fetches it, the others only learn that it exists, until one nearby holds it. A holder that is gone is not named on, which kept those nearby without the state while others could give it. Ages that are no number or negative are refused in copies and confirmations: with one a key would never have been too old.

--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 from dataclasses import MISSING, astuple, dataclass, fields
 
 from .errors import MalformedDatagramError
@@ -111,13 +112,13 @@
     """Tells that a desired state exists, and who holds it.
 
     :param revision: the store's revision of it.
-    :param host: the IP number of an entry that holds it.
+    :param host: the IP number of an entry to fetch it from, or None to wait for one nearby.
     :param root: the IP number of the entry that spreads it in its failure domain, or None
         where it is only told of.
     """
 
     revision: int
-    host: str
+    host: str | None
     root: str | None = None
 
 
@@ -155,10 +156,11 @@
             _check_rows(message.versions, (int, float, float, bool))
             _check_rows([(message.state_revision,)], (int,))
         elif name == "s":
-            _check_rows([(message.revision, message.host)], (int, str))
+            _check_rows([(message.revision,)], (int,))
+            hosts = [(h,) for h in (message.host, message.root) if h is not None]
+            _check_rows(hosts, (str,))
         elif name == "c":
-            _check_rows([message.ages_s[:1]], (float,))
-            _check_rows([(a,) for a in message.ages_s if a is not None], (float,))
+            _check_ages(message.ages_s)
             _check_rows(message.summaries, (int, int))
     except (ValueError, KeyError, TypeError) as error:
         raise MalformedDatagramError(
@@ -167,6 +169,17 @@
     return message
 
 
+def _check_ages(ages_s):
+    """Raise unless the first age is there, and each is possible; no NaN is too old."""
+    if not ages_s or ages_s[0] is None:
+        raise ValueError(f"no age in {ages_s!r}")
+    for age_s in ages_s:
+        if age_s is not None:
+            _check_rows([(age_s,)], (float,))
+            if not 0 <= age_s < math.inf:
+                raise ValueError(f"{age_s!r} is no age")
+
+
 def _check_rows(rows, kinds):
     for row in rows:
         for value, kind in zip(row, kinds, strict=True):
--- a/briarbeam/distribution/state_copy.py
+++ b/briarbeam/distribution/state_copy.py
@@ -1,6 +1,7 @@
 """A desired state as one entry gives it to another: the store's records, compressed."""
 
 import json
+import math
 import zlib
 from dataclasses import dataclass
 
@@ -58,6 +59,9 @@
             records[name] = Record(name, revision, spec)
         if type(store_revision) is not int:
             raise TypeError(f"store revision {store_revision!r}")
-        return StateCopy(records, store_revision, float(age))
+        age_s = float(age)
+        if not 0 <= age_s < math.inf:
+            raise ValueError(f"{age_s!r} is no age")
+        return StateCopy(records, store_revision, age_s)
     except (ValueError, TypeError, zlib.error) as error:
         raise MalformedCopyError(f"copy of {len(data)} bytes: {error!r}") from error
--- a/briarbeam/distribution/state_relay.py
+++ b/briarbeam/distribution/state_relay.py
@@ -6,7 +6,9 @@
 class StateRelay:
     """Remembers the newest desired state that an entry greeted with.
 
-    Entries that can't see each other, or the store, hear of it here.
+    Entries that can't see each other, or the store, hear of it here. While only entries
+    of other failure domains hold it, the forwarder alone is told who does: it fetches the
+    copy that crosses the link, and the others take it from there.
 
     :param roster: the `Roster` of entries.
     :param failure_domain: of this daemon.
@@ -19,34 +21,57 @@
         self._send = send
         self._revision = 0
         self._holder = None
-        self._holder_is_near = False
         self._without = set()
 
     def note(self, greeting):
         """Take a greeting: learn from it, or tell the entry what it lacks."""
-        is_near = greeting.failure_domain == self._failure_domain
+        holder = (greeting.host, greeting.failure_domain)
+        self._note_without(greeting)
+        if greeting.state_revision > self._revision:
+            self._revision, self._holder = greeting.state_revision, holder
+            self._tell_at_once(greeting.host)
+        elif greeting.state_revision < self._revision:
+            self._tell(greeting.host, greeting.failure_domain)
+        elif self._revision and self._is_better(holder):
+            was_far = not self._is_near(self._holder)
+            self._holder = holder
+            if was_far and self._is_near(holder):
+                self._tell_at_once(greeting.host)
+
+    def _note_without(self, greeting):
         if greeting.state_revision:
             self._without.discard(greeting.host)
-        elif is_near:
+        elif greeting.failure_domain == self._failure_domain:
             self._without.add(greeting.host)
-        if greeting.state_revision > self._revision:
-            self._revision = greeting.state_revision
-            self._holder, self._holder_is_near = greeting.host, is_near
-            self._tell_at_once(greeting.host)
-        elif greeting.state_revision == self._revision:
-            if is_near or not self._holder_is_near:
-                self._holder, self._holder_is_near = greeting.host, is_near
-        else:
-            self._send(StateNews(self._revision, self._holder), greeting.host)
+
+    def _is_near(self, holder):
+        return holder[1] == self._failure_domain
+
+    def _is_better(self, holder):
+        """Return whether `holder`, who greets now, is a better one to name."""
+        if self._is_near(holder):
+            return True
+        return not self._is_near(self._holder) or self._holder not in self._roster
+
+    def _forwarder(self):
+        for host, domain in self._roster.forwarders():
+            if domain == self._failure_domain:
+                return host
+        return None
 
     def _tell_at_once(self, but_host):
         """Tell the entry here that tells the others, and those that hold no state yet."""
-        here = [e[0] for e in self._roster if e[1] == self._failure_domain]
-        told = self._without.intersection(here)
-        told.update(
-            host
-            for host, domain in self._roster.forwarders()
-            if domain == self._failure_domain
+        here = {host for host, domain in self._roster if domain == self._failure_domain}
+        told = self._without & here
+        told.add(self._forwarder())
+        for host in sorted(told - {but_host, None}):
+            self._tell(host, self._failure_domain)
+
+    def _tell(self, host, failure_domain):
+        fetches = (
+            self._is_near(self._holder)
+            or failure_domain != self._failure_domain
+            or host == self._forwarder()
         )
-        for host in sorted(told - {but_host}):
-            self._send(StateNews(self._revision, self._holder), host)
+        holder = self._holder[0] if fetches else None
+        self._send(StateNews(self._revision, holder), host)
