Note the store's return before taking over what it says, and let the smallest watch find it

The watch on names of versions, which always runs and is the smallest, is the canary for all now, and its return is noted before records are taken over. A watch's answer that a neighbour's copy overtook no longer puts the older state back, records that can't be taken over are not held, and a copy always names a revision to watch on from.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -128,6 +128,14 @@
         self._settings = settings
 
     def _build_mirrors(self, store):
+        # Its records are the smallest, so it is the one that finds a lost store again.
+        self._version_mirror = Mirror(
+            store,
+            records.VERSION_KIND,
+            self._clock,
+            lambda: self._follower.wait_s(NAMES_WAIT_S),
+            self._versions.update,
+        )
         self._config = Mirror(
             store,
             records.CONFIG_KIND,
@@ -139,6 +147,7 @@
             is_brought=lambda: self._is_brought(),
             is_reader=lambda: not self._exchange.has_reader(),
             head_start_s=random.uniform(HEAD_START_MIN_S, HEAD_START_MAX_S),
+            canary=self._version_mirror,
         )
         followed = (
             (
@@ -148,18 +157,17 @@
                 WATCH_WAIT_S,
             ),
             (records.EVACUATION_KIND, self._update_evacuated, SETTLE_S, WATCH_WAIT_S),
-            (records.VERSION_KIND, self._versions.update, 0.0, NAMES_WAIT_S),
         )
         others = [
             Mirror(
                 store, kind, self._clock,
                 lambda alone_s=alone_s: self._follower.wait_s(alone_s),
-                on_change, settle_s, canary=self._config,
+                on_change, settle_s, canary=self._version_mirror,
             )
             for kind, on_change, settle_s, alone_s in followed
         ]  # fmt: skip
+        others.append(self._version_mirror)
         self._mirrors = [self._config, *others]
-        self._version_mirror = others[-1]
         self._follower = StoreFollower(self._clock, self._config, others)
         _STATE_AGE.set_function(lambda: _or_nan(self._config.age_s))
 
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -111,7 +111,6 @@
             try:
                 changed = self._step()
                 pause_s = RETRY_MIN_S
-                self._note_reachable()
                 if changed:
                     self._pause_after_change()
             except RecheckError:
@@ -159,7 +158,7 @@
 
     def held(self):
         """Return the records by name, and the store's revision to watch on from."""
-        return dict(self._records), self._revision or 0
+        return dict(self._records), self._revision or self.summary[0]
 
     def take(self, records, revision, at_s):
         """Take over records that another entry holds, if they are newer.
@@ -169,10 +168,8 @@
         """
         if _newest(records) <= self.summary[0]:
             return
-        self._records = dict(records)
-        self._revision = revision
-        self.confirmed_s = max(at_s, self.confirmed_s or -math.inf)
-        self._on_change(self._records)
+        confirmed_s = max(at_s, self.confirmed_s or -math.inf)
+        self._replace(dict(records), revision, confirmed_s)
 
     def recheck(self):
         """List the records anew, if only a watch is waiting now."""
@@ -213,32 +210,53 @@
         sent_s = self._clock.boottime_s()
         if self._needs_list():
             return self._list(sent_s)
-        changes, self._revision = self._watch()
+        changes, revision = self._watch()
+        self._note_reachable()
+        if self._is_large:
+            # Another entry may have brought newer ones meanwhile.
+            held = self.summary[0]
+            changes = [c for c in changes if c.record.revision > held]
+        revision = max(revision, self._revision or 0)
+        self._note_answer(sent_s)
+        if not changes:
+            self._revision, self.confirmed_s = revision, sent_s
+            return False
+        self._replace(self._changed(changes), revision, sent_s)
+        self._note_series()
+        return True
+
+    def _changed(self, changes):
+        """Return the records as they are after `changes`."""
+        records = dict(self._records)
         for change in changes:
             if change.removed:
-                self._records.pop(change.record.name, None)
+                records.pop(change.record.name, None)
             else:
-                self._records[change.record.name] = change.record
-        self._note_answer(sent_s)
-        self.confirmed_s = sent_s
-        if changes:
-            self._on_change(self._records)
-            self._note_series()
-        return bool(changes)
+                records[change.record.name] = change.record
+        return records
+
+    def _replace(self, records, revision, confirmed_s):
+        """Hold other records; those that can't be taken over are not held."""
+        before = self._records, self._revision, self.confirmed_s
+        self._records, self._revision, self.confirmed_s = records, revision, confirmed_s
+        try:
+            self._on_change(records)
+        except Exception:
+            self._records, self._revision, self.confirmed_s = before
+            raise
 
     def _list(self, sent_s):
         before = self.summary
         records, revision = self._store.list(self._kind)
+        self._note_reachable()
         answered_s = self._clock.boottime_s()
         self._list_s = answered_s - sent_s
         found = {record.name: record for record in records}
         if self._is_large and _newest(found) < self.summary[0]:
             # Another entry brought a newer state while the answer was under way.
             return False
-        self._records, self._revision = found, revision
         self._note_answer(answered_s)
-        self.confirmed_s = sent_s
-        self._on_change(self._records)
+        self._replace(found, revision, sent_s)
         self._in_series = self._in_series and self.summary != before
         return True
 
