Replace a reader that alone lost the store, before its followers leave it

A reader that lost the store kept its place as long as its loads came. A forwarder whose state is older than 1.6 s now names itself as silent, so that daemons beside engines take the next in rank; a neighbour's word counts up to that age, and followers leave after 1.6 s, which leaves time for one watch before keys are refused at 4.4 s.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from ..relay.fleet import LoadReport
+from ..relay.follower import NEIGHBOUR_AGE_MAX_S
 from ..relay.limits import Place
 from .datagrams import DatagramSender
 from .errors import MalformedDatagramError
@@ -34,9 +35,6 @@
 # How often a neighbour is asked how it finds the store; with the age of its own
 # confirmation this keeps the desired state younger than the bound on keys.
 PROBE_INTERVAL_S = 0.7
-# A reader whose desired state is older than this asks readers of other failure domains,
-# which may have a way to the store that it lacks.
-ASK_FAR_AFTER_S = 1.8
 # A lost greeting about a new version would cost a second of the few there are.
 URGENT_REPEATS_S = (0.0, 0.1, 0.3)
 # Shares of limits count entries for much longer: one that is cut off must not take what
@@ -170,15 +168,25 @@
 
     def _wait_for_round(self):
         """Wait for the next round; a forwarder that falls silent brings it forward."""
-        told = self._forwarder.find_silent()
+        told = self._silent_forwarder()
         end_s = self._clock.monotonic_s() + GREET_INTERVAL_S
         while self._clock.monotonic_s() < end_s:
             gevent.sleep(SILENCE_POLL_S)
-            silent = self._forwarder.find_silent()
+            silent = self._silent_forwarder()
             if silent is not None and silent != told:
                 _log.info("forwarder_silent", host=silent)
                 return
 
+    def _silent_forwarder(self):
+        """Return who passes on no loads any more, or reads no desired state; or None.
+
+        One that lost the store itself gives its place to the next entry in rank.
+        """
+        age_s = self._follower.describe()[0][0]
+        if self._forwarder.forwards() and (age_s or 0.0) > NEIGHBOUR_AGE_MAX_S:
+            return self._address.host
+        return self._forwarder.find_silent()
+
     def _greet_coalesced(self):
         self._soon = None
         self._greet_all()
@@ -206,7 +214,7 @@
         ]
 
     def _greet_all(self):
-        silent = self._forwarder.find_silent()
+        silent = self._silent_forwarder()
         greets_far = self._greets_far()
         for target in self._fleet.all():
             if (
@@ -262,7 +270,7 @@
         if source is not None:
             return [source]
         age_s = self._follower.describe()[0][0]
-        if age_s is None or age_s < ASK_FAR_AFTER_S:
+        if age_s is None or age_s < NEIGHBOUR_AGE_MAX_S:
             return []
         entries = self.entries()
         domains = {domain for _, domain in entries} - {self._failure_domain}
--- a/briarbeam/relay/follower.py
+++ b/briarbeam/relay/follower.py
@@ -9,11 +9,12 @@
 import gevent
 import structlog
 
-# A confirmation from a neighbour counts with its own age, at most 2.4 s where all is
+# A confirmation from a neighbour counts with its own age, at most 1.2 s where all is
 # well. Above this the neighbour itself has lost the store.
-NEIGHBOUR_AGE_MAX_S = 3.2
-# Without a confirmation for so long, an entry goes back to short waits.
-FOLLOW_LOST_S = 2.0
+NEIGHBOUR_AGE_MAX_S = 1.6
+# Without a confirmation for so long, an entry goes back to short waits. Two questions in a
+# row may be lost.
+FOLLOW_LOST_S = 1.6
 # A change reaches both within moments; a copy that differs for longer is looked at.
 BEHIND_S = 1.2
 # The longest wait of a watch that the platform allows is 30 s.
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -1,7 +1,6 @@
 """Which entry this one is among the others, and how long the others count."""
 
 from briarbeam.distribution.exchange import (
-    ASK_FAR_AFTER_S,
     ENTRIES_UNKNOWN,
     FAR_GREETERS,
     UNKNOWN_FOR_S,
@@ -11,7 +10,7 @@
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
 from briarbeam.relay.fleet import Fleet
-from briarbeam.relay.follower import StoreFollower
+from briarbeam.relay.follower import NEIGHBOUR_AGE_MAX_S, StoreFollower
 from briarbeam.relay.limits import ColdWindow
 from briarbeam.relay.spread import StateSpread
 
@@ -89,8 +88,8 @@
     exchange._entries.update({("10.0.1.1", "z2"): 0.0, ("10.0.2.1", "z3"): 0.0})
     for age_s, asked in (
         (None, []),
-        (ASK_FAR_AFTER_S - 0.1, []),
-        (ASK_FAR_AFTER_S, ["10.0.1.1", "10.0.2.1"]),
+        (NEIGHBOUR_AGE_MAX_S - 0.1, []),
+        (NEIGHBOUR_AGE_MAX_S, ["10.0.1.1", "10.0.2.1"]),
     ):
         exchange._follower = FakeFollower(age_s)
         assert exchange._probed() == asked
--- /dev/null
+++ b/tests/test_state_faults.py
@@ -0,0 +1,238 @@
+"""Copies and words that come late, twice or broken, and readers that lose the store."""
+
+import math
+
+import gevent
+import pytest
+
+from briarbeam.distribution.errors import MalformedCopyError, MalformedDatagramError
+from briarbeam.distribution.exchange import PROBE_INTERVAL_S
+from briarbeam.distribution.messages import (
+    Confirmation,
+    Greeting,
+    StateNews,
+    decode,
+    encode,
+)
+from briarbeam.distribution.roster import Roster
+from briarbeam.distribution.state_copy import decode_copy, pack_records
+from briarbeam.distribution.state_relay import StateRelay
+from briarbeam.kernel.clock import ManualClock, SystemClock
+from briarbeam.platform.store import Change, Record
+from briarbeam.relay.entry import CONFIG_WAIT_S, KEY_MARGIN_S
+from briarbeam.relay.errors import StoreUnavailableError
+from briarbeam.relay.follower import POLL_S, StoreFollower
+from briarbeam.relay.mirror import Mirror
+
+from .state_fakes import Group, state_records
+from .test_relay_follower import FakeMirror
+
+
+class SlowWatch:
+    """A store whose watch brings revision 6 after a while, then waits."""
+
+    def __init__(self):
+        self.calls = []
+
+    def list(self, kind):
+        self.calls.append("list")
+        return list(state_records(5).values()), 5
+
+    def watch(self, kind, revision, wait_s):
+        self.calls.append(revision)
+        if len(self.calls) > 2:
+            gevent.sleep(9)
+        gevent.sleep(0.1)
+        return [Change(Record("main", 6, {}), False)], 6
+
+
+def test_watch_that_a_neighbours_copy_overtook_changes_nothing():
+    store, clock = SlowWatch(), SystemClock()
+    mirror = Mirror(store, "config", clock, lambda: 1.0, lambda r: None, is_large=True)
+    task = gevent.spawn(mirror.run)
+    gevent.sleep(0.05)
+    mirror.take(state_records(8), 8, clock.boottime_s())
+    gevent.sleep(0.2)
+    task.kill()
+    assert mirror.summary == (8, 1)
+
+
+def test_copy_of_a_holder_that_lists_anew_names_a_revision_to_watch_from():
+    group = Group(2)
+    group.reader.read_store(5)
+    group.reader.mirror._revision = None
+    copy = decode_copy(group.reader.spread.copy(5))
+    assert copy.store_revision >= 5
+
+
+@pytest.mark.parametrize("age", [b"nan", b"-1000", b"inf"])
+def test_copy_with_an_impossible_age_is_refused(age):
+    with pytest.raises(MalformedCopyError):
+        decode_copy(age + b"\n" + pack_records(state_records(5), 5))
+
+
+@pytest.mark.parametrize("age_s", [math.nan, -1000.0])
+def test_confirmation_with_an_impossible_age_is_refused(age_s):
+    with pytest.raises(MalformedDatagramError):
+        decode(encode(Confirmation(1.0, (age_s,), ((5, 1),))))
+
+
+def test_state_whose_copy_breaks_the_decoder_is_not_counted_as_held():
+    """The mirror names a revision that is not in force, and confirms it."""
+    group = Group(2)
+    member = group.others[0]
+    member.read_store(4)
+    mirror = member.mirror
+
+    def broken(records):
+        raise AttributeError("spec is no mapping")
+
+    mirror._on_change = broken
+    with pytest.raises(AttributeError):
+        mirror.take(state_records(5), 5, 0.0)
+    assert mirror.summary == (4, 1)
+
+
+def relay_of():
+    told = []
+    roster = Roster(lambda: 0.0)
+    relay = StateRelay(roster, "z1", lambda news, host: told.append((news, host)))
+    return roster, relay, told
+
+
+def greet(roster, relay, host, revision, domain="z1"):
+    roster.note(host, domain)
+    relay.note(Greeting(host, domain, "m", (), state_revision=revision))
+
+
+def test_far_state_is_not_fetched_over_the_link_by_every_entry_here():
+    """Incident HOME again: a copy an entry over the region's link."""
+    roster, relay, told = relay_of()
+    for n in range(15):
+        greet(roster, relay, f"e{n}", 4)
+    greet(roster, relay, "far", 5, "z2")
+    for n in range(15):  # the next round of greetings; the reader still fetches
+        greet(roster, relay, f"e{n}", 4)
+    assert len({host for news, host in told if news.host == "far"}) <= 2
+
+
+def test_holder_that_is_gone_is_not_named_while_another_is_there():
+    now = [0.0]
+    told = []
+    roster = Roster(lambda: now[0])
+    relay = StateRelay(roster, "z1", lambda news, host: told.append((news, host)))
+    greet(roster, relay, "near", 5)
+    now[0] = 10.0
+    roster.forget_lost()
+    for _ in range(3):
+        greet(roster, relay, "far", 5, "z2")
+        greet(roster, relay, "b", 4)
+    assert told[-1] == (StateNews(5, "far"), "b")
+
+
+def test_state_pulled_from_far_reaches_neighbours_at_once():
+    """A reader that lost the store takes it from afar; those that follow it wait."""
+    group = Group(8)
+    group.members["10.9.9.9"] = far = type(group.reader)(group, "10.9.9.9", False)
+    for member in group.members.values():
+        here = [h for h in group.members if h != "10.9.9.9" and h != member.host]
+        member.spread.neighbours = lambda here=here: here if here else []
+    far.spread.neighbours = list
+    far.read_store(5)
+    group.reader.spread.note_news(StateNews(5, "10.9.9.9"))  # as of a StateRelay
+    gevent.sleep(0.6)
+    assert group.reader.spread.revision == 5
+    assert group.holds(5) == len(group.members)
+
+
+def test_followers_leave_a_reader_that_lost_the_store_before_keys_are_refused():
+    clock = ManualClock()
+    clock.advance(100.0)
+    config = FakeMirror((5, 1))
+    confirmed = [clock.boottime_s()]
+    config.confirm = lambda at_s: confirmed.append(max(confirmed[-1], at_s))
+    follower = StoreFollower(clock, config, [])
+    lost_s, oldest_s, steps = clock.boottime_s(), 0.0, 0
+    follower.note_confirmation(lost_s, (0.0,), ((5, 1),))
+    while follower.following:
+        clock.advance(0.05)
+        steps += 1
+        now_s = clock.boottime_s()
+        if steps % round(PROBE_INTERVAL_S / 0.05) == 0:
+            follower.note_confirmation(now_s, (now_s - lost_s,), ((5, 1),))
+        if steps % round(POLL_S / 0.05) == 0:
+            follower.check()
+        oldest_s = max(oldest_s, now_s - confirmed[-1])
+    # What is left must do for one watch.
+    assert oldest_s + CONFIG_WAIT_S < 5.0 - KEY_MARGIN_S
+
+
+def test_news_that_come_twice_are_passed_on_once():
+    """All that read the store themselves are roots: n trees of n datagrams a state."""
+    count = 100
+    group, sent = Group(count), []
+    tell = group.tell
+    group.tell = lambda sender, news, to: (sent.append(to), tell(sender, news, to))
+    for member in group.members.values():  # nobody follows, as when a reader is cut off
+        member.read_store(5)
+    gevent.sleep(1.0)
+    assert len(sent) <= 10 * count, len(sent)
+
+
+class OutageStore:
+    """A store that goes away and comes back without the instance that lapsed."""
+
+    def __init__(self):
+        self.down, self.records = False, [Record("i1", 1, {})]
+
+    def list(self, kind):
+        if self.down:
+            raise StoreUnavailableError("down")
+        return list(self.records), 5
+
+    def watch(self, kind, revision, wait_s):
+        for _ in range(8):
+            gevent.sleep(0.05)
+            if self.down:
+                raise StoreUnavailableError("down")
+        return [], revision
+
+
+def test_store_return_is_known_before_what_lapsed_meanwhile_is_taken_over():
+    """A follower's desired state rests, so its canary notices no outage; `Fleet._lapse`
+    then has no `store_restored_s` and drops living instances without grace."""
+    store, clock, seen = OutageStore(), SystemClock(), []
+    config = Mirror(
+        store,
+        "config",
+        clock,
+        lambda: 0.4,
+        lambda r: None,
+        is_large=True,
+        is_brought=lambda: True,
+    )
+    config.take(state_records(5), 5, clock.boottime_s())
+    fleet = Mirror(
+        store,
+        "servers",
+        clock,
+        lambda: 0.4,
+        lambda r: seen.append(
+            (
+                len(r),
+                max([m.restored_s for m in (config, fleet) if m.restored_s] or [0]),
+            )
+        ),
+        canary=config,
+    )
+    tasks = [gevent.spawn(config.run), gevent.spawn(fleet.run)]
+    while not seen:
+        gevent.sleep(0.02)
+    store.down, store.records = True, []
+    gevent.sleep(0.5)
+    store.down = False
+    while len(seen) < 2:
+        gevent.sleep(0.02)
+    gevent.killall(tasks)
+    assert seen[0][0] == 1 and seen[1][0] == 0
+    assert seen[1][1] > 0, "taken over before the store's return was noted"
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -208,3 +208,33 @@
     assert time.monotonic() - started_s < 1.0
     gevent.sleep(2.0)
     assert sum(way.large_answers for way in site.ways) - before == 1
+
+
+def reader_of(site):
+    """Return the number of the entry that reads the store for the others."""
+    texts = [node.log_path.read_text() for node in site.nodes]
+    return next(n for n, text in enumerate(texts) if "follow_begun" not in text)
+
+
+def test_reader_that_alone_lost_the_store_is_replaced_by_one_other(start):
+    """All others would leave it at the same time, and read copies of their own."""
+    site = start(4, routes=500)
+    site.ways[reader_of(site)].silent = True
+    gevent.sleep(8.0)
+    for version in (2, 3):
+        before = sum(way.large_answers for way in site.ways)
+        site.put_state(version)
+        wait_until(lambda version=version: site.all_have_state(version))
+        gevent.sleep(2.0)
+        assert sum(way.large_answers for way in site.ways) - before == 1
+
+
+def test_entries_that_start_together_share_a_large_state(tmp_path):
+    """After a loss of all machines a copy an entry would fill the link to the store."""
+    site = Site(tmp_path, 4, routes=500)
+    try:
+        wait_until(site.is_serving)
+        gevent.sleep(1.0)
+        assert sum(way.large_answers for way in site.ways) <= 2
+    finally:
+        site.stop()
