Run the tests of the desired state's processes beside the scenarios

They wait for processes most of the time, as the scenarios do: 52 s on a machine at load 16. In the longer half of make test they would take it towards its six minutes.

--- a/Makefile
+++ b/Makefile
@@ -5,21 +5,23 @@
 # Seeds of the soak, as 7 or 1-50; none for a fresh one.
 SEEDS ?=
 
-.PHONY: demo test test-scenarios test-others lint format generate soak \
+.PHONY: demo test test-waiting test-others lint format generate soak \
 	measure-rollout measure-service measure-control
 
 demo: .venv/.ready
 	$(BIN)/python -m bench.demo
 
-# Side by side: the scenarios wait for their sites most of the time.
+# Tests that wait for processes of theirs most of the time; they run beside the others.
+WAITING := tests/scenarios tests/test_state_processes.py
+
 test: lint
-	$(MAKE) --output-sync=target -j2 test-scenarios test-others
+	$(MAKE) --output-sync=target -j2 test-waiting test-others
 
-test-scenarios: .venv/.ready
-	$(BIN)/python -m pytest -p no:cacheprovider tests/scenarios
+test-waiting: .venv/.ready
+	$(BIN)/python -m pytest -p no:cacheprovider $(WAITING)
 
 test-others: .venv/.ready
-	$(BIN)/python -m pytest -p no:cacheprovider --ignore=tests/scenarios
+	$(BIN)/python -m pytest -p no:cacheprovider $(WAITING:%=--ignore=%)
 
 soak: .venv/.ready
 	$(BIN)/python -m soak $(SEEDS)
