Order an engine again when its answer was lost, instead of stopping the rollout

Operators saw a rollout stop (rollout_stopped) and had to resume it because one engine had not answered an order within order_timeout_s.

Cause: a changeover counted a lost answer like a refusal. It read the engine's version back once, right after the time-out, found the old one and recorded a failure; with failures_max = 0 one is enough. An order without an answer may have been accepted, so this was wrong twice: the gate opened on the old version while the engine could still be loading, and nothing was tried again.

Now a lost answer is told from a refusal. The version is looked for with the gate closed until READ_BACK_S has passed. If the engine still serves the old one, the changeover ends with OrderUnansweredError: the permit goes back, and the reconciler orders again with a new permit and a higher fencing number. An order that could not be sent is treated the same without the wait. What stopped rollouts before and should stop them still does: a refusal, an engine that is silent or gone afterwards, and the third unanswered order of a version in a row.

The bound on the time between two orders is unchanged.

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -298,6 +298,12 @@
     code = "changeover_failed"
 
 
+class OrderUnansweredError(OrderError):
+    """The engine did not answer an order, and it goes on serving as before."""
+
+    code = "order_unanswered"
+
+
 class OrderUnderWayError(WeightsError):
     """An earlier order may still be under way at the engine."""
 
--- a/briarbeam/weights/changeover.py
+++ b/briarbeam/weights/changeover.py
@@ -10,6 +10,7 @@
     NetworkError,
     NotIdleError,
     OrderError,
+    OrderUnansweredError,
     SupersededError,
     UnavailableError,
 )
@@ -43,7 +44,9 @@
 
         :raises SupersededError: if another version is wanted by now.
         :raises NotIdleError: if running requests did not end in time.
-        :raises ChangeoverFailedError: if the engine serves another version afterwards.
+        :raises OrderUnansweredError: if the order's answer was lost and the engine goes
+            on serving another version; it can be ordered again.
+        :raises ChangeoverFailedError: if the engine refused, or is silent afterwards.
         :raises PlatformError: if no fencing number could be taken.
         """
         admission = self._gate.admission
@@ -68,16 +71,21 @@
             raise SupersededError(f"{self._body['version']!r} is no longer wanted")
         failure = self._send(fence)
         self._gate.admission.turn_cold()
-        found = self._read_back()
-        if found != self._body["version"]:
-            if not self._fences.owns(fence):
-                raise SupersededError("another daemon orders this engine")
-            self._fences.settle(fence)
-            raise ChangeoverFailedError(
-                f"ordered {self._body['version']!r}, the engine serves {found!r}"
-                + (f": {failure}" if failure else "")
-            )
+        found = self._read_back(may_follow=_is_lost(failure))
+        if found != self._body["version"] and not self._fences.owns(fence):
+            raise SupersededError("another daemon orders this engine")
         self._fences.settle(fence)
+        if found != self._body["version"]:
+            raise self._describe(found, failure)
+
+    def _describe(self, found, failure):
+        """Return the error of an order after which the engine serves `found`."""
+        message = f"ordered {self._body['version']!r}, the engine serves {found!r}"
+        if failure is not None:
+            message += f": {failure}"
+        if found is not None and _is_unanswered(failure):
+            return OrderUnansweredError(message)
+        return ChangeoverFailedError(message)
 
     def _send(self, fence):
         """Send the order, outlast it if its answer is lost, and return the failure."""
@@ -87,24 +95,28 @@
         try:
             self._gate.backend.order(body, self._order_timeout_s)
         except OrderError as error:
-            cause = error.__cause__
-            lost = isinstance(cause, NetworkError)
-            if lost and not isinstance(cause, ConnectError):
+            if _is_lost(error):
                 until_s = sent_at_s + self._order_timeout_s
                 self._clock.sleep(max(0.0, until_s - self._clock.monotonic_s()))
             return error
         return None
 
-    def _read_back(self):
-        """Return the version served, or None if the engine went silent."""
+    def _read_back(self, may_follow):
+        """Return the version served, or None if the engine went silent.
+
+        :param may_follow: whether the order may take effect only now.
+        """
         until_s = self._clock.monotonic_s() + READ_BACK_S
         while True:
             try:
-                return self._loaded()
+                found = self._loaded()
+                if found == self._body["version"] or not may_follow:
+                    return found
             except UnavailableError:
-                if self._clock.monotonic_s() >= until_s:
-                    return None
-                self._clock.sleep(READ_BACK_PAUSE_S)
+                found = None
+            if self._clock.monotonic_s() >= until_s:
+                return found
+            self._clock.sleep(READ_BACK_PAUSE_S)
 
     def _loaded(self):
         return self._gate.backend.status().loaded.get(self._body["name"])
@@ -117,3 +129,13 @@
             _log.warning("probe_failed", error=repr(error))
             self._gate.admission.close("backend", "its status can't be read")
         self._gate.admission.open("changing")
+
+
+def _is_unanswered(failure):
+    """Return whether an order failed on its way, rather than at the engine."""
+    return failure is not None and isinstance(failure.__cause__, NetworkError)
+
+
+def _is_lost(failure):
+    """Return whether an order that was not answered may have been accepted."""
+    return _is_unanswered(failure) and not isinstance(failure.__cause__, ConnectError)
--- a/briarbeam/weights/reconcile.py
+++ b/briarbeam/weights/reconcile.py
@@ -9,6 +9,7 @@
     BaseVersionError,
     BriarbeamError,
     ChangeoverFailedError,
+    OrderUnansweredError,
     PlatformError,
     UnavailableError,
 )
@@ -22,6 +23,8 @@
 PLATFORM_PAUSE_S = 1.0
 RETRY_PAUSE_S = 1.0
 FAILED_PAUSE_S = 5.0
+# Orders of a version that an engine may leave unanswered in a row.
+ORDER_TRIES_MAX = 3
 
 _DELAYS = Counter("briarbeam_changeover_delays", "Changeovers put off", ["code"])
 _log = structlog.get_logger()
@@ -61,6 +64,7 @@
             weights.wave_patience_s,
         )
         self._not_before_s = {}
+        self._unanswered = {}
         self.reasons = {}
         self.changing = None
 
@@ -128,12 +132,23 @@
         try:
             changeover.run()
             changed = True
-        except ChangeoverFailedError as error:
-            self._permits.fail(wave, str(error))
+            self._unanswered.pop(model, None)
+        except (ChangeoverFailedError, OrderUnansweredError) as error:
+            if not self._may_order_again(wave, error):
+                self._permits.fail(wave, str(error))
             raise
         finally:
             self._permits.release(wave, changed)
 
+    def _may_order_again(self, wave, error):
+        """Return whether a changeover is tried again without asking operators."""
+        if not isinstance(error, OrderUnansweredError):
+            return False
+        generation, count = self._unanswered.get(wave.model, (None, 0))
+        count = count + 1 if generation == wave.generation else 1
+        self._unanswered[wave.model] = wave.generation, count
+        return count < ORDER_TRIES_MAX
+
     def _is_wanted(self, model, version):
         wanted = self._snapshot().wanted_version(model)
         return wanted is not None and wanted[0] == version
--- a/tests/test_weights_processes.py
+++ b/tests/test_weights_processes.py
@@ -62,3 +62,25 @@
     assert counts["wrong"] + counts["partial"] == 0
     bad = ("bad_weights", "loaded_while_running")
     assert not [event for event in events if event["event"] in bad]
+
+
+def test_engine_that_answers_an_order_too_late_does_not_stop_the_rollout():
+    overrides = {"target": {"order_timeout_s": 1.0}}
+    with Site(DOMAINS, overrides=overrides) as site:
+        site.declare("v1", size_bytes=100_000)
+        site.wait_for(lambda: site.loaded("v1") == 5, WAIT_S)
+        site.wait_for(lambda: site.ready() == len(site.instances), WAIT_S)
+        callers = Callers(site, rate_per_s=10)
+        callers.start()
+        for target in site.targets():
+            site.faults(target.backend_address, load_s=1.5)
+        site.apply(site.publish("v2", 100_000))
+        _rollout(site, "start", "chat", "v2")
+        site.wait_for(lambda: site.loaded("v2") == 5, WAIT_S)
+        callers.stop()
+        events = [item for target in site.targets() for item in site.truth(target)]
+    ordered = [item["version"] for item in events if item["event"] == "order"]
+    assert sorted(ordered) == ["v1"] * 5 + ["v2"] * 5
+    assert callers.counts()["wrong"] == 0
+    bad = ("bad_weights", "loaded_while_running")
+    assert not [event for event in events if event["event"] in bad]
