Count the stager tests' time in turns of the event loop

Cause: the 0.4 s are the test's own device, no target, and were wall-clock time from a single sleep. A process that the machine did not run in them was found late at its first turn, and its tasks were ended before they had a second one.

The time is now given in sleeps of 10 ms, so that tasks and test share the turns of the loop. What is guarded stays: 0.4 s of turns, and no chunk over the link.

--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -31,6 +31,7 @@
 )
 
 PEER = Address("10.0.0.1", 77)
+TICK_S = 0.01
 
 
 class Bench:
@@ -66,12 +67,17 @@
         self.stager._note(greeting)
 
     def run(self, seconds):
+        """Run the tasks for so long, in turns of the event loop that they share.
+
+        A process that the machine does not run for a while has had none of that time.
+        """
         tasks = [
             gevent.spawn(self.stager._fetch_forever),
             gevent.spawn(self.stager._load_forever),
             gevent.spawn(self.stager._report_forever),
         ]
-        gevent.sleep(seconds)
+        for _ in range(round(seconds / TICK_S)):
+            gevent.sleep(TICK_S)
         gevent.killall(tasks)
 
 
