Watch at once after a list, so that an instance that leaves is noticed sooner

test_instance_that_leaves_gets_no_new_request failed once in 13 runs of make test at load 20 to 29 (KNOWN-RED): the entry still served from a draining instance 2 s after its report. 2 s is the bound of the platform (drain_ms).

Cause: of those 2 s an entry spent up to 0.9 on purpose. A mirror paused for its settle time after each answer with news, and counted a list as such; but a list that has just been read leaves no change to wait for. So an entry that had started, or regained the store, did not look at its instances for INSTANCE_SETTLE_S.

Now only a series of changes pauses after its lists. The watch follows a list at once and brings the change as it comes. A list costs one watch more where a change follows it within the pause. A watch whose history is gone waits 0.1 s before the next list, which the pause did before.

Tests: the new one of the mirror fails before (the change is not seen within 0.1 s, the pause being 60 s) and passes now. The test with processes ended at the first 503 and measured when an answer ended. It now counts as the users do: no request arrives at the instance later than 2 s after its report, while requests go on for 3 s, and then 503 is answered. With the old pause after a list and INSTANCE_SETTLE_S at 2.6 s it fails.

--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -87,16 +87,17 @@
             if self._canary is not None:
                 self._canary.reachable.wait()
             try:
-                changed = self._step()
+                pause_is_due = self._step()
                 pause_s = RETRY_MIN_S
                 self._note_reachable()
-                if changed:
+                if pause_is_due:
                     self._pause_after_change()
             except RecheckError:
                 raise
             except HistoryGoneError:
                 _log.info("history_gone", kind=self._kind, revision=self._revision)
                 self._revision = None
+                gevent.sleep(RETRY_MIN_S)
             except StoreUnavailableError as error:
                 self._note_unreachable(error)
                 gevent.sleep(pause_s)
@@ -149,6 +150,7 @@
             self._task = None
 
     def _step(self):
+        """List or watch once, and return whether a pause is due before the next call."""
         sent_s = self._clock.boottime_s()
         if self._in_series or self._revision is None or not self.reachable.is_set():
             before = self.summary
@@ -158,7 +160,7 @@
             self.confirmed_s = sent_s
             self._on_change(self._records)
             self._in_series = self._in_series and self.summary != before
-            return True
+            return self._in_series
         changes, self._revision = self._watch()
         for change in changes:
             if change.removed:
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -22,6 +22,8 @@
 )
 
 ENTRY_HOST, SIDE_HOST = "127.0.0.1", "127.0.0.2"
+# Of the platform: within this time an instance that leaves gets its last request.
+DRAIN_S = 2.0
 
 
 def free_ports(count):
@@ -270,9 +272,25 @@
 
 
 def test_instance_that_leaves_gets_no_new_request(site):
-    spec = dict(site.engine.entry("z1"), state="draining")
-    site.store.put("servers", "i-1", spec)
-    wait_until(lambda: site.ask().split()[1] == "503", 2.0)
+    """Counted as the users do: what reaches it later than `DRAIN_S` after its entry."""
+    arrived = []
+    answer = site.engine.handle
+
+    def note(method, path, *rest):
+        if path == "/gen/x":
+            arrived.append(time.monotonic())
+        return answer(method, path, *rest)
+
+    site.engine.handle = note
+    left_s = time.monotonic()
+    site.store.put("servers", "i-1", dict(site.engine.entry("z1"), state="draining"))
+    statuses = []
+    while time.monotonic() < left_s + DRAIN_S + 1.0:
+        statuses.append(site.ask().split()[1])
+        gevent.sleep(0.1)
+    assert site.ask().split()[1] == "503"
+    assert [late for late in arrived if late > left_s + DRAIN_S] == []
+    assert set(statuses) <= {"200", "503"}
 
 
 def test_entry_that_gets_no_requests_shows_the_version_that_it_requires(site):
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -229,6 +229,24 @@
     assert store.calls == ["list", "watch", "watch", "list", "list", "watch"]
 
 
+def test_change_that_follows_a_list_does_not_wait_for_the_pause_between_changes():
+    """An entry that had just started sent an instance that left requests for 0.9 s."""
+
+    class LeavingStore(WaitingStore):
+        def watch(self, kind, revision, wait_s):
+            self.calls.append("watch")
+            return [Change(Record("m", 4, {"state": "draining"}), False)], 4
+
+    store, seen = LeavingStore(), []
+    mirror = Mirror(
+        store, "k", SystemClock(), lambda: 9.0,
+        lambda records: seen.append(records["m"].spec), settle_s=60.0,
+    )  # fmt: skip
+    gevent.killall(run([mirror], 0.1))
+    assert seen == [{}, {"state": "draining"}]
+    assert store.calls == ["list", "watch"]
+
+
 def test_only_the_canary_asks_a_store_that_is_away():
     away, store = WaitingStore(), WaitingStore()
     away.down = True
