Name no version in the tests with processes before the stager has started

test_named_version_reaches_the_engine_whole_while_requests_are_served failed once in two runs of its whole file and 16 of its own (load 25): version 2 was not at the engine within 8 s of its name.

Cause, from the logs of that run: the fixture waits for the entry only. The stager's log was empty, so it had not got through its imports in the 8 s, and the entry reported a watch that may take 1.9 s as lost 5.4 s after the last line before it. Processes of the test were not run for seconds. Started but stopped for its first 9 s, the stager makes the test fail on its own.

The fixture now also waits until the stager has logged its start; the 8 s from the name to the engine stay.

--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -118,6 +118,7 @@
     try:
         wait_until(site.ready)
         wait_until(lambda: site.ask().split()[1] == "200")
+        wait_until(lambda: '"event":"started"' in site.log("stager"))
         yield site
     finally:
         site.stop()
