--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -109,15 +109,16 @@
             if self._canary is not None:
                 self._canary.reachable.wait()
             try:
-                changed = self._step()
+                pause_is_due = self._step()
                 pause_s = RETRY_MIN_S
-                if changed:
+                if pause_is_due:
                     self._pause_after_change()
             except RecheckError:
                 raise
             except HistoryGoneError:
                 _log.info("history_gone", kind=self._kind, revision=self._revision)
                 self._revision = None
+                gevent.sleep(RETRY_MIN_S)
             except StoreUnavailableError as error:
                 self._note_unreachable(error)
                 gevent.sleep(pause_s if self._is_reader() else _patience_s())
@@ -203,6 +204,7 @@
         return not self.reachable.is_set() and not self._is_large
 
     def _step(self):
+        """List or watch once, and return whether a pause is due before the next call."""
         if self._rests():
             self._in_series = False
             gevent.sleep(BROUGHT_POLL_S)
@@ -219,7 +221,8 @@
         revision = max(revision, self._revision or 0)
         self._note_answer(sent_s)
         if not changes:
-            self._revision, self.confirmed_s = revision, sent_s
+            self._revision = revision
+            self.confirm(sent_s)
             return False
         self._replace(self._changed(changes), revision, sent_s)
         self._note_series()
@@ -254,11 +257,11 @@
         found = {record.name: record for record in records}
         if self._is_large and _newest(found) < self.summary[0]:
             # Another entry brought a newer state while the answer was under way.
-            return False
+            return self._in_series
         self._note_answer(answered_s)
         self._replace(found, revision, sent_s)
         self._in_series = self._in_series and self.summary != before
-        return True
+        return self._in_series
 
     def _note_answer(self, unseen_until_s):
         """Note that the store answered a call that shows all changes from then on."""
