Hold a cold engine's rate where its list came before the desired state

Cause: an entry took the rate of a cold engine from the desired state at the moment at which the engine was listed, and kept it. The list of instances and the desired state are read at once; where the list came first the rate was 0, which means no limit, until the engine started anew.

All entries had started at 43.04 to 43.55 s. Engines that had restarted, told of as cold for 3 s, were ordered to load what was staged from 43.52 s on, where the rule broke first. The 2 s after which an entry takes a share by the entries that it knows were not over for any.

The rate is now read from the service for each send; the window only counts. The new test sent 100 requests in a second before, where 22 are allowed, and sends 22.

ColdWindow's rate is an argument of try_send; the tests that built one with a rate pass the same rate there.

--- a/briarbeam/relay/balance.py
+++ b/briarbeam/relay/balance.py
@@ -68,9 +68,10 @@
                 if not (avoid and target.avoid_until_s > now_s)
                 and self._has_room(target, now_s)
             ]
-            target = self._draw(self._nearest(open_targets, now_s), now_s)
+            near_targets = self._nearest(open_targets, now_s)
+            target = self._draw(near_targets, need.service, now_s)
             if target is None:
-                target = self._draw(open_targets, now_s)
+                target = self._draw(open_targets, need.service, now_s)
             if target is not None:
                 return target
         return None
@@ -84,7 +85,7 @@
             and self._load(target, now_s) < NEAR_ENOUGH_LOAD * target.instance.slots
         ]
 
-    def _draw(self, targets, now_s):
+    def _draw(self, targets, service, now_s):
         """Return one of `targets` at random by its weight; cold ones within their rate."""
         left = list(targets)
         while left:
@@ -92,7 +93,9 @@
             target = random.choices(left, weights)[0]
             if not target.is_cold(now_s):
                 return target
-            if target.cold_window.try_send(self._place(), now_s):
+            # The instance may have been listed before the desired state was known.
+            rate_per_s = service.cold_requests_per_s
+            if target.cold_window.try_send(rate_per_s, self._place(), now_s):
                 return target
             left.remove(target)
         return None
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -60,7 +60,7 @@
 
     instance: object
     cold_until_s: float
-    cold_window: ColdWindow
+    cold_window: ColdWindow = field(default_factory=ColdWindow)
     outstanding: int = 0
     report: LoadReport | None = None
     sent_since_report: int = 0
@@ -291,9 +291,7 @@
             cold_s=max(cold_s, instance.cold_left_s),
         )
         self.on_weights()
-        rate_per_s = service.cold_requests_per_s if service is not None else 0.0
-        window = ColdWindow(rate_per_s)
-        return Target(instance, now_s + cold_s, window)
+        return Target(instance, now_s + cold_s)
 
     def _lapse(self, target, now_s):
         """Let an entry go: at once, or a little after the return of a store that was away.
--- a/briarbeam/relay/limits.py
+++ b/briarbeam/relay/limits.py
@@ -17,26 +17,24 @@
 class ColdWindow:
     """Bounds what one entry sends to one cold instance.
 
-    The instance bears `rate_per_s` from all entries together. Each entry takes an equal
-    whole share; what remains goes to the first ones, one request each.
-
-    :param rate_per_s: requests a second from all entries together; 0 for no limit.
+    Each entry takes an equal whole share of what the instance bears from all entries
+    together; what remains goes to the first ones, one request each.
     """
 
-    def __init__(self, rate_per_s):
-        self._rate_per_s = rate_per_s
+    def __init__(self):
         self._sent_s = collections.deque()
 
-    def try_send(self, place, now_s):
+    def try_send(self, rate_per_s, place, now_s):
         """Count one request and return True, or return False if it is too many.
 
+        :param rate_per_s: requests a second from all entries together; 0 for no limit.
         :param place: the `Place` of this entry.
         """
-        if not self._rate_per_s:
+        if not rate_per_s:
             return True
         while self._sent_s and self._sent_s[0] <= now_s - COLD_WINDOW_S:
             self._sent_s.popleft()
-        whole, rest = divmod(int(self._rate_per_s * COLD_WINDOW_S), place.count)
+        whole, rest = divmod(int(rate_per_s * COLD_WINDOW_S), place.count)
         if len(self._sent_s) >= whole + (place.position < rest):
             return False
         self._sent_s.append(now_s)
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -23,7 +23,7 @@
 from briarbeam.relay.dispatch import Admission, Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.inforce import InForce, NamedVersions
-from briarbeam.relay.limits import ColdWindow, Place, RetryBudget
+from briarbeam.relay.limits import Place, RetryBudget
 from briarbeam.relay.server import CallerServer
 from briarbeam.telemetry.decisions import DecisionLog
 
@@ -164,8 +164,7 @@
     def add(self, name, address, models=None, failure_domain="z1", cold_s=0.0):
         """Add an instance to the fleet."""
         instance = Instance(name, "svc", address, failure_domain, 16, models=models)
-        window = ColdWindow(self.service.cold_requests_per_s)
-        target = Target(instance, time.monotonic() + cold_s, window)
+        target = Target(instance, time.monotonic() + cold_s)
         self.fleet._targets[name] = target
         return target
 
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -34,9 +34,9 @@
         clock, exchange = build(f"10.0.0.{number}")
         if number > 1:
             exchange._hear("10.0.9.9", load("10.0.0.1", f"10.0.0.{number}"))
-        window = ColdWindow(22.0)
+        window = ColdWindow()
         clock.advance(0.5)
-        sent += sum(window.try_send(exchange.place(), 0.5) for _ in range(30))
+        sent += sum(window.try_send(22.0, exchange.place(), 0.5) for _ in range(30))
         assert exchange.place().count == ENTRIES_UNKNOWN
     assert 5 < sent <= 22 * 1.5
 
--- a/tests/test_relay_balance.py
+++ b/tests/test_relay_balance.py
@@ -4,9 +4,10 @@
 
 from briarbeam.catalog import Instance, Service
 from briarbeam.kernel.network import Address
+from briarbeam.platform.store import Record
 from briarbeam.relay.balance import Balancer, Need
 from briarbeam.relay.fleet import Fleet, LoadReport, Target
-from briarbeam.relay.limits import ColdWindow, Place
+from briarbeam.relay.limits import Place
 
 SERVICE = Service("svc", models=("m",))
 NEED = Need(SERVICE, "m", 0, ())
@@ -28,7 +29,7 @@
         instance = Instance(
             name, "svc", address, "z1", 12, started_ms=started_ms, models={"m": 1}
         )
-        target = Target(instance, 0.0, ColdWindow(0.0))
+        target = Target(instance, 0.0)
         target.report = LoadReport(told_s, 1, True, 1, running, 0)
         fleet._targets[name] = target
     return fleet
@@ -79,3 +80,19 @@
     fleet = fleet_of({"i1": 3}, started_ms=2)
     fleet.note_report("10.0.0.1", LoadReport(99.9, 1, True, 1, 0, 0))
     assert set(chosen(fleet)) == {"i1"}
+
+
+def test_cold_rate_holds_where_instances_were_listed_before_the_desired_state():
+    """After a loss of power both lists are read at once, and either may come first."""
+    services = {}
+    fleet = Fleet(Clock(), lambda: services)
+    spec = {
+        "service": "svc", "address": "10.0.0.1:80", "zone": "z1", "slots": 900,
+        "state": "ready", "cold_left_ms": 3000, "born": 1, "models": [],
+    }  # fmt: skip
+    fleet.update({"i0": Record("i0", 1, spec)})
+    services["svc"] = Service("svc", cold_start_s=3.0, cold_requests_per_s=22.0)
+    balancer = Balancer(fleet, Clock(), "z1", {"z1": "r1"}, lambda: Place(0, 1))
+    need = Need(services["svc"], None, 0, ())
+    picks = [balancer.pick(need) for _ in range(100)]
+    assert sum(target is not None for target in picks) == 22
--- a/tests/test_relay_state.py
+++ b/tests/test_relay_state.py
@@ -165,10 +165,10 @@
 
 @given(entries=st.integers(1, 60), rate=st.sampled_from([26.0, 10.0, 3.0]))
 def test_cold_instance_gets_its_rate_from_all_entries_together(entries, rate):
-    windows = [ColdWindow(rate) for _ in range(entries)]
+    windows = [ColdWindow() for _ in range(entries)]
     times_s = [step * 0.02 for step in range(50)]
     sent = sum(
-        window.try_send(Place(position, entries), now_s)
+        window.try_send(rate, Place(position, entries), now_s)
         for now_s, (position, window) in itertools.product(times_s, enumerate(windows))
     )
     assert sent == rate
