Share limits by failure domains, and only once an entry was told of

Two seconds after its start an entry took the share of a cold engine's rate, and of the retry budget, by the entries that it had heard of. The time counted from the start, but others hear of an entry only once its list of instances came and it greeted engines, which takes seconds over a full link; meanwhile they took its share, too. Entries that a cut or a full link hid from each other from the start each divided the whole among those that they saw.

Now each failure domain takes an equal share whatever is known of the others, and its entries divide that: they hear of each other by the engines beside them. A failure domain that is not heard of counts for 30 s, as an entry does. An entry takes the small share of one that knows nobody until it was told of itself, and for 2.5 s more: by then the others were told as well. The small share is smaller where more entries than 60 are known.

Tests, red before: failure domains that cannot see each other sent 88 requests where 22 are the rate; an entry told of for the first time took half of the rate at once; one that was told of last 30 s ago took half; a failure domain that was not heard of yet counted as gone. In the test of an entry that is cut off the wait now follows the first word, as the design does.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -1,5 +1,6 @@
 """Datagrams at an entry: greets the daemons beside engines and takes their loads."""
 
+import math
 import time
 import zlib
 
@@ -38,12 +39,12 @@
 # Shares of limits count entries for much longer: one that is cut off must not take what
 # belongs to those that it no longer hears of.
 ENTRY_COUNT_EXPIRY_S = 30.0
-# Before it knows the entries, one shares limits as if there were so many: above the 53 of
-# the largest deployment so far, spare ones included.
+# Before it knows the entries, one shares limits as if there were so many, or more if more
+# are known: above the 53 of the largest deployment so far, spare ones included.
 ENTRIES_UNKNOWN = 60
-# Entries that start together hear of each other within about a second; until then each
-# would take the share of a few.
-UNKNOWN_FOR_S = 2.0
+# Within this the entries of a failure domain are told of a new one, and it of them. Until
+# then they go on taking its share.
+UNKNOWN_FOR_S = 2.5
 # Entries are heard of about once a second.
 PLACE_KEPT_S = 0.25
 # Changes of the fleet's weights within this are told in one greeting.
@@ -63,10 +64,19 @@
     :param follower: the `StoreFollower`, which compares with a neighbour.
     :param on_namings: called with the names that a daemon beside an engine tells an
         entry which lacks them.
+    :param failure_domains: all failure domains, with entries or without.
     """
 
     def __init__(
-        self, address, failure_domain, fleet, clock, describe, on_namings, follower
+        self,
+        address,
+        failure_domain,
+        fleet,
+        clock,
+        describe,
+        on_namings,
+        follower,
+        failure_domains,
     ):
         self._address = address
         self._failure_domain = failure_domain
@@ -76,10 +86,14 @@
         self._on_namings = on_namings
         self._follower = follower
         self._entries = {}
+        # All count at first: a cut may hide the entries of one from the start.
+        self._domains = dict.fromkeys(
+            {failure_domain, *failure_domains}, clock.monotonic_s()
+        )
+        self._told_since_s = math.inf
         self._soon = None
         self._place = None
         self._place_s = 0.0
-        self._started_s = clock.monotonic_s()
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sender = DatagramSender(self._sock, address.port)
         self._forwarder = LoadForwarder(clock, self._neighbours, self._send)
@@ -112,7 +126,11 @@
         return fresh | {(self._address.host, self._failure_domain)}
 
     def place(self):
-        """Return the `Place` of this entry among all that are known.
+        """Return the `Place` of this entry among all.
+
+        Entries of one failure domain hear of each other by the engines beside them, those
+        elsewhere may be hidden by a cut or a full link. So each failure domain takes the
+        same share, whatever is known of the others, and its entries divide it.
 
         Asked for several times a request, it is worked out anew only now and then.
         """
@@ -123,19 +141,23 @@
         return self._place
 
     def _find_place(self, now_s):
-        hosts = {
-            host
-            for (host, _), at_s in self._entries.items()
-            if now_s - at_s < ENTRY_COUNT_EXPIRY_S
-        }
-        if not hosts or now_s - self._started_s < UNKNOWN_FOR_S:
-            return Place(self._unknown_position(), ENTRIES_UNKNOWN)
-        ranked = sorted(hosts | {self._address.host})
-        return Place(ranked.index(self._address.host), len(ranked))
-
-    def _unknown_position(self):
-        """Return a position that differs between entries, without knowing them."""
-        return zlib.crc32(self._address.host.encode()) % ENTRIES_UNKNOWN
+        host = self._address.host
+        counted = _recent(self._entries, now_s)
+        nearby = {h for h, domain in counted if domain == self._failure_domain}
+        hosts = sorted(nearby | {host})
+        domains = sorted(_recent(self._domains, now_s) | {self._failure_domain})
+        count = len(hosts) * len(domains)
+        if now_s - self._told_since_s < UNKNOWN_FOR_S or not self._is_told(now_s):
+            # A position that differs between entries, without knowing them.
+            count = max(count, ENTRIES_UNKNOWN)
+            return Place(zlib.crc32(host.encode()) % count, count)
+        turn = domains.index(self._failure_domain)
+        return Place(hosts.index(host) * len(domains) + turn, count)
+
+    def _is_told(self, now_s):
+        """Return whether entries are told of this one, as it is told of itself."""
+        told_s = self._entries.get((self._address.host, self._failure_domain))
+        return told_s is not None and now_s - told_s < ENTRY_COUNT_EXPIRY_S
 
     def _greet_forever(self):
         while True:
@@ -256,8 +278,12 @@
 
     def _note_entries(self, entries):
         now_s = self._clock.monotonic_s()
-        for entry in entries:
-            self._entries[tuple(entry)] = now_s
+        was_told = self._is_told(now_s)
+        for host, domain in entries:
+            self._entries[host, domain] = now_s
+            self._domains[domain] = now_s
+        if not was_told and self._is_told(now_s):
+            self._told_since_s = now_s
 
     def _note(self, host, load):
         report = LoadReport(
@@ -270,3 +296,11 @@
             pace=load.pace,
         )
         self._fleet.note_report(host, report)
+
+
+def _recent(heard_s, now_s):
+    """Return the keys that were heard of lately enough to count.
+
+    :param heard_s: by key, when it was last heard of.
+    """
+    return {key for key, at_s in heard_s.items() if now_s - at_s < ENTRY_COUNT_EXPIRY_S}
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -85,6 +85,7 @@
             self._describe,
             self._on_namings_told,
             self._follower,
+            settings.regions,
         )
         self._fleet.on_weights = self._exchange.greet_shortly
         self._chunks = ChunkStore(
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -2,6 +2,7 @@
 
 from briarbeam.distribution.exchange import (
     ENTRIES_UNKNOWN,
+    ENTRY_COUNT_EXPIRY_S,
     FAR_GREETERS,
     UNKNOWN_FOR_S,
     EntryExchange,
@@ -13,20 +14,33 @@
 from briarbeam.relay.limits import ColdWindow
 
 
-def build(host="10.0.0.2"):
+def build(host="10.0.0.2", domain="z1", domains=("z1",)):
     clock = ManualClock()
     fleet = Fleet(clock, dict)
     address = Address(host, 77)
     return clock, EntryExchange(
-        address, "z1", fleet, clock, lambda target: None, lambda *named: None, None
+        address,
+        domain,
+        fleet,
+        clock,
+        lambda target: None,
+        lambda *named: None,
+        None,
+        domains,
     )
 
 
-def load(*hosts):
-    entries = tuple((host, "z1") for host in hosts)
+def load(*hosts, domain="z1"):
+    entries = tuple((host, domain) for host in hosts)
     return Load(1, 1, True, 0, 0, 1.0, entries=entries)
 
 
+def sent_in_a_second(exchange):
+    """Return how many requests a cold engine gets that bears 22 of all entries."""
+    window = ColdWindow()
+    return sum(window.try_send(22.0, exchange.place(), 0.5) for _ in range(30))
+
+
 def test_entries_that_start_together_stay_within_a_cold_engines_rate():
     """Each would hear of a few others first and take a larger share than its own."""
     sent = 0
@@ -34,9 +48,8 @@
         clock, exchange = build(f"10.0.0.{number}")
         if number > 1:
             exchange._hear("10.0.9.9", load("10.0.0.1", f"10.0.0.{number}"))
-        window = ColdWindow()
         clock.advance(0.5)
-        sent += sum(window.try_send(22.0, exchange.place(), 0.5) for _ in range(30))
+        sent += sent_in_a_second(exchange)
         assert exchange.place().count == ENTRIES_UNKNOWN
     assert 5 < sent <= 22 * 1.5
 
@@ -61,9 +74,54 @@
 
 def test_entry_that_is_cut_off_goes_on_taking_its_own_share_only():
     clock, exchange = build()
-    clock.advance(UNKNOWN_FOR_S)
     exchange._hear("10.0.9.9", load("10.0.0.1", "10.0.0.2", "10.0.0.3"))
+    clock.advance(UNKNOWN_FOR_S)
     assert exchange.place() == (1, 3)
     clock.advance(20.0)
     assert exchange.place() == (1, 3)
     assert exchange.entries() == {("10.0.0.2", "z1")}
+
+
+def test_failure_domains_that_cannot_see_each_other_stay_within_a_cold_engines_rate():
+    domains = {"z1": 2, "z2": 10, "z3": 12, "z4": 7}
+    sent = 0
+    for domain, count in domains.items():
+        hosts = [f"10.0.{domain[1]}.{number}" for number in range(count)]
+        for host in hosts:
+            clock, exchange = build(host, domain, domains)
+            exchange._hear("10.0.9.9", load(*hosts, domain=domain))
+            clock.advance(UNKNOWN_FOR_S)
+            sent += sent_in_a_second(exchange)
+    assert sent == 22
+
+
+def test_entry_that_nobody_was_told_of_takes_a_small_share():
+    """Its list of instances came late over a full link, so it greeted no engine before."""
+    clock, exchange = build()
+    clock.advance(10.0)
+    exchange._hear("10.0.9.9", load("10.0.0.1"))
+    assert exchange.place().count == ENTRIES_UNKNOWN
+    clock.advance(UNKNOWN_FOR_S)
+    exchange._hear("10.0.9.9", load("10.0.0.1", "10.0.0.2"))
+    assert exchange.place().count == ENTRIES_UNKNOWN
+    clock.advance(UNKNOWN_FOR_S)
+    assert exchange.place() == (1, 2)
+
+
+def test_entry_that_is_long_told_of_by_nobody_takes_a_small_share():
+    clock, exchange = build()
+    exchange._hear("10.0.9.9", load("10.0.0.1", "10.0.0.2"))
+    clock.advance(ENTRY_COUNT_EXPIRY_S)
+    exchange._hear("10.0.9.9", load("10.0.0.1"))
+    assert exchange.place().count == ENTRIES_UNKNOWN
+
+
+def test_share_grows_once_a_failure_domain_is_long_gone():
+    clock, exchange = build("10.0.0.1", "z1", ("z1", "z2"))
+    exchange._hear("10.0.9.9", load("10.0.0.1"))
+    clock.advance(UNKNOWN_FOR_S)
+    assert exchange.place() == (0, 2)
+    clock.advance(ENTRY_COUNT_EXPIRY_S)
+    exchange._hear("10.0.9.9", load("10.0.0.1"))
+    clock.advance(UNKNOWN_FOR_S)
+    assert exchange.place() == (0, 1)
