Take an engine as cold when only the daemon beside it tells its restart

An engine that restarted under its name, and loaded what was staged, was told of as serving within a second by the daemon beside it. The store's entry can be seconds behind, for all the time of an outage; until it came every entry took the engine as warm, with no bound.

A start that a report tells first now begins the cold time. The store's entry, when it comes, neither lengthens it nor empties the count of what was just sent. The new test found the engine warm before.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -220,6 +220,8 @@
             elif known and target.instance.started_ms:
                 target.note_replaced(report.received_s)
                 continue
+            if 0 < target.started_ms < report.started_ms:
+                self._note_restart(target)
             if target.report is None or target.report.version != report.version:
                 self.on_weights()
                 _log.info(
@@ -247,7 +249,7 @@
         known = self._targets.get(instance.id) or self._take_back(instance)
         service = self._services().get(instance.service)
         if known is None or known.instance.started_ms != instance.started_ms:
-            known = self._new(instance, service, now_s, restarted=known is not None)
+            known = self._new(instance, service, now_s, known)
             self._targets[instance.id] = known
         elif known.instance != instance:
             _log.info(
@@ -276,9 +278,18 @@
         self.on_weights()
         return target
 
-    def _new(self, instance, service, now_s, restarted):
+    def _note_restart(self, target):
+        """Note a start that the store's entry does not tell yet."""
+        service = self._services().get(target.instance.service)
+        if service is not None:
+            target.cold_until_s = self._clock.monotonic_s() + service.cold_start_s
+        _log.info("instance_restarted", instance=target.id)
+
+    def _new(self, instance, service, now_s, before):
         cold_s = 0.0
-        if service is not None and not self._first:
+        if before is not None and before.started_ms == instance.started_ms:
+            cold_s = max(0.0, before.cold_until_s - now_s)
+        elif service is not None and not self._first:
             cold_s = service.cold_start_s
         _log.info(
             "instance_seen",
@@ -286,12 +297,15 @@
             host=instance.address.host,
             service=instance.service,
             failure_domain=instance.failure_domain,
-            restarted=restarted,
+            restarted=before is not None,
             models=instance.models,
             cold_s=max(cold_s, instance.cold_left_s),
         )
         self.on_weights()
-        return Target(instance, now_s + cold_s)
+        target = Target(instance, now_s + cold_s)
+        if before is not None:
+            target.cold_window = before.cold_window
+        return target
 
     def _lapse(self, target, now_s):
         """Let an entry go: at once, or a little after the return of a store that was away.
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -172,6 +172,25 @@
     assert fleet.get("i1").is_cold(clock.monotonic_s())
 
 
+def test_restart_that_only_the_daemon_beside_the_engine_tells_makes_it_cold():
+    """The store's entry may be seconds behind, longer while the store is away."""
+    clock = ManualClock()
+    service = Service("s", cold_start_s=3.0, cold_requests_per_s=26.0)
+    fleet = Fleet(clock, lambda: {"s": service})
+    fleet.update({"i1": Record("i1", 1, ENTRY)})
+    fleet.note_report("10.0.0.9", LoadReport(0.0, 1700, True, 1, 0, 0))
+    assert not fleet.get("i1").is_cold(clock.monotonic_s())
+    fleet.note_report("10.0.0.9", LoadReport(0.0, 1800, True, 1, 0, 0))
+    assert fleet.get("i1").is_cold(clock.monotonic_s())
+    window = fleet.get("i1").cold_window
+    clock.advance(2.0)
+    fleet.update({"i1": Record("i1", 2, dict(ENTRY, born=1800))})
+    assert fleet.get("i1").is_cold(clock.monotonic_s())
+    assert fleet.get("i1").cold_window is window
+    clock.advance(1.1)
+    assert not fleet.get("i1").is_cold(clock.monotonic_s())
+
+
 def test_entry_that_goes_while_the_store_is_well_is_gone_at_once():
     fleet = Fleet(ManualClock(), dict)
     fleet.update({"i1": Record("i1", 1, ENTRY)})
