--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -94,6 +94,7 @@
             self._on_namings_told,
             self._follower,
             self._spread,
+            settings.regions,
         )
         self._fleet.on_weights = self._exchange.greet_shortly
         self._chunks = ChunkStore(
