Bound what an entry reads of an answer without end

Callers saw nothing but their time limit: an instance whose head, header lines, interim answers, chunk extension, trailers, body or event never end was read until the deadline, all of it kept in memory (parser, list of parts or event splitter), and each part of an endless event was searched from its beginning again.

Exchange now counts bytes in a row that bring nothing of a body (FRAMING_MAX_BYTES, 64 KiB) and those of a body that is held until it is whole (BODY_MAX_BYTES, 8 MiB); EventSplitter bounds one event (EVENT_MAX_BYTES, 256 KiB) and searches new bytes only. Above a limit the request fails with AnswerTooLargeError, 502 with its outcome unknown, and the connection is closed; repeatable requests and streams that can be resumed go elsewhere. A body of 8 MiB, one of 100,000 chunks of a byte and an event of 200,000 bytes still pass.

--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -108,6 +108,12 @@
     status = 502
 
 
+class AnswerTooLargeError(UpstreamError):
+    """The instance sent more than any answer has; the rest was not read."""
+
+    code = "answer_too_large"
+
+
 class CallerLeftError(BriarbeamError):
     """The caller closed its connection before its answer was complete."""
 
--- a/briarbeam/relay/events.py
+++ b/briarbeam/relay/events.py
@@ -2,24 +2,36 @@
 
 import re
 
+from .errors import AnswerTooLargeError
+
 _END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"(?:\A|\n)id: ?([^\r\n]*)")
+_END_MAX_BYTES = 4
+# Engines' events have some hundred bytes.
+EVENT_MAX_BYTES = 262144
 
 
 class EventSplitter:
     """Cuts bytes into whole events and remembers the id of the last one."""
 
     def __init__(self):
-        self._rest = b""
+        self._rest = bytearray()
         self.last_id = None
 
     def feed(self, data):
-        """Return the bytes of all events that are whole with `data`."""
+        """Return the bytes of all events that are whole with `data`.
+
+        :raises AnswerTooLargeError: if an event has more than `EVENT_MAX_BYTES`.
+        """
+        searched = max(0, len(self._rest) - _END_MAX_BYTES + 1)
         self._rest += data
         end = 0
-        for match in _END.finditer(self._rest):
+        for match in _END.finditer(self._rest, searched):
             end = match.end()
-        whole, self._rest = self._rest[:end], self._rest[end:]
+        if not end and len(self._rest) > EVENT_MAX_BYTES:
+            raise AnswerTooLargeError(f"event of more than {EVENT_MAX_BYTES} bytes")
+        whole = bytes(self._rest[:end])
+        del self._rest[:end]
         ids = _ID.findall(whole)
         if ids:
             self.last_id = ids[-1]
@@ -27,9 +39,9 @@
 
     def drop_partial(self):
         """Forget an event that was cut off in its middle."""
-        self._rest = b""
+        self._rest.clear()
 
     @property
     def rest(self):
         """Bytes after the last whole event."""
-        return self._rest
+        return bytes(self._rest)
--- a/briarbeam/relay/exchange.py
+++ b/briarbeam/relay/exchange.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from ..kernel.errors import NotRunError
-from .errors import UpstreamError
+from .errors import AnswerTooLargeError, UpstreamError
 
 # A connection stands after one round trip of a few ms; a lost first packet is sent
 # again by the kernel only after a second, a new connection sooner.
@@ -16,6 +16,11 @@
 READ_BLOCK_BYTES = 65536
 # Larger bodies are sent beside the reading, since an instance may answer early.
 SEND_INLINE_BYTES = 8192
+# Bytes in a row that bring nothing of a body: heads, interim answers, chunk sizes and
+# their extensions, trailers.
+FRAMING_MAX_BYTES = 65536
+# An answer that is no event stream is held until it is whole.
+BODY_MAX_BYTES = 8 * 1024 * 1024
 
 
 class TargetUnfitError(NotRunError):
@@ -69,6 +74,7 @@
         self._head = None
         self._interim = False
         self._parts = []
+        self._framing_bytes = 0
         self._framed = False
         self._ended = False
         self.sent = False
@@ -117,6 +123,7 @@
 
         :param deadline_s: monotonic time until which to wait.
         :raises SilentError: if it is not there by then.
+        :raises AnswerTooLargeError: if its end does not come.
         :raises UpstreamError: if the connection breaks or carries no answer.
         """
         while self._head is None:
@@ -135,10 +142,18 @@
         return b"".join(parts)
 
     def read_body(self, deadline_s):
-        """Return the rest of the body, complete."""
-        parts = []
+        """Return the rest of the body, complete.
+
+        :raises AnswerTooLargeError: if it has more than `BODY_MAX_BYTES`.
+        """
+        parts, size_bytes = [], 0
         while (part := self.read_part(deadline_s)) is not None:
             parts.append(part)
+            size_bytes += len(part)
+            if size_bytes > BODY_MAX_BYTES:
+                raise AnswerTooLargeError(
+                    f"{self._address}: body of more than {BODY_MAX_BYTES} bytes"
+                )
         return b"".join(parts)
 
     def _receive(self, deadline_s):
@@ -155,6 +170,10 @@
         if not data:
             self._on_end()
             return
+        self._feed(data)
+        self._check_framing(len(data))
+
+    def _feed(self, data):
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -162,6 +181,14 @@
             if not self._ended:
                 raise UpstreamError(f"{self._address}: {error}") from error
 
+    def _check_framing(self, size_bytes):
+        """Count bytes that were received; raise if an answer has no end in its framing."""
+        self._framing_bytes = 0 if self._parts else self._framing_bytes + size_bytes
+        if self._framing_bytes > FRAMING_MAX_BYTES and not self._ended:
+            raise AnswerTooLargeError(
+                f"{self._address}: {self._framing_bytes} bytes of framing without a body"
+            )
+
     def _on_end(self):
         """Handle an orderly end of the connection: only an unframed body may end so."""
         if self._head is not None and not self._framed:
