Count an event that does not end as silence of its instance

Callers saw streams that hung until their time limit, or left: an instance that sends parts of an event without ever ending it began the wait for the next event anew with each part, so that the stream never went to another instance. Callers have nothing of a part of an event.

The time at which another target is looked for is now set once for each whole event, not for each part that is read.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -266,9 +266,9 @@
     def _receive(self, job, target, call, writer, stream):
         # A last chance elsewhere is worth more than waiting for a silent target.
         may_move = job.route.repeatable and len(job.tried) + 1 < job.route.max_attempts
-        silence_s = self._patience_s(target) if may_move else None
+        look_s = self._look_s(target) if may_move else math.inf
         weights_s = self._weights_until_s(job, target) if stream else math.inf
-        head = self._read(job, target, call.read_head, silence_s, weights_s)
+        head = self._read(job, target, call.read_head, look_s, weights_s)
         reply = wire.decode_reply(head.status, head.headers)
         self._note_reply(target, reply)
         if reply.not_run:
@@ -285,10 +285,10 @@
             self._forward_whole(job, target, call, head, writer, stream)
         target.note_success()
 
-    def _patience_s(self, target):
-        """Return how long to wait for the first bytes before looking elsewhere."""
+    def _look_s(self, target):
+        """Return until when to wait for the first bytes before looking elsewhere."""
         busy = self._balancer.is_full(target)
-        return FULL_SILENCE_S if busy else FIRST_PART_SILENCE_S
+        return time.monotonic() + (FULL_SILENCE_S if busy else FIRST_PART_SILENCE_S)
 
     def _weights_until_s(self, job, target):
         """Return until when to wait for the first event, given the target's weights."""
@@ -304,34 +304,33 @@
             target.seen_version = reply.weights_version
 
     def _forward_whole(self, job, target, call, head, writer, stream):
-        body = self._read(job, target, call.read_body, None)
+        body = self._read(job, target, call.read_body)
         if stream is not None and stream.begun:
             raise UpstreamError("a resumed stream got another kind of answer")
         writer.write(head.status, wire.returned_headers(head.headers), body)
 
     def _forward_stream(self, job, target, call, head, stream, may_move):
         stream.accept(head)
-        silence_s = self._patience_s(target) if may_move else None
+        look_s = self._look_s(target) if may_move else math.inf
         weights_s = self._weights_until_s(job, target)
         while True:
-            part = self._read(job, target, call.read_part, silence_s, weights_s)
+            part = self._read(job, target, call.read_part, look_s, weights_s)
             if part is None:
                 break
+            # Only a whole event ends the silence: a part of one is nothing to the caller.
             if stream.feed(part):
-                silence_s = STREAM_SILENCE_S if may_move else None
+                look_s = time.monotonic() + STREAM_SILENCE_S if may_move else math.inf
                 weights_s = math.inf
         stream.finish()
 
-    def _read(self, job, target, read, silence_s, weights_s=math.inf):
+    def _read(self, job, target, read, look_s=math.inf, weights_s=math.inf):
         """Return what `read` does, which waits until a time.
 
-        A target that is silent for `silence_s` is left if another one may take the
+        A target that is silent at `look_s` is left if another one may take the
         request, or if its load is not told either: then it is no queue that delays the
         answer, and the caller may ask again. At `weights_s` it is left in any case.
         """
-        silence_s = math.inf if silence_s is None else silence_s
         while True:
-            look_s = time.monotonic() + silence_s
             try:
                 return read(min(job.deadline_s, weights_s, look_s))
             except SilentError as error:
@@ -343,7 +342,7 @@
                 job.next_target = self._pick(job, (*job.tried, target.id))
                 if job.next_target is not None or not target.is_told(now_s):
                     raise
-                silence_s = min(silence_s, LOOK_AGAIN_S)
+                look_s = now_s + LOOK_AGAIN_S
 
 
 class _NotRun(Exception):
--- a/tests/test_relay_endless.py
+++ b/tests/test_relay_endless.py
@@ -115,6 +115,23 @@
     assert_left_early(first, 2**20)
 
 
+def test_event_that_goes_on_slowly_without_end_counts_as_silence():
+    """Each part of it began the wait for a whole event anew, up to the time limit."""
+
+    def trickle(instance, sock, request):
+        sock.sendall(stream_head() + event(1))
+        while True:
+            sock.sendall(b"1\r\na\r\n")
+            gevent.sleep(0.1)
+
+    second = FakeInstance(reply(stream_head() + event(2) + END))
+    entry = Entry({"i1": FakeInstance(trickle), "i2": second}, **STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    started_s = time.monotonic()
+    assert entry.ask(method=b"POST").endswith(event(2) + END)
+    assert time.monotonic() - started_s < 1.5
+
+
 def test_events_without_end_are_cut_at_the_time_limit_and_look_broken():
     def script(instance, sock, request):
         sock.sendall(stream_head())
