--- a/tests/test_relay_endless.py
+++ b/tests/test_relay_endless.py
@@ -1,11 +1,16 @@
 """Instances whose answers have no end: what an entry reads of them, and for how long."""
 
 import functools
+import itertools
+import subprocess
+import sys
 import time
 
 import gevent
 import pytest
 
+from briarbeam.kernel.network import Address
+
 from .relay_fakes import (
     END,
     SEAL,
@@ -70,6 +75,19 @@
         instance.left_s.append(time.monotonic())
 
 
+# Sends to a connection as fast as another process can.
+SENDER = """
+import socket
+server = socket.create_server(("127.0.0.1", 0))
+print(server.getsockname()[1], flush=True)
+sock, _ = server.accept()
+sock.recv(65536)
+sock.sendall(b"HTTP/1.1 200 OK\\r\\ntransfer-encoding: chunked\\r\\n\\r\\n")
+while True:
+    sock.sendall(b"1\\r\\na\\r\\n" * 100_000)
+"""
+
+
 def cases(found):
     """Parametrize a test with an endless script for each of `found`."""
     scripts = [functools.partial(endless, *parts) for parts in found.values()]
@@ -148,6 +166,24 @@
     assert 0.4 < time.monotonic() - started_s < 0.9
 
 
+def test_sender_that_is_faster_than_the_entry_leaves_other_tasks_their_turn():
+    """Each read found bytes, so that neither timers nor other connections were served."""
+    command = [sys.executable, "-c", SENDER]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as sender:
+        try:
+            entry = Entry({}, timeout_s=1.0, **UNSAFE)
+            entry.add("i1", Address("127.0.0.1", int(sender.stdout.readline())))
+            asked = gevent.spawn(entry.ask, method=b"POST", body=b"x")
+            turns_s = [time.monotonic()]
+            while not asked.ready():
+                gevent.sleep(0.005)
+                turns_s.append(time.monotonic())
+        finally:
+            sender.kill()
+    assert asked.value.split()[1] in (b"502", b"504")
+    assert max(b - a for a, b in itertools.pairwise(turns_s)) < 0.25
+
+
 @pytest.mark.parametrize("size_bytes", [100_000, 8 * 2**20])
 def test_large_answer_passes_whole(size_bytes):
     body = b"a" * size_bytes
