Notice a caller that leaves after it has sent further bytes

Callers that had sent a further request early, part of one, or an empty line, and then left, had their request worked on to its end: the watch on the connection stopped at the first bytes that it could read, and it did not begin at all if some were read with the request. A close shows only behind the bytes before it.

The watch now reads ahead, at most 64 KiB (AHEAD_MAX_BYTES), and the reader takes these bytes first; who sends more is still not watched further. Four of the six cases of tests/test_relay_leaving.py failed before (the instance was not told within 0.3 s); all pass, and requests sent ahead are answered in order.

--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -18,6 +18,8 @@
 )
 
 READ_BLOCK_BYTES = 65536
+# What is read of further requests while one is answered, to see whether the caller left.
+AHEAD_MAX_BYTES = 65536
 # A caller that reads nothing for so long has no use for the rest of its answer.
 WRITE_TIMEOUT_S = 5.0
 
@@ -55,6 +57,7 @@
         self._sock = sock
         self._limits = limits
         self._complete = []
+        self._ahead = b""
         self._reset()
 
     def read(self, idle_timeout_s):
@@ -66,9 +69,8 @@
         started_s = time.monotonic() if self._started else None
         wait_s = idle_timeout_s if started_s is None else self._wait_s(started_s)
         while not self._complete:
-            self._sock.settimeout(wait_s)
             try:
-                data = self._sock.recv(READ_BLOCK_BYTES)
+                data = self._receive(wait_s)
             except TimeoutError:
                 if started_s is None:
                     return None
@@ -85,10 +87,34 @@
             wait_s = self._wait_s(started_s)
         return self._complete.pop(0)
 
+    def read_ahead(self):
+        """Read what is there without waiting; return whether the caller still is.
+
+        Asks the plain socket, since it is called from the event loop, which can't wait.
+        """
+        if self.is_ahead:
+            return True
+        size_bytes = AHEAD_MAX_BYTES - len(self._ahead)
+        try:
+            data = self._sock._sock.recv(size_bytes, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        self._ahead += data
+        return bool(data)
+
     @property
-    def pending(self):
-        """Whether bytes of a further request were read already."""
-        return bool(self._complete) or self._started
+    def is_ahead(self):
+        """Whether as much of further requests was read as may be."""
+        return len(self._ahead) >= AHEAD_MAX_BYTES
+
+    def _receive(self, wait_s):
+        if self._ahead:
+            data, self._ahead = self._ahead, b""
+            return data
+        self._sock.settimeout(wait_s)
+        return self._sock.recv(READ_BLOCK_BYTES)
 
     def _wait_s(self, started_s):
         """Return how long to wait for more of a request that began at `started_s`."""
@@ -231,8 +257,9 @@
 class LeaveWatch:
     """Raises `CallerLeftError` in a task once its caller closes the connection.
 
-    Used as a context; a connection that sends its next request early is not watched
-    any further.
+    Used as a context. A close shows only behind what the caller sent before it, so its
+    next requests are read meanwhile, up to `AHEAD_MAX_BYTES`; who sends more is not
+    watched any further.
     """
 
     def __init__(self, sock, reader):
@@ -241,10 +268,9 @@
         self._watcher = None
 
     def __enter__(self):
-        if not self._reader.pending:
-            self._task = gevent.getcurrent()
-            self._watcher = get_hub().loop.io(self._sock.fileno(), 1)
-            self._watcher.start(self._on_readable)
+        self._task = gevent.getcurrent()
+        self._watcher = get_hub().loop.io(self._sock.fileno(), 1)
+        self._watcher.start(self._on_readable)
         return self
 
     def __exit__(self, *exc_info):
@@ -259,25 +285,13 @@
     def _on_readable(self):
         if self._watcher is None:
             return
-        gone = caller_gone(self._sock)
-        self._stop()
-        if gone:
+        there = self._reader.read_ahead()
+        if not there or self._reader.is_ahead:
+            self._stop()
+        if not there:
             gevent.kill(self._task, CallerLeftError("closed its connection"))
 
 
-def caller_gone(sock):
-    """Return whether the other side has closed; bytes to read count as there.
-
-    Asks the plain socket, since it is called from the event loop, which can't wait.
-    """
-    try:
-        return sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-
-
 def _reason(status):
     try:
         return HTTPStatus(status).phrase.encode()
--- /dev/null
+++ b/tests/test_relay_leaving.py
@@ -0,0 +1,76 @@
+"""Callers that leave: how soon the instance that works for them is told."""
+
+import time
+
+import gevent
+import pytest
+
+from .relay_fakes import (
+    UNSAFE,
+    Entry,
+    FakeInstance,
+    never,
+    ok,
+    read_all,
+    request_bytes,
+)
+
+
+def kept_request(**fields):
+    """Return a request that leaves the connection open."""
+    return request_bytes(**fields).replace(b"connection: close\r\n", b"")
+
+
+def assert_told_soon(fake, left_s):
+    gevent.sleep(0.3)
+    assert fake.left_s and fake.left_s[0] - left_s < 0.25
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.1], ids=["at once", "later"])
+@pytest.mark.parametrize(
+    "further",
+    [b"\r\n", kept_request(), kept_request()[:40]],
+    ids=["empty line", "whole request", "part of a request"],
+)
+def test_caller_that_leaves_after_sending_ahead_cancels_its_request(further, pause_s):
+    """Unread bytes hid the close, and the instance worked on to the end."""
+    fake = FakeInstance(never)
+    entry = Entry({"i1": fake})
+    sock = entry.connect()
+    if pause_s:
+        sock.sendall(kept_request())
+        gevent.sleep(pause_s)
+        sock.sendall(further)
+    else:
+        sock.sendall(kept_request() + further)
+    gevent.sleep(0.2)
+    assert len(fake.requests) == 1
+    sock.close()
+    assert_told_soon(fake, time.monotonic())
+    gevent.sleep(0.1)
+    assert len(fake.requests) == 1
+
+
+def test_requests_sent_ahead_are_answered_in_their_order():
+    entry = Entry({"i1": FakeInstance(answer_body)}, **UNSAFE)
+    sock = entry.connect()
+    bodies = (b"a" * 50_000, b"b" * 200_000, b"c")
+    for body in bodies[:2]:
+        sock.sendall(kept_request(method=b"POST", body=body))
+        gevent.sleep(0.03)
+    sock.sendall(request_bytes(method=b"POST", body=bodies[2]))
+    answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 200") == len(bodies)
+    found = [answers.index(b"sent " + body[:1]) for body in bodies]
+    assert found == sorted(found)
+
+
+def answer_body(instance, sock, data):
+    """Answer with the first byte of the body, after a while."""
+    _, _, body = data.partition(b"\r\n\r\n")
+    while not body:
+        body = sock.recv(65536)
+    gevent.sleep(0.15)
+    sock.sendall(ok(b"sent " + body[:1]))
+    while sock.recv(65536):
+        continue
