Look whether the caller is still there right before each send

An entry that is slow, or stood still, meets the close of a caller and its own open connection in the same turn of the event loop. The task goes on first, so the request reached an instance after its caller had left.

LeaveWatch.check asks the socket itself; it is called beside the other checks that are made right before a send. The test failed before: the instance got the request.

--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -276,6 +276,16 @@
     def __exit__(self, *exc_info):
         self._stop()
 
+    def check(self):
+        """Raise if the caller has closed the connection.
+
+        The event loop tells it too, but not before the task waits.
+
+        :raises CallerLeftError: if it has.
+        """
+        if not self._reader.read_ahead():
+            raise CallerLeftError("closed its connection")
+
     def _stop(self):
         watcher, self._watcher = self._watcher, None
         if watcher is not None:
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -59,6 +59,7 @@
     """One caller's request on its way.
 
     :param deadline_s: monotonic time at which the answer has to be there.
+    :param caller: the `LeaveWatch` on its connection.
     :param tried: ids of the targets that refused or failed it.
     :param next_target: the target that takes it from a silent one, or None.
     :param target_id: the target that it was sent to last, or None.
@@ -76,6 +77,7 @@
     started_s: float
     deadline_s: float
     state_version: int
+    caller: object = None
     tried: list = field(default_factory=list)
     connects: int = 0
     sends: int = 0
@@ -117,8 +119,9 @@
         meta = wire.decode_request(request.headers)
         outcome = None
         try:
-            with LeaveWatch(sock, reader):
+            with LeaveWatch(sock, reader) as caller:
                 job = self._admission.admit(request, meta)
+                job.caller = caller
                 self._budget.note_request(job.need.service.name, job.started_s)
                 self._run(job, writer)
         except CallerLeftError as error:
@@ -237,6 +240,7 @@
         with Exchange(target.instance.address, job.request.method == b"HEAD") as call:
             call.connect()
             # Decided again right before the send: the process may have been suspended.
+            job.caller.check()
             self._admission.recheck(job, target)
             now_s = time.monotonic()
             left_s = job.deadline_s - now_s
--- a/tests/test_relay_leaving.py
+++ b/tests/test_relay_leaving.py
@@ -4,6 +4,9 @@
 
 import gevent
 import pytest
+from gevent import socket
+
+from briarbeam.relay.exchange import Exchange
 
 from .relay_fakes import (
     UNSAFE,
@@ -12,6 +15,7 @@
     never,
     ok,
     read_all,
+    reply,
     request_bytes,
 )
 
@@ -74,3 +78,20 @@
     sock.sendall(ok(b"sent " + body[:1]))
     while sock.recv(65536):
         continue
+
+
+def test_caller_that_left_before_the_send_has_nothing_sent(monkeypatch):
+    """An entry that is slow meets the close and its open connection in the same turn."""
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({"i1": fake})
+    sock = entry.connect()
+    connect = Exchange.connect
+
+    def connect_late(exchange):
+        connect(exchange)
+        sock.shutdown(socket.SHUT_RDWR)
+
+    monkeypatch.setattr(Exchange, "connect", connect_late)
+    sock.sendall(request_bytes())
+    gevent.sleep(0.2)
+    assert not fake.requests
