Reset a connection whose body an instance has not read when its caller leaves

The close of a connection comes behind what was sent before it. An instance that works on a request while it does not read its long body, or whose window is full, was not told that the caller had left: the rest of the body waited in the entry's socket, and the close behind it.

An exchange that ends before its answer, while a body that is sent beside the reading may be under way, is closed by a reset, which drops what is unsent. Short bodies are closed as before. reset_on_close, which callers' connections used already, moved to kernel/network.py. The test failed before: the instance's socket showed no error 0.2 s after the caller had left.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -7,6 +7,7 @@
 
 import ipaddress
 import math
+import socket
 import time
 from collections import defaultdict
 from collections.abc import Callable
@@ -132,6 +133,15 @@
         """
 
 
+def reset_on_close(sock):
+    """Have the socket's close break the connection, whatever is unsent or unread."""
+    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    except OSError:
+        return
+
+
 def fetch(network, address, request):
     """Send `request` and return its status, headers and whole body."""
     response = network.send(address, request)
--- a/briarbeam/relay/exchange.py
+++ b/briarbeam/relay/exchange.py
@@ -8,6 +8,7 @@
 from gevent import socket
 
 from ..kernel.errors import NotRunError
+from ..kernel.network import reset_on_close
 from ..kernel.tasks import Turns
 from .errors import AnswerTooLargeError, UpstreamError
 
@@ -88,6 +89,10 @@
         if self._sender is not None:
             self._sender.kill(block=False)
         if self._sock is not None:
+            if self._sender is not None and not self._complete:
+                # A plain close comes behind the rest of the body, which the instance may
+                # not be reading.
+                reset_on_close(self._sock)
             self._sock.close()
 
     def connect(self, timeout_s=CONNECT_TIMEOUT_S):
@@ -105,6 +110,11 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
 
+    @property
+    def _complete(self):
+        """Whether the answer was read to its end."""
+        return self._ended or (self._head_only and self._head is not None)
+
     def send(self, head, body):
         """Send the request; from here on it may run.
 
@@ -137,7 +147,7 @@
     def read_part(self, deadline_s):
         """Return the next bytes of the body, or None at its complete end."""
         while not self._parts:
-            if self._ended or self._head_only:
+            if self._complete:
                 return None
             self._receive(deadline_s)
         parts, self._parts = self._parts, []
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -11,6 +11,7 @@
 
 from ..catalog import CallerLimits
 from ..kernel.errors import BriarbeamError
+from ..kernel.network import reset_on_close
 from ..platform import headers as wire
 from .callers import AnswerWriter, RequestReader
 from .errors import CallerLeftError, MalformedRequestError, StoppingError
@@ -79,7 +80,7 @@
             pass
         except BriarbeamError:
             # An answer that has begun can't be completed: a reset tells the caller so.
-            _reset(sock)
+            reset_on_close(sock)
         finally:
             self._open.discard(sock)
             _CONNECTIONS.set(len(self._open))
@@ -155,12 +156,3 @@
         sock.sendall(head % error.status)
     except OSError:
         return
-
-
-def _reset(sock):
-    """Close the connection so that the other side sees it broken."""
-    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    except OSError:
-        return
--- a/tests/test_relay_leaving.py
+++ b/tests/test_relay_leaving.py
@@ -1,5 +1,6 @@
 """Callers that leave: how soon the instance that works for them is told."""
 
+import errno
 import time
 
 import gevent
@@ -95,3 +96,21 @@
     sock.sendall(request_bytes())
     gevent.sleep(0.2)
     assert not fake.requests
+
+
+def test_instance_that_has_not_read_a_long_body_is_told_that_its_caller_left():
+    """The close waited behind the rest of the body, which the instance did not read."""
+    errors = []
+
+    def works_on(instance, sock, request):
+        gevent.sleep(0.4)
+        errors.append(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+    fake = FakeInstance(works_on)
+    entry = Entry({"i1": fake}, **UNSAFE)
+    sock = entry.connect()
+    sock.sendall(request_bytes(method=b"POST", body=b"x" * (4 * 2**20)))
+    gevent.sleep(0.2)
+    sock.close()
+    gevent.sleep(0.4)
+    assert errors == [errno.ECONNRESET]
