--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -12,6 +12,7 @@
     """One caller's request on its way.
 
     :param deadline_s: monotonic time at which the answer has to be there.
+    :param caller: the `LeaveWatch` on its connection.
     :param tried: ids of the targets that refused or failed it.
     :param next_target: the target that takes it from a silent one, or None.
     :param target_id: the target that it was sent to last, or None.
@@ -31,6 +32,7 @@
     started_s: float
     deadline_s: float
     state_version: int
+    caller: object = None
     tried: list = field(default_factory=list)
     connects: int = 0
     sends: int = 0
