Measure how a desired state spreads, in a model of shared links

The unit tests of the spread have a network on which bytes take no time, and sites of processes have no links between regions, so nothing showed what a link carries and when the last entry has a state.

make measure-state runs the real StateSpread, Mirror and copies of up to 370 entries in one process on a clock that jumps from event to event. Links are shared evenly: 11.5 Mbit/s between two regions, 20 Mbit/s for each entry. Processor time is measured first and counted at each step. The entries in memory moved from tests/state_fakes.py to bench/state_group.py, for both.

A state of 5,000 routes is above the store's record limit of 1 MB.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEEDS ?=
 
 .PHONY: demo test test-scenarios test-others lint format generate soak \
-	measure-rollout measure-service measure-control
+	measure-rollout measure-service measure-control measure-state
 
 demo: .venv/.ready
 	$(BIN)/python -m bench.demo
@@ -32,7 +32,7 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
-measure-rollout measure-service measure-control: .venv/.ready
+measure-rollout measure-service measure-control measure-state: .venv/.ready
 	$(BIN)/python -m bench.$(subst -,_,$@)
 
 # Needs grpcio-tools, which nothing else does; the generated code is committed.
--- /dev/null
+++ b/bench/measure_state.py
@@ -0,0 +1,273 @@
+"""``make measure-state``: how a desired state reaches all entries, one row a case.
+
+Each case runs in a model of links, see `state_model`; processor time is measured here
+first. Prints tables in Markdown.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import json  # noqa: E402
+import logging  # noqa: E402
+import random  # noqa: E402
+import statistics  # noqa: E402
+import string  # noqa: E402
+import sys  # noqa: E402
+import time  # noqa: E402
+from dataclasses import asdict  # noqa: E402
+from functools import partial  # noqa: E402
+from itertools import product  # noqa: E402
+from pathlib import Path  # noqa: E402
+
+import structlog  # noqa: E402
+
+from briarbeam.distribution.state_copy import (  # noqa: E402
+    decode_copy,
+    encode_copy,
+    pack_records,
+)
+from briarbeam.platform.records import decode_desired_state  # noqa: E402
+from briarbeam.platform.store import Record  # noqa: E402
+
+from .state_model import REGIONS, REVISION, STORE_REGION, Case, Model, Work  # noqa: E402
+
+ENTRIES = (41, 100, 300)
+# A record of the store holds 1 MB, which is about 3,900 routes.
+ROUTES = (250, 1200, 3800)
+# Letter 1: entries and failure domains.
+DESIGN_ENTRIES, DESIGN_DOMAINS = 370, 8
+SEED = 1
+ROUNDS = 7
+NEWS_LOSS = 0.1
+# A variant that is not built: by then the tree has brought the state.
+COMPARE_AFTER_S = 1.5
+REGION_NAMES = ("ulaanbaatar", "darkhan", "oyu-gobi")
+
+HEADINGS = (
+    "way", "entries", "routes", "in force", "store's region, first and last (s)",
+    "other regions, first and last (s)", "over a region's link (MB)",
+    "link full (s; share)", "out of one entry (MB)", "datagrams", "copies, failed",
+    "reads of the store",
+)  # fmt: skip
+
+
+def state_spec(routes):
+    """Return a desired state with names that compress as little as real ones."""
+    services = [{"name": _word()} for _ in range(4)]
+    return {
+        "version": REVISION,
+        "routes": [_route(random.choice(services)["name"]) for _ in range(routes)],
+        "services": services,
+        "limits": {},
+        "tenants": [
+            {"name": _word(), "api_keys": [random.randbytes(16).hex()]}
+            for _ in range(24)
+        ],
+    }
+
+
+def _route(service):
+    return {
+        "name": f"{_word()}-{_word()}",
+        "host": f"{_word()}.{_word()}.example",
+        "path_prefix": f"/{_word()}/{_word()}/{_word()}/",
+        "kind": random.choice(("streaming", "idempotent", "non_idempotent")),
+        "timeout_ms": random.randrange(1000, 6100),
+        "target_latency_ms": random.randrange(200, 510),
+        "service": service,
+        "priority": random.randrange(3),
+        "max_attempts": random.randrange(1, 4),
+        "public": random.random() < 0.2,
+        "allowed_regions": random.sample(REGION_NAMES, random.randrange(3)),
+    }
+
+
+def _word():
+    return "".join(random.choices(string.ascii_lowercase, k=6))
+
+
+def work_of(raw):
+    """Return the `Work` of a state and what was measured for it."""
+    records = {"main": Record("main", REVISION, json.loads(raw))}
+    packed = pack_records(records, REVISION)
+    copy = encode_copy(packed, 1.0)
+    spec = records["main"].spec
+    seconds = {
+        "parse_s": _processor_s(lambda: json.loads(raw)),
+        "pack_s": _processor_s(lambda: pack_records(records, REVISION)),
+        "unpack_s": _processor_s(lambda: decode_copy(copy)),
+        "decode_s": _processor_s(lambda: decode_desired_state(spec)),
+    }
+    work = Work(
+        seconds["parse_s"] + seconds["decode_s"],
+        seconds["pack_s"],
+        seconds["unpack_s"] + seconds["decode_s"],
+    )
+    found = {
+        "raw_bytes": len(raw),
+        "packed_bytes": len(packed),
+        **{key: round(value, 5) for key, value in seconds.items()},
+    }
+    return work, found
+
+
+def _processor_s(function):
+    """Return the median processor time of a call."""
+    times_s = []
+    for _ in range(ROUNDS):
+        started_s = time.process_time()
+        function()
+        times_s.append(time.process_time() - started_s)
+    return statistics.median(times_s)
+
+
+def measure(case, raw, work):
+    """Return what a run of `case` found."""
+    random.seed(SEED)
+    model = Model(case, raw, work)
+    model.run()
+    end_s = max(
+        (m.held_s for m in model.members.values() if m.held_s is not None), default=0.0
+    )
+    living = [m for m in model.members.values() if m.alive]
+    if any(m.held_s is None for m in living):
+        end_s = model.clock.monotonic_s()
+    full_s = max(link.full_s for link in model.region_links.values())
+    return {
+        **asdict(case),
+        "living": len(living),
+        "in_force": sum(m.held_s is not None for m in living),
+        "regions_s": [_first_and_last(model, living, r) for r in range(REGIONS)],
+        "region_link_bytes": round(_carried(model.region_links.values())),
+        "region_links_bytes": [
+            round(link.carried_bytes) for link in model.region_links.values()
+        ],
+        "region_link_full_s": round(full_s, 3),
+        "region_link_full_share": round(full_s / end_s, 3) if end_s else 0.0,
+        "entry_out_bytes": round(_carried(m.link_out for m in model.members.values())),
+        "datagrams": sum(domain.news for domain in model.domains),
+        "copies": sum(len(domain.pulls) for domain in model.domains),
+        "copies_failed": model.pulls_failed,
+        "store_reads": model.reads,
+    }
+
+
+def _first_and_last(model, living, region):
+    held = [m.held_s for m in living if model.region_of(m) == region]
+    known = [s for s in held if s is not None]
+    first_s = round(min(known), 3) if known else None
+    return [first_s, round(max(held), 3) if len(known) == len(held) else None]
+
+
+def _carried(links):
+    return max(link.carried_bytes for link in links)
+
+
+def cases(entries_counts, routes_counts):
+    """Yield the cases: each way at each size, then faults, then letter 1's size."""
+    late = partial(Case, "spread", compare_after_s=COMPARE_AFTER_S)
+    for entries, routes in product(entries_counts, routes_counts):
+        yield Case("before", entries, routes)
+        yield Case("spread", entries, routes)
+        yield late(entries, routes)
+    smallest, largest = min(entries_counts), max(entries_counts)
+    for entries, routes in product((smallest, largest), routes_counts):
+        yield late(entries, routes, compressed=False)
+        yield late(entries, routes, tree=False)
+    for routes in routes_counts:
+        for way in (partial(Case, "spread"), late):
+            yield way(largest, routes, reader_dies=True)
+            yield way(largest, routes, loss=NEWS_LOSS)
+    for routes in routes_counts:
+        for way in (partial(Case, "before"), partial(Case, "spread"), late):
+            yield way(DESIGN_ENTRIES, routes, domains=DESIGN_DOMAINS)
+
+
+def row_of(found):
+    """Return the cells of a row, in the order of `HEADINGS`."""
+    near = found["regions_s"][STORE_REGION]
+    far = [s for r, s in enumerate(found["regions_s"]) if r != STORE_REGION]
+    lasts = [last for _, last in far]
+    firsts = [first for first, _ in far if first is not None]
+    far_pair = [
+        min(firsts, default=None),
+        None if None in lasts else max(lasts),
+    ]
+    return (
+        _name(found),
+        found["entries"],
+        found["routes"],
+        f"{found['in_force']} of {found['living']}",
+        _span(near),
+        _span(far_pair),
+        f"{found['region_link_bytes'] / 1e6:.2f}",
+        f"{found['region_link_full_s']:.2f}; {found['region_link_full_share']:.0%}",
+        f"{found['entry_out_bytes'] / 1e6:.2f}",
+        found["datagrams"],
+        f"{found['copies']}, {found['copies_failed']}",
+        found["store_reads"],
+    )
+
+
+def _name(found):
+    name = "each reads the store" if found["way"] == "before" else "spread"
+    notes = {
+        ", comparisons later": found["compare_after_s"] > 0,
+        ", not compressed": not found["compressed"],
+        ", no tree": not found["tree"],
+        f", {found['loss']:.0%} of datagrams lost": found["loss"] > 0,
+        ", a reader dies": found["reader_dies"],
+        f", {found['domains']} failure domains": found["domains"] != REGIONS,
+    }
+    return name + "".join(note for note, holds in notes.items() if holds)
+
+
+def _span(pair):
+    return " to ".join("not yet" if s is None else f"{s:.2f}" for s in pair)
+
+
+def line_of(cells):
+    """Return a line of a table in Markdown."""
+    return "| " + " | ".join(map(str, cells)) + " |"
+
+
+def print_head(headings):
+    print(line_of(headings))
+    print(line_of(["---"] * len(headings)))
+
+
+def main():
+    arguments = argparse.ArgumentParser(description=__doc__)
+    arguments.add_argument("--entries", default=",".join(map(str, ENTRIES)))
+    arguments.add_argument("--routes", default=",".join(map(str, ROUTES)))
+    arguments.add_argument("--json", metavar="FILE", help="write one line a case too")
+    options = arguments.parse_args()
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    entries = [int(part) for part in options.entries.split(",")]
+    routes = [int(part) for part in options.routes.split(",")]
+    random.seed(SEED)
+    raws = {
+        n: json.dumps(state_spec(n), separators=(",", ":")).encode() for n in routes
+    }
+    works = {n: work_of(raw) for n, raw in raws.items()}
+    lines = [{"routes": n, **found} for n, (_, found) in works.items()]
+    print_head(lines[0])
+    for line in lines:
+        print(line_of(line.values()))
+    print()
+    print_head(HEADINGS)
+    for case in cases(entries, routes):
+        found = measure(case, raws[case.routes], works[case.routes][0])
+        lines.append(found)
+        print(line_of(row_of(found)), flush=True)
+    if options.json:
+        text = "".join(json.dumps(line) + "\n" for line in lines)
+        Path(options.json).write_text(text)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/model_links.py
@@ -0,0 +1,162 @@
+"""A clock that jumps from event to event, and links on which bytes take time."""
+
+import heapq
+import itertools
+import math
+from functools import partial
+
+import gevent
+from gevent.event import AsyncResult
+
+# Of its rate; a link that carries more has nothing left for others.
+FULL_SHARE = 0.99
+LEFT_BYTES = 1e-3
+
+
+class ModelClock:
+    """A `Clock` whose time passes only between events."""
+
+    started_s = 0.0
+
+    def __init__(self):
+        self._now_s = 0.0
+        self._due = []
+        self._order = itertools.count()
+
+    def monotonic_s(self):
+        return self._now_s
+
+    def boottime_s(self):
+        return self._now_s
+
+    def sleep(self, duration_s):
+        over = AsyncResult()
+        self.call_later(duration_s, partial(over.set, None))
+        over.get()
+
+    def call_later(self, delay_s, function):
+        """Call `function`, which may not block, after `delay_s`."""
+        heapq.heappush(self._due, (self._now_s + delay_s, next(self._order), function))
+
+    def run(self, until_s, is_done):
+        """Let time pass until `is_done`, until `until_s`, or while anything is due."""
+        gevent.idle()
+        while self._due and self._due[0][0] <= until_s and not is_done():
+            self._now_s, _, function = heapq.heappop(self._due)
+            function()
+            gevent.idle()
+
+
+class Link:
+    """One direction of a link; it is divided evenly among the transfers on it."""
+
+    def __init__(self, rate_mbit_per_s):
+        self.rate_bytes_per_s = rate_mbit_per_s * 1e6 / 8
+        self.transfers = 0
+        self.used_bytes_per_s = 0.0
+        self.carried_bytes = 0.0
+        self.full_s = 0.0
+
+    @property
+    def is_full(self):
+        return self.used_bytes_per_s >= FULL_SHARE * self.rate_bytes_per_s
+
+    @property
+    def share_bytes_per_s(self):
+        return self.rate_bytes_per_s / self.transfers
+
+
+class _Transfer:
+    def __init__(self, size_bytes, links):
+        self.left_bytes = size_bytes
+        self.links = links
+        self.rate_bytes_per_s = 0.0
+        self.ended = AsyncResult()
+
+
+class Links:
+    """Moves bytes over several `Link` objects at once.
+
+    :param clock: the `ModelClock`.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._transfers = {}
+        self._settled_s = 0.0
+        self._plan_number = 0
+        self._is_planning = False
+
+    def carry(self, size_bytes, links, timeout_s=math.inf):
+        """Return whether so many bytes came over all of `links` within `timeout_s`."""
+        transfer = _Transfer(size_bytes, links)
+        self._settle()
+        self._transfers[transfer] = None
+        for link in links:
+            link.transfers += 1
+        self._plan_soon()
+        if timeout_s < math.inf:
+            self._clock.call_later(timeout_s, partial(self._give_up, transfer))
+        return transfer.ended.get()
+
+    def _give_up(self, transfer):
+        if transfer in self._transfers:
+            self._settle()
+            self._end(transfer, False)
+            self._plan_soon()
+
+    def _end(self, transfer, is_whole):
+        del self._transfers[transfer]
+        for link in transfer.links:
+            link.transfers -= 1
+        transfer.ended.set(is_whole)
+
+    def _settle(self):
+        """Account for what moved since the last call."""
+        now_s = self._clock.monotonic_s()
+        elapsed_s, self._settled_s = now_s - self._settled_s, now_s
+        if not elapsed_s:
+            return
+        used = set()
+        for transfer in self._transfers:
+            moved_bytes = transfer.rate_bytes_per_s * elapsed_s
+            transfer.left_bytes -= moved_bytes
+            for link in transfer.links:
+                link.carried_bytes += moved_bytes
+                used.add(link)
+        for link in used:
+            link.full_s += elapsed_s if link.is_full else 0.0
+
+    def _plan_soon(self):
+        """Work rates out anew, once for all that changes at this instant."""
+        if not self._is_planning:
+            self._is_planning = True
+            self._clock.call_later(0.0, self._plan)
+
+    def _plan(self):
+        self._is_planning = False
+        self._settle()
+        self._plan_number += 1
+        for transfer in self._transfers:
+            for link in transfer.links:
+                link.used_bytes_per_s = 0.0
+        for transfer in self._transfers:
+            rate = min(link.share_bytes_per_s for link in transfer.links)
+            transfer.rate_bytes_per_s = rate
+            for link in transfer.links:
+                link.used_bytes_per_s += rate
+        next_s = min(
+            (t.left_bytes / t.rate_bytes_per_s for t in self._transfers), default=None
+        )
+        if next_s is not None:
+            end = partial(self._end_whole, self._plan_number)
+            self._clock.call_later(max(0.0, next_s), end)
+
+    def _end_whole(self, plan_number):
+        if plan_number != self._plan_number:
+            return
+        self._settle()
+        for transfer in list(self._transfers):
+            if transfer.left_bytes <= LEFT_BYTES:
+                self._end(transfer, True)
+        self._plan_soon()
--- a/tests/state_fakes.py
+++ b/bench/state_group.py
@@ -10,9 +10,21 @@
 from briarbeam.relay.mirror import Mirror
 from briarbeam.relay.spread import StateSpread
 
-from .distribution_fakes import Reply
-
 PORT = 7700
+DELAY_S = 0.001
+
+
+class Reply:
+    """A reply of a network in memory."""
+
+    def __init__(self, status, body=b""):
+        self.status, self.headers, self._body = status, {}, body
+
+    def read(self, size_bytes=None):
+        return self._body
+
+    def close(self):
+        pass
 
 
 def state_records(revision, routes=1):
@@ -30,7 +42,7 @@
         self.taken = []
         self.mirror = Mirror(None, "config", group.clock, lambda: 1.0, self._changed)
         self.spread = StateSpread(
-            group, Address(host, PORT), group.clock, self.mirror, lambda: self.brought
+            self, Address(host, PORT), group.clock, self.mirror, lambda: self.brought
         )
         self.spread.send = lambda news, to: group.tell(self, news, to)
         self.spread.neighbours = lambda: [h for h in group.members if h != host]
@@ -38,6 +50,11 @@
     def _changed(self, records):
         self.taken.append(records["main"].revision)
         self.spread.note_taken()
+        self.group.note_taken(self)
+
+    def send(self, address, request):
+        """Ask a peer for a copy, as `Network.send`."""
+        return self.group.ask(self, address, request)
 
     def read_store(self, revision, routes=1):
         """Take a state over as its reader does."""
@@ -46,18 +63,26 @@
 
 
 class Group:
-    """All entries and the network between them.
+    """All entries of a failure domain and the network between them.
 
     :param loses: a function of sender, news and receiver that tells whether it is lost.
+    :param clock: the `Clock`, the machine's if None.
+    :param prefix: the first two numbers of the entries' addresses.
     """
 
-    def __init__(self, count, loses=lambda sender, news, to: False):
-        self.clock = SystemClock()
+    def __init__(
+        self,
+        count,
+        loses=lambda sender, news, to: False,
+        clock=None,
+        prefix="10.0",
+    ):
+        self.clock = clock or SystemClock()
         self.loses = loses
         self.pulls = []
         self.members = {}
         for number in range(count):
-            host = f"10.0.{number // 250}.{number % 250 + 1}"
+            host = f"{prefix}.{number // 250}.{number % 250 + 1}"
             self.members[host] = Member(self, host, brought=number > 0)
 
     @property
@@ -68,17 +93,20 @@
     def others(self):
         return list(self.members.values())[1:]
 
+    def note_taken(self, member):
+        """Note that an entry took a state over."""
+
     def tell(self, sender, news, to):
         """Deliver a datagram, or lose it."""
         member = self.members.get(to)
         if member is not None and member.alive and not self.loses(sender, news, to):
             gevent.spawn(member.spread.note_news, news)
 
-    def send(self, address, request):
-        """Answer a peer's request for a copy, as `Network.send`."""
+    def ask(self, asker, address, request):
+        """Answer the request of `asker` for a copy that a peer holds."""
         member = self.members[address.host]
         self.pulls.append(address.host)
-        gevent.sleep(0.001)
+        self.clock.sleep(DELAY_S)
         if not member.alive:
             raise ExchangeError(f"no reply from {address.host}")
         try:
--- /dev/null
+++ b/bench/state_model.py
@@ -0,0 +1,329 @@
+"""A model of entries that get a desired state, over links that it has to share.
+
+The spread between entries is the real `StateSpread` with its `Mirror` and copies; links,
+time and processor time are modelled. TCP's slow start is not.
+"""
+
+import contextlib
+import dataclasses
+import json
+import random
+from dataclasses import dataclass
+from functools import cache, partial
+from types import SimpleNamespace
+from unittest import mock
+
+import gevent
+
+from briarbeam.distribution import exchange, forwarder, state_copy
+from briarbeam.distribution.errors import ChunkUnavailableError
+from briarbeam.distribution.messages import StateNews
+from briarbeam.kernel.errors import ExchangeError
+from briarbeam.platform.store import BODY_TIMEOUT_S, Record
+from briarbeam.relay import follower, mirror, spread
+
+from .model_links import Link, Links, ModelClock
+from .state_group import Group, Reply
+
+REGION_LINK_MBIT_PER_S = 11.5
+ENTRY_LINK_MBIT_PER_S = 20.0
+STORE_LINK_MBIT_PER_S = 1000.0
+NEAR_DELAY_S = 0.0009
+FAR_DELAY_S = 0.0018
+STORE_ANSWER_S = 0.004
+REGIONS = 3
+STORE_REGION = 0
+# The one whose reader dies, where one does; not the store's.
+DEAD_DOMAIN = 1
+# How long a forwarder is silent until the next one takes its place.
+TAKEOVER_S = forwarder.SILENCE_S + exchange.SILENCE_POLL_S + follower.POLL_S
+BEFORE_REVISION, REVISION = 4, 5
+NO_TREE_FANOUT = 10**6
+# Above the 5 s in which a change has to be in force.
+UNTIL_S = 6.0
+
+
+@dataclass(frozen=True)
+class Work:
+    """Processor time of one state, in seconds.
+
+    :param read_s: from the store's answer to the state in force.
+    :param pack_s: to pack a copy.
+    :param take_s: from a copy to the state in force.
+    """
+
+    read_s: float
+    pack_s: float
+    take_s: float
+
+
+@dataclass(frozen=True)
+class Case:
+    """What is modelled.
+
+    :param way: ``"before"`` where each entry reads the store itself, or ``"spread"``.
+    :param compare_after_s: from when on, after its reader has it, an entry takes the state
+        on a comparison with that instead of from the tree.
+    :param loss: the share of `StateNews` datagrams that is lost.
+    :param reader_dies: whether a reader dies once it has told of the state.
+    """
+
+    way: str
+    entries: int
+    routes: int
+    domains: int = REGIONS
+    compressed: bool = True
+    tree: bool = True
+    compare_after_s: float = 0.0
+    loss: float = 0.0
+    reader_dies: bool = False
+
+
+class Domain(Group):
+    """Entries of a failure domain of the `Model`."""
+
+    def __init__(self, model, number, count):
+        self.model = model
+        self.region = number % REGIONS
+        self.news = 0
+        loss = model.case.loss
+        super().__init__(
+            count,
+            loses=lambda sender, news, to: random.random() < loss,
+            clock=model.clock,
+            prefix=f"10.{number}",
+        )
+        self.current_reader = self.reader
+        for member in self.members.values():
+            member.domain = self
+            member.reading = False
+            member.held_s = None
+            member.link_in, member.link_out = (
+                Link(ENTRY_LINK_MBIT_PER_S) for _ in range(2)
+            )
+            member.mirror.take(model.records_before, BEFORE_REVISION, 0.0)
+
+    def note_taken(self, member):
+        if member.spread.revision == REVISION:
+            self.model.note_taken(member)
+
+    def tell(self, sender, news, to):
+        if news.revision < REVISION or self.model.case.way == "before":
+            return
+        self.news += 1
+        if not self.loses(sender, news, to):
+            self.model.deliver(sender, news, to)
+
+    def ask(self, asker, address, request):
+        self.pulls.append(address.host)
+        return self.model.carry_copy(asker, address.host, request)
+
+
+class Model:
+    """Regions, the links between them, and the store in one of them.
+
+    :param raw: the state's bytes as the store gives them.
+    :param work: the `Work` of one state.
+    """
+
+    def __init__(self, case, raw, work):
+        self.case, self.work = case, work
+        self.raw_bytes = len(raw)
+        self.clock = ModelClock()
+        self.links = Links(self.clock)
+        self.records = {"main": Record("main", REVISION, json.loads(raw))}
+        self.records_before = {"main": Record("main", BEFORE_REVISION, {})}
+        self.store_link = Link(STORE_LINK_MBIT_PER_S)
+        self.region_links = {
+            (a, b): Link(REGION_LINK_MBIT_PER_S)
+            for a in range(REGIONS)
+            for b in range(REGIONS)
+            if a != b
+        }
+        self.reads = 0
+        self.pulls_failed = 0
+        share, rest = divmod(case.entries, case.domains)
+        self.domains = [
+            Domain(self, number, share + (number < rest))
+            for number in range(case.domains)
+        ]
+        self.members = {
+            host: member
+            for domain in self.domains
+            for host, member in domain.members.items()
+        }
+        self._packers = set()
+
+    def run(self):
+        """Let a new state be accepted, until all living entries have it in force."""
+        with self._replaced():
+            for member in self.members.values():
+                if self.case.way == "before" or member is member.domain.reader:
+                    gevent.spawn(self._read, member)
+                if self.case.way == "spread":
+                    gevent.spawn(self._compare, member)
+            self.clock.run(UNTIL_S, self._is_done)
+
+    def deliver(self, sender, news, to):
+        """Bring a `StateNews` to an entry."""
+        member = self.members[to]
+        self.clock.call_later(
+            self._delay_s(sender, member), partial(self._take_news, member, news)
+        )
+
+    def carry_copy(self, asker, host, request):
+        """Return the reply of the entry at `host` to a request for a copy."""
+        holder = self.members[host]
+        delay_s = self._delay_s(asker, holder)
+        # The connection, the request and the first byte.
+        self.clock.sleep(4 * delay_s)
+        if not holder.alive:
+            self.clock.sleep(request.connect_timeout_s)
+            self.pulls_failed += 1
+            raise ExchangeError(f"no connection to {host}")
+        try:
+            data = holder.spread.copy(int(request.path.rsplit("/", 1)[1]))
+        except ChunkUnavailableError as error:
+            return Reply(error.status, b"")
+        if host not in self._packers:
+            self._packers.add(host)
+            self.clock.sleep(self.work.pack_s)
+        path = [holder.link_out, asker.link_in, *self._between(holder, asker)]
+        if not self.links.carry(len(data), path, request.timeout_s):
+            self.pulls_failed += 1
+            raise ExchangeError(f"{host} went silent for {request.timeout_s} s")
+        self.clock.sleep(self.work.take_s)
+        return Reply(200, data)
+
+    def region_of(self, member):
+        return member.domain.region
+
+    def _read(self, member):
+        """Read the store as a mirror does, until the state is there."""
+        pause_s = mirror.RETRY_MIN_S
+        member.reading = True
+        region = self.region_of(member)
+        path = [self.store_link, member.link_in]
+        if region != STORE_REGION:
+            path.append(self.region_links[STORE_REGION, region])
+        while member.alive and member.spread.revision < REVISION:
+            sent_s = self.clock.boottime_s()
+            self.clock.sleep(STORE_ANSWER_S + 2 * _delay_between(STORE_REGION, region))
+            self.reads += 1
+            if self.links.carry(self.raw_bytes, path, BODY_TIMEOUT_S):
+                self.clock.sleep(self.work.read_s)
+                member.mirror.take(self.records, REVISION, sent_s)
+                break
+            if self.case.way == "spread" and member.brought:
+                pause_s = random.uniform(mirror.PATIENCE_MIN_S, mirror.PATIENCE_MAX_S)
+            self.clock.sleep(pause_s)
+            pause_s = min(mirror.RETRY_MAX_S, 2 * pause_s)
+        member.reading = False
+
+    def _compare(self, member):
+        """Ask the reader what it holds, and read the store where nobody gives it."""
+        self.clock.sleep(random.uniform(0.0, exchange.PROBE_INTERVAL_S))
+        next_probe_s = self.clock.monotonic_s()
+        while member.alive and member.held_s is None:
+            if self.clock.monotonic_s() >= next_probe_s:
+                next_probe_s += exchange.PROBE_INTERVAL_S
+                reader = member.domain.current_reader
+                if reader is not member and self._tells(reader):
+                    self.clock.sleep(2 * NEAR_DELAY_S)
+                    member.spread.note_neighbour(reader.host, reader.spread.revision)
+            if member.spread.needs_own_read() and not member.reading:
+                gevent.spawn(self._read, member)
+            self.clock.sleep(mirror.BROUGHT_POLL_S)
+
+    def _tells(self, reader):
+        """Return whether a reader answers comparisons with what it holds."""
+        if not reader.alive or reader.held_s is None:
+            return False
+        held_for_s = self.clock.monotonic_s() - reader.held_s
+        return held_for_s >= self.case.compare_after_s
+
+    def note_taken(self, member):
+        """Note that an entry has the new state in force."""
+        member.held_s = self.clock.monotonic_s()
+        domain = member.domain
+        if self.case.way == "before" or member is not domain.reader:
+            return
+        # Daemons beside engines tell the readers elsewhere.
+        self.clock.call_later(exchange.COALESCE_S, partial(self._tell_readers, member))
+        if self.case.reader_dies and domain is self.domains[DEAD_DOMAIN]:
+            member.alive = False
+            member.held_s = None
+            self.clock.call_later(TAKEOVER_S, partial(self._take_over, domain))
+
+    def _tell_readers(self, holder):
+        for domain in self.domains:
+            reader = domain.current_reader
+            if holder.alive and domain is not holder.domain:
+                self.deliver(holder, StateNews(REVISION, holder.host), reader.host)
+
+    def _take_over(self, domain):
+        """Make the next entry of a failure domain its reader."""
+        domain.current_reader = heir = domain.others[0]
+        heir.brought = False
+        if not heir.reading and heir.held_s is None:
+            gevent.spawn(self._read, heir)
+
+    def _take_news(self, member, news):
+        if member.alive:
+            gevent.spawn(member.spread.note_news, news)
+
+    def _is_done(self):
+        return all(m.held_s is not None for m in self.members.values() if m.alive)
+
+    def _delay_s(self, a, b):
+        return _delay_between(self.region_of(a), self.region_of(b))
+
+    def _between(self, a, b):
+        ends = self.region_of(a), self.region_of(b)
+        return [self.region_links[ends]] if ends[0] != ends[1] else []
+
+    @contextlib.contextmanager
+    def _replaced(self):
+        """Replace what the case varies, and let entries share what all would work out."""
+        with contextlib.ExitStack() as stack:
+
+            def replace(place, name, value):
+                stack.enter_context(mock.patch.object(place, name, value))
+
+            sleeping = SimpleNamespace(spawn=gevent.spawn, sleep=self.clock.sleep)
+            replace(spread, "gevent", sleeping)
+            replace(spread, "decode_copy", _shared_decode())
+            replace(spread, "pack_records", _shared_pack())
+            if not self.case.compressed:
+                replace(state_copy, "_LEVEL", 0)
+            if not self.case.tree:
+                replace(spread, "FANOUT", NO_TREE_FANOUT)
+            yield
+
+
+def _delay_between(a, b):
+    return NEAR_DELAY_S if a == b else FAR_DELAY_S
+
+
+def _shared_pack():
+    packed = {}
+
+    def pack(records, store_revision):
+        newest = records["main"].revision, store_revision
+        if newest not in packed:
+            packed[newest] = state_copy.pack_records(records, store_revision)
+        return packed[newest]
+
+    return pack
+
+
+def _shared_decode():
+    @cache
+    def decode_packed(packed):
+        return state_copy.decode_copy(state_copy.encode_copy(packed, 0.0))
+
+    def decode(data):
+        age, _, packed = data.partition(b"\n")
+        return dataclasses.replace(decode_packed(packed), age_s=float(age))
+
+    return decode
--- a/tests/distribution_fakes.py
+++ b/tests/distribution_fakes.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 
+from bench.state_group import Reply
 from briarbeam.kernel.errors import BriarbeamError
 from briarbeam.kernel.network import Address
 
@@ -26,19 +27,6 @@
     """The fake network has no such address."""
 
 
-class Reply:
-    """A reply of the fake network."""
-
-    def __init__(self, status, body=b""):
-        self.status, self.headers, self._body = status, {}, body
-
-    def read(self, size_bytes=None):
-        return self._body
-
-    def close(self):
-        pass
-
-
 class FakeNetwork:
     """Answers requests by the address's handler; counts them."""
 
--- /dev/null
+++ b/tests/test_bench_state.py
@@ -0,0 +1,50 @@
+"""The model in which the spread of desired states is measured."""
+
+import json
+import random
+
+import gevent
+import pytest
+
+from bench.measure_state import measure, state_spec
+from bench.model_links import Link, Links, ModelClock
+from bench.state_model import Case, Work
+
+WORK = Work(read_s=0.003, pack_s=0.002, take_s=0.003)
+
+
+def test_transfers_that_share_a_link_take_as_long_as_their_bytes_together():
+    clock = ModelClock()
+    links, link, ended = Links(clock), Link(8.0), []
+
+    def carry(size_bytes):
+        assert links.carry(size_bytes, [link])
+        ended.append(round(clock.monotonic_s(), 6))
+
+    for size_bytes in (500_000, 1_500_000):
+        gevent.spawn(carry, size_bytes)
+    clock.run(10.0, lambda: False)
+    assert ended == [1.0, 2.0]
+    assert round(link.carried_bytes) == 2_000_000
+    assert link.full_s == pytest.approx(2.0)
+
+
+def test_transfer_that_is_given_up_has_used_the_link_all_the_same():
+    clock = ModelClock()
+    links, link = Links(clock), Link(8.0)
+    task = gevent.spawn(links.carry, 1_000_000, [link], 0.5)
+    clock.run(10.0, lambda: False)
+    assert task.value is False
+    assert round(link.carried_bytes) == 500_000
+
+
+@pytest.mark.parametrize("entries", [41, 100])
+def test_link_between_regions_carries_each_state_once_however_many_entries(entries):
+    """Incident HOME: it carried a copy for each entry, and was full for good."""
+    random.seed(1)
+    raw = json.dumps(state_spec(250)).encode()
+    found = measure(Case("spread", entries, 250), raw, WORK)
+    assert found["in_force"] == entries
+    assert found["region_link_bytes"] == len(raw)
+    before = measure(Case("before", entries, 250), raw, WORK)
+    assert before["region_link_bytes"] > 10 * len(raw)
--- a/tests/test_relay_spread.py
+++ b/tests/test_relay_spread.py
@@ -3,6 +3,7 @@
 import gevent
 import pytest
 
+from bench.state_group import Group, state_records
 from briarbeam.distribution.errors import MalformedCopyError, MalformedDatagramError
 from briarbeam.distribution.messages import Greeting, StateNews, decode, encode
 from briarbeam.distribution.roster import Roster
@@ -14,7 +15,6 @@
 from briarbeam.relay.spread import FANOUT, ISOLATED_AFTER_S, StateSpread
 
 from .relay_fakes import Entry, FakeInstance, ok, reply
-from .state_fakes import Group, state_records
 
 
 @pytest.mark.parametrize("count", [2, 5, 41, 100])
