Show in two tests that copies of a desired state go round the tree

An entry that compares with its reader (a confirmation names the revision that the reader holds) while the tree still brings the state asks the reader at once. Comparisons come every 0.7 s at any time, so the reader's link carries up to a copy for each of its entries: 40 of 40 in the test, in which all compare at once.

A state that a reader takes from another failure domain is not told to its neighbours: _pull notes the revision as told and passes on only what has a root. 2 of 9 entries have it after 0.7 s; the others learn of it by comparison.

--- /dev/null
+++ b/tests/test_relay_spread_size.py
@@ -0,0 +1,34 @@
+"""What a large desired state needs of the ways that it goes between entries."""
+
+import gevent
+
+from bench.state_group import Group
+from briarbeam.distribution.messages import StateNews
+from briarbeam.relay.spread import FANOUT
+
+
+def test_comparisons_while_copies_are_under_way_do_not_go_round_the_tree():
+    """Each entry asked the reader itself, whose link then carried a copy for each."""
+    group = Group(41)
+    group.reader.read_store(5)
+    for member in group.others:
+        member.spread.note_neighbour(group.reader.host, 5)
+    gevent.sleep(0.5)
+    assert group.holds(5) == 41
+    assert group.pulls.count(group.reader.host) <= FANOUT
+
+
+def test_state_that_a_reader_took_from_elsewhere_goes_on_along_the_tree():
+    """Its neighbours were left to find it by comparison, up to 0.7 s later."""
+    group = Group(9)
+    elsewhere = group.others[-1]
+    for member in group.members.values():
+        near = [h for h in member.spread.neighbours() if h != elsewhere.host]
+        member.spread.neighbours = lambda near=near: near
+    elsewhere.spread.neighbours = list
+    elsewhere.read_store(5)
+    group.reader.spread.note_news(StateNews(5, elsewhere.host))
+    # A reader gives its own read of the store a moment first.
+    gevent.sleep(0.7)
+    assert group.reader.spread.revision == 5
+    assert group.holds(5) == 9
