--- a/tests/test_state_faults.py
+++ b/tests/test_state_faults.py
@@ -5,6 +5,7 @@
 import gevent
 import pytest
 
+from bench.state_group import Group, state_records
 from briarbeam.distribution.errors import MalformedCopyError, MalformedDatagramError
 from briarbeam.distribution.exchange import PROBE_INTERVAL_S
 from briarbeam.distribution.messages import (
@@ -24,7 +25,6 @@
 from briarbeam.relay.follower import POLL_S, StoreFollower
 from briarbeam.relay.mirror import Mirror
 
-from .state_fakes import Group, state_records
 from .test_relay_follower import FakeMirror
 
 
