Let the tree bring what a comparison tells of, and don't give up slow bodies

Entries now wait some moments for the tree, longer the more neighbours they have, and go on in the reader's tree; an entry gives five copies at once at most, and what was packed once is passed on as it came.

--- a/briarbeam/distribution/peer_server.py
+++ b/briarbeam/distribution/peer_server.py
@@ -10,6 +10,9 @@
 from ..relay.callers import AnswerWriter, RequestReader
 from .errors import ChunkUnavailableError
 
+# Copies of a desired state that are given at once; more would all come too slowly, and
+# each peer that has one gives it on.
+STATE_COPIES_MAX = 5
 # Peers keep their connections between versions for so long.
 IDLE_TIMEOUT_S = 30.0
 
@@ -26,6 +29,7 @@
     def __init__(self, address, store, state_copy=None):
         self._store = store
         self._state_copy = state_copy
+        self._state_copies = 0
         self._server = StreamServer(tuple(address), self._serve)
 
     def start(self):
@@ -46,16 +50,25 @@
             raise ChunkUnavailableError(f"no such path: {path}") from error
         raise ChunkUnavailableError(f"no such path: {path}")
 
+    def _serve_one(self, writer, path):
+        is_state = path.startswith("/states/")
+        self._state_copies += is_state
+        try:
+            if is_state and self._state_copies > STATE_COPIES_MAX:
+                raise ChunkUnavailableError(f"{STATE_COPIES_MAX} copies are under way")
+            writer.write(200, [], self._answer(path))
+        except ChunkUnavailableError as error:
+            writer.write(error.status, [], b"")
+        finally:
+            self._state_copies -= is_state
+
     def _serve(self, sock, _):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             reader = RequestReader(sock, CallerLimits)
             while (request := reader.read(IDLE_TIMEOUT_S)) is not None:
                 writer = AnswerWriter(sock, request, lambda: False)
-                try:
-                    writer.write(200, [], self._answer(request.path))
-                except ChunkUnavailableError as error:
-                    writer.write(error.status, [], b"")
+                self._serve_one(writer, request.path)
         except (BriarbeamError, OSError):
             # The peer is gone or sends nonsense; it opens another connection.
             return
--- a/briarbeam/distribution/state_copy.py
+++ b/briarbeam/distribution/state_copy.py
@@ -40,15 +40,20 @@
     return b"%.3f\n" % age_s + packed
 
 
+def packed_part(data):
+    """Return what `encode_copy` was given, from the bytes of a copy."""
+    return data.partition(b"\n")[2]
+
+
 def decode_copy(data):
     """Return the `StateCopy` in `data`.
 
     :raises MalformedCopyError: if there is none, or if it is above `MAX_BYTES`.
     """
     try:
-        age, _, packed = data.partition(b"\n")
+        age = data.partition(b"\n")[0]
         unpacker = zlib.decompressobj()
-        text = unpacker.decompress(packed, MAX_BYTES)
+        text = unpacker.decompress(packed_part(data), MAX_BYTES)
         if not unpacker.eof:
             raise ValueError(f"above {MAX_BYTES} bytes, or cut off")
         store_revision, rows = json.loads(text)
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -142,6 +142,25 @@
         return
 
 
+def fetch_in_parts(network, address, request, max_bytes):
+    """As `fetch`, but only a silence ends the body; it may come slowly.
+
+    A large body that is given up halfway and asked for again makes a full link fuller.
+
+    :raises ReplyTooLargeError: if the body has more than `max_bytes`.
+    """
+    response = network.send(address, request)
+    try:
+        body = bytearray()
+        while part := response.read(READ_BLOCK_BYTES):
+            body += part
+            if len(body) > max_bytes:
+                raise ReplyTooLargeError(f"body above {max_bytes} bytes")
+        return response.status, response.headers, bytes(body)
+    finally:
+        response.close()
+
+
 def fetch(network, address, request):
     """Send `request` and return its status, headers and whole body."""
     response = network.send(address, request)
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -12,7 +12,7 @@
 from prometheus_client import Counter, Histogram
 
 from ..kernel.errors import BriarbeamError
-from ..kernel.network import HttpRequest, fetch
+from ..kernel.network import HttpRequest, fetch_in_parts
 from ..relay.errors import (
     HistoryGoneError,
     RecheckError,
@@ -22,9 +22,10 @@
 # The store answers in about 4 ms; a call that is silent for longer than this is
 # taken as lost and made again.
 CALL_TIMEOUT_S = 0.7
-# A desired state of some hundred routes takes longer over a link between regions that
-# other entries read it over too.
+# The longest silence in a body; a desired state of a thousand routes may come slowly.
 BODY_TIMEOUT_S = 2.0
+# A watch may bring several values of a megabyte.
+BODY_MAX_BYTES = 16 * 1024 * 1024
 # Answers above this are told of one by one; they matter to links between regions.
 LARGE_BODY_BYTES = 16384
 _CALLS = Counter("briarbeam_store_calls", "Calls to the store", ["call", "status"])
@@ -119,7 +120,9 @@
         )
         sent_s = time.monotonic()
         try:
-            status, _, content = fetch(self._network, self._address, request)
+            status, _, content = fetch_in_parts(
+                self._network, self._address, request, BODY_MAX_BYTES
+            )
         except BriarbeamError as error:
             if isinstance(error.__cause__, RecheckError):
                 raise error.__cause__ from None
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -5,13 +5,14 @@
 anyway names the newest revision that they hold, so an entry that lacks it knows that.
 """
 
+import random
 import time
 
 import gevent
 import structlog
 from prometheus_client import Counter
 
-from ..distribution.errors import ChunkUnavailableError, MalformedCopyError
+from ..distribution.errors import ChunkUnavailableError
 from ..distribution.messages import StateNews
 from ..distribution.ranking import rank_entries
 from ..distribution.state_copy import (
@@ -19,9 +20,10 @@
     decode_copy,
     encode_copy,
     pack_records,
+    packed_part,
 )
 from ..kernel.errors import BriarbeamError
-from ..kernel.network import Address, HttpRequest
+from ..kernel.network import Address, HttpRequest, fetch_in_parts
 
 # How many neighbours each entry tells of a new state: a hundred have it in four steps,
 # and three copies of 60 KB take a link of 20 Mbit/s 0.07 s.
@@ -30,7 +32,6 @@
 # is not given up: asked for again, it would come more slowly.
 PULL_SILENCE_S = 0.6
 PULL_CONNECT_TIMEOUT_S = 0.2
-PULL_BLOCK_BYTES = 16384
 # How long an entry that reads the store itself waits for that before it asks others.
 READER_PATIENCE_S = 0.4
 # An entry that could get a newer state from nobody for so long reads the store itself, and
@@ -39,6 +40,10 @@
 OWN_READ_AFTER_S = 0.8
 OWN_READ_PER_RANK_S = 0.3
 OWN_READ_MAX_S = 3.2
+# How long an entry that hears of a newer state by comparing with its reader waits for the
+# tree to bring it, for each neighbour: together they would fill the reader's link.
+COMPARE_PATIENCE_PER_ENTRY_S = 0.007
+COMPARE_PATIENCE_MAX_S = 0.7
 # Entries that hold a state, remembered in case one of them can't give it.
 HOLDERS_MAX = 4
 # An entry that hears from no other daemon for so long is cut off from all.
@@ -121,7 +126,9 @@
         if revision < self.revision:
             self.send(StateNews(self.revision, self._address.host), host)
         elif revision > self.revision:
-            self._note_newer(StateNews(revision, host))
+            self._note_heard(revision, host)
+            root = host if host in self.neighbours() else None
+            gevent.spawn(self._take_later, StateNews(revision, host, root))
 
     def note_taken(self):
         """Note that the mirror has taken records over, from the store or a neighbour."""
@@ -145,10 +152,20 @@
             self._packed = held, pack_records(records, store_revision)
         return encode_copy(self._packed[1], age_s)
 
+    def _take_later(self, news):
+        """Take what a comparison told of, unless the tree brings it before."""
+        count = len(self.neighbours())
+        longest_s = min(COMPARE_PATIENCE_MAX_S, COMPARE_PATIENCE_PER_ENTRY_S * count)
+        gevent.sleep(random.uniform(0.5, 1.0) * longest_s)
+        self.note_news(news)
+
+    def _note_heard(self, revision, host):
+        if revision not in self._heard_s:
+            _log.info("state_heard", revision=revision, host=host)
+            self._heard_s[revision] = self._clock.boottime_s()
+
     def _note_newer(self, news):
-        if news.revision not in self._heard_s:
-            _log.info("state_heard", revision=news.revision, host=news.host)
-        self._heard_s.setdefault(news.revision, self._clock.boottime_s())
+        self._note_heard(news.revision, news.host)
         if news.host is None:
             return
         holder = (news.revision, news.host, news.root)
@@ -192,6 +209,8 @@
             elapsed_s=round(time.monotonic() - started_s, 3),
         )
         self._root = root
+        held = max((r.revision for r in copy.records.values()), default=0)
+        self._packed = held, packed_part(data)
         try:
             self._mirror.take(copy.records, copy.store_revision, sent_s - copy.age_s)
         finally:
@@ -209,20 +228,10 @@
             connect_timeout_s=PULL_CONNECT_TIMEOUT_S,
         )
         address = Address(host, self._address.port)
-        response = self._network.send(address, request)
-        try:
-            if response.status != 200:
-                raise ChunkUnavailableError(
-                    f"state {revision}: status {response.status}"
-                )
-            data = bytearray()
-            while part := response.read(PULL_BLOCK_BYTES):
-                data += part
-                if len(data) > MAX_BYTES:
-                    raise MalformedCopyError(f"copy above {MAX_BYTES} bytes")
-            return bytes(data)
-        finally:
-            response.close()
+        status, _, data = fetch_in_parts(self._network, address, request, MAX_BYTES)
+        if status != 200:
+            raise ChunkUnavailableError(f"state {revision}: status {status}")
+        return data
 
     def _ranked(self):
         """Return this entry and its neighbours in an order that all work out alike."""
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -80,6 +80,8 @@
         self.ports = NodePorts(*free_ports(4))
         self.ways, self.nodes = [], []
         self.side = self._node("stager", SIDE_HOST, self.store, self.engine.address)
+        # It tells entries of each other; those that start before it read for themselves.
+        wait_until(lambda: '"started"' in self.side.log_path.read_text())
         for number in range(entry_count):
             host = f"127.0.0.{10 + number}"
             way = StoreWay((host, 0), self.store)
