--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -32,7 +32,8 @@
 # the state is up to twice this old. With a question to a neighbour, and some time until
 # another entry reads it for all, it stays younger than the bound on keys.
 CONFIG_WAIT_S = 0.6
-# Other watches, where no neighbour confirms: an unnoticed dead connection costs this and a call's time-out.
+# Other watches, where no neighbour confirms: an unnoticed dead connection costs this and
+# a call's time-out.
 WATCH_WAIT_S = 4.0
 # That on the names of versions confirms them as of when it was sent, as above; with a
 # lost call they stay younger than the bound on versions.
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -65,6 +65,10 @@
     :param mirror: the `Mirror` of the desired state.
     :param is_brought: a function that tells whether neighbours bring the state, so that
         nobody reads it from the store here.
+
+    `send` (of a `StateNews` to a host), `neighbours` (the hosts of the other entries of the
+    failure domain) and `on_change` (of a state that was first read here) are set by what
+    sends datagrams.
     """
 
     def __init__(self, network, address, clock, mirror, is_brought):
@@ -78,7 +82,9 @@
         self._pulling = None
         self._packed = (0, b"")
         self._word_s = None
+        # The newest revision that neighbours were told of here.
         self._told = 0
+        # The root of the tree that brought the copy that is being taken over, or None.
         self._root = None
         self.send = lambda news, host: None
         self.neighbours = list
--- a/tests/test_weights_changeover.py
+++ b/tests/test_weights_changeover.py
@@ -1,6 +1,5 @@
 """Changing engines over: fencing, waves, and what is never left behind."""
 
-import copy
 from types import SimpleNamespace
 
 import pytest
@@ -8,165 +7,32 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from briarbeam.configuration.resources import Configuration, RolloutSpec
-from briarbeam.gate.backends import BackendStatus
+from briarbeam.configuration.resources import RolloutSpec
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.errors import (
     ChangeoverFailedError,
-    ConflictError,
-    ConnectError,
-    ExchangeError,
-    NotFoundError,
     NotIdleError,
     OrderError,
     OrderUnansweredError,
     OrderUnderWayError,
     PlatformUnavailableError,
-    PlatformUnknownError,
     RolloutStoppedError,
     SupersededError,
-    UnavailableError,
     WaitingForPermitError,
 )
-from briarbeam.objects.client import StoredObject
-from briarbeam.weights.changeover import Changeover
-from briarbeam.weights.fence import FRESH_S, Fences
-from briarbeam.weights.reconcile import ORDER_TRIES_MAX, Reconciler
-from briarbeam.weights.waves import PERMIT_KIND, ROLLOUT_STATUS_KIND, Permits, Wave
-
-ORDER_TIMEOUT_S = 30.0
-EXPIRY_S = 45.0
-PATIENCE_S = 10.0
-
-
-class Objects:
-    """The object API in memory; ``mode`` is ``ok``, ``down`` or ``lose``."""
-
-    def __init__(self):
-        self.mode = "ok"
-        self._held = {}
-        self._revision = 0
-
-    def get(self, kind, name):
-        if self.mode == "down":
-            raise PlatformUnavailableError("down")
-        if (kind, name) not in self._held:
-            raise NotFoundError(name)
-        version, value = self._held[kind, name]
-        return StoredObject(kind, name, version, copy.deepcopy(value))
-
-    def put(self, kind, name, value, if_version=None):
-        if self.mode == "down":
-            raise PlatformUnavailableError("down")
-        version = self._held.get((kind, name), (0, None))[0]
-        if if_version is not None and if_version != version:
-            raise ConflictError(name)
-        self._revision += 1
-        self._held[kind, name] = self._revision, copy.deepcopy(value)
-        if self.mode == "lose":
-            raise PlatformUnknownError("lost")
-        return self._revision
-
-
-class Engine:
-    """An engine that ignores fencing; ``fault`` is what its next order meets.
-
-    A ``late`` order takes effect `late_s` after its sender has given up.
-    """
-
-    def __init__(self, clock):
-        self._clock = clock
-        self.loaded = {"chat": "v1"}
-        self.orders = []
-        self.fault = None
-        self.late_s = 0.0
-        self._late = None
-
-    def status(self):
-        if self.fault == "dead":
-            raise UnavailableError("dead")
-        if self._late is not None and self._clock.monotonic_s() >= self._late[0]:
-            self.loaded.update(self._late[1])
-            self._late = None
-        return BackendStatus("one", dict(self.loaded))
-
-    def order(self, body, timeout_s):
-        self.orders.append((self._clock.monotonic_s(), body["fence"]))
-        fault, self.fault = self.fault, None
-        if fault == "refused":
-            raise OrderError("bad weights")
-        if fault == "lost":
-            raise OrderError("lost") from ExchangeError("lost")
-        if fault == "unreachable":
-            raise OrderError("not sent") from ConnectError("refused")
-        if fault == "late":
-            self._clock.sleep(timeout_s)
-            due_s = self._clock.monotonic_s() + self.late_s
-            self._late = due_s, {body["name"]: body["version"]}
-            raise OrderError("lost") from ExchangeError("silent")
-        if fault == "crashes":
-            self.fault = "dead"
-            raise OrderError("lost") from ExchangeError("lost")
-        self.loaded[body["name"]] = body["version"]
-
-
-class Gate:
-    """The gate as changeovers use it, with what was open when."""
-
-    def __init__(self, engine):
-        self.backend = engine
-        self.loaded = {}
-        self.closed = set()
-        self.idle = True
-        self.admission = self
-
-    def close(self, reason, detail=""):
-        self.closed.add(reason)
-
-    def open(self, reason):
-        self.closed.discard(reason)
-
-    def wait_idle(self, timeout_s):
-        return self.idle
-
-    def turn_cold(self):
-        pass
-
-    def probe(self):
-        try:
-            self.loaded = self.backend.status().loaded
-        except UnavailableError:
-            self.closed.add("backend")
-
-
-class Bench:
-    """One target with its changeovers."""
-
-    def __init__(self):
-        self.clock = ManualClock()
-        self.objects = Objects()
-        self.engine = Engine(self.clock)
-        self.gate = Gate(self.engine)
-        self.fences = self.new_fences()
-        self.wanted = "v2"
-
-    def new_fences(self):
-        return Fences(self.clock, self.objects, "t", ORDER_TIMEOUT_S)
-
-    def run(self, version="v2", fences=None):
-        kernel = SimpleNamespace(
-            clock=self.clock,
-            find=lambda name: self.gate,
-            settings=SimpleNamespace(
-                drain_timeout_s=60,
-                target=SimpleNamespace(order_timeout_s=ORDER_TIMEOUT_S),
-            ),
-        )
-        order = {"kind": "model", "name": "chat", "version": version}
-        changeover = Changeover(
-            kernel, fences or self.fences, order, lambda: self.wanted == version
-        )
-        changeover.run()
+from briarbeam.weights.fence import FRESH_S
+from briarbeam.weights.waves import PERMIT_KIND, Permits, Wave
+
+from .changeover_fakes import (
+    ADAPTER,
+    DIGEST,
+    EXPIRY_S,
+    ORDER_TIMEOUT_S,
+    PATIENCE_S,
+    Bench,
+    Objects,
+    reconciler_of,
+)
 
 
 def test_order_is_read_back_and_settled():
@@ -392,57 +258,20 @@
     two.take(_wave())
 
 
-ADAPTER = "tariffs"
-DIGEST = "0" * 64
-
-
-def _reconciler(bench, base_version, rollouts):
-    """Return a reconciler of a target that serves ``chat`` and an adapter on it."""
-    resources = {
-        "model/chat": {},
-        f"model/{ADAPTER}": {"base": "chat"},
-    }
-    for name, version in rollouts.items():
-        spec = {"model": name, "size_bytes": 1, "base_version": None}
-        spec.update(manifest_digest=DIGEST, weights_digest=DIGEST)
-        if name == ADAPTER:
-            spec["base_version"] = base_version
-        resources[f"version/{name}@{version}"] = spec
-        resources[f"rollout/{name}"] = {"version": version}
-    head = {key: {"spec": spec, "generation": 1} for key, spec in resources.items()}
-    found = {
-        "gate": bench.gate,
-        "platform": SimpleNamespace(objects=bench.objects),
-        "configuration": SimpleNamespace(
-            configuration=Configuration.from_head(1, {"resources": head}), members={}
-        ),
-    }
-    chosen = SimpleNamespace(
-        drain_timeout_s=60,
-        instance=SimpleNamespace(name="t", failure_domain="x"),
-        listen=SimpleNamespace(http="127.0.0.1:1"),
-        weights=SimpleNamespace(permit_expiry_s=EXPIRY_S, wave_patience_s=PATIENCE_S),
-        target=SimpleNamespace(models=["chat"], order_timeout_s=ORDER_TIMEOUT_S),
-    )
-    kernel = SimpleNamespace(clock=bench.clock, settings=chosen, find=found.get)
-    bench.gate.probe()
-    return Reconciler(kernel, lambda digest: True)
-
-
 def test_adapter_is_ordered_only_onto_its_exact_base():
     bench = Bench()
-    reconciler = _reconciler(bench, "v2", {ADAPTER: "a1"})
+    reconciler = reconciler_of(bench, "v2", {ADAPTER: "a1"})
     reconciler.look()
     assert not bench.engine.orders
     assert reconciler.reasons[ADAPTER].startswith("base_version")
-    reconciler = _reconciler(bench, "v2", {"chat": "v2", ADAPTER: "a1"})
+    reconciler = reconciler_of(bench, "v2", {"chat": "v2", ADAPTER: "a1"})
     reconciler.look()
     assert bench.gate.loaded == {"chat": "v2", ADAPTER: "a1"}
 
 
 def test_adapter_is_ordered_again_after_its_base_was():
     bench = Bench()
-    reconciler = _reconciler(bench, "v2", {"chat": "v2", ADAPTER: "a1"})
+    reconciler = reconciler_of(bench, "v2", {"chat": "v2", ADAPTER: "a1"})
     reconciler.look()
     bench.engine.loaded = {"chat": "v2"}
     bench.gate.probe()
@@ -452,7 +281,7 @@
 
 def test_weights_of_an_order_under_way_are_named():
     bench = Bench()
-    reconciler = _reconciler(bench, None, {"chat": "v2"})
+    reconciler = reconciler_of(bench, None, {"chat": "v2"})
     named = []
     order = bench.gate.backend.order
 
@@ -468,7 +297,7 @@
 
 def test_serving_target_changes_nothing_while_the_platform_is_out():
     bench = Bench()
-    reconciler = _reconciler(bench, None, {"chat": "v2"})
+    reconciler = reconciler_of(bench, None, {"chat": "v2"})
     bench.objects.mode = "down"
     reconciler.look()
     assert not bench.engine.orders
@@ -487,61 +316,3 @@
         bench.run()
     assert not bench.engine.orders
     assert not bench.gate.closed
-
-
-def _failures(bench):
-    try:
-        return bench.objects.get(ROLLOUT_STATUS_KIND, "chat").value["failures"]
-    except NotFoundError:
-        return []
-
-
-@pytest.mark.parametrize("fault", ["lost", "unreachable"])
-def test_order_without_an_answer_is_given_again_and_does_not_stop_the_rollout(fault):
-    bench = Bench()
-    reconciler = _reconciler(bench, None, {"chat": "v2"})
-    bench.engine.fault = fault
-    reconciler.look()
-    assert not _failures(bench)
-    assert reconciler.reasons["chat"].startswith("order_unanswered")
-    assert bench.gate.loaded == {"chat": "v1"}
-    bench.clock.advance(2)
-    reconciler.look()
-    assert bench.gate.loaded == {"chat": "v2"}
-    assert [number for _, number in bench.engine.orders] == [1, 2]
-    assert not reconciler.reasons
-
-
-def test_order_that_takes_effect_late_does_not_meet_requests():
-    """Nor is it given twice, or counted as a failure."""
-    bench = Bench()
-    reconciler = _reconciler(bench, None, {"chat": "v2"})
-    bench.engine.fault, bench.engine.late_s = "late", 3.0
-    opened = []
-    open_again = bench.gate.open
-    bench.gate.open = lambda reason: (
-        opened.append((reason, bench.engine.status().loaded["chat"])),
-        open_again(reason),
-    )
-    reconciler.look()
-    assert opened == [("changing", "v2")]
-    assert bench.gate.loaded == {"chat": "v2"}
-    assert len(bench.engine.orders) == 1
-    assert not _failures(bench)
-    assert bench.objects.get(PERMIT_KIND, "chat.x").value["changed"] == ["t"]
-
-
-def test_engine_that_never_answers_orders_stops_the_rollout():
-    bench = Bench()
-    reconciler = _reconciler(bench, None, {"chat": "v2"})
-    for tries in range(1, ORDER_TRIES_MAX + 1):
-        assert not _failures(bench)
-        bench.engine.fault = "lost"
-        reconciler.look()
-        assert len(bench.engine.orders) == tries
-        bench.clock.advance(2)
-    (failure,) = _failures(bench)
-    assert failure["target"] == "t"
-    reconciler.look()
-    assert reconciler.reasons["chat"].startswith("rollout_stopped")
-    assert len(bench.engine.orders) == ORDER_TRIES_MAX
--- /dev/null
+++ b/tests/test_weights_orders.py
@@ -0,0 +1,72 @@
+"""Orders to engines that are not answered, or take effect late."""
+
+import pytest
+
+from briarbeam.kernel.errors import (
+    NotFoundError,
+)
+from briarbeam.weights.reconcile import ORDER_TRIES_MAX
+from briarbeam.weights.waves import PERMIT_KIND, ROLLOUT_STATUS_KIND
+
+from .changeover_fakes import (
+    Bench,
+    reconciler_of,
+)
+
+
+def _failures(bench):
+    try:
+        return bench.objects.get(ROLLOUT_STATUS_KIND, "chat").value["failures"]
+    except NotFoundError:
+        return []
+
+
+@pytest.mark.parametrize("fault", ["lost", "unreachable"])
+def test_order_without_an_answer_is_given_again_and_does_not_stop_the_rollout(fault):
+    bench = Bench()
+    reconciler = reconciler_of(bench, None, {"chat": "v2"})
+    bench.engine.fault = fault
+    reconciler.look()
+    assert not _failures(bench)
+    assert reconciler.reasons["chat"].startswith("order_unanswered")
+    assert bench.gate.loaded == {"chat": "v1"}
+    bench.clock.advance(2)
+    reconciler.look()
+    assert bench.gate.loaded == {"chat": "v2"}
+    assert [number for _, number in bench.engine.orders] == [1, 2]
+    assert not reconciler.reasons
+
+
+def test_order_that_takes_effect_late_does_not_meet_requests():
+    """Nor is it given twice, or counted as a failure."""
+    bench = Bench()
+    reconciler = reconciler_of(bench, None, {"chat": "v2"})
+    bench.engine.fault, bench.engine.late_s = "late", 3.0
+    opened = []
+    open_again = bench.gate.open
+    bench.gate.open = lambda reason: (
+        opened.append((reason, bench.engine.status().loaded["chat"])),
+        open_again(reason),
+    )
+    reconciler.look()
+    assert opened == [("changing", "v2")]
+    assert bench.gate.loaded == {"chat": "v2"}
+    assert len(bench.engine.orders) == 1
+    assert not _failures(bench)
+    assert bench.objects.get(PERMIT_KIND, "chat.x").value["changed"] == ["t"]
+
+
+def test_engine_that_never_answers_orders_stops_the_rollout():
+    bench = Bench()
+    reconciler = reconciler_of(bench, None, {"chat": "v2"})
+    for tries in range(1, ORDER_TRIES_MAX + 1):
+        assert not _failures(bench)
+        bench.engine.fault = "lost"
+        reconciler.look()
+        assert len(bench.engine.orders) == tries
+        bench.clock.advance(2)
+    (failure,) = _failures(bench)
+    assert failure["target"] == "t"
+    reconciler.look()
+    assert reconciler.reasons["chat"].startswith("rollout_stopped")
+    assert len(bench.engine.orders) == ORDER_TRIES_MAX
