Let the first entry that a daemon hears read the desired state for all that start

After a loss of all machines that is what fills a region's link.

Cause: each entry waited a random 0.05 to 0.6 s for a neighbour's copy and then listed the state, whatever it had heard. Under load, or over a slow link, the first list and its way on take longer than the draws lie apart; an entry even listed while a neighbour's copy was on its way to it.

Now: the daemon beside an engine tells an entry that it hears for the first time who else there is. An entry named alone reads at once; one that has neighbours gives them 0.8 s, and 0.3 s more for each that ranks before it, and waits on while it takes a copy. Only one that no daemon names within 0.3 to 0.6 s reads by itself, as before. An entry that starts again within the 3 s for which a daemon remembers its earlier self is told anew.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -67,6 +67,8 @@
     :param on_namings: called with the names that a daemon beside an engine tells an
         entry which lacks them.
     :param spread: the `StateSpread`, which is told of desired states.
+    :param on_told: called with the other entries of the failure domain that a daemon
+        names together with this one.
     :param failure_domains: all failure domains, with entries or without.
     """
 
@@ -80,6 +82,7 @@
         on_namings,
         follower,
         spread,
+        on_told,
         failure_domains,
     ):
         self._address = address
@@ -88,6 +91,7 @@
         self._clock = clock
         self._describe = describe
         self._on_namings = on_namings
+        self._on_told = on_told
         self._follower = follower
         self._entries = {}
         # All count at first: a cut may hide the entries of one from the start.
@@ -330,6 +334,9 @@
             self._domains[domain] = now_s
         if not was_told and self._is_told(now_s):
             self._told_since_s = now_s
+        here = {host for host, domain in entries if domain == self._failure_domain}
+        if self._address.host in here:
+            self._on_told(here - {self._address.host})
 
     def _note(self, host, load):
         report = LoadReport(
--- a/briarbeam/distribution/state_relay.py
+++ b/briarbeam/distribution/state_relay.py
@@ -24,9 +24,12 @@
         self._without = set()
 
     def note(self, greeting):
-        """Take a greeting: learn from it, or tell the entry what it lacks."""
+        """Take a greeting: learn from it, or tell the entry what it lacks.
+
+        :returns: whether an entry of this failure domain begins here without a state.
+        """
         holder = (greeting.host, greeting.failure_domain)
-        self._note_without(greeting)
+        begins = self._note_without(greeting)
         if greeting.state_revision > self._revision:
             self._revision, self._holder = greeting.state_revision, holder
             self._tell_at_once(greeting.host)
@@ -37,12 +40,18 @@
             self._holder = holder
             if was_far and self._is_near(holder):
                 self._tell_at_once(greeting.host)
+        return begins
 
     def _note_without(self, greeting):
+        """Note whether the entry lacks a state; return whether it does from now on."""
         if greeting.state_revision:
             self._without.discard(greeting.host)
-        elif greeting.failure_domain == self._failure_domain:
-            self._without.add(greeting.host)
+            return False
+        if greeting.failure_domain != self._failure_domain:
+            return False
+        begins = greeting.host not in self._without
+        self._without.add(greeting.host)
+        return begins
 
     def _is_near(self, holder):
         return holder[1] == self._failure_domain
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -20,6 +20,7 @@
 from .admission import SUPERSEDED_STATE_MAX_S, Admission
 from .balance import Balancer
 from .dispatch import Dispatcher
+from .first_read import FirstRead
 from .fleet import Fleet
 from .follower import StoreFollower
 from .inforce import InForce, NamedVersions
@@ -44,10 +45,6 @@
 VERSION_MARGIN_S = 0.35
 # Changes that come together are read together.
 CONFIG_SETTLE_S = 0.25
-# Entries that start wait so long for a neighbour's copy of the desired state; together
-# they would fill the link to the store with copies of the same one.
-HEAD_START_MIN_S = 0.05
-HEAD_START_MAX_S = 0.6
 SETTLE_S = 0.5
 # Engines' entries change often while weights change, and each answer of a watch is priced.
 INSTANCE_SETTLE_S = 0.9
@@ -86,6 +83,7 @@
         self._spread = StateSpread(
             network, settings.peer_address, clock, self._config, self._is_brought
         )
+        self._first_read = FirstRead(clock, self._spread)
         self._exchange = EntryExchange(
             settings.peer_address,
             settings.instance.failure_domain,
@@ -95,6 +93,7 @@
             self._on_namings_told,
             self._follower,
             self._spread,
+            self._first_read.note_told,
             settings.regions,
         )
         self._fleet.on_weights = self._exchange.greet_shortly
@@ -148,7 +147,7 @@
             is_large=True,
             is_brought=lambda: self._is_brought(),
             is_reader=lambda: not self._exchange.has_reader(),
-            head_start_s=random.uniform(HEAD_START_MIN_S, HEAD_START_MAX_S),
+            is_awaited=lambda: not self._first_read.is_due(),
             canary=self._version_mirror,
         )
         followed = (
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -45,7 +45,8 @@
         then the store is not asked.
     :param is_reader: a function that tells whether nobody else reads the records for this
         entry; otherwise it comes back later to a store that was lost.
-    :param head_start_s: for how long others may bring the records before the first list.
+    :param is_awaited: a function that tells whether others may still bring the records
+        before the first list.
     :param canary: a `Mirror` of the same store, or None. While it can't reach the store
         this one makes no calls, and its return is this one's.
     """
@@ -61,7 +62,7 @@
         is_large=False,
         is_brought=None,
         is_reader=None,
-        head_start_s=0.0,
+        is_awaited=None,
         canary=None,
     ):
         self._store = store
@@ -73,7 +74,7 @@
         self._is_large = is_large
         self._is_brought = is_brought or (lambda: False)
         self._is_reader = is_reader or (lambda: True)
-        self._head_start_s = head_start_s
+        self._is_awaited = is_awaited or (lambda: False)
         self._list_s = 0.0
         self._in_series = False
         self._changed_s = -math.inf
@@ -185,8 +186,7 @@
             self._task = None
 
     def _await_first_copy(self):
-        end_s = self._clock.monotonic_s() + self._head_start_s
-        while self._revision is None and self._clock.monotonic_s() < end_s:
+        while self._revision is None and self._is_awaited():
             gevent.sleep(BROUGHT_POLL_S / 2)
 
     def _rests(self):
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -106,9 +106,16 @@
         superseded_s = self.superseded_for_s()
         if superseded_s is None or superseded_s < OWN_READ_AFTER_S:
             return False
-        rank = self._ranked().index(self._address.host)
-        after_s = min(OWN_READ_MAX_S, OWN_READ_AFTER_S + rank * OWN_READ_PER_RANK_S)
-        return superseded_s >= after_s
+        after_s = OWN_READ_AFTER_S + self.rank() * OWN_READ_PER_RANK_S
+        return superseded_s >= min(OWN_READ_MAX_S, after_s)
+
+    def rank(self):
+        """Return how many neighbours come before this entry where they take turns."""
+        return self._ranked().index(self._address.host)
+
+    def is_pulling(self):
+        """Return whether a copy is being fetched from another entry now."""
+        return self._pulling is not None
 
     def is_isolated(self):
         """Return whether other daemons were heard before, and none is any more."""
--- a/tests/test_relay_spread.py
+++ b/tests/test_relay_spread.py
@@ -196,6 +196,16 @@
     assert set(told) <= {"b", "c"} and len(told) == 1
 
 
+def test_entry_that_starts_again_counts_as_new_to_the_daemons_that_knew_it():
+    """It was not told of the others, as its earlier self was still on the roster."""
+    relay = StateRelay(Roster(lambda: 0.0), "z1", lambda news, host: None)
+    assert relay.note(greeting("a", 0))
+    assert not relay.note(greeting("a", 0))
+    assert not relay.note(greeting("a", 5))
+    assert relay.note(greeting("a", 0))
+    assert not relay.note(greeting("far", 0, "z2"))
+
+
 def entry_with_public_route():
     fake = FakeInstance(reply(ok()))
     return Entry({"i1": fake}, public=True), fake
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -28,10 +28,14 @@
 
 
 class StoreWay(Server):
-    """One entry's way to the store: it can fall silent, and counts large answers."""
+    """One entry's way to the store: it can fall silent, and counts large answers.
 
-    def __init__(self, address, store):
+    :param large_answer_s: how long a large answer takes.
+    """
+
+    def __init__(self, address, store, large_answer_s=0.0):
         self.large_answers = 0
+        self._large_answer_s = large_answer_s
         self._store = store
         super().__init__(address)
 
@@ -40,7 +44,9 @@
         # A watch that waits already must not bring an answer either.
         while self.silent:
             gevent.sleep(0.05)
-        self.large_answers += len(answer[2]) >= LARGE_BODY_BYTES
+        if len(answer[2]) >= LARGE_BODY_BYTES:
+            self.large_answers += 1
+            gevent.sleep(self._large_answer_s)
         return answer
 
 
@@ -67,7 +73,7 @@
 class Site:
     """A store, an engine with its stager, a ledger and some entries."""
 
-    def __init__(self, folder, entry_count, routes=0):
+    def __init__(self, folder, entry_count, routes=0, large_answer_s=0.0):
         self.folder, self.routes = folder, routes
         self.store = Store(("127.0.0.1", 0))
         self.origin = Origin(("127.0.0.1", 0))
@@ -84,7 +90,7 @@
         wait_until(lambda: '"started"' in self.side.log_path.read_text())
         for number in range(entry_count):
             host = f"127.0.0.{10 + number}"
-            way = StoreWay((host, 0), self.store)
+            way = StoreWay((host, 0), self.store, large_answer_s)
             self.ways.append(way)
             self.nodes.append(self._node("entry", host, way))
 
@@ -231,9 +237,10 @@
         assert sum(way.large_answers for way in site.ways) - before == 1
 
 
-def test_entries_that_start_together_share_a_large_state(tmp_path):
+@pytest.mark.parametrize("large_answer_s", [0.0, 0.5])
+def test_entries_that_start_together_share_a_large_state(tmp_path, large_answer_s):
     """After a loss of all machines a copy an entry would fill the link to the store."""
-    site = Site(tmp_path, 4, routes=500)
+    site = Site(tmp_path, 4, routes=500, large_answer_s=large_answer_s)
     try:
         wait_until(site.is_serving)
         gevent.sleep(1.0)
