Agree on one reader of the first desired state, also with several daemons

A reviewer of, who had not seen the work, found with tests that:

- each daemon named the entry alone that it heard first, so several that start together made several readers, and one that started later made more;
- an entry asked once whether a copy was awaited, before its first list: a store that was away at the start was read by all at its return, and a list that had failed was repeated while a copy was on its way;
- engines that did not report yet silenced their daemons;
- at the cap on the patience 31 of 40 entries read in the same moment;
- a daemon named an entry's own earlier self as holder, and its holder to each starting entry of another failure domain.

Cause of the first ones: "named alone" is what each daemon sees by itself. Now a daemon answers an entry that holds no state with whom of these it heard first, with or without an engine's report (StateReader). An entry collects the answers for 0.1 s and keeps the first in rank; that one reads. The others take turns as before, without a cap; the question is asked before each list until there is a state, and the turns begin anew at the store's return. Time counts from when the instances are known, as nobody can be greeted before. Far holders are named to one entry of a failure domain.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -22,6 +22,7 @@
     LoadBatch,
     Probe,
     StateNews,
+    StateReader,
     decode,
     encode,
 )
@@ -67,8 +68,8 @@
     :param on_namings: called with the names that a daemon beside an engine tells an
         entry which lacks them.
     :param spread: the `StateSpread`, which is told of desired states.
-    :param on_told: called with the other entries of the failure domain that a daemon
-        names together with this one.
+    :param on_reader: called with the host that a daemon names as the reader of the first
+        desired state.
     :param failure_domains: all failure domains, with entries or without.
     """
 
@@ -82,7 +83,7 @@
         on_namings,
         follower,
         spread,
-        on_told,
+        on_reader,
         failure_domains,
     ):
         self._address = address
@@ -91,7 +92,7 @@
         self._clock = clock
         self._describe = describe
         self._on_namings = on_namings
-        self._on_told = on_told
+        self._on_reader = on_reader
         self._follower = follower
         self._entries = {}
         # All count at first: a cut may hide the entries of one from the start.
@@ -276,6 +277,8 @@
                 self._note_confirmation(host, message)
             elif isinstance(message, StateNews):
                 self._spread.note_news(message)
+            elif isinstance(message, StateReader):
+                self._on_reader(message.host)
 
     def _probe_forever(self):
         while True:
@@ -334,9 +337,6 @@
             self._domains[domain] = now_s
         if not was_told and self._is_told(now_s):
             self._told_since_s = now_s
-        here = {host for host, domain in entries if domain == self._failure_domain}
-        if self._address.host in here:
-            self._on_told(here - {self._address.host})
 
     def _note(self, host, load):
         report = LoadReport(
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -122,6 +122,16 @@
     root: str | None = None
 
 
+@dataclass(frozen=True)
+class StateReader:
+    """Names the entry that is to read the desired state for those that hold none.
+
+    :param host: its IP number.
+    """
+
+    host: str
+
+
 _KINDS = {
     "g": Greeting,
     "l": Load,
@@ -129,6 +139,7 @@
     "p": Probe,
     "c": Confirmation,
     "s": StateNews,
+    "r": StateReader,
 }
 _NAMES = {kind: name for name, kind in _KINDS.items()}
 
@@ -159,6 +170,8 @@
             _check_rows([(message.revision,)], (int,))
             hosts = [(h,) for h in (message.host, message.root) if h is not None]
             _check_rows(hosts, (str,))
+        elif name == "r":
+            _check_rows([(message.host,)], (str,))
         elif name == "c":
             _check_ages(message.ages_s)
             _check_rows(message.summaries, (int, int))
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -158,9 +158,9 @@
         waited = self._pulse.may_have_waited_s() > 0
         for version, age_s, _, certain in greeting.versions:
             self._namings.note(version, age_s, certain and not waited)
-        begins = self._states.note(greeting)
+        self._states.note(greeting)
         told = self._namings.certain()
-        if self._report is not None and (is_new or begins):
+        if self._report is not None and is_new:
             self._reporter.welcome(*self._load(), greeting.host)
         if self._report is not None and self._lacks(greeting, told):
             self._reporter.tell_namings(*self._load(), greeting.host, told)
--- a/briarbeam/distribution/state_relay.py
+++ b/briarbeam/distribution/state_relay.py
@@ -1,6 +1,6 @@
 """At the daemon beside an engine: tells entries of desired states that others hold."""
 
-from .messages import StateNews
+from .messages import StateNews, StateReader
 
 
 class StateRelay:
@@ -10,9 +10,12 @@
     of other failure domains hold it, the forwarder alone is told who does: it fetches the
     copy that crosses the link, and the others take it from there.
 
+    Of the entries nearby that hold no state, it names the one that it heard first as the
+    reader for all: they would fill the link to the store with copies otherwise.
+
     :param roster: the `Roster` of entries.
     :param failure_domain: of this daemon.
-    :param send: a function of a `StateNews` and a host.
+    :param send: a function of a `StateNews` or a `StateReader`, and a host.
     """
 
     def __init__(self, roster, failure_domain, send):
@@ -21,15 +24,13 @@
         self._send = send
         self._revision = 0
         self._holder = None
-        self._without = set()
+        # Hosts nearby without a state, in the order of their first greetings.
+        self._without = {}
 
     def note(self, greeting):
-        """Take a greeting: learn from it, or tell the entry what it lacks.
-
-        :returns: whether an entry of this failure domain begins here without a state.
-        """
+        """Take a greeting: learn from it, or tell the entry what it lacks."""
         holder = (greeting.host, greeting.failure_domain)
-        begins = self._note_without(greeting)
+        self._note_without(greeting)
         if greeting.state_revision > self._revision:
             self._revision, self._holder = greeting.state_revision, holder
             self._tell_at_once(greeting.host)
@@ -40,18 +41,14 @@
             self._holder = holder
             if was_far and self._is_near(holder):
                 self._tell_at_once(greeting.host)
-        return begins
+        if greeting.host in self._without:
+            self._send(StateReader(self._reader()), greeting.host)
 
     def _note_without(self, greeting):
-        """Note whether the entry lacks a state; return whether it does from now on."""
         if greeting.state_revision:
-            self._without.discard(greeting.host)
-            return False
-        if greeting.failure_domain != self._failure_domain:
-            return False
-        begins = greeting.host not in self._without
-        self._without.add(greeting.host)
-        return begins
+            self._without.pop(greeting.host, None)
+        elif greeting.failure_domain == self._failure_domain:
+            self._without.setdefault(greeting.host)
 
     def _is_near(self, holder):
         return holder[1] == self._failure_domain
@@ -62,25 +59,31 @@
             return True
         return not self._is_near(self._holder) or self._holder not in self._roster
 
-    def _forwarder(self):
+    def _reader(self):
+        """Return the first of the entries without a state that is still heard."""
+        for host in list(self._without):
+            if (host, self._failure_domain) in self._roster:
+                return host
+            del self._without[host]
+        return None
+
+    def _forwarder(self, failure_domain):
         for host, domain in self._roster.forwarders():
-            if domain == self._failure_domain:
+            if domain == failure_domain:
                 return host
         return None
 
     def _tell_at_once(self, but_host):
         """Tell the entry here that tells the others, and those that hold no state yet."""
         here = {host for host, domain in self._roster if domain == self._failure_domain}
-        told = self._without & here
-        told.add(self._forwarder())
+        told = here.intersection(self._without)
+        told.add(self._forwarder(self._failure_domain))
         for host in sorted(told - {but_host, None}):
             self._tell(host, self._failure_domain)
 
     def _tell(self, host, failure_domain):
-        fetches = (
-            self._is_near(self._holder)
-            or failure_domain != self._failure_domain
-            or host == self._forwarder()
-        )
-        holder = self._holder[0] if fetches else None
+        is_near_both = failure_domain == self._failure_domain == self._holder[1]
+        fetches = is_near_both or host == self._forwarder(failure_domain)
+        # An entry that started again lacks what its earlier self held.
+        holder = self._holder[0] if fetches and self._holder[0] != host else None
         self._send(StateNews(self._revision, holder), host)
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -83,7 +83,12 @@
         self._spread = StateSpread(
             network, settings.peer_address, clock, self._config, self._is_brought
         )
-        self._first_read = FirstRead(clock, self._spread)
+        self._first_read = FirstRead(
+            clock,
+            settings.peer_address.host,
+            self._spread,
+            lambda: self._version_mirror.restored_s,
+        )
         self._exchange = EntryExchange(
             settings.peer_address,
             settings.instance.failure_domain,
@@ -93,7 +98,7 @@
             self._on_namings_told,
             self._follower,
             self._spread,
-            self._first_read.note_told,
+            self._first_read.note_reader,
             settings.regions,
         )
         self._fleet.on_weights = self._exchange.greet_shortly
@@ -249,6 +254,7 @@
         ]
 
     def _update_fleet(self, found):
+        self._first_read.begin()
         restored = [m.restored_s for m in self._mirrors if m.restored_s is not None]
         self._fleet.store_restored_s = max(restored, default=None)
         self._fleet.update(found)
--- a/briarbeam/relay/first_read.py
+++ b/briarbeam/relay/first_read.py
@@ -1,55 +1,75 @@
 """When an entry that starts reads the desired state from the store itself."""
 
+import math
 import random
 
-# An entry that hears of no others within this reads the state; that is random, so that
-# those which can't hear of each other don't read it at the same moment.
+from .spread import OWN_READ_AFTER_S, OWN_READ_PER_RANK_S
+
+# An entry that no daemon answers within this reads the state; that is random, so that
+# entries which can't hear of each other don't read it at the same moment.
 UNTOLD_MIN_S = 0.3
 UNTOLD_MAX_S = 0.6
-# One that has neighbours gives them so long to bring the state, and later by the second
-# figure for each neighbour before it in rank.
-READ_AFTER_S = 0.8
-READ_PER_RANK_S = 0.3
-READ_MAX_S = 3.2
+# The answers of all daemons arrive within this after the first.
+SETTLE_S = 0.1
 
 
 class FirstRead:
     """Decides when this entry stops waiting for a neighbour's copy of the first state.
 
     Entries that start together would fill the link to the store with copies of the same
-    state. The first one that a daemon beside an engine hears reads it at once, and the
-    others take it from there.
+    state. Each daemon beside an engine names the entry that it heard first as their
+    reader; where daemons differ, rank decides. The others take the state from there.
 
     :param clock: the `Clock`.
+    :param host: of this entry.
     :param spread: the `StateSpread`.
+    :param restored_s: a function that returns the boot time at which the store was last
+        reached again, or None.
     """
 
-    def __init__(self, clock, spread):
+    def __init__(self, clock, host, spread, restored_s):
         self._clock = clock
+        self._host = host
         self._spread = spread
+        self._restored_s = restored_s
         self._untold_s = random.uniform(UNTOLD_MIN_S, UNTOLD_MAX_S)
         self._begun_s = None
         self._told_s = None
-        self._is_first = False
+        self._named = set()
+        self._reader = None
 
-    def note_told(self, neighbours):
-        """Note that a daemon named this entry.
+    def begin(self):
+        """Note that daemons can be greeted from now on; calls after the first do nothing."""
+        if self._begun_s is None:
+            self._begun_s = self._clock.boottime_s()
 
-        :param neighbours: the other entries of the failure domain that it named.
-        """
+    def note_reader(self, host):
+        """Note whom a daemon names as the reader for the entries without a state."""
         if self._told_s is None:
-            self._told_s = self._clock.monotonic_s()
-        self._is_first = self._is_first or not neighbours
+            self._told_s = self._clock.boottime_s()
+        self._named.add(host)
 
     def is_due(self):
-        """Return whether the entry is to read the state, asked from its start on."""
-        now_s = self._clock.monotonic_s()
+        """Return whether this entry is to read the state from the store now."""
         if self._begun_s is None:
-            self._begun_s = now_s
+            return False
         if self._spread.is_pulling():
             return self._spread.needs_own_read()
         if self._told_s is None:
-            return now_s - self._begun_s >= self._untold_s
-        patience_s = READ_AFTER_S + self._spread.rank() * READ_PER_RANK_S
-        waited_s = now_s - self._told_s
-        return self._is_first or waited_s >= min(READ_MAX_S, patience_s)
+            return self._waited_s(self._begun_s) >= self._untold_s
+        waited_s = self._waited_s(self._told_s)
+        if waited_s < SETTLE_S:
+            return False
+        if self._reader is None:
+            # Daemons that start later name whom they hear first then.
+            self._reader = self._spread.first_of(self._named)
+        if self._reader == self._host:
+            return True
+        after_s = OWN_READ_AFTER_S + self._spread.rank() * OWN_READ_PER_RANK_S
+        return waited_s >= after_s
+
+    def _waited_s(self, since_s):
+        """Return the time since `since_s` or the store's return, whichever is later."""
+        restored_s = self._restored_s()
+        latest_s = max(since_s, -math.inf if restored_s is None else restored_s)
+        return self._clock.boottime_s() - latest_s
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -96,7 +96,6 @@
 
     def run(self):
         """Follow the store for ever."""
-        self._await_first_copy()
         while True:
             try:
                 self._follow()
@@ -110,6 +109,7 @@
             if self._canary is not None:
                 self._canary.reachable.wait()
             try:
+                self._await_first_copy()
                 pause_is_due = self._step()
                 pause_s = RETRY_MIN_S
                 if pause_is_due:
@@ -186,7 +186,7 @@
             self._task = None
 
     def _await_first_copy(self):
-        while self._revision is None and self._is_awaited():
+        while self.confirmed_s is None and self._is_awaited():
             gevent.sleep(BROUGHT_POLL_S / 2)
 
     def _rests(self):
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -113,6 +113,10 @@
         """Return how many neighbours come before this entry where they take turns."""
         return self._ranked().index(self._address.host)
 
+    def first_of(self, hosts):
+        """Return the one of `hosts` that comes first where entries take turns."""
+        return rank_entries([(host, None) for host in hosts], None, _SUBJECT)[0]
+
     def is_pulling(self):
         """Return whether a copy is being fetched from another entry now."""
         return self._pulling is not None
