Greet the only target again that missed a greeting

Callers saw: a settlement was refused with 503 "IP:9080 did not answer: <Timeout seconds=1.0>", ran "no", though the target was in order and the caller would have waited for 30 s.

Cause: a call that may not be repeated is greeted for at most a second. One that was not answered in time counts the target as tried and ejected; with no other target left the call was refused at once. So one second in which the entry, the link or the gate got no processor cost a refusal, although nothing was sent.

Now the call that found this out waits for the target's pause (0.5 s at first) and greets it again, within attempts_max, budget and deadline. The greeting is the probe, so nothing is lost in it.

Before: test_link_that_stands_still_while_a_target_is_greeted_costs_no_refusal failed with "127.72.1.2:9080 did not answer: <Timeout at ... seconds=1.0>", and of the tests of routing test_only_target_that_misses_a_greeting_is_greeted_again and test_only_target_that_is_never_reached_costs_three_greetings_and_a_refusal (1 send instead of 3).

SendMachine held that no target is sent to twice, counting targets that were not reached; it now holds that for idempotent jobs as before, and for others of all targets that were reached. The bound of three sends is as before; new is that no other job takes longer than its deadline.

--- a/briarbeam/routing/router.py
+++ b/briarbeam/routing/router.py
@@ -60,6 +60,7 @@
 _ATTEMPTS = Counter("briarbeam_attempts", "Attempts at targets", ["result"])
 _REFUSALS = Counter("briarbeam_entry_refusals", "Jobs given up", ["code"])
 _NO_BUDGET = Counter("briarbeam_retries_denied", "Retries without budget")
+_WAITS = Counter("briarbeam_unreached_waits", "Waits for a target that was not reached")
 
 
 def _never():
@@ -79,6 +80,8 @@
         target refuses at once, and another is asked.
     :param places_asked: how often it found no place where one was expected.
     :param tried: names of the targets that it was sent to, in order.
+    :param unreached: names of those among them that got no byte of it.
+    :param waited: whether it waited for such a target and may try it unprobed.
     :param may_have_run: whether an attempt may have reached a back end.
     """
 
@@ -100,6 +103,8 @@
     may_wait: bool = True
     places_asked: int = 0
     tried: list = field(default_factory=list)
+    unreached: list = field(default_factory=list)
+    waited: bool = False
     may_have_run: bool = False
 
 
@@ -163,6 +168,8 @@
                 if self._looks_elsewhere(job, error):
                     attempts -= 1
                     continue
+                if self._waits_for_unreached(job, error):
+                    continue
                 last = error
                 job.may_have_run |= error.ran is not Ran.NO
                 if isinstance(error, CLOSED):
@@ -181,6 +188,25 @@
         job.tried.pop()
         return True
 
+    def _waits_for_unreached(self, job, error):
+        """Wait for a target that `job` did not reach; return whether to choose again.
+
+        Where no other is left, one that a busy machine kept from answering its greeting
+        in time would cost a refusal, though nothing was sent and the caller waits.
+        """
+        exhausted = isinstance(error, _Exhausted)
+        if job.idempotent or not exhausted or not job.unreached:
+            return False
+        wait_s = self.targets.retry_after_s(job.unreached)
+        if self.clock.now().timestamp() + wait_s >= job.deadline_unix_s:
+            return False
+        _WAITS.inc()
+        self.clock.sleep(wait_s)
+        job.tried = [name for name in job.tried if name not in job.unreached]
+        job.unreached = []
+        job.waited = True
+        return True
+
     def finish(self, member, response, took_s=None):
         """Give up the connection to a target after its reply.
 
@@ -238,6 +264,7 @@
         except ConnectError as error:
             self.targets.end(member.name)
             self.targets.fail(member.name)
+            job.unreached.append(member.name)
             _ATTEMPTS.labels("connect").inc()
             raise UnavailableError(str(error)) from error
         except ExchangeError as error:
--- a/briarbeam/routing/selection.py
+++ b/briarbeam/routing/selection.py
@@ -210,7 +210,7 @@
                 retry_after_s=self._targets.retry_after_s(i.name for i in usable),
             )
         trials = [item for item in untried if self._targets.may_try(item.name)]
-        if not trials or not job.idempotent:
+        if not trials or not (job.idempotent or job.waited):
             raise UnavailableError(
                 "no target can take it now",
                 retry_after_s=self._targets.retry_after_s(i.name for i in untried),
