Ask with a new key until the platform is reached again

It waits there until a settlement runs after the outages of the tests before it.

Cause: it asked again and again with one key. A first try whose outcome is unknown leaves that key unknown for good, which is what this test is about, so the wait can't end.

Each try has a key of its own now, within the same 60 s; a failure prints all outcomes. What the test checks afterwards is unchanged.

--- a/tests/test_gate_processes.py
+++ b/tests/test_gate_processes.py
@@ -65,6 +65,23 @@
     return "ok" if status == 200 else json.loads(answer)["error"]["ran"]
 
 
+def _await_platform(site, instance):
+    """Wait until a gate reaches the platform.
+
+    Each try has a key of its own: one whose outcome is unknown stays so for its key.
+    """
+    outcomes = []
+
+    def reached():
+        outcomes.append(_call(site, instance, uuid.uuid4().hex))
+        return outcomes[-1] == "ok"
+
+    try:
+        site.wait_for(reached)
+    except TimeoutError:
+        pytest.fail(f"not reached: {outcomes}")
+
+
 def _runs_of(site, key):
     records = [
         record
@@ -180,7 +197,7 @@
 
 def test_gate_killed_after_the_send_leaves_unknown_everywhere(site):
     gate, other = site.targets("service")
-    site.wait_for(lambda: _call(site, other, "the platform is reached again") == "ok")
+    _await_platform(site, other)
     site.faults(gate.backend_address, silent=True)
     cut = gevent.spawn(_call, site, gate, "killed")
     site.wait_for(lambda: _runs_of(site, "killed") == 1)
