Talk to another daemon of a failure domain in place of a silent one

Cause: a daemon talks to one neighbour of each other failure domain, the same for ten minutes. One that does not answer is passed over for 1 to 2 s on a small site, and every fourth exchange goes to another failure domain, every 4 s. So at each such exchange a frozen neighbour's pause was over, and it alone was asked, for as long as it was frozen. A change is also told at once, but in place of a silent daemon one of the own failure domain was told. Where on both sides the neighbours of all that are awake were frozen, nothing passed. It depends on names and on the time, not on load.

Now an exchange, and a word of a change, that met silence goes to another daemon of the same failure domain at once, if there is one. The silent one stays passed over meanwhile, so the next choice is another one.

--- a/briarbeam/configuration/spread.py
+++ b/briarbeam/configuration/spread.py
@@ -23,7 +23,7 @@
 
 PUSH_OWN_DOMAIN = 2
 PUSH_OTHER_DOMAINS = 1
-PUSH_TRIES_MAX = 4
+PEER_TRIES_MAX = 4
 FIRST_OWN_DOMAIN = 3
 FIRST_OTHER_DOMAINS = 3
 FIRST_ANSWERS_MIN = 2
@@ -110,7 +110,7 @@
     def push(self):
         """Tell a few peers at once about what this daemon holds."""
         for member in self.membership.choose(PUSH_OWN_DOMAIN, PUSH_OTHER_DOMAINS):
-            self.kernel.tasks.spawn(self._push_to, member)
+            self.kernel.tasks.spawn(self._exchange_with, member)
 
     def refresh(self):
         """Ask the platform and a few peers at once what is in force.
@@ -261,19 +261,16 @@
     def _exchange_alone(self, member):
         self._busy.add(member.name)
         try:
-            self.exchange(member.name, member.control)
+            self._exchange_with(member)
         finally:
             self._busy.discard(member.name)
 
-    def _push_to(self, member):
+    def _exchange_with(self, member):
         """Exchange with a peer, or with another one in place of each that is silent."""
-        for _ in range(PUSH_TRIES_MAX):
-            if self.exchange(member.name, member.control):
+        for _ in range(PEER_TRIES_MAX):
+            if member is None or self.exchange(member.name, member.control):
                 return
-            instead = self.membership.choose(1, 0)
-            if not instead:
-                return
-            member = instead[0]
+            member = self.membership.choose_instead(member)
 
     def _settle_difference(self, address, digest):
         if digest.document not in self.documents:
--- a/briarbeam/membership/view.py
+++ b/briarbeam/membership/view.py
@@ -142,6 +142,17 @@
         missing = min(wanted - len(chosen), len(spare))
         return chosen + random.sample(spare, missing)
 
+    def choose_instead(self, member):
+        """Return a peer to talk to in place of `member`, which is silent, or None.
+
+        One of its failure domain if possible: what is told there must not wait for it.
+        """
+        own, others = self._present_neighbours()
+        present = [peer for peer in own + others if peer.name != member.name]
+        domain = member.failure_domain
+        same = [peer for peer in present if peer.failure_domain == domain]
+        return random.choice(same or present) if present else None
+
     def active_watchers(self, count):
         """Return the first `count` watchers of the own domain but this daemon."""
         names = self.watchers[:count]
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -5,6 +5,7 @@
 
 import json
 import random
+from itertools import combinations, product
 
 import pytest
 from hypothesis import Phase, settings, strategies
@@ -14,6 +15,7 @@
 from briarbeam.configuration.spread import FIRST_PATIENCE_S
 from briarbeam.configuration.watcher import WATCHERS_PER_DOMAIN
 from briarbeam.kernel.clock import ManualClock
+from briarbeam.membership.view import EPOCH_S
 
 from .spread_fakes import World
 
@@ -337,3 +339,45 @@
     world.cuts.clear()
     assert world.in_force_s(newest) <= IN_FORCE_S
     assert len({node.body for node in world.nodes.values()}) == 1
+
+
+def _first_elsewhere(world):
+    """Return by name which daemon of the other failure domain each talks to."""
+    return {
+        name: node.plugin.membership.choose(0, 1)[0].name
+        for name, node in world.nodes.items()
+    }
+
+
+def _halves(names):
+    return [set(chosen) for chosen in combinations(sorted(names), len(names) // 2)]
+
+
+def _world_whose_ways_end_at_frozen_daemons():
+    """Return a `World` of two failure domains, half of each frozen.
+
+    Of the other domain each daemon that is awake has a frozen one as its neighbour.
+    """
+    world = World(domains=2, per_domain=4)
+    domains = [[n for n in world.nodes if n.startswith(d)] for d in ("d0-", "d1-")]
+    while True:
+        first = _first_elsewhere(world)
+        for halves in product(*map(_halves, domains)):
+            frozen = set.union(*halves)
+            if all(first[name] in frozen for name in set(world.nodes) - frozen):
+                for name in frozen:
+                    world.nodes[name].frozen = True
+                return world
+        world.clock.advance(EPOCH_S)
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_frozen_neighbour_elsewhere_keeps_no_failure_domain_from_a_change(seed):
+    """Its pause was over by the next round that went there, so it was asked for ever."""
+    random.seed(seed)
+    world = _world_whose_ways_end_at_frozen_daemons()
+    awake = [node for node in world.nodes.values() if not node.frozen]
+    revision = world.change(awake[0])
+    world.platform.down = True
+    world.settle()
+    assert world.in_force_s(revision, awake) <= IN_FORCE_S
