Log how each attempt of a request ended and why no other one followed

Lines of failures are limited to 25 a second, so a cut answer often had none, and an unexpected error was logged as a success.

The line of a request now has its attempts, the cause of the last refusal of a further send, and whether this entry broke the answer off. Cut answers have lines of their own and a counter; connections that an unexpected error ends have a line and a counter. No decision changes.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -97,6 +97,9 @@
             if writer.begun:
                 raise
             self._refuse(writer, error)
+        except Exception as error:
+            outcome = error
+            raise
         finally:
             self._request_log.log_request(request, meta, job, writer, outcome)
 
@@ -128,49 +131,64 @@
             job.next_target = None
             if target is None:
                 raise self._no_target_error(job)
+            started_s = time.monotonic()
+            outcome = "unexpected"
             try:
                 self._attempt(job, target, writer, stream)
+                outcome = "ok"
                 return
             except TargetIneligibleError as error:
+                outcome = error.code
                 if isinstance(error, ConnectFailedError):
                     target.record_failure(time.monotonic())
                 job.unsent_attempts += 1
                 if job.unsent_attempts >= UNSENT_ATTEMPTS_MAX:
                     raise self._no_target_error(job) from None
             except _RefusedError:
+                outcome = "refused"
                 job.tried.append(target.id)
             except UpstreamError as error:
+                outcome = error.code
                 target.record_failure(time.monotonic())
                 job.may_have_run = True
                 job.tried.append(target.id)
                 self._check_repeatable(job, stream, error)
-            except NotRunError as error:
-                if not job.may_have_run:
+            except BriarbeamError as error:
+                outcome = error.code
+                if not (job.may_have_run and isinstance(error, NotRunError)):
                     raise
                 # The error is about the retry, which was not sent. The request may have
                 # run at an earlier target.
                 raise UpstreamError(
                     f"no retry after attempts at {job.tried}: {error}"
                 ) from error
+            finally:
+                elapsed_s = time.monotonic() - started_s
+                job.attempts.append((target.id, outcome, round(elapsed_s, 3)))
             if time.monotonic() >= job.deadline_s - ANSWER_MARGIN_S:
                 raise self._timeout_error(job)
 
     def _pick(self, job, tried):
         """Return the next target, or None if there is none or no retry is allowed."""
         if len(tried) >= max(1, job.route.max_attempts):
+            job.not_sent_cause = "max_attempts"
             return None
         try:
             self._admission.revalidate(job)
-        except NotRunError:
+        except NotRunError as error:
+            job.not_sent_cause = error.code
             if not tried:
                 raise
             # The error is about the retry only; the request may have run before.
             return None
         target = self._selector.pick(job.requirements, tried)
-        if target is None or not tried:
-            return target
+        if target is None:
+            job.not_sent_cause = "no_target"
+            return None
         service, now_s = job.requirements.service.name, time.monotonic()
-        if not self._budget.try_retry(service, self._position().count, now_s):
+        count = self._position().count
+        if tried and not self._budget.try_retry(service, count, now_s):
+            job.not_sent_cause = "budget"
             return None
         return target
 
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -26,6 +26,9 @@
         sent.
     :param sends: the number of times that it was sent.
     :param may_have_run: whether it may have run at a target that failed.
+    :param attempts: for each attempt that has ended, the id of its target, how it ended
+        and how long it took in seconds.
+    :param not_sent_cause: why it was last not sent again, or None.
     :param next_target: the target that replaces a silent one, or None.
     :param target_id: the target that it was last sent to, or None.
     :param target_domain: the failure domain of that target, or None.
@@ -50,6 +53,8 @@
     unsent_attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
+    attempts: list = field(default_factory=list)
+    not_sent_cause: str | None = None
     next_target: object = None
     target_id: str | None = None
     target_domain: str | None = None
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -7,7 +7,7 @@
 import structlog
 from gevent import socket
 from gevent.server import StreamServer
-from prometheus_client import Gauge
+from prometheus_client import Counter, Gauge
 
 from ..catalog import CallerLimits
 from ..kernel.errors import BriarbeamError
@@ -27,6 +27,10 @@
 LISTEN_BACKLOG = 1024
 
 _CONNECTIONS = Gauge("briarbeam_caller_connections", "Open connections of callers")
+_FAILED_CONNECTIONS = Counter(
+    "briarbeam_caller_connections_failed",
+    "Connections of callers that an unexpected error ended",
+)
 _log = structlog.get_logger()
 
 
@@ -79,12 +83,18 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._serve_requests(sock)
-        except (CallerDisconnectedError, OSError):
+        except CallerDisconnectedError:
             pass
+        except OSError as error:
+            _FAILED_CONNECTIONS.inc()
+            _log.warning("connection_failed", error=repr(error))
         except BriarbeamError:
             # The answer was partly sent and can't be completed. The caller learns of it
             # by a reset of the connection.
             reset_on_close(sock)
+        except Exception:
+            _FAILED_CONNECTIONS.inc()
+            _log.exception("connection_failed")
         finally:
             self._open_sockets.discard(sock)
             _CONNECTIONS.set(len(self._open_sockets))
--- a/briarbeam/telemetry/request_log.py
+++ b/briarbeam/telemetry/request_log.py
@@ -16,16 +16,24 @@
 from gevent import get_hub
 from prometheus_client import Counter, Histogram
 
+from ..kernel.errors import Ran
+from ..relay.errors import CallerDisconnectedError
+
 BUFFER_MAX_LINES = 2000
 # Limits on lines per second. Failures, which include refusals, get five times as many
 # as successes.
 SUCCESSES_PER_S = 5
 FAILURES_PER_S = 25
 MALFORMED_PER_S = 5
+# Answers that were cut are rare and each is a fault, or a failure of targets.
+CUT_PER_S = 25
 _WRITE_MAX_BYTES = 32768
 
 _DROPPED = Counter("briarbeam_log_lines_dropped", "Log lines left out", ["reason"])
 _ANSWERS = Counter("briarbeam_answers", "Answers to callers", ["route_kind", "outcome"])
+_CUT = Counter(
+    "briarbeam_cut_answers", "Answers that this entry began and broke off", ["outcome"]
+)
 _LATENCY = Histogram(
     "briarbeam_answer_seconds",
     "Seconds from a request's last byte to the end of its answer",
@@ -174,14 +182,22 @@
         :param meta: the `RequestMeta` of the request.
         :param job: the `Job`, or None if it was not admitted.
         :param writer: the `AnswerWriter` that it was answered with.
-        :param error: the `BriarbeamError` that it failed with, or None.
+        :param error: the error that it failed with, or None.
         """
         route_kind = job.route.kind.value if job is not None else "none"
-        outcome = "ok" if error is None else error.code
+        outcome = "ok" if error is None else getattr(error, "code", "unexpected")
+        cut = (
+            error is not None
+            and writer.begun
+            and not writer.complete
+            and not isinstance(error, CallerDisconnectedError)
+        )
+        if cut:
+            _CUT.labels(outcome).inc()
         _ANSWERS.labels(route_kind, outcome).inc()
         elapsed_s = time.monotonic() - request.read_at_s
         _LATENCY.labels(route_kind).observe(elapsed_s)
-        if not self._allow_line(error is None):
+        if not self._allow_line("cut" if cut else error is None):
             self._omitted_count += 1
             _DROPPED.labels("rate").inc()
             return
@@ -200,6 +216,8 @@
                 sends=job.sends,
                 connects=job.unsent_attempts,
                 may_have_run=job.may_have_run,
+                attempts=job.attempts,
+                not_sent_cause=job.not_sent_cause,
                 required_version=job.requirements.required_version,
                 time_limit_s=round(job.deadline_s - job.started_s, 3),
             )
@@ -213,10 +231,11 @@
             "request",
             request_id=meta.request_id.decode("latin-1"),
             outcome=outcome,
-            cause=None if error is None else str(error),
-            ran="yes" if error is None else str(error.ran),
+            cause=None if error is None else str(error) or repr(error),
+            ran="yes" if error is None else str(getattr(error, "ran", Ran.UNKNOWN)),
             status=getattr(error, "status", None),
             answer_begun=writer.begun,
+            cut=cut,
             elapsed_s=round(elapsed_s, 3),
             config_age_s=_round(age_s),
             **fields,
@@ -225,7 +244,8 @@
     def _allow_line(self, kind):
         """Return whether the rate limit allows another line of this kind.
 
-        :param kind: True for a success, False for a failure, or ``"malformed"``.
+        :param kind: True for a success, False for a failure, ``"cut"`` or
+            ``"malformed"``.
         """
         second = int(time.monotonic())
         if second != self._current_second:
@@ -233,6 +253,7 @@
             self._lines_left = {
                 True: SUCCESSES_PER_S,
                 False: FAILURES_PER_S,
+                "cut": CUT_PER_S,
                 "malformed": MALFORMED_PER_S,
             }
         left = self._lines_left.get(kind, 0)
