Show that answers of sound targets are cut for a pause

Ways in which no second target takes over: there is none, it refuses, breaks off, can't be reached or stays silent, the desired state has changed or is known to be superseded, the events have no ids; and a failure that a target answered and that is thrown away before another target is found.

--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -7,14 +7,24 @@
 from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
+    END,
+    NOT_RUN,
     RESUMABLE_STREAM,
     Entry,
     FakeInstance,
+    desired_state,
     event,
+    never_answer,
+    ok,
+    reply,
     reset,
     stream_head,
 )
 
+# Longer than any silence after which a request is sent to a second target, and shorter
+# than the silence after which callers leave.
+PAUSE_S = 1.6
+
 
 @pytest.fixture
 def lines(monkeypatch):
@@ -68,3 +78,119 @@
     assert lines[0]["cause"] == "no such thing"
     after = REGISTRY.get_sample_value("briarbeam_caller_connections_failed_total")
     assert after == before + 1
+
+
+def pause_in_stream(instance, sock, request):
+    """Send one event, nothing for a while, and then the rest of the stream."""
+    sock.sendall(stream_head() + event(1))
+    gevent.sleep(PAUSE_S)
+    sock.sendall(event(2) + END)
+
+
+def pause_before_stream(instance, sock, request):
+    gevent.sleep(PAUSE_S)
+    sock.sendall(stream_head() + event(1) + event(2) + END)
+
+
+def assert_whole(answer):
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert [answer.count(b"id: %d\n" % n) for n in (1, 2)] == [1, 1]
+    assert answer.count(b"HTTP/1.1") == 1
+    assert answer.endswith(END)
+
+
+def test_stream_of_the_only_target_is_not_cut_for_a_pause():
+    entry = Entry({"i1": FakeInstance(pause_in_stream)}, **RESUMABLE_STREAM)
+    assert_whole(entry.ask(method=b"POST"))
+
+
+@pytest.mark.parametrize("script", [pause_in_stream, pause_before_stream])
+def test_silent_target_is_kept_if_the_second_one_refuses(script):
+    second = FakeInstance(reply(NOT_RUN))
+    entry = Entry({"i1": FakeInstance(script), "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    assert_whole(entry.ask(method=b"POST"))
+    assert len(second.requests) == 1
+
+
+def test_silent_target_is_kept_if_the_second_one_breaks_off():
+    second = FakeInstance(lambda instance, sock, request: reset(sock))
+    first = FakeInstance(pause_in_stream)
+    entry = Entry({"i1": first, "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    assert_whole(entry.ask(method=b"POST"))
+    assert len(second.requests) == 1
+
+
+def test_silent_target_is_kept_if_the_second_one_can_not_be_reached():
+    second = FakeInstance(reply(ok()))
+    first = FakeInstance(pause_in_stream)
+    entry = Entry({"i1": first, "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    second.close()
+    assert_whole(entry.ask(method=b"POST"))
+
+
+def test_silent_target_that_goes_on_first_is_preferred_to_the_second_one():
+    second = FakeInstance(never_answer)
+    first = FakeInstance(pause_in_stream)
+    entry = Entry({"i1": first, "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    assert_whole(entry.ask(method=b"POST"))
+    gevent.sleep(0.1)
+    assert len(second.requests) == len(second.closed_at_s) == 1
+
+
+def test_whole_answer_of_a_silent_target_is_kept_if_the_second_one_refuses():
+    def answer_late(instance, sock, request):
+        gevent.sleep(PAUSE_S)
+        sock.sendall(ok(b"late"))
+
+    second = FakeInstance(reply(NOT_RUN))
+    entry = Entry({"i1": FakeInstance(answer_late), "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    assert entry.ask().endswith(b"\r\n\r\nlate")
+    assert len(second.requests) == 1
+
+
+@pytest.mark.parametrize("superseded_s", [None, 9.0])
+def test_stream_is_not_cut_for_a_pause_beside_a_change_of_the_desired_state(
+    superseded_s,
+):
+    second = FakeInstance(reply(stream_head() + event(2) + END))
+    first = FakeInstance(pause_in_stream)
+    entry = Entry({"i1": first, "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+
+    def change():
+        # Either the route is gone, or a newer state is known of and can't be read.
+        entry.spread.superseded_s = superseded_s
+        if superseded_s is None:
+            entry.in_force.state = desired_state(
+                entry.service, version=2, path_prefix="/b/", **RESUMABLE_STREAM
+            )
+
+    gevent.spawn_later(0.3, change)
+    assert_whole(entry.ask(method=b"POST"))
+    assert not second.requests
+
+
+def test_stream_without_ids_is_not_cut_for_a_pause():
+    def pause(instance, sock, request):
+        data = b"6\r\ndata\n\n\r\n"
+        sock.sendall(stream_head() + data)
+        gevent.sleep(PAUSE_S)
+        sock.sendall(data + END)
+
+    second = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({"i1": FakeInstance(pause), "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    answer = entry.ask(method=b"POST")
+    assert answer.count(b"data\n\n") == 2 and answer.endswith(END)
+    assert not second.requests
+
+
+def test_failure_that_a_target_answered_is_passed_on_if_there_is_no_other_target():
+    data = b"HTTP/1.1 500 Oops\r\nx-response-seal: s5\r\ncontent-length: 0\r\n\r\n"
+    answer = Entry({"i1": FakeInstance(reply(data))}).ask()
+    assert answer.split()[1] == b"500" and b"s5" in answer
