Keep a silent target until another one has begun to answer

Cause: an entry closed the connection to a target that was silent for 1.1 s (1.0 s within a stream), which cancels the request there, and only then sent it to another one. If that one refused, broke off or could not be reached, or the newest state, the budget or the number of attempts allowed no second send, nothing was left to answer with. The class: something that works is given up before its replacement is secured.

Now the request goes to the second target as well, and the first of both that makes progress answers; only then the other is cancelled. A failure that a target answered is passed on unless another target is at hand. Attempts are objects of their own (relay/attempt.py), and a call hands out what it has received instead of blocking in turn for head, part and body. One decision stays as it was: a request of which nothing has come yet, at a target without load reports and without another target, ends with 502 after 1.1 s.

--- /dev/null
+++ b/briarbeam/relay/attempt.py
@@ -0,0 +1,136 @@
+"""The sends of one request that are not answered yet."""
+
+import time
+
+from gevent import select
+
+from .errors import AnswerTooLargeError
+from .events import EventSplitter
+from .upstream_call import UpstreamSilentError
+
+# Limit on an answer that is no event stream, which is buffered until it is complete.
+BODY_MAX_BYTES = 8 * 1024 * 1024
+
+
+class Attempt:
+    """One send of a request to a target, and the progress of the target's answer.
+
+    :param target: the `Target`.
+    :param call: the `UpstreamCall`, which has sent the request.
+    :param switch_at_s: monotonic time at which the request may be sent to another
+        target as well if this one has made no progress.
+    :param begin_by_s: monotonic time by which the target must have made progress.
+
+    `head` is the accepted `ReplyHead`, or None before it has arrived.
+    """
+
+    def __init__(self, target, call, switch_at_s, begin_by_s):
+        self.target = target
+        self.call = call
+        self.switch_at_s = switch_at_s
+        self.begin_by_s = begin_by_s
+        self.started_s = time.monotonic()
+        self.head = None
+        self.splitter = EventSplitter()
+        self._body = bytearray()
+
+    def read_body(self):
+        """Return the body if it is complete, or None.
+
+        :raises AnswerTooLargeError: if it has more than `BODY_MAX_BYTES`.
+        """
+        self._body += self.call.take_part()
+        if len(self._body) > BODY_MAX_BYTES:
+            raise AnswerTooLargeError(
+                f"{self.target.id}: body is larger than {BODY_MAX_BYTES} bytes"
+            )
+        return bytes(self._body) if self.call.is_complete else None
+
+    def close(self):
+        """Close the connection, which cancels the request at the target."""
+        self.call.close()
+        self.target.end_request()
+
+
+class OpenAttempts:
+    """The attempts of one request that may still answer it, in the order of sending.
+
+    A context manager that closes all of them at its end.
+
+    :param job: the `Job`; attempts that end are recorded in it.
+    """
+
+    def __init__(self, job):
+        self._job = job
+        self._attempts = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        while self._attempts:
+            self._attempts.pop().close()
+
+    def __len__(self):
+        return len(self._attempts)
+
+    def __iter__(self):
+        return iter(list(self._attempts))
+
+    @property
+    def latest(self):
+        """The attempt that was sent last."""
+        return self._attempts[-1]
+
+    def target_ids(self):
+        """Return the ids of the targets."""
+        return [attempt.target.id for attempt in self._attempts]
+
+    def append(self, attempt):
+        """Add an `Attempt` that has just been sent."""
+        self._attempts.append(attempt)
+
+    def drop(self, attempt, outcome, may_have_run=True):
+        """Close an attempt that won't answer the request.
+
+        :param outcome: how it ended, for the log.
+        :param may_have_run: whether the request may have run at the target.
+        """
+        self._attempts.remove(attempt)
+        attempt.close()
+        self._job.tried.append(attempt.target.id)
+        self._job.may_have_run |= may_have_run
+        self._job.record_attempt(attempt.target, outcome, attempt.started_s)
+
+    def complete(self, attempt):
+        """Record that `attempt` has answered the request completely."""
+        attempt.target.record_success()
+        self._job.record_attempt(attempt.target, "ok", attempt.started_s)
+
+    def keep_only(self, attempt):
+        """Drop all attempts but the one that answers the request.
+
+        Those that were sent before it were silent for too long, which counts as a
+        failure of their targets.
+        """
+        position = self._attempts.index(attempt)
+        for earlier in self._attempts[:position]:
+            earlier.target.record_failure(time.monotonic())
+            self.drop(earlier, UpstreamSilentError.code)
+        for later in self._attempts[1:]:
+            self.drop(later, "not_needed")
+
+    def wait(self, until_s):
+        """Wait until an attempt can receive something, if there are several.
+
+        A single attempt waits while it receives.
+
+        :param until_s: monotonic time.
+        :returns: the attempts to receive from; none if nothing arrives by then.
+        """
+        if len(self._attempts) == 1:
+            return list(self._attempts)
+        calls = [attempt.call for attempt in self._attempts]
+        timeout_s = max(0.0, until_s - time.monotonic())
+        readable, _, _ = select.select(calls, [], [], timeout_s)
+        return [attempt for attempt in self._attempts if attempt.call in readable]
--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -1,59 +1,45 @@
 """Combines the event streams of several targets into one stream to a caller."""
 
 from ..platform import headers as wire
-from .events import EventSplitter
 
 
 class CallerStream:
     """The event stream to a caller, from one target or from several in sequence.
 
     :param writer: the `AnswerWriter`.
+
+    `begun` is whether the caller has received a part of it, and `last_id` the last id
+    of an event that was sent to the caller, or None.
     """
 
     def __init__(self, writer):
         self._writer = writer
-        self._splitter = EventSplitter()
-        self._head = None
         self.begun = False
-
-    @property
-    def last_id(self):
-        return self._splitter.last_id
+        self.last_id = None
 
     @property
     def can_resume(self):
         """Whether an event that was sent to the caller had an id to resume after."""
         return self.last_id is not None
 
-    def accept(self, head):
-        """Start to receive the answer of a target, given its `ReplyHead`.
+    def forward(self, head, events, last_id):
+        """Forward complete events.
 
-        The caller gets the head of the answer that contains the first complete event.
+        :param head: the `ReplyHead` of the target that sent them. The caller gets that
+            of the first target.
+        :param last_id: the last id in them, or None.
         """
-        if self._head is None or not self.begun:
-            self._head = head
-        self._splitter.drop_partial()
-
-    def feed(self, part):
-        """Forward the events that `part` completes; return whether there were any."""
-        events = self._splitter.feed(part)
-        if not events:
-            return False
+        if last_id is not None:
+            self.last_id = last_id
         if self.begun:
             self._writer.write_part(events)
-            return True
+            return
         self.begun = True
-        headers = wire.returned_headers(self._head.headers)
-        self._writer.begin_stream(self._head.status, headers, events)
-        return True
-
-    def finish(self):
-        """Forward the remaining bytes and end the stream as complete."""
-        remainder = self._splitter.remainder
-        if not self.begun:
-            self.begun = True
-            headers = wire.returned_headers(self._head.headers)
-            self._writer.begin_stream(self._head.status, headers, remainder)
-        elif remainder:
-            self._writer.write_part(remainder)
+        headers = wire.returned_headers(head.headers)
+        self._writer.begin_stream(head.status, headers, events)
+
+    def finish(self, head, remainder):
+        """Forward the bytes after the last event and end the stream as complete."""
+        if remainder or not self.begun:
+            self.forward(head, remainder, None)
         self._writer.end_stream()
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -7,6 +7,7 @@
 from ..kernel.errors import BriarbeamError, NotRunError
 from ..platform import headers as wire
 from .admission import RETRY_AFTER_S
+from .attempt import Attempt, OpenAttempts
 from .caller_stream import CallerStream
 from .callers import DisconnectWatch
 from .errors import (
@@ -126,50 +127,157 @@
 
     def _run(self, job, writer):
         stream = CallerStream(writer) if job.streams else None
-        while True:
-            target = job.next_target or self._pick(job, job.tried)
-            job.next_target = None
-            if target is None:
-                raise self._no_target_error(job)
-            started_s = time.monotonic()
-            outcome = "unexpected"
+        with OpenAttempts(job) as attempts:
+            while True:
+                if not attempts:
+                    target = job.next_target or self._pick(job, job.tried)
+                    job.next_target = None
+                    if target is None:
+                        raise self._no_target_error(job)
+                    self._start(job, target, attempts, stream)
+                elif self._advance(job, attempts, writer, stream):
+                    return
+                left_s = job.deadline_s - time.monotonic()
+                if not attempts and left_s <= ANSWER_MARGIN_S:
+                    raise self._timeout_error(job)
+
+    def _start(self, job, target, attempts, stream):
+        """Send `job` to `target`, in addition to the `OpenAttempts`."""
+        started_s = time.monotonic()
+        outcome = "sent"
+        try:
+            attempts.append(self._send(job, target, stream))
+        except NotRunError as error:
+            outcome = error.code
+            self._handle_unsent(job, target, error, attempts)
+        except UpstreamError as error:
+            outcome = error.code
+            job.tried.append(target.id)
+            job.may_have_run = True
+            self._handle_failure(job, target, error, attempts, stream)
+        finally:
+            if outcome != "sent":
+                job.record_attempt(target, outcome, started_s)
+
+    def _handle_unsent(self, job, target, error, attempts):
+        """Handle an error before `job` was sent to `target`.
+
+        :raises BriarbeamError: if no attempt is open and none may follow.
+        """
+        job.not_sent_cause = error.code
+        if isinstance(error, ConnectFailedError):
+            target.record_failure(time.monotonic())
+            job.unreachable.append(target.id)
+        if attempts:
+            return
+        if isinstance(error, TargetIneligibleError):
+            job.unsent_attempts += 1
+            if job.unsent_attempts >= UNSENT_ATTEMPTS_MAX:
+                raise self._no_target_error(job) from None
+            return
+        if not job.may_have_run:
+            raise error
+        # The error is about the retry, which was not sent. The request may have run at
+        # an earlier target.
+        raise UpstreamError(
+            f"no retry after attempts at {job.tried}: {error}"
+        ) from error
+
+    def _handle_failure(self, job, target, error, attempts, stream):
+        """Handle the `UpstreamError` of an attempt that has ended.
+
+        :raises UpstreamError: if no attempt is open and none may follow.
+        """
+        target.record_failure(time.monotonic())
+        if not attempts:
+            self._check_repeatable(job, stream, error)
+
+    def _advance(self, job, attempts, writer, stream):
+        """Wait for the next part of an answer; return whether the answer is complete.
+
+        :raises BriarbeamError: if no attempt can answer the request any more.
+        """
+        until_s = min(
+            job.deadline_s,
+            attempts.latest.switch_at_s,
+            *(attempt.begin_by_s for attempt in attempts),
+        )
+        ready = attempts.wait(until_s)
+        silent = not ready
+        for attempt in ready:
+            if attempt not in attempts:
+                continue
             try:
-                self._attempt(job, target, writer, stream)
-                outcome = "ok"
-                return
-            except TargetIneligibleError as error:
-                outcome = error.code
-                if isinstance(error, ConnectFailedError):
-                    target.record_failure(time.monotonic())
-                job.unsent_attempts += 1
-                if job.unsent_attempts >= UNSENT_ATTEMPTS_MAX:
-                    raise self._no_target_error(job) from None
+                attempt.call.receive(until_s)
+                if self._process(job, attempt, attempts, writer, stream):
+                    return True
+            except UpstreamSilentError:
+                silent = True
             except _RefusedError:
-                outcome = "refused"
-                job.tried.append(target.id)
+                attempts.drop(attempt, "refused", may_have_run=False)
             except UpstreamError as error:
-                outcome = error.code
-                target.record_failure(time.monotonic())
-                job.may_have_run = True
-                job.tried.append(target.id)
-                self._check_repeatable(job, stream, error)
-            except BriarbeamError as error:
-                outcome = error.code
-                if not (job.may_have_run and isinstance(error, NotRunError)):
-                    raise
-                # The error is about the retry, which was not sent. The request may have
-                # run at an earlier target.
-                raise UpstreamError(
-                    f"no retry after attempts at {job.tried}: {error}"
-                ) from error
-            finally:
-                elapsed_s = time.monotonic() - started_s
-                job.attempts.append((target.id, outcome, round(elapsed_s, 3)))
-            if time.monotonic() >= job.deadline_s - ANSWER_MARGIN_S:
-                raise self._timeout_error(job)
+                attempts.drop(attempt, error.code)
+                self._handle_failure(job, attempt.target, error, attempts, stream)
+        if silent:
+            self._handle_silence(job, attempts, stream)
+        return False
+
+    def _handle_silence(self, job, attempts, stream):
+        """Handle that nothing arrived until the earliest time limit.
+
+        A silent target is not given up before another one has begun to answer: it may
+        go on, and the other one may refuse the request.
+        """
+        now_s = time.monotonic()
+        if now_s >= job.deadline_s:
+            raise DeadlineError(
+                f"{attempts.target_ids()} sent nothing more before the deadline"
+            )
+        for attempt in attempts:
+            if now_s >= attempt.begin_by_s:
+                self._give_up(job, attempt, attempts, stream)
+        if attempts and now_s >= attempts.latest.switch_at_s:
+            self._try_another(job, attempts, stream, now_s)
+
+    def _try_another(self, job, attempts, stream, now_s):
+        """Send `job` to another target as well, as the latest one is silent."""
+        latest = attempts.latest
+        if not self._may_switch(job, attempts, stream):
+            latest.switch_at_s = math.inf
+            return
+        latest.switch_at_s = now_s + SWITCH_RETRY_INTERVAL_S
+        sent_to = (*job.tried, *attempts.target_ids())
+        target = self._pick(job, sent_to, job.unreachable)
+        if target is not None:
+            self._start(job, target, attempts, stream)
+        elif (
+            len(attempts) == 1
+            and not (stream and stream.begun)
+            and not latest.target.has_fresh_report(now_s)
+        ):
+            # The delay is not known to come from a queue, and the caller may retry.
+            self._give_up(job, latest, attempts, stream)
+
+    def _give_up(self, job, attempt, attempts, stream):
+        """Drop an attempt that has been silent for too long."""
+        error = UpstreamSilentError(f"{attempt.target.id} sent nothing in time")
+        attempts.drop(attempt, error.code)
+        self._handle_failure(job, attempt.target, error, attempts, stream)
+
+    def _may_switch(self, job, attempts, stream):
+        """Return whether `job` may be sent to a target beside the open attempts."""
+        return (
+            job.route.repeatable
+            and len(job.tried) + len(attempts) < job.route.max_attempts
+            and not (stream is not None and stream.begun and not stream.can_resume)
+        )
+
+    def _pick(self, job, tried, excluded=()):
+        """Return the next target, or None if there is none or no retry is allowed.
 
-    def _pick(self, job, tried):
-        """Return the next target, or None if there is none or no retry is allowed."""
+        :param tried: ids of the targets that the request was sent to.
+        :param excluded: ids of further targets that are not chosen.
+        """
         if len(tried) >= max(1, job.route.max_attempts):
             job.not_sent_cause = "max_attempts"
             return None
@@ -181,7 +289,7 @@
                 raise
             # The error is about the retry only; the request may have run before.
             return None
-        target = self._selector.pick(job.requirements, tried)
+        target = self._selector.pick(job.requirements, (*tried, *excluded))
         if target is None:
             job.not_sent_cause = "no_target"
             return None
@@ -222,17 +330,20 @@
         if stream is not None and stream.begun and not stream.can_resume:
             raise error
 
-    def _attempt(self, job, target, writer, stream):
-        with UpstreamCall(
-            target.instance.address, job.request.method == b"HEAD"
-        ) as call:
+    def _send(self, job, target, stream):
+        """Return an `Attempt` at `target`.
+
+        :raises NotRunError: if nothing was sent.
+        :raises UpstreamError: if the connection breaks.
+        """
+        call = UpstreamCall(target.instance.address, job.request.method == b"HEAD")
+        try:
             call.connect()
             # All checks are repeated right before the send, because the process may
             # have been suspended.
             job.caller.check()
             self._recheck(job, target)
-            now_s = time.monotonic()
-            left_s = job.deadline_s - now_s
+            left_s = job.deadline_s - time.monotonic()
             if left_s <= ANSWER_MARGIN_S:
                 raise self._timeout_error(job)
             head = wire.encode_request(
@@ -240,13 +351,16 @@
                 target.id, left_s, job.team.name if job.team else None, job.priority,
                 stream.last_id if stream and stream.last_id else job.meta.last_event_id,
             )  # fmt: skip
-            target.begin_request()
             self._record_send(job, target)
-            try:
-                call.send(head, job.request.body)
-                self._receive(job, target, call, writer, stream)
-            finally:
+            target.begin_request()
+            call.send(head, job.request.body)
+        except BaseException:
+            if call.sent:
                 target.end_request()
+            call.close()
+            raise
+        begin_by_s = self._weights_deadline_s(job, target) if stream else math.inf
+        return Attempt(target, call, self._switch_time_s(target), begin_by_s)
 
     def _recheck(self, job, target):
         """Check that `job` may still be sent to `target`.
@@ -267,17 +381,30 @@
             job.superseded_left_s = self._admission.superseded_left_s(job, target)
             self._request_log.count_send(job.superseded_left_s)
 
-    def _receive(self, job, target, call, writer, stream):
-        # If an attempt is left, sending to another target is better than waiting for a
-        # silent one or forwarding an error.
-        may_switch = (
-            job.route.repeatable and len(job.tried) + 1 < job.route.max_attempts
-        )
-        switch_at_s = self._switch_time_s(target) if may_switch else math.inf
-        weights_deadline_s = (
-            self._weights_deadline_s(job, target) if stream else math.inf
-        )
-        head = self._read(job, target, call.read_head, switch_at_s, weights_deadline_s)
+    def _process(self, job, attempt, attempts, writer, stream):
+        """Forward what `attempt` received; return whether the answer is complete.
+
+        :raises UpstreamError: if the answer can't be used.
+        """
+        if attempt.head is None:
+            if attempt.call.head is None:
+                return False
+            self._accept(job, attempt, attempts, stream)
+        head = attempt.head
+        if stream is not None and head.status == 200 and head.is_event_stream():
+            return self._forward_events(attempt, attempts, stream)
+        if stream is not None and stream.begun:
+            raise UpstreamError("resumed stream was answered without an event stream")
+        return self._forward_whole(attempt, attempts, writer)
+
+    def _accept(self, job, attempt, attempts, stream):
+        """Check the head of an answer.
+
+        If another attempt is possible, a failure is not accepted.
+
+        :raises UpstreamError: if the answer can't be used.
+        """
+        target, head = attempt.target, attempt.call.head
         reply = wire.decode_reply(head.status, head.headers)
         self._update_target(target, reply)
         if reply.not_run:
@@ -286,13 +413,20 @@
             raise _RefusedError(reply.status)
         if reply.request_id not in (None, job.meta.request_id):
             raise UpstreamError(f"{target.id} returned the answer to another request")
-        if head.status in _FAILED_STATUSES and may_switch:
+        if head.status in _FAILED_STATUSES and self._has_alternative(
+            job, attempts, stream
+        ):
             raise UpstreamError(f"{target.id} answered with status {head.status}")
-        if stream is not None and head.status == 200 and head.is_event_stream():
-            self._forward_stream(job, target, call, head, stream, may_switch)
-        else:
-            self._forward_whole(job, target, call, head, writer, stream)
-        target.record_success()
+        attempt.head = head
+
+    def _has_alternative(self, job, attempts, stream):
+        """Return whether another attempt is open, or choose a target for the next."""
+        if len(attempts) > 1:
+            return True
+        if not self._may_switch(job, attempts, stream):
+            return False
+        job.next_target = self._pick(job, (*job.tried, *attempts.target_ids()))
+        return job.next_target is not None
 
     def _switch_time_s(self, target):
         """Return the monotonic time at which a silent target may be replaced."""
@@ -319,58 +453,31 @@
         if reply.weights_version is not None:
             target.seen_version = reply.weights_version
 
-    def _forward_whole(self, job, target, call, head, writer, stream):
-        body = self._read(job, target, call.read_body)
-        if stream is not None and stream.begun:
-            raise UpstreamError("resumed stream was answered without an event stream")
+    def _forward_whole(self, attempt, attempts, writer):
+        attempts.keep_only(attempt)
+        attempt.switch_at_s = attempt.begin_by_s = math.inf
+        body = attempt.read_body()
+        if body is None:
+            return False
+        head = attempt.head
         writer.write(head.status, wire.returned_headers(head.headers), body)
-
-    def _forward_stream(self, job, target, call, head, stream, may_switch):
-        stream.accept(head)
-        switch_at_s = self._switch_time_s(target) if may_switch else math.inf
-        weights_deadline_s = self._weights_deadline_s(job, target)
-        while True:
-            part = self._read(
-                job, target, call.read_part, switch_at_s, weights_deadline_s
-            )
-            if part is None:
-                break
-            # Only a complete event counts as progress: parts are not forwarded.
-            if stream.feed(part):
-                switch_at_s = (
-                    time.monotonic() + STREAM_SILENCE_S if may_switch else math.inf
-                )
-                weights_deadline_s = math.inf
-        stream.finish()
-
-    def _read(
-        self, job, target, read, switch_at_s=math.inf, weights_deadline_s=math.inf
-    ):
-        """Return the result of `read`, a function that waits until a given time.
-
-        A target that is silent at `switch_at_s` is abandoned if another one can take
-        the request. It is also abandoned if it has no fresh load report: then the delay
-        is not known to come from a queue, and the caller may retry. At
-        `weights_deadline_s` it is abandoned in any case.
-
-        :param switch_at_s: monotonic time.
-        :param weights_deadline_s: monotonic time.
-        :raises UpstreamSilentError: if the target is abandoned.
-        :raises DeadlineError: if the deadline of the job passes.
-        """
-        while True:
-            try:
-                return read(min(job.deadline_s, weights_deadline_s, switch_at_s))
-            except UpstreamSilentError as error:
-                now_s = time.monotonic()
-                if now_s >= job.deadline_s:
-                    raise DeadlineError(str(error)) from error
-                if now_s >= weights_deadline_s:
-                    raise
-                job.next_target = self._pick(job, (*job.tried, target.id))
-                if job.next_target is not None or not target.has_fresh_report(now_s):
-                    raise
-                switch_at_s = now_s + SWITCH_RETRY_INTERVAL_S
+        attempts.complete(attempt)
+        return True
+
+    def _forward_events(self, attempt, attempts, stream):
+        events = attempt.splitter.feed(attempt.call.take_part())
+        # Only a complete event counts as progress: parts are not forwarded.
+        if events:
+            attempts.keep_only(attempt)
+            stream.forward(attempt.head, events, attempt.splitter.last_id)
+            attempt.switch_at_s = time.monotonic() + STREAM_SILENCE_S
+            attempt.begin_by_s = math.inf
+        if not attempt.call.is_complete:
+            return False
+        attempts.keep_only(attempt)
+        stream.finish(attempt.head, attempt.splitter.remainder)
+        attempts.complete(attempt)
+        return True
 
 
 class _RefusedError(Exception):
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -1,5 +1,6 @@
 """The progress of one request through the entry."""
 
+import time
 from dataclasses import dataclass, field
 
 from ..catalog import RequestKind
@@ -22,6 +23,7 @@
         against.
     :param caller: the `DisconnectWatch` on its connection.
     :param tried: ids of the targets that refused to run it or failed.
+    :param unreachable: ids of the targets that no connection could be opened to.
     :param unsent_attempts: the number of attempts that ended before the request was
         sent.
     :param sends: the number of times that it was sent.
@@ -29,7 +31,8 @@
     :param attempts: for each attempt that has ended, the id of its target, how it ended
         and how long it took in seconds.
     :param not_sent_cause: why it was last not sent again, or None.
-    :param next_target: the target that replaces a silent one, or None.
+    :param next_target: the target for the next attempt if it is chosen already, or
+        None.
     :param target_id: the target that it was last sent to, or None.
     :param target_domain: the failure domain of that target, or None.
     :param state_age_s: the age of the desired state at the last send, in seconds.
@@ -50,6 +53,7 @@
     state_version: int
     caller: object = None
     tried: list = field(default_factory=list)
+    unreachable: list = field(default_factory=list)
     unsent_attempts: int = 0
     sends: int = 0
     may_have_run: bool = False
@@ -62,6 +66,14 @@
     target_version: int | None = None
     superseded_left_s: float | None = None
 
+    def record_attempt(self, target, outcome, started_s):
+        """Record an attempt that has ended, for the log.
+
+        :param started_s: monotonic time at which it began.
+        """
+        elapsed_s = round(time.monotonic() - started_s, 3)
+        self.attempts.append((target.id, outcome, elapsed_s))
+
     @property
     def streams(self):
         return self.route.kind is RequestKind.STREAMING
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -22,8 +22,6 @@
 # Limit on consecutive received bytes that contain no part of a body: heads, interim
 # answers, chunk sizes with their extensions, trailers.
 FRAMING_MAX_BYTES = 65536
-# Limit on an answer that is no event stream, which is buffered until it is complete.
-BODY_MAX_BYTES = 8 * 1024 * 1024
 
 
 class TargetIneligibleError(NotRunError):
@@ -65,8 +63,6 @@
 class UpstreamCall:
     """Sends a request and reads its answer incrementally.
 
-    A context manager: its exit closes the connection, which cancels a running request.
-
     :param address: the `Address` of the instance.
     :param head_only: whether the answer has no body, as with ``HEAD``.
     """
@@ -86,14 +82,26 @@
         self._ended = False
         self.sent = False
 
-    def __enter__(self):
-        return self
+    @property
+    def head(self):
+        """The `ReplyHead`, or None before it is complete."""
+        return self._head
+
+    @property
+    def is_complete(self):
+        """Whether the answer was received completely."""
+        return self._ended or (self._head_only and self._head is not None)
+
+    def fileno(self):
+        """Return the descriptor of the connection, to wait until it is readable."""
+        return self._sock.fileno()
 
-    def __exit__(self, *exc_info):
+    def close(self):
+        """Close the connection, which cancels a running request."""
         if self._send_task is not None:
             self._send_task.kill(block=False)
         if self._sock is not None:
-            if self._send_task is not None and not self._is_complete:
+            if self._send_task is not None and not self.is_complete:
                 # An orderly close would be queued behind the rest of the request's
                 # body, which the instance may not be reading.
                 reset_on_close(self._sock)
@@ -116,11 +124,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
 
-    @property
-    def _is_complete(self):
-        """Whether the answer was read completely."""
-        return self._ended or (self._head_only and self._head is not None)
-
     def send(self, head, body):
         """Send the request, which may run from now on.
 
@@ -139,54 +142,21 @@
                 f"sending to {self._address} failed: {error!r}"
             ) from error
 
-    def read_head(self, deadline_s):
-        """Return the `ReplyHead`.
-
-        :param deadline_s: monotonic time until which to wait.
-        :raises UpstreamSilentError: if it is not complete by then.
-        :raises AnswerTooLargeError: if more than `FRAMING_MAX_BYTES` arrive before its
-            end.
-        :raises UpstreamError: if the connection breaks or the answer is malformed.
-        """
-        while self._head is None:
-            self._receive(deadline_s)
-            if self._head is None and self._ended:
-                raise UpstreamError(f"{self._address} sent no final answer")
-        return self._head
-
-    def read_part(self, deadline_s):
-        """Return the next bytes of the body, or None if the body is complete.
-
-        :param deadline_s: monotonic time until which to wait.
-        :raises UpstreamSilentError: if there are none by then.
-        :raises AnswerTooLargeError: if too much framing arrives without any part of it.
-        :raises UpstreamError: if the connection breaks or the answer is malformed.
-        """
-        while not self._parts:
-            if self._is_complete:
-                return None
-            self._receive(deadline_s)
+    def take_part(self):
+        """Return the bytes of the body that were received since the last call."""
         parts, self._parts = self._parts, []
         return b"".join(parts)
 
-    def read_body(self, deadline_s):
-        """Return the complete rest of the body. Errors are as in `read_part`.
+    def receive(self, until_s):
+        """Receive the next bytes of the answer.
 
-        :param deadline_s: monotonic time until which to wait.
-        :raises AnswerTooLargeError: also if it has more than `BODY_MAX_BYTES`.
+        :param until_s: monotonic time until which to wait.
+        :raises UpstreamSilentError: if there are none by then.
+        :raises AnswerTooLargeError: if more than `FRAMING_MAX_BYTES` arrive without any
+            part of a body.
+        :raises UpstreamError: if the connection breaks or the answer is malformed.
         """
-        parts, size_bytes = [], 0
-        while (part := self.read_part(deadline_s)) is not None:
-            parts.append(part)
-            size_bytes += len(part)
-            if size_bytes > BODY_MAX_BYTES:
-                raise AnswerTooLargeError(
-                    f"{self._address}: body is larger than {BODY_MAX_BYTES} bytes"
-                )
-        return b"".join(parts)
-
-    def _receive(self, deadline_s):
-        left_s = deadline_s - time.monotonic()
+        left_s = until_s - time.monotonic()
         if left_s <= 0:
             raise UpstreamSilentError(
                 f"{self._address} sent nothing more before the deadline"
