Answer a request after an unexpected error in the entry

Cause: CallerServer ended a connection in silence on any OSError, also one that has nothing to do with the caller, and on any other unexpected error. With no free descriptor for the connection to a target, socket() raised outside of the conversion to ConnectFailedError.

Four tests in tests/test_relay_cut.py failed before: no byte of an answer in three, an orderly end of a begun stream instead of a reset in one. Now the caller gets 503 with "ran": "no" before a send and 502 after one, a begun answer is reset, and request_broke logs the traceback. The test that an unexpected error isn't logged as a success became the first and the third of these, which also check the answer.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+import structlog
+
 from ..kernel.errors import BriarbeamError, NotRunError
 from ..platform import headers as wire
 from .admission import RETRY_AFTER_S
@@ -13,7 +15,9 @@
 from .errors import (
     CallerDisconnectedError,
     DeadlineError,
+    InternalError,
     NoCapacityError,
+    NotRunInternalError,
     NotStartedError,
     UpstreamError,
 )
@@ -55,6 +59,8 @@
 # Statuses after which a repeatable request is sent to another instance.
 _FAILED_STATUSES = frozenset({500, 502, 503, 504, 429})
 
+_log = structlog.get_logger()
+
 
 class Dispatcher:
     """Admits requests, sends them to targets, retries where allowed, and answers them.
@@ -79,7 +85,8 @@
         :param reader: the `RequestReader` of the connection.
         :raises CallerDisconnectedError: if the caller disconnects before its answer is
             complete.
-        :raises BriarbeamError: if an answer that was partly sent can't be completed.
+        :raises BriarbeamError: if an answer that was partly sent can't be completed,
+            also after an unexpected error.
         """
         job = None
         meta = wire.decode_request(request.headers)
@@ -99,8 +106,13 @@
                 raise
             self._refuse(writer, error)
         except Exception as error:
-            outcome = error
-            raise
+            _log.exception(
+                "request_broke", request_id=meta.request_id.decode("latin-1")
+            )
+            outcome = _internal_error(job, error)
+            if writer.begun:
+                raise outcome from error
+            self._refuse(writer, outcome)
         finally:
             self._request_log.log_request(request, meta, job, writer, outcome)
 
@@ -480,5 +492,12 @@
         return True
 
 
+def _internal_error(job, error):
+    """Return the typed error for an unexpected one."""
+    if job is None or not job.sends:
+        return NotRunInternalError(repr(error))
+    return InternalError(repr(error))
+
+
 class _RefusedError(Exception):
     """Raised when a target states that it did not run the request."""
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -94,6 +94,19 @@
     code = "not_started"
 
 
+class NotRunInternalError(NotRunError):
+    """An unexpected error in this entry before the request was sent."""
+
+    code = "internal"
+
+
+class InternalError(BriarbeamError):
+    """An unexpected error in this entry after the request was sent."""
+
+    code = "internal"
+    status = 502
+
+
 class DeadlineError(BriarbeamError):
     """The time limit passed after the request was sent to an instance."""
 
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -112,16 +112,18 @@
 
         :raises ConnectFailedError: if that fails or takes longer than `timeout_s`.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.settimeout(timeout_s)
+        sock = None
         try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.settimeout(timeout_s)
             sock.connect(tuple(self._address))
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
-            sock.close()
+            if sock is not None:
+                sock.close()
             raise ConnectFailedError(
                 f"connecting to {self._address} failed: {error!r}"
             ) from error
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
 
     def send(self, head, body):
