Send no second time on a route that no longer allows it

A request on an idempotent route that had been sent was sent to a second target although the desired state meanwhile declared the route non_idempotent: the second send goes by the newest state, but whether it is allowed was asked of the older one (TWICE).

Two tests in tests/test_relay_cut.py failed before: 200 from the second target, for a target that breaks and for one that stays silent. Now the check before a further send refuses it if the request may have run, and the caller gets 502 or 504. Whether a request may have run follows from its sends and refusals, so that it also holds while an attempt is open.

--- a/briarbeam/relay/admission.py
+++ b/briarbeam/relay/admission.py
@@ -117,6 +117,8 @@
         )
         if job.team is not None and (team is None or team.name != job.team.name):
             raise UnknownKeyError("request no longer belongs to the same team")
+        if job.may_have_run and not route.repeatable:
+            raise NoCapacityError(f"route {route.name} no longer allows a second send")
         if (
             job.sends
             and job.streams
--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -90,16 +90,14 @@
         """Add an `Attempt` that has just been sent."""
         self._attempts.append(attempt)
 
-    def drop(self, attempt, outcome, may_have_run=True):
+    def drop(self, attempt, outcome):
         """Close an attempt that won't answer the request.
 
         :param outcome: how it ended, for the log.
-        :param may_have_run: whether the request may have run at the target.
         """
         self._attempts.remove(attempt)
         attempt.close()
         self._job.tried.append(attempt.target.id)
-        self._job.may_have_run |= may_have_run
         self._job.record_attempt(attempt.target, outcome, attempt.started_s)
 
     def complete(self, attempt):
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -165,7 +165,6 @@
         except UpstreamError as error:
             outcome = error.code
             job.tried.append(target.id)
-            job.may_have_run = True
             self._handle_failure(job, target, error, attempts, stream)
         finally:
             if outcome != "sent":
@@ -226,7 +225,8 @@
             except UpstreamSilentError:
                 silent = True
             except _RefusedError:
-                attempts.drop(attempt, "refused", may_have_run=False)
+                job.refusals += 1
+                attempts.drop(attempt, "refused")
             except UpstreamError as error:
                 attempts.drop(attempt, error.code)
                 self._handle_failure(job, attempt.target, error, attempts, stream)
@@ -494,7 +494,7 @@
 
 def _internal_error(job, error):
     """Return the typed error for an unexpected one."""
-    if job is None or not job.sends:
+    if job is None or not job.may_have_run:
         return NotRunInternalError(repr(error))
     return InternalError(repr(error))
 
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -27,7 +27,8 @@
     :param unsent_attempts: the number of attempts that ended before the request was
         sent.
     :param sends: the number of times that it was sent.
-    :param may_have_run: whether it may have run at a target that failed.
+    :param refusals: the number of sends after which the target stated that it did not
+        run the request.
     :param attempts: for each attempt that has ended, the id of its target, how it ended
         and how long it took in seconds.
     :param not_sent_cause: why it was last not sent again, or None.
@@ -56,7 +57,7 @@
     unreachable: list = field(default_factory=list)
     unsent_attempts: int = 0
     sends: int = 0
-    may_have_run: bool = False
+    refusals: int = 0
     attempts: list = field(default_factory=list)
     not_sent_cause: str | None = None
     next_target: object = None
@@ -66,6 +67,11 @@
     target_version: int | None = None
     superseded_left_s: float | None = None
 
+    @property
+    def may_have_run(self):
+        """Whether it was sent to a target that did not state that it did not run it."""
+        return self.sends > self.refusals
+
     def record_attempt(self, target, outcome, started_s):
         """Record an attempt that has ended, for the log.
 
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -10,6 +10,7 @@
 
 from .relay_fakes import (
     END,
+    NON_IDEMPOTENT,
     NOT_RUN,
     RESUMABLE_STREAM,
     Entry,
@@ -225,3 +226,20 @@
     data = b"HTTP/1.1 500 Oops\r\nx-response-seal: s5\r\ncontent-length: 0\r\n\r\n"
     answer = Entry({"i1": FakeInstance(reply(data))}).ask()
     assert answer.split()[1] == b"500" and b"s5" in answer
+
+
+@pytest.mark.parametrize("script", [never_answer, lambda i, s, r: reset_later(s)])
+def test_request_is_not_repeated_once_its_route_forbids_it(script):
+    """The route was idempotent when the request was first sent, and is not now."""
+    second = FakeInstance(reply(ok()))
+    entry = Entry({"i1": FakeInstance(script), "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    newer_state = desired_state(entry.service, version=2, **NON_IDEMPOTENT)
+    gevent.spawn_later(0.1, setattr, entry.in_force, "state", newer_state)
+    assert entry.ask().split()[1] in (b"502", b"504")
+    assert not second.requests
+
+
+def reset_later(sock):
+    gevent.sleep(0.3)
+    reset(sock)
