End a request before its caller's time limit, not at it

A caller's limit now counts 50 ms less, which was reserved before for the send to another target only. The test failed before: the 504 came 0.606 s after a request with 0.6 s.

--- a/briarbeam/relay/admission.py
+++ b/briarbeam/relay/admission.py
@@ -17,6 +17,8 @@
 # How long requests are still admitted under a desired state once a newer one is known.
 # Neighbours supply the newer one in a fraction of this time.
 SUPERSEDED_STATE_MAX_S = 0.5
+# Part of a caller's time limit that is reserved for sending it the answer.
+ANSWER_MARGIN_S = 0.05
 # Retry-After while this entry is fetching a newer desired state.
 SUPERSEDED_RETRY_AFTER_S = 0.3
 
@@ -92,7 +94,7 @@
         route, team, requirements, priority = self._resolve(state, request, meta)
         left_s = route.timeout_s
         if meta.time_left_s is not None:
-            left_s = min(left_s, meta.time_left_s)
+            left_s = min(left_s, meta.time_left_s - ANSWER_MARGIN_S)
         return Job(
             request, meta, route, team, requirements, priority,
             request.read_at_s, request.read_at_s + left_s, state.version,
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -45,8 +45,8 @@
 # A request that still waits at a target with superseded weights is cancelled this long
 # before the time from which none may begin on them, because it could begin too late.
 SUPERSEDED_MARGIN_S = 0.15
-# Part of a request's time limit that is reserved for sending the answer to the caller.
-ANSWER_MARGIN_S = 0.05
+# With less time than this left, a request is not sent to another target.
+SEND_MARGIN_S = 0.05
 # An attempt that ends before the request is sent costs only time, so another target is
 # tried. This many of them mean a network partition.
 UNSENT_ATTEMPTS_MAX = 4
@@ -150,7 +150,7 @@
                 elif self._advance(job, attempts, writer, stream):
                     return
                 left_s = job.deadline_s - time.monotonic()
-                if not attempts and left_s <= ANSWER_MARGIN_S:
+                if not attempts and left_s <= SEND_MARGIN_S:
                     raise self._timeout_error(job)
 
     def _start(self, job, target, attempts, stream):
@@ -356,7 +356,7 @@
             job.caller.check()
             self._recheck(job, target)
             left_s = job.deadline_s - time.monotonic()
-            if left_s <= ANSWER_MARGIN_S:
+            if left_s <= SEND_MARGIN_S:
                 raise self._timeout_error(job)
             head = wire.encode_request(
                 job.meta, job.request.method, job.request.target, job.request.body,
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -6,6 +6,7 @@
 import pytest
 
 from briarbeam.relay import upstream_call
+from briarbeam.relay.admission import ANSWER_MARGIN_S
 from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
@@ -243,3 +244,12 @@
 def reset_later(sock):
     gevent.sleep(0.3)
     reset(sock)
+
+
+def test_caller_gets_an_answer_before_its_time_limit(lines):
+    entry = Entry({"i1": FakeInstance(never_answer)}, **NON_IDEMPOTENT)
+    sock = entry.connect()
+    sock.sendall(request_bytes(method=b"POST").replace(b"3000", b"600"))
+    assert read_all(sock).split()[1] == b"504"
+    assert lines[0]["time_limit_s"] == pytest.approx(0.6 - ANSWER_MARGIN_S)
+    assert ANSWER_MARGIN_S > 0.01
