Keep reading the store beside an odd entry of another writer

Seen by callers of other operators: machines that read the list of instances ended or stopped following it, because one entry was nested deeply, held a number that was too large or had a port out of range.

Could happen here, except for the port, which Address.parse refuses: - json.loads raised RecursionError, which is no ValueError, for an entry of a depth of 1,000, and ValueError for an integer of more than 4,300 digits or bytes that are no UTF-8. The whole page was lost, and the mirror logged mirror_failed every half second without an update. - 400 digits in cold_left_ms raised OverflowError out of Fleet.update, with the same loop. In slots they raised it out of the choice of a target, for each request of the service. 1e999 in cold_left_ms made an instance cold for good. - An item without a usable name or revision failed the whole list. - A list that repeats a page under `more` was read forever.

The decoders of records limit numbers and require printable text, so no value of the store reaches arithmetic, headers or metrics that it breaks.

Negative values of cold_left_ms still mean a warm instance: no page says that an instance stops counting at 0.

--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -5,6 +5,10 @@
 model, the version of the weights that is wanted).
 """
 
+import ipaddress
+import math
+import reprlib
+
 from ..catalog import (
     CallerLimits,
     DesiredState,
@@ -18,6 +22,7 @@
 from ..kernel.errors import SettingsError
 from ..kernel.network import Address
 from ..relay.errors import MalformedRecordError
+from .pages import INTEGER_MAX
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
@@ -26,6 +31,15 @@
 VERSION_KIND = "versions"
 
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Limits of plausible values. Larger ones overflow in the arithmetic of the request path
+# or would keep an instance cold for good.
+SLOTS_MAX = 1_000_000
+COLD_LEFT_MAX_S = 86400.0
+# The errors by which values of the wrong type, form or size show.
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError,
+                  SettingsError)  # fmt: skip
+# Length of a malformed value's description in an error.
+_DESCRIPTION_MAX = 300
 
 
 def decode_desired_state(spec):
@@ -35,16 +49,16 @@
     """
     try:
         return DesiredState(
-            version=spec["version"],
+            version=_get_integer(spec, "version", 0),
             routes=tuple(_decode_route(item) for item in spec["routes"]),
             services={item["name"]: _decode_service(item) for item in spec["services"]},
             limits=_decode_limits(spec.get("limits") or {}),
             teams_by_key=_decode_teams(spec.get("tenants") or ()),
             uses_keys="tenants" in spec,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
+    except _DECODE_ERRORS as error:
         raise MalformedRecordError(
-            f"desired state can't be decoded: {error!r}"
+            f"desired state can't be decoded: {_describe(error)}"
         ) from error
 
 
@@ -56,20 +70,20 @@
     try:
         return Instance(
             id=name,
-            service=_get_typed(spec, "service", str),
-            address=Address.parse(_get_typed(spec, "address", str)),
-            failure_domain=_get_typed(spec, "zone", str),
-            slots=_get_typed(spec, "slots", int),
+            service=_get_text(spec, "service"),
+            address=_get_address(spec, "address"),
+            failure_domain=_get_text(spec, "zone"),
+            slots=_get_integer(spec, "slots", 1, SLOTS_MAX),
             draining=_DRAINING_BY_STATE[_get_typed(spec, "state", str)],
-            cold_left_s=_get_typed(spec, "cold_left_ms", (int, float)) / 1000,
-            started_ms=_get_typed(spec, "born", int) if "born" in spec else 0,
+            cold_left_s=_get_cold_left_s(spec),
+            started_ms=_get_integer(spec, "born", 0) if "born" in spec else 0,
             models=decode_models(spec["models"], spec.get("layers"))
             if "models" in spec
             else None,
         )
-    except (KeyError, TypeError, ValueError, AttributeError, SettingsError) as error:
+    except _DECODE_ERRORS as error:
         raise MalformedRecordError(
-            f"instance {name!r} can't be decoded: {error!r}"
+            f"instance {name!r} can't be decoded: {_describe(error)}"
         ) from error
 
 
@@ -81,11 +95,13 @@
     has no weights.
     """
     held = {}
-    for model in models:
-        version = model.get("version")
-        if isinstance(version, int) and version > 0:
-            held[model["name"]] = version
-    if layers is not None and not layers:
+    for model in _check_list(models):
+        if model.get("version") is None:
+            continue
+        version = _get_integer(model, "version", 0)
+        if version:
+            held[_get_text(model, "name")] = version
+    if layers is not None and not _check_list(layers):
         return {}
     return held
 
@@ -96,10 +112,10 @@
     :raises MalformedRecordError: if either is missing or has the wrong type.
     """
     try:
-        return _get_typed(spec, "model", str), _get_typed(spec, "version", int)
-    except (KeyError, TypeError, AttributeError) as error:
+        return _get_text(spec, "model"), _get_integer(spec, "version", 0)
+    except _DECODE_ERRORS as error:
         raise MalformedRecordError(
-            f"named version can't be decoded: {error!r}"
+            f"named version can't be decoded: {_describe(error)}"
         ) from error
 
 
@@ -112,10 +128,61 @@
     """
     value = spec[field]
     if not isinstance(value, types) or isinstance(value, bool):
-        raise TypeError(f"{field} is {value!r}, which has the wrong type")
+        raise TypeError(f"{field} is {reprlib.repr(value)}, which has the wrong type")
+    return value
+
+
+def _get_text(spec, field):
+    """Return a field's text, which may be used in headers, logs and metrics.
+
+    :raises ValueError: if it is empty or has characters that are not printable.
+    """
+    value = _get_typed(spec, field, str)
+    if not value or not value.isprintable():
+        raise ValueError(f"{field} is {reprlib.repr(value)}, which is not printable")
     return value
 
 
+def _get_integer(spec, field, minimum, maximum=INTEGER_MAX):
+    """Return a field's integer.
+
+    :raises ValueError: if it is not in the range, which includes both limits.
+    """
+    value = _get_typed(spec, field, int)
+    if not minimum <= value <= maximum:
+        raise ValueError(
+            f"{field} is {reprlib.repr(value)}, expected {minimum} to {maximum}"
+        )
+    return value
+
+
+def _get_address(spec, field):
+    """Return a field's `Address`, which is that of a single machine."""
+    address = Address.parse(_get_typed(spec, field, str))
+    ip = ipaddress.IPv4Address(address.host)
+    if ip.is_unspecified or ip.is_multicast or address.host == "255.255.255.255":
+        raise ValueError(f"{address} is not the address of a machine")
+    return address
+
+
+def _get_cold_left_s(spec):
+    """Return for how many seconds an instance is cold; negative values mean warm."""
+    cold_left_s = _get_typed(spec, "cold_left_ms", (int, float)) / 1000
+    if not -math.inf < cold_left_s <= COLD_LEFT_MAX_S:
+        raise ValueError(f"cold_left_ms is {cold_left_s * 1000}")
+    return cold_left_s
+
+
+def _check_list(value):
+    if not isinstance(value, list):
+        raise TypeError(f"expected a list, got {reprlib.repr(value)}")
+    return value
+
+
+def _describe(error):
+    return repr(error)[:_DESCRIPTION_MAX]
+
+
 def _decode_route(item):
     split = item.get("traffic_split")
     return Route(
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -3,7 +3,6 @@
 It writes nothing, as briarbeam has no data of its own to persist on this platform.
 """
 
-import json
 import time
 from dataclasses import dataclass
 from urllib.parse import urlencode
@@ -18,6 +17,7 @@
     RecheckError,
     StoreUnavailableError,
 )
+from .pages import parse_page, read_item, read_items, read_revision
 
 # The store answers in about 4 ms. A call without an answer after this time is
 # considered lost, and callers repeat it.
@@ -77,6 +77,7 @@
         self._network = network
         self._address = address
         self._timeout_s = timeout_s
+        self._unnamed_counts = {}
 
     def list(self, kind):
         """Return all records of `kind`, and the store's revision when they were read.
@@ -84,20 +85,22 @@
         :raises StoreUnavailableError: if the store can't be reached, does not answer
             200 or sends a malformed answer.
         """
-        records = []
-        after = None
+        records = {}
+        query = {}
         while True:
-            query = {} if after is None else {"after": after}
             page = self._get("list", kind, query)
             try:
-                records += [_decode_record(item) for item in page["items"]]
+                listed = self._decode_items(kind, read_items(page, "items"))
                 if not page.get("more"):
-                    return records, page["store_revision"]
-                after = records[-1].name
-            except (KeyError, TypeError, IndexError) as error:
+                    return [*(records | listed).values()], read_revision(page)
+            except (KeyError, TypeError, AttributeError) as error:
                 raise StoreUnavailableError(
                     f"list of {kind} is malformed: {error!r}"
                 ) from error
+            if not listed.keys() - records.keys():
+                raise StoreUnavailableError(f"list of {kind} repeats a page")
+            records |= listed
+            query = {"after": next(reversed(listed))}
 
     def watch(self, kind, revision, wait_s):
         """Return changes of `kind` after `revision`, and the revision to continue from.
@@ -110,11 +113,8 @@
         query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
         page = self._get("watch", kind, query, wait_s)
         try:
-            changes = [
-                Change(_decode_record(event["object"]), bool(event["removed"]))
-                for event in page["events"]
-            ]
-            return changes, page["store_revision"]
+            events = read_items(page, "events")
+            return [_decode_change(event) for event in events], read_revision(page)
         except (KeyError, TypeError) as error:
             raise StoreUnavailableError(
                 f"watch of {kind} is malformed: {error!r}"
@@ -153,10 +153,19 @@
         if status != 200:
             raise StoreUnavailableError(f"GET {path} failed with status {status}")
         try:
-            return json.loads(content)
+            return parse_page(content)
         except ValueError as error:
             raise StoreUnavailableError(f"answer to GET {path} is not JSON") from error
 
+    def _decode_items(self, kind, items):
+        """Return the records by name; items that name no record are left out."""
+        read = [read_item(item) for item in items]
+        unnamed = read.count(None)
+        if unnamed and unnamed != self._unnamed_counts.get(kind):
+            _log.warning("items_unnamed", kind=kind, count=unnamed)
+        self._unnamed_counts[kind] = unnamed
+        return {fields[0]: Record(*fields) for fields in read if fields is not None}
+
     def _observe_body(self, call, kind, size_bytes, elapsed_s):
         _READ_BYTES.labels(kind).inc(size_bytes)
         if call == "list":
@@ -171,6 +180,14 @@
             )
 
 
-def _decode_record(item):
-    metadata = item["metadata"]
-    return Record(metadata["name"], metadata["revision"], item.get("spec"))
+def _decode_change(event):
+    """Return the `Change` in an event of a watch.
+
+    :raises HistoryGoneError: if the event names no change, so that only a new list
+        shows what has changed.
+    """
+    removed = event.get("removed") if isinstance(event, dict) else None
+    fields = read_item(event["object"]) if isinstance(removed, int) else None
+    if fields is None:
+        raise HistoryGoneError("an event of the store names no change")
+    return Change(Record(*fields), bool(removed))
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -214,6 +214,11 @@
         :param records: `Record` objects by name.
         """
         now_s = self._clock.monotonic_s()
+        self._malformed_revisions = {
+            name: revision
+            for name, revision in self._malformed_revisions.items()
+            if name in records
+        }
         present = set()
         for name, record in records.items():
             instance = self._decode(name, record)
--- a/briarbeam/relay/state_in_force.py
+++ b/briarbeam/relay/state_in_force.py
@@ -75,17 +75,22 @@
         self._unseen_s = unseen_s
         self._started_s = started_s
         self._histories = {}
+        self._malformed_revisions = {}
         self._awaits_first_update = True
 
     def update(self, records):
         """Apply the store's records of named versions."""
-        for record in records.values():
+        malformed_revisions = {}
+        for name, record in records.items():
             try:
                 model, version = decode_named_version(record.spec)
             except MalformedRecordError as error:
-                _log.warning("named_version_malformed", error=str(error))
+                malformed_revisions[name] = record.revision
+                if self._malformed_revisions.get(name) != record.revision:
+                    _log.warning("named_version_malformed", name=name, error=str(error))
                 continue
             self._record_naming(model, version)
+        self._malformed_revisions = malformed_revisions
         self._awaits_first_update = False
 
     def history(self, model):
