Believe a refusal only if it is the answer to this request

A refusal that named another request sent a request that may not be repeated to a second instance, or ended it with 503. So did X-Not-Run with status 200, and a refusal without an id that arrived before a long request was sent. A connection is opened for each request, but what an instance wrote on it before the request counted as its answer too.

The id is now compared first. Another id, two different ids, X-Not-Run without an error status, and a refusal without an id that arrives before the request was sent all mean that the request may have run. Nothing is sent on a connection that holds bytes already or was closed; another instance is chosen, as nothing left.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -57,6 +57,8 @@
     """The decoded head of an instance's answer.
 
     :param not_run: whether the instance states that the request did not run.
+    :param contradictory: whether it states that, but with the status of a success.
+    :param request_id: the id of the answered request, or None if not stated.
     :param running: the number of requests that the instance runs, or None if not
         stated.
     :param waiting: the number of requests in its queue, or None if not stated.
@@ -70,6 +72,7 @@
     running: int | None = None
     waiting: int | None = None
     weights_version: int | None = None
+    contradictory: bool = False
 
 
 def decode_request(headers):
@@ -131,11 +134,13 @@
     """Return the `ReplyMeta` of an instance's answer."""
     value_by_name = dict(headers)
     running, waiting = _parse_load(value_by_name.get(b"x-server-load"))
+    states_not_run = b"x-not-run" in value_by_name
     return ReplyMeta(
         status=status,
         # An instance with another identity or other weights than expected answers 421.
-        not_run=b"x-not-run" in value_by_name or status == 421,
-        request_id=value_by_name.get(REQUEST_ID),
+        not_run=(states_not_run and status >= 400) or status == 421,
+        contradictory=states_not_run and status < 400,
+        request_id=_combine_ids(headers),
         running=running,
         waiting=waiting,
         weights_version=_parse_int(value_by_name.get(b"x-weight-versions")),
@@ -152,6 +157,12 @@
     ]
 
 
+def _combine_ids(headers):
+    """Return the id that `headers` state, or None; different ones make no valid id."""
+    ids = dict.fromkeys(value for name, value in headers if name == REQUEST_ID)
+    return b", ".join(ids) if ids else None
+
+
 def _connection_options(headers):
     return {
         token.strip().lower()
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -213,6 +213,7 @@
             # have been suspended.
             job.caller.check()
             self._recheck(job, target)
+            call.check_unanswered()
             now_s = time.monotonic()
             left_s = job.deadline_s - now_s
             if left_s <= ANSWER_MARGIN_S:
@@ -261,13 +262,12 @@
         )
         head = self._read(job, target, call.read_head, switch_at_s, weights_deadline_s)
         reply = wire.decode_reply(head.status, head.headers)
+        _check_attribution(job, target, call, reply)
         self._update_target(target, reply)
         if reply.not_run:
             if reply.status == 421:
                 target.mark_replaced(time.monotonic())
             raise _RefusedError(reply.status)
-        if reply.request_id not in (None, job.meta.request_id):
-            raise UpstreamError(f"{target.id} returned the answer to another request")
         if head.status in _FAILED_STATUSES and may_switch:
             raise UpstreamError(f"{target.id} answered with status {head.status}")
         if stream is not None and head.status == 200 and head.is_event_stream():
@@ -355,5 +355,23 @@
                 switch_at_s = now_s + SWITCH_RETRY_INTERVAL_S
 
 
+def _check_attribution(job, target, call, reply):
+    """Check that `reply` is the answer to the request of `job`.
+
+    An answer without an id belongs to the only request of its connection, unless it
+    arrived before that was sent.
+
+    :raises UpstreamError: if it is not, so that the request may have run.
+    """
+    if reply.request_id not in (None, job.meta.request_id):
+        raise UpstreamError(f"{target.id} returned the answer to another request")
+    if reply.not_run and reply.request_id is None and not call.is_sent:
+        raise UpstreamError(f"{target.id} refused a request before it was sent")
+    if reply.contradictory:
+        raise UpstreamError(
+            f"{target.id} did not run the request, but answered {reply.status}"
+        )
+
+
 class _RefusedError(Exception):
     """Raised when a target states that it did not run the request."""
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -116,6 +116,31 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
 
+    def check_unanswered(self):
+        """Check that the connection is open and that nothing was received yet.
+
+        What an instance sends before the request was sent belongs to no request.
+
+        :raises ConnectFailedError: if the connection must not be used.
+        """
+        try:
+            data = self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            raise ConnectFailedError(
+                f"connection to {self._address} broke: {error!r}"
+            ) from error
+        raise ConnectFailedError(
+            f"{self._address} "
+            + ("answered before the request" if data else "closed the connection")
+        )
+
+    @property
+    def is_sent(self):
+        """Whether the request was handed to the connection completely."""
+        return self.sent and (self._send_task is None or self._send_task.ready())
+
     @property
     def _is_complete(self):
         """Whether the answer was read completely."""
