Keep replies that nothing asked for apart from the reply of a request

A reply that arrives on an idle connection could not answer the next request: the library closes a connection that has bytes to read, and test_reply_on_an_idle_connection_closes_it shows that. Two others could: - A reply that arrived in one read with the one before replaced its status, or was appended to its body: 503 instead of 200, "0stray" instead of "0". The parser takes it for the reply that follows an interim one. - What a peer sent on a new connection before the request was taken as the reply to it, also where a refusal of an engine says that a request did not run.

The headers of a reply now refuse to start another one unless only interim replies, which have no body, came before; the call fails with ExchangeError. A new connection that holds bytes already, or is closed, raises ConnectError, as nothing was sent.

Replies of gates were and are compared with the request id before their status is read (check_echo), so a refusal of another request proved nothing there.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -368,6 +368,13 @@
             raise ReplyTooLargeError(f"more than {HEAD_MAX_BYTES} bytes of headers")
         super().add(field, value)
 
+    def clear(self):
+        # The parser calls this when another reply begins. Only interim replies, which
+        # have no body, precede the reply to a request.
+        if "content-length" in self or "transfer-encoding" in self:
+            raise ExchangeError("another reply follows a complete one")
+        super().clear()
+
 
 class _LimitedSocket(gevent.socket.socket):
     """A socket whose reads are limited by a `_ReadLimit`."""
@@ -411,9 +418,27 @@
             raise ConnectError(f"no connection to {address}: {error}") from error
         if self.before_send is not None:
             self.before_send()
+        _check_unanswered(connected, address)
         return connected
 
 
+def _check_unanswered(sock, address):
+    """Check that a new connection is open and that nothing was received on it yet.
+
+    What a peer sends before the first request answers none.
+
+    :raises ConnectError: if the connection must not be used.
+    """
+    try:
+        data = sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return
+    except OSError as error:
+        raise ConnectError(f"connection to {address} broke: {error}") from error
+    reason = "answered before the request" if data else "closed the connection"
+    raise ConnectError(f"{address} {reason}")
+
+
 class _PooledResponse:
     """A reply whose connection can be reused once the body was read completely."""
 
