Treat a stream that ends inside an event as broken off

Seen by callers of other operators: an answer, a stream too, may have neither a length nor chunks and end with its connection. A stream that ends inside an event has been broken off, but was passed on as complete.

Could happen here: at the end of an answer, what followed the last complete event was forwarded and the caller's stream was ended as complete, with or without framing. An answer without framing and without any event ended a resumed stream as complete, too.

Such an answer now fails like a broken connection: the stream is resumed where the route allows it, otherwise the caller gets a reset, or 502 if no event was sent yet. Line ends after the last event still belong to the stream, as the body is passed on unchanged.

--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -1,6 +1,7 @@
 """Combines the event streams of several targets into one stream to a caller."""
 
 from ..platform import headers as wire
+from .errors import UpstreamError
 from .events import EventSplitter
 
 
@@ -14,6 +15,7 @@
         self._writer = writer
         self._splitter = EventSplitter()
         self._head = None
+        self._has_events = False
         self.begun = False
 
     @property
@@ -32,6 +34,7 @@
         """
         if self._head is None or not self.begun:
             self._head = head
+        self._has_events = False
         self._splitter.drop_partial()
 
     def feed(self, part):
@@ -39,6 +42,7 @@
         events = self._splitter.feed(part)
         if not events:
             return False
+        self._has_events = True
         if self.begun:
             self._writer.write_part(events)
             return True
@@ -47,9 +51,20 @@
         self._writer.begin_stream(self._head.status, headers, events)
         return True
 
-    def finish(self):
-        """Forward the remaining bytes and end the stream as complete."""
+    def finish(self, framed):
+        """End the stream as complete, with any line ends after the last event.
+
+        :param framed: whether the target marked the end of its answer. Otherwise an
+            answer without any event counts as broken off, too.
+        :raises UpstreamError: if the answer of the target broke off inside an event.
+        """
         remainder = self._splitter.remainder
+        if remainder.strip(b"\r\n"):
+            raise UpstreamError(
+                f"stream ended inside an event, after {len(remainder)} bytes of it"
+            )
+        if not framed and not self._has_events:
+            raise UpstreamError("stream without a length ended before its first event")
         if not self.begun:
             self.begun = True
             headers = wire.returned_headers(self._head.headers)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -323,7 +323,7 @@
                     time.monotonic() + STREAM_SILENCE_S if may_switch else math.inf
                 )
                 weights_deadline_s = math.inf
-        stream.finish()
+        stream.finish(call.is_framed)
 
     def _read(
         self, job, target, read, switch_at_s=math.inf, weights_deadline_s=math.inf
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -136,6 +136,11 @@
             + ("answered before the request" if data else "closed the connection")
         )
 
+    @property
+    def is_framed(self):
+        """Whether a length or chunks mark the end of the answer."""
+        return self._framed
+
     @property
     def is_sent(self):
         """Whether the request was handed to the connection completely."""
