Don't wait for the text of an error that can't continue a stream

Seen by callers of other operators: a stream had begun and broke off, and the next runner answered with an error, whose text came in the middle of the stream, or the stream ended as if it were complete.

Could not happen here for the text: an answer that is no event stream with status 200 never reached a stream that had begun.

But the error was read to its end before it was refused, so an instance that didn't complete it held the broken stream until the deadline; the caller could have resumed meanwhile. It is refused with its head now. test_error_without_end_after_a_broken_stream_delays_nothing ran into its limit of 1 s before.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -302,9 +302,9 @@
             target.seen_version = reply.weights_version
 
     def _forward_whole(self, job, target, call, head, writer, stream):
-        body = self._read(job, target, call.read_body)
         if stream is not None and stream.begun:
-            raise UpstreamError("resumed stream was answered without an event stream")
+            raise UpstreamError(f"resumed stream was answered with {head.status}")
+        body = self._read(job, target, call.read_body)
         writer.write(head.status, wire.returned_headers(head.headers), body)
 
     def _forward_stream(self, job, target, call, head, stream, may_switch):
--- a/tests/test_relay_broken_streams.py
+++ b/tests/test_relay_broken_streams.py
@@ -129,6 +129,17 @@
     assert len(second.requests) == 1
 
 
+def test_error_without_end_after_a_broken_stream_delays_nothing():
+    def fail_endlessly(instance, sock, request):
+        sock.sendall(b"HTTP/1.1 500 Oops\r\ncontent-length: 9\r\n\r\n")
+        gevent.sleep(3.0)
+
+    with gevent.Timeout(1.0):
+        answer, was_reset, _ = ask_two(break_off, fail_endlessly)
+    assert_only_events(answer, 2)
+    assert was_reset
+
+
 PARTIAL = text(2)[:-1]
 
 
