Send no chunk after the head of an answer to HEAD

Found while looking for errors inside streams: on a streaming route, an answer to HEAD with the type of an event stream was passed on as a stream without events, and the end marker of chunks ("0", two line ends) followed its head. On a kept connection a caller takes these bytes for the beginning of the next answer.

Such an answer is now passed on as a whole, without a body. The three cases of test_answer_to_head_has_no_body_and_the_connection_serves_the_ next_request failed before: four line ends too many after two heads.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -270,7 +270,8 @@
             raise _RefusedError(reply.status)
         if head.status in _FAILED_STATUSES and may_switch:
             raise UpstreamError(f"{target.id} answered with status {head.status}")
-        if stream is not None and head.status == 200 and head.is_event_stream():
+        has_events = head.status == 200 and head.is_event_stream()
+        if stream is not None and has_events and job.request.method != b"HEAD":
             self._forward_stream(job, target, call, head, stream, may_switch)
         else:
             self._forward_whole(job, target, call, head, writer, stream)
--- a/tests/test_relay_broken_streams.py
+++ b/tests/test_relay_broken_streams.py
@@ -15,6 +15,7 @@
     FakeInstance,
     event,
     ok,
+    read_all,
     reply,
     request_bytes,
     reset,
@@ -234,6 +235,26 @@
     assert was_reset
 
 
+@pytest.mark.parametrize(
+    "head",
+    [UNFRAMED_HEAD, stream_head(),
+     UNFRAMED_HEAD[:-2] + b"content-length: 90\r\n\r\n"],
+    ids=["unframed", "chunked", "length"],
+)  # fmt: skip
+def test_answer_to_head_has_no_body_and_the_connection_serves_the_next_request(head):
+    first = FakeInstance(reply(head))
+    entry = Entry({"i1": first}, **RESUMABLE_STREAM)
+    sock = entry.connect()
+    request = request_bytes(method=b"HEAD").replace(b"connection: close\r\n", b"")
+    sock.sendall(request)
+    gevent.sleep(0.2)
+    sock.sendall(request_bytes(method=b"HEAD"))
+    answers = read_all(sock)
+    assert answers.count(b"HTTP/1.1 200 OK\r\n") == 2
+    assert answers.count(b"\r\n\r\n") == 2
+    assert answers.endswith(b"\r\n\r\n")
+
+
 @pytest.mark.parametrize("status", [b"204 None", b"304 Same"])
 def test_answer_without_a_body_needs_neither_length_nor_end(status):
     def script(instance, sock, request):
