--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -21,7 +21,8 @@
         target as well if this one has made no progress.
     :param begin_by_s: monotonic time by which the target must have made progress.
 
-    `head` is the accepted `ReplyHead`, or None before it has arrived.
+    `head` is the accepted `ReplyHead`, or None before it has arrived, and `has_events`
+    is whether a complete event has arrived.
     """
 
     def __init__(self, target, call, switch_at_s, begin_by_s):
@@ -31,6 +32,7 @@
         self.begin_by_s = begin_by_s
         self.started_s = time.monotonic()
         self.head = None
+        self.has_events = False
         self.splitter = EventSplitter()
         self._body = bytearray()
 
--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -1,6 +1,7 @@
 """Combines the event streams of several targets into one stream to a caller."""
 
 from ..platform import headers as wire
+from .errors import UpstreamError
 
 
 class CallerStream:
@@ -39,7 +40,16 @@
         self._writer.begin_stream(head.status, headers, events)
 
     def finish(self, head, remainder):
-        """Forward the bytes after the last event and end the stream as complete."""
+        """End the stream as complete, with any line ends after the last event.
+
+        :param remainder: the bytes after the last complete event.
+        :raises UpstreamError: if they are a part of an event: the target's answer broke
+            off.
+        """
+        if remainder.strip(b"\r\n"):
+            raise UpstreamError(
+                f"stream ended inside an event, after {len(remainder)} bytes of it"
+            )
         if remainder or not self.begun:
             self.forward(head, remainder, None)
         self._writer.end_stream()
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -355,6 +355,7 @@
             # have been suspended.
             job.caller.check()
             self._recheck(job, target)
+            call.check_unanswered()
             left_s = job.deadline_s - time.monotonic()
             if left_s <= SEND_MARGIN_S:
                 raise self._timeout_error(job)
@@ -403,10 +404,11 @@
                 return False
             self._accept(job, attempt, attempts, stream)
         head = attempt.head
-        if stream is not None and head.status == 200 and head.is_event_stream():
+        has_events = head.status == 200 and head.is_event_stream()
+        if stream is not None and has_events and job.request.method != b"HEAD":
             return self._forward_events(attempt, attempts, stream)
         if stream is not None and stream.begun:
-            raise UpstreamError("resumed stream was answered without an event stream")
+            raise UpstreamError(f"resumed stream was answered with {head.status}")
         return self._forward_whole(attempt, attempts, writer)
 
     def _accept(self, job, attempt, attempts, stream):
@@ -418,13 +420,12 @@
         """
         target, head = attempt.target, attempt.call.head
         reply = wire.decode_reply(head.status, head.headers)
+        _check_attribution(job, target, attempt.call, reply)
         self._update_target(target, reply)
         if reply.not_run:
             if reply.status == 421:
                 target.mark_replaced(time.monotonic())
             raise _RefusedError(reply.status)
-        if reply.request_id not in (None, job.meta.request_id):
-            raise UpstreamError(f"{target.id} returned the answer to another request")
         if head.status in _FAILED_STATUSES and self._has_alternative(
             job, attempts, stream
         ):
@@ -480,6 +481,7 @@
         events = attempt.splitter.feed(attempt.call.take_part())
         # Only a complete event counts as progress: parts are not forwarded.
         if events:
+            attempt.has_events = True
             attempts.keep_only(attempt)
             stream.forward(attempt.head, events, attempt.splitter.last_id)
             attempt.switch_at_s = time.monotonic() + STREAM_SILENCE_S
@@ -487,6 +489,8 @@
         if not attempt.call.is_complete:
             return False
         attempts.keep_only(attempt)
+        if not (attempt.has_events or attempt.call.is_framed):
+            raise UpstreamError("stream without a length ended before its first event")
         stream.finish(attempt.head, attempt.splitter.remainder)
         attempts.complete(attempt)
         return True
@@ -499,5 +503,23 @@
     return InternalError(repr(error))
 
 
+def _check_attribution(job, target, call, reply):
+    """Check that `reply` is the answer to the request of `job`.
+
+    An answer without an id belongs to the only request of its connection, unless it
+    arrived before that was sent.
+
+    :raises UpstreamError: if it is not, so that the request may have run.
+    """
+    if reply.request_id not in (None, job.meta.request_id):
+        raise UpstreamError(f"{target.id} returned the answer to another request")
+    if reply.not_run and reply.request_id is None and not call.is_sent:
+        raise UpstreamError(f"{target.id} refused a request before it was sent")
+    if reply.contradictory:
+        raise UpstreamError(
+            f"{target.id} did not run the request, but answered {reply.status}"
+        )
+
+
 class _RefusedError(Exception):
     """Raised when a target states that it did not run the request."""
