Keep the other members beside an odd entry of the instance list

Could happen here: an entry without a field, of another type or with a port out of range made MemberParser raise, so the whole document was refused (document_refused) at this revision and each later one, and the daemons stopped following the list. A deeply nested entry raised RecursionError out of ObjectApi; a large integer made the platform count as unavailable. A name that can't be encoded raised in the ranking.

The decoding that platform/pages.py had for the store's pages moves to kernel/lenient_json.py, which both clients use; other answers with unreadable values still count as no answer.

--- a/briarbeam/objects/client.py
+++ b/briarbeam/objects/client.py
@@ -22,6 +22,7 @@
     PlatformUnknownError,
     TooLargeError,
 )
+from ..kernel.lenient_json import is_readable, parse_leniently
 from ..kernel.network import HttpRequest, fetch
 from .circuit import CircuitBreaker
 
@@ -126,6 +127,8 @@
     def instances(self, held_revision=0):
         """Return the revision and the entries of the instance list, which may lag.
 
+        Entries that can't be decoded are left out.
+
         :param held_revision: the revision that the caller already has, or 0.
         :returns: the pair, or None if the list still has `held_revision`.
         """
@@ -133,7 +136,7 @@
         status, body = self._call("instances", "GET", "/instances", headers=held)
         if status == 304:
             return None
-        return body["revision"], body["instances"]
+        return body["revision"], [i for i in body["instances"] if is_readable(i)]
 
     def _call(self, kind, method, path, value=None, timeout_s=None, headers=None):
         self._circuit.before_call()
@@ -150,7 +153,9 @@
         )
         try:
             status, headers, raw = fetch(self._network, self._address, request)
-            answer = json.loads(raw or b"{}")
+            answer = parse_leniently(raw or b"{}")
+            if kind != "instances" and not is_readable(answer):
+                raise ValueError(f"answer to {path} has unreadable values")
         except (ConnectError, ExchangeError, ValueError) as error:
             self._circuit.record_failure()
             _FAILURES.labels(kind).inc()
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -11,13 +11,14 @@
 from prometheus_client import Counter, Histogram
 
 from ..kernel.errors import BriarbeamError
+from ..kernel.lenient_json import parse_leniently
 from ..kernel.network import HttpRequest, fetch_in_parts
 from ..relay.errors import (
     HistoryGoneError,
     RecheckError,
     StoreUnavailableError,
 )
-from .pages import parse_page, read_item, read_items, read_revision
+from .pages import read_item, read_items, read_revision
 
 # The store answers in about 4 ms. A call without an answer after this time is
 # considered lost, and callers repeat it.
@@ -153,7 +154,7 @@
         if status != 200:
             raise StoreUnavailableError(f"GET {path} failed with status {status}")
         try:
-            return parse_page(content)
+            return parse_leniently(content)
         except ValueError as error:
             raise StoreUnavailableError(f"answer to GET {path} is not JSON") from error
 
