Send no request to a target that states in an answer that it is leaving

The entry passed the header on and went on sending requests there until the list of instances showed that the runner drains, which a lost or stale store delays without bound.

Cause: nothing read the header.

Now `decode_reply` decodes it, and the dispatcher hands it to the fleet as soon as the head of an answer is read, whatever its status: errors, refusals, 421 and event streams too. `TargetSelector.is_eligible` excludes the target, so the check right before each send also stops requests that were picked before. What runs there goes on. Its failures from then on are no fault of its health.

What brings it back, instead of a time-out:

- a boot that started after the answer arrived, known by its record or by a report of its stager;
- a record that is newer than one that said `draining`, of the same boot.

A boot that the list didn't show yet when it left is recognised by its start, which is before the answer; the entry's clock is compared with the runner's there. One that is far ahead keeps a restarted runner out at this entry if it has the same id, which is rare.

The statement is kept in an object that the targets of one id share, as requests may hold the target of an older record.

The header is passed on to callers unchanged: it describes the runner, not the connection, and the rule speaks of answers that are passed on with it.

Looked at and left: the daemon beside a leaving engine goes on serving chunks and reading reports, as for one that is listed as draining; these are no requests of callers. There are no health calls.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -15,6 +15,7 @@
 _PRIORITY = b"x-request-priority"
 _KEY_SCHEME = b"bearer "
 _MODEL = b"x-model"
+_LEAVING = b"server-leaving"
 
 # Headers that concern one connection only, or that briarbeam sets itself.
 _NOT_FORWARDED = {
@@ -62,6 +63,7 @@
     :param waiting: the number of requests in its queue, or None if not stated.
     :param weights_version: the version of the weights that produced the answer, or
         None.
+    :param leaving: whether the instance states that it is about to stop.
     """
 
     status: int
@@ -70,6 +72,7 @@
     running: int | None = None
     waiting: int | None = None
     weights_version: int | None = None
+    leaving: bool = False
 
 
 def decode_request(headers):
@@ -139,6 +142,7 @@
         running=running,
         waiting=waiting,
         weights_version=_parse_int(value_by_name.get(b"x-weight-versions")),
+        leaving=(_LEAVING, b"1") in headers,
     )
 
 
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -294,6 +294,8 @@
         return time.monotonic() + max(0.01, left_s - SUPERSEDED_MARGIN_S)
 
     def _update_target(self, target, reply):
+        if reply.leaving:
+            self._selector.record_leaving(target)
         if reply.running is not None:
             target.record_answer_load(
                 reply.running, reply.waiting or 0, time.monotonic()
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -15,6 +15,7 @@
 from ..platform.records import decode_instance
 from .errors import MalformedRecordError
 from .limits import ColdRateLimiter
+from .notices import Notices, Statement
 
 # How long after the return of the store an instance is kept without a record. Records
 # that expired during an outage are written again within about 2 s of the return.
@@ -83,6 +84,7 @@
     :param replaced_until_s: monotonic time until which another instance is assumed to
         have its address.
     :param results: whether each of the most recent answers was a success.
+    :param notices: its `Notices`.
     """
 
     instance: object
@@ -99,6 +101,7 @@
     seen_version: int | None = None
     replaced_until_s: float = 0.0
     results: deque = field(default_factory=lambda: deque(maxlen=20))
+    notices: Notices = field(default_factory=Notices)
 
     @property
     def id(self):
@@ -113,6 +116,11 @@
         reported_ms = self.report.started_ms if self.report is not None else 0
         return max(self.instance.started_ms, reported_ms)
 
+    @property
+    def leaving(self):
+        """Whether it has stated in an answer that it is leaving."""
+        return self.notices.is_leaving(self.started_ms)
+
     def version_of(self, model):
         """Return the version of `model` that is presumably loaded, 0 if none."""
         if self.report is not None:
@@ -168,7 +176,12 @@
         self.results.append(True)
 
     def record_failure(self, now_s):
-        """Record a failure that the instance caused, and avoid it for a while."""
+        """Record a failure that the instance caused, and avoid it for a while.
+
+        A leaving instance is expected to refuse requests, so it causes no failures.
+        """
+        if self.leaving:
+            return
         self.failures += 1
         self.results.append(False)
         pause_s = min(AVOID_MAX_S, AVOID_MIN_S * 2 ** (self.failures - 1))
@@ -220,7 +233,7 @@
             if instance is None:
                 continue
             present.add(name)
-            self._add_or_update(instance, now_s)
+            self._add_or_update(instance, record.revision, now_s)
         for name in self._targets.keys() - present:
             self._schedule_removal(self._targets[name], now_s)
         self._awaits_first_update = False
@@ -234,7 +247,7 @@
             _log.info("instance_gone", instance=name)
             self._removed[name] = self._targets.pop(name)
         while len(self._removed) > REMOVED_MAX:
-            del self._removed[next(iter(self._removed))]
+            self._forget_removed()
         return [t for t in self._targets.values() if t.instance.service == service]
 
     def all(self):
@@ -249,6 +262,14 @@
         """Return the targets at the IP address `host`."""
         return [t for t in self._targets.values() if t.instance.address.host == host]
 
+    def record_leaving(self, target):
+        """Record that `target` has stated in an answer that it is leaving.
+
+        It gets no further requests until a new boot of the instance is known.
+        """
+        if target.notices.record_leaving(self._statement_of(target)):
+            _log.info("instance_leaving", instance=target.id)
+
     def apply_report(self, host, report):
         """Apply a `LoadReport` from the stager at the IP address `host`.
 
@@ -292,7 +313,20 @@
         self._malformed_revisions.pop(name, None)
         return instance
 
-    def _add_or_update(self, instance, now_s):
+    def _statement_of(self, target):
+        current = self._targets.get(target.id, target)
+        stated_ms = int(self._clock.now().timestamp() * 1000)
+        return Statement(max(target.started_ms, current.started_ms), stated_ms)
+
+    def _forget_removed(self):
+        """Forget the removed target that is least likely to matter again.
+
+        The record of a leaving instance may be restored while it still serves.
+        """
+        names = (name for name, target in self._removed.items() if not target.leaving)
+        del self._removed[next(names, next(iter(self._removed)))]
+
+    def _add_or_update(self, instance, revision, now_s):
         target = self._targets.get(instance.id) or self._restore(instance)
         service = self._services().get(instance.service)
         if target is None or target.instance.started_ms != instance.started_ms:
@@ -307,6 +341,7 @@
                 cold_left_s=instance.cold_left_s,
             )
         target.instance = instance
+        target.notices.apply_record(instance, revision)
         target.remove_at_s = None
         if instance.cold_left_s > 0:
             target.cold_until_s = max(target.cold_until_s, now_s + instance.cold_left_s)
@@ -353,6 +388,7 @@
         target = Target(instance, now_s + cold_s)
         if previous is not None:
             target.cold_limiter = previous.cold_limiter
+            target.notices = previous.notices
         return target
 
     def _schedule_removal(self, target, now_s):
--- /dev/null
+++ b/briarbeam/relay/notices.py
@@ -0,0 +1,60 @@
+"""What an instance has stated in its answers about further requests."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Statement:
+    """Identifies the boot of an instance that made a statement in an answer.
+
+    :param started_ms: Unix milliseconds of the latest start that was known then.
+    :param stated_ms: Unix milliseconds at which the answer arrived.
+    """
+
+    started_ms: int
+    stated_ms: int
+
+    def applies_to(self, started_ms):
+        """Return whether the boot that started at `started_ms` made the statement.
+
+        The list of instances may be older than the answer. So a boot that was not known
+        then made the statement too, unless it started after the answer arrived.
+        """
+        return started_ms <= self.started_ms or started_ms < self.stated_ms
+
+
+class Notices:
+    """The statements of one instance, kept over changes of its record.
+
+    All targets with the same id share one object, because a request that was picked by
+    an older record reaches the same instance.
+    """
+
+    def __init__(self):
+        self._leaving = None
+        self._draining_revision = None
+
+    def record_leaving(self, statement):
+        """Record that the instance is leaving; return whether that is new."""
+        is_new = not self.is_leaving(statement.started_ms)
+        self._leaving = statement
+        return is_new
+
+    def is_leaving(self, started_ms):
+        """Return whether the boot that started at `started_ms` is leaving."""
+        return self._leaving is not None and self._leaving.applies_to(started_ms)
+
+    def apply_record(self, instance, revision):
+        """Withdraw the leaving if the instance was listed as draining and no longer is.
+
+        A newer record alone doesn't withdraw it: it may have been written before the
+        instance began to leave.
+
+        :param revision: the store's revision of the record of `instance`.
+        """
+        if instance.draining:
+            self._draining_revision = max(revision, self._draining_revision or 0)
+        elif self._draining_revision is not None and revision > self._draining_revision:
+            self._draining_revision = None
+            if self._leaving and instance.started_ms <= self._leaving.started_ms:
+                self._leaving = None
--- a/briarbeam/relay/target_selector.py
+++ b/briarbeam/relay/target_selector.py
@@ -163,12 +163,17 @@
         return (
             target.instance.service == requirements.service.name
             and not target.instance.draining
+            and not target.leaving
             and target.replaced_until_s <= self._clock.monotonic_s()
             and target.instance.failure_domain not in self._fleet.evacuated_domains
             and self._region_allowed(target, requirements)
             and self._has_required_weights(target, requirements)
         )
 
+    def record_leaving(self, target):
+        """Record that `target` has stated in an answer that it is leaving."""
+        self._fleet.record_leaving(target)
+
     def any_loading(self, requirements):
         """Return whether a target of the required service is loading weights."""
         return any(
--- /dev/null
+++ b/tests/test_relay_notices.py
@@ -0,0 +1,227 @@
+"""Tests of instances that state in an answer that they want no further requests."""
+
+import time
+
+import gevent
+import pytest
+
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.platform import headers as wire
+from briarbeam.platform.store import Record
+from briarbeam.relay.fleet import REMOVED_MAX, Fleet, LoadReport
+from briarbeam.relay.upstream_call import UpstreamCall
+
+from .relay_fakes import (
+    END,
+    NON_IDEMPOTENT,
+    RESUMABLE_STREAM,
+    Entry,
+    FakeInstance,
+    event,
+    ok,
+    read_all,
+    reply,
+    request_bytes,
+    stream_head,
+)
+
+LEAVING = b"server-leaving: 1\r\n"
+NOW_MS = int(ManualClock().now().timestamp() * 1000)
+SPEC = {
+    "service": "svc", "address": "10.0.0.9:8080", "zone": "z1", "version": "v1",
+    "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": 4, "born": NOW_MS - 9000,
+}  # fmt: skip
+
+
+def leaving_stream(instance, sock, request):
+    head = stream_head().replace(b"\r\n\r\n", b"\r\n" + LEAVING + b"\r\n")
+    sock.sendall(head)
+    for number in (1, 2, 3):
+        sock.sendall(event(number))
+        gevent.sleep(0.1)
+    sock.sendall(END)
+
+
+def failure(status, extra=b""):
+    """Return the bytes of an answer with an error status and no body."""
+    return b"HTTP/1.1 %d X\r\n%bcontent-length: 0\r\n\r\n" % (status, extra)
+
+
+# Targets that leave
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        ok(extra=LEAVING),
+        failure(404, LEAVING),
+        failure(500, LEAVING),
+        failure(421, LEAVING),
+        failure(503, LEAVING),
+        failure(503, LEAVING + b"x-not-run: 1\r\n"),
+    ],
+    ids=["200", "404", "500", "421", "503", "503 not run"],
+)
+def test_target_that_states_its_leaving_in_any_answer_gets_no_further_request(answer):
+    """It got requests until the list showed that it drains."""
+    leaving = FakeInstance(reply(answer))
+    entry = Entry({"i1": leaving}, **NON_IDEMPOTENT)
+    entry.ask()
+    entry.fleet.get("i1").replaced_until_s = 0.0
+    stays = FakeInstance(reply(ok(b"stays")))
+    entry.add("i2", stays.address, failure_domain="z2")
+    for _ in range(5):
+        assert entry.ask().endswith(b"stays")
+    assert len(leaving.requests) == 1
+
+
+def test_callers_get_the_answer_of_a_leaving_target_unchanged():
+    entry = Entry({"i1": FakeInstance(reply(ok(extra=LEAVING)))})
+    answer = entry.ask()
+    assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and answer.endswith(b"done")
+    assert LEAVING in answer
+
+
+def test_request_is_refused_at_once_if_all_targets_have_stated_their_leaving():
+    entry = Entry({"i1": FakeInstance(reply(ok(extra=LEAVING)))})
+    entry.ask()
+    started_s = time.monotonic()
+    answer = entry.ask()
+    assert answer.split()[1] == b"503" and b"retry-after" in answer
+    assert time.monotonic() - started_s < 0.2
+
+
+def test_target_that_leaves_with_the_head_of_a_stream_ends_it_and_gets_no_other():
+    """The statement must not wait for the end of a stream that takes seconds."""
+    leaving = FakeInstance(leaving_stream)
+    entry = Entry({"i1": leaving}, **RESUMABLE_STREAM)
+    sock = entry.connect()
+    sock.sendall(request_bytes(method=b"POST", body=b"x"))
+    gevent.sleep(0.15)
+    stays = FakeInstance(reply(ok(b"stays")))
+    entry.add("i2", stays.address, failure_domain="z2")
+    assert entry.ask(method=b"POST", body=b"x").endswith(b"stays")
+    assert read_all(sock).endswith(END)
+    assert len(leaving.requests) == 1
+
+
+def test_request_picked_before_a_target_states_its_leaving_is_not_sent(monkeypatch):
+    leaving, stays = FakeInstance(reply(ok())), FakeInstance(reply(ok(b"stays")))
+    entry = Entry({"i1": leaving})
+    connect = UpstreamCall.connect
+
+    def connect_then_leave(call):
+        connect(call)
+        entry.dispatcher._update_target(
+            entry.fleet.get("i1"), wire.decode_reply(200, [(b"server-leaving", b"1")])
+        )
+
+    entry.add("i2", stays.address, failure_domain="z2").outstanding = 15
+    monkeypatch.setattr(UpstreamCall, "connect", connect_then_leave)
+    assert entry.ask().endswith(b"stays")
+    assert not leaving.requests
+
+
+def test_refusals_of_a_leaving_target_are_no_failures():
+    entry = Entry({"i1": FakeInstance(reply(failure(503, LEAVING)))})
+    entry.add("i2", FakeInstance(reply(ok())).address, failure_domain="z2")
+    target = entry.fleet.get("i1")
+    assert entry.ask().split()[1] == b"200"
+    assert target.failures == 0 and not target.results
+    assert target.avoid_until_s == 0.0
+
+
+def listed(state="ready", revision=1, **fields):
+    """Return the store's records with one instance."""
+    return {"i1": Record("i1", revision, SPEC | {"state": state} | fields)}
+
+
+def leave(fleet):
+    fleet.record_leaving(fleet.get("i1"))
+    assert fleet.get("i1").leaving
+
+
+@pytest.mark.parametrize("revision", [1, 7])
+@pytest.mark.parametrize("models", [(), [{"name": "m", "version": 2}]])
+def test_list_that_is_older_than_the_leaving_does_not_bring_a_target_back(
+    revision, models
+):
+    """A record that changed before the leaving was read after it."""
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update(listed())
+    leave(fleet)
+    fleet.update(listed(revision=revision, models=list(models)))
+    assert fleet.get("i1").leaving
+
+
+def test_lost_and_restored_record_does_not_bring_a_leaving_target_back():
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update(listed())
+    leave(fleet)
+    fleet.update({})
+    assert not fleet.targets("svc")
+    for number in range(REMOVED_MAX + 10):
+        fleet.update({f"n{number}": Record(f"n{number}", 2, SPEC)})
+        fleet.targets("svc")
+    fleet.update(listed(revision=9))
+    assert [target.leaving for target in fleet.targets("svc")] == [True]
+
+
+def test_removed_targets_are_bounded_also_if_all_of_them_left():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    for number in range(REMOVED_MAX * 2):
+        fleet.update({f"n{number}": Record(f"n{number}", 2, SPEC)})
+        fleet.record_leaving(fleet.get(f"n{number}"))
+        fleet.targets("svc")
+    assert len(fleet._removed) == REMOVED_MAX
+
+
+def test_new_boot_of_a_target_that_left_is_used_again():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    fleet.update(listed())
+    leave(fleet)
+    clock.advance(5.0)
+    fleet.update(listed(revision=2, born=NOW_MS + 4000))
+    assert not fleet.get("i1").leaving
+
+
+def test_new_boot_that_only_its_stager_has_reported_is_used_again():
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    fleet.update(listed())
+    leave(fleet)
+    clock.advance(5.0)
+    fleet.apply_report("10.0.0.9", LoadReport(5.0, NOW_MS + 4000, True, 1, 0, 0))
+    assert not fleet.get("i1").leaving
+
+
+def test_boot_that_left_before_it_was_listed_stays_out():
+    """A target that restarted under its id was still known by the older record."""
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    fleet.update(listed())
+    held_by_a_request = fleet.get("i1")
+    clock.advance(5.0)
+    leave(fleet)
+    clock.advance(5.0)
+    fleet.update(listed(revision=2, born=NOW_MS + 1000))
+    assert fleet.get("i1").leaving
+    assert held_by_a_request.leaving
+
+
+def test_target_whose_leaving_was_withdrawn_in_the_list_is_used_again():
+    fleet = Fleet(ManualClock(), dict)
+    fleet.update(listed())
+    leave(fleet)
+    fleet.update(listed("draining", revision=5))
+    fleet.update(listed(revision=4))
+    assert fleet.get("i1").leaving
+    fleet.update(listed(revision=6))
+    assert not fleet.get("i1").leaving
+
+
+@pytest.mark.parametrize("value", [b"0", b"", b"no", b"\xff"])
+def test_only_the_documented_value_takes_a_target_out(value):
+    assert not wire.decode_reply(200, [(b"server-leaving", value)]).leaving
