Send no request to a target before the end of its Retry-After

The entry sent there again at once, so that requests were refused in turn and used up the retry budget; callers were told 0.6 s to 1.3 s whatever the runners had asked for, and came back in vain.

Cause: `Retry-After` of an instance was not read.

Now a 503 with it closes the target as soon as its head is read, whether it says that the request did not run or not. A later refusal doesn't shorten an earlier one. If all targets that a request may go to are closed, the caller is refused at once: its Retry-After is the time to the first opening, plus a random part of half of that (0.2 s at least), since more callers wait for a later opening. A target that is open but full counts as open, one that is loading weights as opening soon.

A closing lasts 0.1 s at least, twice that after each further refusal without a success in between, up to 1 s. So a target that refuses everything and asks for no wait doesn't use up the retry budget. 30 s is the upper limit. Negative values count as 0, dates and other text as 1 s, of several values the longest counts; each of these is logged as `retry_after_odd`. A new boot is open; one that refused before it was listed stays closed.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -3,6 +3,7 @@
 Header names are lower-case ``bytes``; values are ``bytes`` as they were received.
 """
 
+import re
 from dataclasses import dataclass, field
 
 REQUEST_ID = b"x-request-id"
@@ -16,6 +17,15 @@
 _KEY_SCHEME = b"bearer "
 _MODEL = b"x-model"
 _LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
+_DECIMAL = re.compile(rb"[+-]?(\d+\.?\d*|\.\d+)")
+
+# Upper limit on the Retry-After of an instance, so that a wrong one can't exclude it
+# for the rest of its run.
+RETRY_AFTER_MAX_S = 30.0
+# Assumed if none of its values is a number. Dates are not evaluated, as the clocks of
+# two machines may differ by more than the wait.
+RETRY_AFTER_DEFAULT_S = 1.0
 
 # Headers that concern one connection only, or that briarbeam sets itself.
 _NOT_FORWARDED = {
@@ -53,6 +63,19 @@
     forwarded: list = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class RetryAfter:
+    """How long an instance that refused a request wants no others.
+
+    :param wait_s: from 0 to `RETRY_AFTER_MAX_S`.
+    :param odd_value: the value as received if it is not a single number within these
+        limits, else None.
+    """
+
+    wait_s: float
+    odd_value: bytes | None = None
+
+
 @dataclass(frozen=True)
 class ReplyMeta:
     """The decoded head of an instance's answer.
@@ -64,6 +87,7 @@
     :param weights_version: the version of the weights that produced the answer, or
         None.
     :param leaving: whether the instance states that it is about to stop.
+    :param retry_after: the `RetryAfter` of a 503, or None if it has none.
     """
 
     status: int
@@ -73,6 +97,7 @@
     waiting: int | None = None
     weights_version: int | None = None
     leaving: bool = False
+    retry_after: RetryAfter | None = None
 
 
 def decode_request(headers):
@@ -143,6 +168,7 @@
         waiting=waiting,
         weights_version=_parse_int(value_by_name.get(b"x-weight-versions")),
         leaving=(_LEAVING, b"1") in headers,
+        retry_after=_parse_retry_after(headers) if status == 503 else None,
     )
 
 
@@ -182,6 +208,19 @@
         return None, None
 
 
+def _parse_retry_after(headers):
+    """Return the `RetryAfter`, by the longest of several waits, or None without any."""
+    values = [value for name, value in headers if name == _RETRY_AFTER]
+    if not values:
+        return None
+    parts = [part.strip() for value in values for part in value.split(b",")]
+    waits_s = [float(part) for part in parts if _DECIMAL.fullmatch(part)]
+    wait_s = max(waits_s, default=RETRY_AFTER_DEFAULT_S)
+    bounded_s = min(RETRY_AFTER_MAX_S, max(0.0, wait_s))
+    is_odd = len(parts) != 1 or not waits_s or bounded_s != wait_s
+    return RetryAfter(bounded_s, b",".join(values)[:100] if is_odd else None)
+
+
 def _parse_int(value):
     try:
         return int(value)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -51,6 +51,11 @@
 # Retry-After if no instance is loading weights either. Callers retry once, so a retry
 # that comes too early fails for good.
 NOT_LOADING_RETRY_AFTER_S = 1.3
+# If all targets are closed, callers return within this share of the time until the
+# first of them opens, counted from its opening, or within the shortest time. The
+# longer the wait, the more callers wait for it.
+OPENING_SPREAD_SHARE = 0.5
+OPENING_SPREAD_MIN_S = 0.2
 # Statuses after which a repeatable request is sent to another instance.
 _FAILED_STATUSES = frozenset({500, 502, 503, 504, 429})
 
@@ -178,13 +183,30 @@
         if job.may_have_run:
             return UpstreamError(f"no retry possible after attempts at {job.tried}")
         if job.tried:
-            return NotStartedError(f"targets refused to run the request: {job.tried}")
+            return NotStartedError(
+                f"targets refused to run the request: {job.tried}",
+                retry_after_s=self._opening_retry_after_s(job),
+            )
         return NoCapacityError(
             f"no target of service {job.requirements.service.name} "
             "can take the request",
-            retry_after_s=self._retry_after_s(job) * random.uniform(0.8, 1.2),
+            retry_after_s=self._opening_retry_after_s(job)
+            or self._retry_after_s(job) * random.uniform(0.8, 1.2),
         )
 
+    def _opening_retry_after_s(self, job):
+        """Return a random Retry-After that ends after the first target opens.
+
+        :returns: None if a target is open, or if none is closed.
+        """
+        opening_s = self._selector.next_opening_s(job.requirements)
+        if opening_s is None:
+            return None
+        if self._selector.any_loading(job.requirements):
+            opening_s = min(opening_s, LOAD_RETRY_AFTER_S)
+        spread_s = max(OPENING_SPREAD_MIN_S, OPENING_SPREAD_SHARE * opening_s)
+        return opening_s + random.uniform(0.0, spread_s)
+
     def _retry_after_s(self, job):
         if self._selector.eligible_targets(job.requirements):
             return RETRY_AFTER_S
@@ -296,6 +318,8 @@
     def _update_target(self, target, reply):
         if reply.leaving:
             self._selector.record_leaving(target)
+        if reply.retry_after is not None:
+            self._selector.record_refusal(target, reply.retry_after)
         if reply.running is not None:
             target.record_answer_load(
                 reply.running, reply.waiting or 0, time.monotonic()
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 import structlog
+from prometheus_client import Counter
 
 from ..platform.records import decode_instance
 from .errors import MalformedRecordError
@@ -40,6 +41,9 @@
 # The store removes the record of a crashed instance after about 4 s.
 REPLACED_FOR_S = 4.0
 
+_REFUSALS = Counter(
+    "briarbeam_refusals_with_wait", "Answers 503 of instances with Retry-After"
+)
 _log = structlog.get_logger()
 
 
@@ -121,6 +125,11 @@
         """Whether it has stated in an answer that it is leaving."""
         return self.notices.is_leaving(self.started_ms)
 
+    @property
+    def closed_until_s(self):
+        """Monotonic time until which it wants no requests; may be past."""
+        return self.notices.closed_until_s(self.started_ms)
+
     def version_of(self, model):
         """Return the version of `model` that is presumably loaded, 0 if none."""
         if self.report is not None:
@@ -174,6 +183,7 @@
         """Record a complete answer of the instance."""
         self.failures = 0
         self.results.append(True)
+        self.notices.record_success()
 
     def record_failure(self, now_s):
         """Record a failure that the instance caused, and avoid it for a while.
@@ -270,6 +280,24 @@
         if target.notices.record_leaving(self._statement_of(target)):
             _log.info("instance_leaving", instance=target.id)
 
+    def record_refusal(self, target, retry_after):
+        """Close `target`, which refused a request, until the time that it asks for.
+
+        :param retry_after: its `RetryAfter`.
+        """
+        _REFUSALS.inc()
+        now_s = self._clock.monotonic_s()
+        if retry_after.odd_value is not None and target.closed_until_s <= now_s:
+            _log.warning(
+                "retry_after_odd",
+                instance=target.id,
+                value=repr(retry_after.odd_value),
+                wait_s=retry_after.wait_s,
+            )
+        target.notices.record_refusal(
+            self._statement_of(target), retry_after.wait_s, now_s
+        )
+
     def apply_report(self, host, report):
         """Apply a `LoadReport` from the stager at the IP address `host`.
 
--- a/briarbeam/relay/notices.py
+++ b/briarbeam/relay/notices.py
@@ -1,7 +1,14 @@
 """What an instance has stated in its answers about further requests."""
 
+import math
 from dataclasses import dataclass
 
+# The shortest time for which an instance that refuses a request with Retry-After is
+# closed. It doubles with each refusal in a row, up to the second value: otherwise an
+# instance that refuses everything and asks for no wait would use up the retry budget.
+CLOSED_MIN_S = 0.1
+CLOSED_IN_A_ROW_MAX_S = 1.0
+
 
 @dataclass(frozen=True)
 class Statement:
@@ -33,6 +40,9 @@
     def __init__(self):
         self._leaving = None
         self._draining_revision = None
+        self._closed = None
+        self._closed_until_s = -math.inf
+        self._closed_in_a_row = 0
 
     def record_leaving(self, statement):
         """Record that the instance is leaving; return whether that is new."""
@@ -58,3 +68,31 @@
             self._draining_revision = None
             if self._leaving and instance.started_ms <= self._leaving.started_ms:
                 self._leaving = None
+
+    def record_refusal(self, statement, retry_after_s, now_s):
+        """Record that the instance wants no requests for `retry_after_s` from now on.
+
+        :param now_s: monotonic time.
+        """
+        closed_until_s = self.closed_until_s(statement.started_ms)
+        # Requests that were sent together are refused together, which counts once.
+        if now_s >= closed_until_s:
+            self._closed_in_a_row += 1
+        least_s = min(
+            CLOSED_IN_A_ROW_MAX_S, CLOSED_MIN_S * 2 ** (self._closed_in_a_row - 1)
+        )
+        self._closed = statement
+        self._closed_until_s = max(closed_until_s, now_s + max(retry_after_s, least_s))
+
+    def record_success(self):
+        """Record that the instance ran a request."""
+        self._closed_in_a_row = 0
+
+    def closed_until_s(self, started_ms):
+        """Return the monotonic time until which requests are unwanted, maybe past.
+
+        :param started_ms: identifies the boot of the instance.
+        """
+        if self._closed is None or not self._closed.applies_to(started_ms):
+            return -math.inf
+        return self._closed_until_s
--- a/briarbeam/relay/target_selector.py
+++ b/briarbeam/relay/target_selector.py
@@ -159,7 +159,16 @@
         return [target for target in targets if self.is_eligible(target, requirements)]
 
     def is_eligible(self, target, requirements):
-        """Return whether `target` meets `requirements` now, regardless of its load."""
+        """Return whether `target` meets `requirements` now, regardless of its load.
+
+        A target that asked for a wait is not eligible until its end.
+        """
+        return target.closed_until_s <= self._clock.monotonic_s() and self._meets(
+            target, requirements
+        )
+
+    def _meets(self, target, requirements):
+        """Return whether `target` meets `requirements`, whether it is closed or not."""
         return (
             target.instance.service == requirements.service.name
             and not target.instance.draining
@@ -170,6 +179,24 @@
             and self._has_required_weights(target, requirements)
         )
 
+    def next_opening_s(self, requirements):
+        """Return the seconds until a closed target becomes eligible, or None.
+
+        :returns: None if a target is eligible now, or if none is closed.
+        """
+        now_s = self._clock.monotonic_s()
+        waits_s = [
+            target.closed_until_s - now_s
+            for target in self._fleet.targets(requirements.service.name)
+            if self._meets(target, requirements)
+        ]
+        wait_s = min(waits_s, default=0.0)
+        return wait_s if wait_s > 0.0 else None
+
+    def record_refusal(self, target, retry_after):
+        """Record that `target` refused a request; `retry_after` is its `RetryAfter`."""
+        self._fleet.record_refusal(target, retry_after)
+
     def record_leaving(self, target):
         """Record that `target` has stated in an answer that it is leaving."""
         self._fleet.record_leaving(target)
