Order the store's revisions by the era of the store

Callers saw: after the store came back from a copy some seconds old, entries refused requests with a key (the state they held was confirmed no longer), and the links to the store were full of copies of the desired state.

Cause: revisions go back and are given out again, but entries, stagers and copies compared bare numbers. An entry that held revision 500 ignored a list at revision 450 as an answer that another entry had overtaken, forgot the revision to watch from, and listed again without a pause. Where the number had been given out again, a watch went on from it and missed the changes before.

The header Store-Era counts the restores. StoreClient joins it with the number into one integer, era * 10^12 + number, which is used wherever revisions are compared: records, summaries, greetings, confirmations, announcements, the path of copies. An integer rather than a pair, because builds without eras refuse a datagram with another type or a further field; to them and from them a bare number is era 0. In a copy the revision to watch from stays the bare number for the same reason.

- A watch from an earlier era raises StoreRewoundError, whatever its status.
- An answer to a call that was sent before the era rose changes nothing; one without a valid era, or with a lower one than was known when its call was sent, is logged once and counts as the era before.
- A list that spans two eras is not used.
- All mirrors of an entry end their watches from before the era.
A large state of the new era is left to the reader first, as at the start, so that one copy goes over the link and not one for each entry.
- The state in force never reverts, as before.

The stand-in of the store has eras, restores from a copy, and 410 for revisions that it doesn't have.

--- a/briarbeam/distribution/state_copy.py
+++ b/briarbeam/distribution/state_copy.py
@@ -1,6 +1,8 @@
 """The format in which entries send each other a desired state.
 
-A copy has the age of the records in a line of text, then the compressed records.
+A copy has the age of the records in a line of text, then the compressed records. The
+revisions of records contain the store's era, the one to watch from is the store's
+number, which builds that know no eras can use as well.
 """
 
 import json
@@ -8,6 +10,7 @@
 import zlib
 from dataclasses import dataclass
 
+from ..platform.revisions import era_of, join_revision, number_of
 from ..platform.store import Record
 from .errors import MalformedCopyError
 
@@ -35,7 +38,8 @@
 def pack_records(records, store_revision):
     """Return the bytes of the part of a copy that does not change with time."""
     rows = [[r.name, r.revision, r.spec] for r in records.values()]
-    text = json.dumps([store_revision, rows], separators=(",", ":"))
+    content = [number_of(store_revision), rows]
+    text = json.dumps(content, separators=(",", ":"))
     return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
 
 
@@ -79,7 +83,8 @@
         age_s = float(age)
         if not 0 <= age_s < math.inf:
             raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
-        return StateCopy(records, store_revision, age_s)
+        era = era_of(max((r.revision for r in records.values()), default=0))
+        return StateCopy(records, join_revision(era, store_revision), age_s)
     except (ValueError, TypeError, zlib.error) as error:
         raise MalformedCopyError(
             f"copy of {len(data)} bytes can't be decoded: {error!r}"
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -1,6 +1,10 @@
 """The client of the platform's metadata store: lists and watches.
 
 It writes nothing, as briarbeam has no data of its own to persist on this platform.
+
+The store may be restored from an older copy. Its answers state how often that has
+happened, its era. The revisions that the client returns and accepts contain the era,
+see `revisions`.
 """
 
 import json
@@ -9,15 +13,17 @@
 from urllib.parse import urlencode
 
 import structlog
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 from ..kernel.errors import BriarbeamError
 from ..kernel.network import HttpRequest, fetch_in_parts
 from ..relay.errors import (
     HistoryGoneError,
     RecheckError,
+    StoreRewoundError,
     StoreUnavailableError,
 )
+from .revisions import ERA_MAX, era_of, join_revision, number_of
 
 # The store answers in about 4 ms. A call without an answer after this time is
 # considered lost, and callers repeat it.
@@ -30,6 +36,7 @@
 # Answers of this size or larger are logged individually, as they add noticeable load to
 # links between regions.
 LARGE_BODY_BYTES = 16384
+_ERA_HEADER = "store-era"
 _CALLS = Counter("briarbeam_store_calls", "Calls to the store", ["call", "status"])
 _READ_BYTES = Counter(
     "briarbeam_store_read_bytes", "Bytes of the store's answers", ["kind"]
@@ -40,6 +47,7 @@
     ["kind"],
     buckets=(0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0),
 )
+_ERA = Gauge("briarbeam_store_era", "How often the store was restored from a copy")
 _log = structlog.get_logger()
 
 
@@ -47,7 +55,7 @@
 class Record:
     """An object of the store.
 
-    :param revision: the store's revision at which it was last changed.
+    :param revision: the store's revision at which it was last changed, with the era.
     :param spec: the decoded content, or None if its bytes could not be read.
     """
 
@@ -77,24 +85,32 @@
         self._network = network
         self._address = address
         self._timeout_s = timeout_s
+        # The latest era that is known, or None before the first answer.
+        self._era = None
+        self._logged_odd_era = False
 
     def list(self, kind):
         """Return all records of `kind`, and the store's revision when they were read.
 
+        :raises HistoryGoneError: if the store was restored while it was listed.
         :raises StoreUnavailableError: if the store can't be reached, does not answer
             200 or sends a malformed answer.
         """
         records = []
-        after = None
+        after = first_era = None
         while True:
             query = {} if after is None else {"after": after}
-            page = self._get("list", kind, query)
+            page, era = self._get("list", kind, query)
+            if first_era is None:
+                first_era = era
+            elif era != first_era:
+                raise StoreRewoundError(f"list of {kind} spans two eras", era)
             try:
-                records += [_decode_record(item) for item in page["items"]]
+                records += [_decode_record(item, era) for item in page["items"]]
                 if not page.get("more"):
-                    return records, page["store_revision"]
+                    return records, join_revision(era, page["store_revision"])
                 after = records[-1].name
-            except (KeyError, TypeError, IndexError) as error:
+            except (KeyError, TypeError, IndexError, ValueError) as error:
                 raise StoreUnavailableError(
                     f"list of {kind} is malformed: {error!r}"
                 ) from error
@@ -105,25 +121,27 @@
         :param wait_s: how long the store may wait for a first change, in seconds.
         :raises HistoryGoneError: if the store no longer has the changes after
             `revision`, so that a new list is needed.
+        :raises StoreRewoundError: if that is because the store was restored.
         :raises StoreUnavailableError: as for `list`.
         """
-        query = {"watch": revision, "wait_ms": int(wait_s * 1000)}
-        page = self._get("watch", kind, query, wait_s)
+        query = {"watch": number_of(revision), "wait_ms": int(wait_s * 1000)}
+        page, era = self._get("watch", kind, query, wait_s, era_of(revision))
         try:
             changes = [
-                Change(_decode_record(event["object"]), bool(event["removed"]))
+                Change(_decode_record(event["object"], era), bool(event["removed"]))
                 for event in page["events"]
             ]
-            return changes, page["store_revision"]
-        except (KeyError, TypeError) as error:
+            return changes, join_revision(era, page["store_revision"])
+        except (KeyError, TypeError, ValueError) as error:
             raise StoreUnavailableError(
                 f"watch of {kind} is malformed: {error!r}"
             ) from error
 
-    def _get(self, call, kind, query, wait_s=0.0):
-        """Return the decoded JSON of the store's answer.
+    def _get(self, call, kind, query, wait_s=0.0, watched_era=None):
+        """Return the decoded JSON of the store's answer, and the era of the answer.
 
         :param call: ``list`` or ``watch``, for metrics and logs.
+        :param watched_era: the era of the revision to watch from; None for a list.
         """
         path = f"/-/objects/{kind}"
         if query:
@@ -135,8 +153,12 @@
             read_timeout_s=BODY_TIMEOUT_S,
         )
         sent_s = time.monotonic()
+        if watched_era is not None and watched_era > (self._era or 0):
+            # Another entry, from which the revision came, has seen this era.
+            self._set_era(watched_era)
+        era_when_sent = self._era
         try:
-            status, _, content = fetch_in_parts(
+            status, headers, content = fetch_in_parts(
                 self._network, self._address, request, BODY_MAX_BYTES
             )
         except BriarbeamError as error:
@@ -148,15 +170,52 @@
             raise StoreUnavailableError(f"GET {path} failed: {error}") from error
         _CALLS.labels(call, status).inc()
         self._observe_body(call, kind, len(content), time.monotonic() - sent_s)
+        era = self._read_era(headers.get(_ERA_HEADER), era_when_sent)
+        if watched_era is not None and era > watched_era:
+            raise StoreRewoundError(
+                f"GET {path}: the store is in era {era}, not {watched_era} any more",
+                era,
+            )
         if status == 410:
             raise HistoryGoneError(f"GET {path}: the store dropped this history")
         if status != 200:
             raise StoreUnavailableError(f"GET {path} failed with status {status}")
         try:
-            return json.loads(content)
+            return json.loads(content), era
         except ValueError as error:
             raise StoreUnavailableError(f"answer to GET {path} is not JSON") from error
 
+    def _read_era(self, header, era_when_sent):
+        """Return the era of an answer.
+
+        An answer to a call that was sent before the current era was known may be from
+        an earlier one. Without a valid era, or with a lower one than was known when the
+        call was sent, it counts as being from the era that was known then.
+
+        :param header: the value of the answer's header, or None.
+        :param era_when_sent: the era that was known when the call was sent, or None.
+        :raises HistoryGoneError: if the answer is from an earlier era.
+        """
+        is_valid = header is not None and header.isascii() and header.isdecimal()
+        era = int(header) if is_valid and len(header) <= len(str(ERA_MAX)) else -1
+        known = era_when_sent or 0
+        if not known <= era <= ERA_MAX:
+            if not self._logged_odd_era:
+                self._logged_odd_era = True
+                _log.warning("store_era_odd", header=header, era=known)
+            era = known
+        if era < (self._era or 0):
+            raise HistoryGoneError(f"answer is from era {era}, now is {self._era}")
+        if era != self._era:
+            self._set_era(era)
+        return era
+
+    def _set_era(self, era):
+        if self._era is not None:
+            _log.warning("store_rewound", era=era, previous=self._era)
+        self._era = era
+        _ERA.set(era)
+
     def _observe_body(self, call, kind, size_bytes, elapsed_s):
         _READ_BYTES.labels(kind).inc(size_bytes)
         if call == "list":
@@ -171,6 +230,7 @@
             )
 
 
-def _decode_record(item):
+def _decode_record(item, era):
     metadata = item["metadata"]
-    return Record(metadata["name"], metadata["revision"], item.get("spec"))
+    revision = join_revision(era, metadata["revision"])
+    return Record(metadata["name"], revision, item.get("spec"))
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -168,6 +168,7 @@
             is_supplied_by_peers=lambda: self._is_supplied_by_peers(),
             is_reader=lambda: not self._exchange.has_reader(),
             awaits_peer_copy=lambda: not self._first_read.is_due(),
+            peer_copy_wait_s=self._state_copy_wait_s,
             outage_detector=self._version_mirror,
         )
         watched_kinds = (
@@ -194,6 +195,8 @@
         ]  # fmt: skip
         others.append(self._version_mirror)
         self._mirrors = [self._state_mirror, *others]
+        for mirror in self._mirrors:
+            mirror.on_rewound = self._handle_rewind
         self._follower = StoreFollower(self._clock, self._state_mirror, others)
         _STATE_AGE.set_function(lambda: _or_nan(self._state_mirror.age_s))
 
@@ -237,6 +240,17 @@
         """Return whether neighbours supply the desired state."""
         return self._follower.following and not self._spread.needs_store_read()
 
+    def _state_copy_wait_s(self):
+        """Return how long neighbours may supply the desired state of a new era."""
+        if not self._exchange.has_reader():
+            return 0.0
+        return self._spread.store_read_wait_s()
+
+    def _handle_rewind(self, era):
+        """End the watches of all mirrors that are from before `era`."""
+        for mirror in self._mirrors:
+            mirror.recheck_before(era)
+
     def _update_state(self, new_records):
         self._in_force.update(new_records)
         self._spread.handle_records_update()
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -28,6 +28,19 @@
     code = "history_gone"
 
 
+class StoreRewoundError(HistoryGoneError):
+    """The store was restored from an older copy since the requested revision.
+
+    :param era: the store's era since then.
+    """
+
+    code = "store_rewound"
+
+    def __init__(self, message, era):
+        super().__init__(message)
+        self.era = era
+
+
 class MalformedRequestError(NotRunError):
     """The bytes from a caller are no valid request that can be forwarded."""
 
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -7,7 +7,13 @@
 import structlog
 from gevent.event import Event
 
-from .errors import HistoryGoneError, RecheckError, StoreUnavailableError
+from ..platform.revisions import era_of
+from .errors import (
+    HistoryGoneError,
+    RecheckError,
+    StoreRewoundError,
+    StoreUnavailableError,
+)
 
 # Limits of the back-off of calls to a store that refuses them or does not answer. The
 # lower one detects its return early, the growth keeps calls in a long outage few.
@@ -33,8 +39,9 @@
 
     `unseen_s` is the time in seconds, between the last two answers of the store, during
     which no call would have shown a change. `restored_s` is the boot time at which the
-    store was last reached again, or None. `reachable` is an `Event` that is set while
-    the store answers.
+    store was last reached again or its records were replaced by those of a later era,
+    or None; `rewound_s` counts the latter only. `reachable` is an `Event` that is set
+    while the store answers. `on_rewound` is called with the era when that has risen.
 
     :param store: the `StoreClient`.
     :param kind: the kind of the records, as in the store's paths.
@@ -51,6 +58,8 @@
         for this one; otherwise calls to an unreachable store are retried less often.
     :param awaits_peer_copy: a function that returns whether other entries may still
         supply the records before the first list.
+    :param peer_copy_wait_s: a function that returns for how many seconds other entries
+        may supply the records of a new era before this one lists them.
     :param outage_detector: a `Mirror` of the same store, or None. While that one can't
         reach the store, this one makes no calls; it resumes when that one reaches it
         again.
@@ -68,6 +77,7 @@
         is_supplied_by_peers=None,
         is_reader=None,
         awaits_peer_copy=None,
+        peer_copy_wait_s=None,
         outage_detector=None,
     ):
         self._store = store
@@ -80,11 +90,17 @@
         self._is_supplied_by_peers = is_supplied_by_peers or (lambda: False)
         self._is_reader = is_reader or (lambda: True)
         self._awaits_peer_copy = awaits_peer_copy or (lambda: False)
+        self._peer_copy_wait_s = peer_copy_wait_s or (lambda: 0.0)
         self._list_duration_s = 0.0
         self._in_burst = False
         self._changed_s = -math.inf
         self._records = {}
         self._revision = None
+        # The era of the records, None before the first ones; the latest era that is
+        # known; and the monotonic time at which that became known.
+        self._era = None
+        self._known_era = 0
+        self._known_era_at_s = -math.inf
         self._outage_detector = outage_detector
         self._watch_task = None
         self.reachable = Event()
@@ -93,6 +109,8 @@
         self._answered_s = -math.inf
         self.confirmed_s = None
         self.restored_s = None
+        self.rewound_s = None
+        self.on_rewound = lambda era: None
 
     @property
     def kind(self):
@@ -114,13 +132,15 @@
             if self._outage_detector is not None:
                 self._outage_detector.reachable.wait()
             try:
-                self._await_first_copy()
+                self._await_peer_copy()
                 pause_is_due = self._step()
                 pause_s = RETRY_MIN_S
                 if pause_is_due:
                     self._pause_after_change()
             except RecheckError:
                 raise
+            except StoreRewoundError as error:
+                self._drop_history(error.era)
             except HistoryGoneError:
                 _log.info("history_gone", kind=self._kind, revision=self._revision)
                 self._revision = None
@@ -177,7 +197,8 @@
         :param revision: the store's revision to resume a watch from.
         :param at_s: when they matched the store, in boot time of this entry.
         """
-        if _newest_revision(records) <= self.summary[0]:
+        newest = _newest_revision(records)
+        if newest <= self.summary[0] or era_of(newest) < (self._era or 0):
             return
         confirmed_s = max(at_s, self.confirmed_s or -math.inf)
         self._replace(dict(records), revision, confirmed_s)
@@ -187,6 +208,25 @@
         if self._watch_task is not None:
             gevent.kill(self._watch_task, RecheckError("recheck was requested"))
 
+    def recheck_before(self, era):
+        """List the records again if they are from before `era`.
+
+        Records that other entries supply are left to them.
+        """
+        if self._era is not None and self._era < era:
+            self._record_known_era(era)
+            self.recheck()
+
+    def _drop_history(self, era):
+        """Forget the revision to watch from if it is from before `era`."""
+        self._record_known_era(era)
+        if self._revision is not None and era_of(self._revision) < era:
+            self._revision = None
+
+    def _record_known_era(self, era):
+        if era > self._known_era:
+            self._known_era, self._known_era_at_s = era, self._clock.monotonic_s()
+
     def _watch(self):
         self._watch_task = gevent.getcurrent()
         try:
@@ -194,9 +234,21 @@
         finally:
             self._watch_task = None
 
-    def _await_first_copy(self):
+    def _await_peer_copy(self):
+        """Wait while other entries may supply the first records or those of a new era.
+
+        Otherwise all entries would list a large state when the store returns.
+        """
         while self.confirmed_s is None and self._awaits_peer_copy():
             gevent.sleep(PEER_POLL_S / 2)
+        while self._revision is None and self._awaits_new_era():
+            gevent.sleep(PEER_POLL_S / 2)
+
+    def _awaits_new_era(self):
+        if self._era is None or self._era >= self._known_era:
+            return False
+        waited_s = self._clock.monotonic_s() - self._known_era_at_s
+        return waited_s < self._peer_copy_wait_s()
 
     def _relies_on_peers(self):
         # While the store is unreachable, other mirrors wait for this one to reach it.
@@ -226,6 +278,9 @@
             return self._list(sent_s)
         changes, revision = self._watch()
         self._mark_reachable()
+        if era_of(revision) < self._era:
+            # Another entry has supplied records of a newer era in the meantime.
+            return False
         if self._is_large:
             # Another entry may have supplied newer records in the meantime.
             current_revision = self.summary[0]
@@ -252,6 +307,7 @@
 
     def _replace(self, records, revision, confirmed_s):
         """Replace the records; restore the previous ones if `on_change` raises."""
+        self._update_era(era_of(revision))
         previous = self._records, self._revision, self.confirmed_s
         self._records, self._revision, self.confirmed_s = records, revision, confirmed_s
         try:
@@ -260,6 +316,15 @@
             self._records, self._revision, self.confirmed_s = previous
             raise
 
+    def _update_era(self, era):
+        """Record the era of the records that are about to replace the present ones."""
+        if self._era is not None and era > self._era:
+            self.rewound_s = self.restored_s = self._clock.boottime_s()
+            _log.warning("records_rewound", kind=self._kind, era=era, before=self._era)
+            self._era = era
+            self.on_rewound(era)
+        self._era = era
+
     def _list(self, sent_s):
         """Replace the records by a list; return whether a pause is due after it.
 
@@ -272,8 +337,9 @@
         self._list_duration_s = answered_s - sent_s
         listed = {record.name: record for record in records}
         if self._is_large and _newest_revision(listed) < self.summary[0]:
-            # Another entry supplied a newer state while the answer was on its way.
-            return self._in_burst
+            # Another entry supplied a newer state while the answer was on its way, or
+            # the store was restored without the state, which will be written again.
+            return True
         self._record_answer(answered_s)
         self._replace(listed, revision, sent_s)
         self._in_burst = self._in_burst and self.summary != previous
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -118,8 +118,14 @@
         superseded_s = self.superseded_for_s()
         if superseded_s is None or superseded_s < STORE_READ_AFTER_S:
             return False
+        return superseded_s >= self.store_read_wait_s()
+
+    def store_read_wait_s(self):
+        """Return for how many seconds other entries may supply a state before this one
+        reads it from the store.
+        """
         wait_s = STORE_READ_AFTER_S + self.rank() * STORE_READ_PER_RANK_S
-        return superseded_s >= min(STORE_READ_MAX_S, wait_s)
+        return min(STORE_READ_MAX_S, wait_s)
 
     def rank(self):
         """Return how many neighbours rank before this entry."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -61,13 +61,18 @@
 class Store(Server):
     """Keeps records by kind and name, with a revision and watches.
 
-    While `down` is true, it answers 503.
+    While `down` is true, it answers 503. All answers state the `era` in a header; None
+    leaves the header out.
     """
 
     def __init__(self, address):
         self.records = {}
         self.revision = 1
+        self.era = 1
         self._events = []
+        # When each of the events was recorded, and the last write of each record.
+        self._written_s = []
+        self._last_writes = {}
         self._changed = Event()
         self.down = False
         super().__init__(address)
@@ -80,18 +85,50 @@
         """Remove a record."""
         self._record_change(kind, name, None, True)
 
+    def rewind(self, age_s):
+        """Restore the store from a copy that is `age_s` old, which begins a new era."""
+        copied_s = time.monotonic() - age_s
+        kept = sum(written_s <= copied_s for written_s in self._written_s)
+        del self._events[kept:], self._written_s[kept:]
+        self.revision, self.records = 1, {}
+        for revision, kind, event in self._events:
+            self.revision = revision
+            self._apply(kind, event["object"], event["removed"])
+        self.era = (self.era or 0) + 1
+        self._changed.set()
+        self._changed.clear()
+
+    def write_lost_again(self):
+        """Repeat the last write of each record that a rewind has undone."""
+        for (kind, name), spec in list(self._last_writes.items()):
+            item = self.records.get((kind, name))
+            if spec != (None if item is None else item["spec"]):
+                self._record_change(kind, name, spec, spec is None)
+
     def _record_change(self, kind, name, spec, removed):
         self.revision += 1
         item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self._apply(kind, item, removed)
+        self._last_writes[kind, name] = None if removed else spec
+        self._events.append((self.revision, kind, {"object": item, "removed": removed}))
+        self._written_s.append(time.monotonic())
+        self._changed.set()
+        self._changed.clear()
+
+    def _apply(self, kind, item, removed):
+        name = item["metadata"]["name"]
         if removed:
             self.records.pop((kind, name), None)
         else:
             self.records[kind, name] = item
-        self._events.append((self.revision, kind, {"object": item, "removed": removed}))
-        self._changed.set()
-        self._changed.clear()
 
     def handle(self, method, path, fields, body, environ):
+        status, headers, content = self._answer(path, fields)
+        if self.era is not None:
+            headers = [*headers, ("Store-Era", str(self.era))]
+        return status, headers, content
+
+    def _answer(self, path, fields):
         if self.down:
             return 503, [], b""
         kind = path.rsplit("/", 1)[1]
@@ -100,9 +137,11 @@
             return _json(
                 {"items": items, "more": False, "store_revision": self.revision}
             )
-        since = int(fields["watch"])
+        since, era = int(fields["watch"]), self.era
         end_s = time.monotonic() + int(fields["wait_ms"]) / 1000
         while True:
+            if since > self.revision or era != self.era:
+                return 410, [], b""
             events = [e for r, k, e in self._events if k == kind and r > since]
             left_s = end_s - time.monotonic()
             if events or left_s <= 0 or self.down:
