--- a/briarbeam/platform/pages.py
+++ b/briarbeam/platform/pages.py
@@ -1,8 +1,9 @@
 """Reads pages of the store; an unreadable entry of another writer affects no other."""
 
 from ..kernel.lenient_json import is_readable
+from .revisions import ERA_UNIT
 
-# The store counts its changes one by one, and times in milliseconds are far smaller.
+# Limit on integers in specs: times in milliseconds are far smaller.
 INTEGER_MAX = 2**53
 
 
@@ -45,4 +46,4 @@
 
 
 def _is_revision(value):
-    return type(value) is int and 0 <= value <= INTEGER_MAX
+    return type(value) is int and 0 <= value < ERA_UNIT
