Refuse malformed manifests and reports with a typed error

The decoder raised ValueError, and the task expects errors of briarbeam.

A manifest without digests, or with digests of another form or version, was accepted from a peer and from the origin, which may send corrupt bytes: an empty one counted as a complete copy. An engine's report with fields of another type reached the load datagrams and the choice of a target; one nested deeply raised RecursionError.

The pace is limited to 0.01 to 10,000, as weights are divided by it. Anything else is an UpstreamError, after which the next source or report is tried.

A manifest whose digests have the right form but a wrong digit is still accepted; none of its other copies is compared with it.

--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -5,7 +5,6 @@
 """
 
 import hashlib
-import json
 import time
 
 import gevent
@@ -471,10 +470,11 @@
     """Return the `Manifest` that a peer serves.
 
     :raises ChunkUnavailableError: if the peer does not have it in time.
-    :raises BriarbeamError: if the peer can't be reached or does not answer.
+    :raises BriarbeamError: if the peer can't be reached, or its answer is malformed.
     """
     content = _fetch_peer(network, peer, f"/manifests/{model}/{version}")
-    return engines.Manifest(model, version, tuple(json.loads(content)))
+    digests = engines.parse_json(peer, content)
+    return engines.decode_manifest(peer, model, version, digests)
 
 
 def _fetch_peer(network, peer, path):
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -2,17 +2,22 @@
 
 import enum
 import json
+import re
 from dataclasses import dataclass
 
 from ..kernel.network import HttpRequest, fetch
 from ..relay.errors import UpstreamError
-from .records import decode_models
+from .records import decode_models, get_integer, get_typed
 
 CALL_TIMEOUT_S = 1.0
 # Connecting takes one round trip of a few milliseconds. To an unreachable machine it
 # hangs, and a longer timeout would delay the detection that the machine is reachable
 # again.
 CONNECT_TIMEOUT_S = 0.3
+# Range of the slowdown, by which the choice of a target divides.
+SLOWDOWN_MIN = 0.01
+SLOWDOWN_MAX = 1e4
+_DIGEST = re.compile(r"[0-9a-f]{64}\Z")
 
 
 class OrderResult(enum.Enum):
@@ -65,13 +70,13 @@
         return EngineReport(
             models=decode_models(report["models"], report.get("layers")),
             busy=bool(report["busy"]),
-            accepted_orders=report["seq"],
-            running=report["running"],
-            waiting=report["queued"],
-            started_ms=report.get("born", 0),
-            slowdown=report.get("pace", 1.0),
+            accepted_orders=get_integer(report, "seq", 0),
+            running=get_integer(report, "running", 0),
+            waiting=get_integer(report, "queued", 0),
+            started_ms=get_integer(report, "born", 0) if "born" in report else 0,
+            slowdown=_get_slowdown(report) if "pace" in report else 1.0,
         )
-    except (KeyError, TypeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise UpstreamError(f"report from {address} is malformed: {error!r}") from error
 
 
@@ -106,7 +111,10 @@
     :raises BriarbeamError: if the engine can't be reached or its answer is malformed.
     """
     staged = _parse_object(address, _get(network, address, f"/-/stage-get/{model}"))
-    return set(staged.get("held") or ())
+    held = staged.get("held") or []
+    if not isinstance(held, list) or not all(type(n) is int and n >= 0 for n in held):
+        raise UpstreamError(f"list of staged chunks from {address} is malformed")
+    return set(held)
 
 
 def read_staged(network, address, model, number):
@@ -147,11 +155,29 @@
     path = f"/-/manifest/{model}?version={version}"
     manifest = _parse_object(address, _get(network, address, path, timeout_s))
     try:
-        return Manifest(model, manifest["version"], tuple(manifest["digests"]))
-    except (KeyError, TypeError) as error:
+        digests = manifest["digests"]
+        if get_integer(manifest, "version", 0) != version:
+            raise ValueError(f"version is {manifest['version']}, expected {version}")
+    except (KeyError, TypeError, ValueError) as error:
         raise UpstreamError(
             f"manifest from {address} is malformed: {error!r}"
         ) from error
+    return decode_manifest(address, model, version, digests)
+
+
+def decode_manifest(address, model, version, digests):
+    """Return the `Manifest` with `digests`, as decoded from the answer of `address`.
+
+    :raises UpstreamError: if they are no list of digests, or an empty one.
+    """
+    is_valid = isinstance(digests, list) and all(
+        isinstance(digest, str) and _DIGEST.match(digest) for digest in digests
+    )
+    if not is_valid or not digests:
+        raise UpstreamError(
+            f"manifest of {model}/{version} from {address} is malformed"
+        )
+    return Manifest(model, version, tuple(digests))
 
 
 def fetch_chunk(network, address, model, version, number, timeout_s):
@@ -173,11 +199,26 @@
     return content
 
 
-def _parse_object(address, content):
+def _get_slowdown(report):
+    slowdown = get_typed(report, "pace", (int, float))
+    if not 0 < slowdown < float("inf"):
+        raise ValueError(f"pace is {slowdown!r}")
+    return min(SLOWDOWN_MAX, max(SLOWDOWN_MIN, slowdown))
+
+
+def parse_json(address, content):
+    """Return the decoded JSON of the answer from `address`.
+
+    :raises UpstreamError: if it can't be decoded.
+    """
     try:
-        value = json.loads(content)
-    except ValueError as error:
+        return json.loads(content)
+    except (ValueError, RecursionError) as error:
         raise UpstreamError(f"answer from {address} is not JSON") from error
+
+
+def _parse_object(address, content):
+    value = parse_json(address, content)
     if not isinstance(value, dict):
         raise UpstreamError(
             f"answer from {address} is {type(value).__name__}, expected an object"
--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -49,7 +49,7 @@
     """
     try:
         return DesiredState(
-            version=_get_integer(spec, "version", 0),
+            version=get_integer(spec, "version", 0),
             routes=tuple(_decode_route(item) for item in spec["routes"]),
             services={item["name"]: _decode_service(item) for item in spec["services"]},
             limits=_decode_limits(spec.get("limits") or {}),
@@ -70,13 +70,13 @@
     try:
         return Instance(
             id=name,
-            service=_get_text(spec, "service"),
+            service=get_text(spec, "service"),
             address=_get_address(spec, "address"),
-            failure_domain=_get_text(spec, "zone"),
-            slots=_get_integer(spec, "slots", 1, SLOTS_MAX),
-            draining=_DRAINING_BY_STATE[_get_typed(spec, "state", str)],
+            failure_domain=get_text(spec, "zone"),
+            slots=get_integer(spec, "slots", 1, SLOTS_MAX),
+            draining=_DRAINING_BY_STATE[get_typed(spec, "state", str)],
             cold_left_s=_get_cold_left_s(spec),
-            started_ms=_get_integer(spec, "born", 0) if "born" in spec else 0,
+            started_ms=get_integer(spec, "born", 0) if "born" in spec else 0,
             models=decode_models(spec["models"], spec.get("layers"))
             if "models" in spec
             else None,
@@ -95,13 +95,13 @@
     has no weights.
     """
     held = {}
-    for model in _check_list(models):
+    for model in check_list(models):
         if model.get("version") is None:
             continue
-        version = _get_integer(model, "version", 0)
+        version = get_integer(model, "version", 0)
         if version:
-            held[_get_text(model, "name")] = version
-    if layers is not None and not _check_list(layers):
+            held[get_text(model, "name")] = version
+    if layers is not None and not check_list(layers):
         return {}
     return held
 
@@ -112,14 +112,14 @@
     :raises MalformedRecordError: if either is missing or has the wrong type.
     """
     try:
-        return _get_text(spec, "model"), _get_integer(spec, "version", 0)
+        return get_text(spec, "model"), get_integer(spec, "version", 0)
     except _DECODE_ERRORS as error:
         raise MalformedRecordError(
             f"named version can't be decoded: {_describe(error)}"
         ) from error
 
 
-def _get_typed(spec, field, types):
+def get_typed(spec, field, types):
     """Return a field's value.
 
     :param types: a type, or a tuple of types.
@@ -132,23 +132,23 @@
     return value
 
 
-def _get_text(spec, field):
+def get_text(spec, field):
     """Return a field's text, which may be used in headers, logs and metrics.
 
     :raises ValueError: if it is empty or has characters that are not printable.
     """
-    value = _get_typed(spec, field, str)
+    value = get_typed(spec, field, str)
     if not value or not value.isprintable():
         raise ValueError(f"{field} is {reprlib.repr(value)}, which is not printable")
     return value
 
 
-def _get_integer(spec, field, minimum, maximum=INTEGER_MAX):
+def get_integer(spec, field, minimum, maximum=INTEGER_MAX):
     """Return a field's integer.
 
     :raises ValueError: if it is not in the range, which includes both limits.
     """
-    value = _get_typed(spec, field, int)
+    value = get_typed(spec, field, int)
     if not minimum <= value <= maximum:
         raise ValueError(
             f"{field} is {reprlib.repr(value)}, expected {minimum} to {maximum}"
@@ -158,7 +158,7 @@
 
 def _get_address(spec, field):
     """Return a field's `Address`, which is that of a single machine."""
-    address = Address.parse(_get_typed(spec, field, str))
+    address = Address.parse(get_typed(spec, field, str))
     ip = ipaddress.IPv4Address(address.host)
     if ip.is_unspecified or ip.is_multicast or address.host == "255.255.255.255":
         raise ValueError(f"{address} is not the address of a machine")
@@ -167,13 +167,13 @@
 
 def _get_cold_left_s(spec):
     """Return for how many seconds an instance is cold; negative values mean warm."""
-    cold_left_s = _get_typed(spec, "cold_left_ms", (int, float)) / 1000
+    cold_left_s = get_typed(spec, "cold_left_ms", (int, float)) / 1000
     if not -math.inf < cold_left_s <= COLD_LEFT_MAX_S:
         raise ValueError(f"cold_left_ms is {cold_left_s * 1000}")
     return cold_left_s
 
 
-def _check_list(value):
+def check_list(value):
     if not isinstance(value, list):
         raise TypeError(f"expected a list, got {reprlib.repr(value)}")
     return value
