Keep listening after a datagram that can't be applied

The report about odd entries, for datagrams between daemons: one with brackets nested over 1,000 deep raised RecursionError, and a load whose fields had other types raised TypeError where it was applied. Both ended the task that listens, for the rest of the process's life. An infinite slowdown or a count that is a text failed each choice of a target.

All fields are now checked as the datagram is decoded, numbers may not exceed 2**53, and the listening tasks log what can't be applied (datagram_broke) and go on.

test_load_is_decoded_as_it_was_encoded gave its entries as `forward`, so that it compared two empty lists; it now gives both fields and asserts that they are set.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -290,19 +290,27 @@
                 _log.warning("datagram_refused", error=repr(error))
                 gevent.sleep(0.01)
                 continue
-            self._spread.record_peer_contact()
-            if isinstance(message, Load):
-                self._handle_load(host, message)
-            elif isinstance(message, LoadBatch):
-                self._handle_batch(host, message)
-            elif isinstance(message, Probe):
-                self._answer_probe(host, message)
-            elif isinstance(message, Confirmation):
-                self._handle_confirmation(host, message)
-            elif isinstance(message, StateAnnouncement):
-                self._spread.handle_announcement(message)
-            elif isinstance(message, StateReader):
-                self._on_reader(message.host)
+            try:
+                self._apply(host, message)
+            except Exception:
+                # A message that can't be applied must not end this task.
+                _log.exception("datagram_broke")
+
+    def _apply(self, host, message):
+        """Apply a message from `host`."""
+        self._spread.record_peer_contact()
+        if isinstance(message, Load):
+            self._handle_load(host, message)
+        elif isinstance(message, LoadBatch):
+            self._handle_batch(host, message)
+        elif isinstance(message, Probe):
+            self._answer_probe(host, message)
+        elif isinstance(message, Confirmation):
+            self._handle_confirmation(host, message)
+        elif isinstance(message, StateAnnouncement):
+            self._spread.handle_announcement(message)
+        elif isinstance(message, StateReader):
+            self._on_reader(message.host)
 
     def _probe_forever(self):
         while True:
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -20,6 +20,10 @@
 MAX_BYTES = 1400
 # Number of entries listed in one datagram, at about 22 bytes each.
 ENTRIES_PER_DATAGRAM = 40
+# Times in milliseconds, revisions and counts are far smaller.
+NUMBER_MAX = 2**53
+# Length of the description of a malformed datagram in an error.
+DESCRIPTION_MAX = 200
 
 
 @dataclass(frozen=True)
@@ -173,27 +177,64 @@
         if letter == "b":
             loads = tuple((host, Load(*values)) for host, values in message.loads)
             message = LoadBatch(loads, message.entries)
-        elif letter == "l":
-            _check_rows(message.namings, (int, float, bool))
-        elif letter == "g":
-            _check_rows(message.versions, (int, float, float, bool))
-            _check_rows([(message.state_revision,)], (int,))
-        elif letter == "s":
-            _check_rows([(message.revision,)], (int,))
-            hosts = [(h,) for h in (message.host, message.root) if h is not None]
-            _check_rows(hosts, (str,))
-        elif letter == "r":
-            _check_rows([(message.host,)], (str,))
-        elif letter == "c":
-            _check_ages(message.ages_s)
-            _check_rows(message.summaries, (int, int))
-    except (ValueError, KeyError, TypeError) as error:
+        _CHECKS[letter](message)
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise MalformedDatagramError(
-            f"datagram of {len(data)} bytes can't be decoded: {error!r}"
+            f"datagram of {len(data)} bytes can't be decoded: "
+            f"{repr(error)[:DESCRIPTION_MAX]}"
         ) from error
     return message
 
 
+def _check_greeting(greeting):
+    _check_row((greeting.host, greeting.failure_domain), (str, str))
+    _check_optional((greeting.model, greeting.silent_forwarder))
+    _check_rows(greeting.versions, (int, float, float, bool))
+    counts = (greeting.wave, greeting.wave_count, greeting.state_revision)
+    _check_row((*counts, greeting.version_within_s), (int, int, int, float))
+
+
+def _check_load(load):
+    _check_row(
+        (load.started_ms, load.version, load.accepting, load.running, load.waiting),
+        (int, int, bool, int, int),
+    )
+    _check_row((load.slowdown, load.forward), (float, bool))
+    if load.slowdown <= 0:
+        raise ValueError(f"slowdown is {load.slowdown!r}")
+    _check_rows(load.entries, (str, str))
+    _check_rows(load.namings, (int, float, bool))
+
+
+def _check_batch(batch):
+    for host, load in batch.loads:
+        _check_row((host,), (str,))
+        _check_load(load)
+    _check_rows(batch.entries, (str, str))
+
+
+def _check_confirmation(confirmation):
+    _check_row((confirmation.sent_s,), (float,))
+    _check_ages(confirmation.ages_s)
+    _check_rows(confirmation.summaries, (int, int))
+
+
+def _check_announcement(announcement):
+    _check_row((announcement.revision,), (int,))
+    _check_optional((announcement.host, announcement.root))
+
+
+_CHECKS = {
+    "g": _check_greeting,
+    "l": _check_load,
+    "b": _check_batch,
+    "p": lambda probe: _check_row((probe.sent_s,), (float,)),
+    "c": _check_confirmation,
+    "s": _check_announcement,
+    "r": lambda reader: _check_row((reader.host,), (str,)),
+}
+
+
 def _check_ages(ages_s):
     """Raise an error unless there is a first age and all ages are valid.
 
@@ -208,13 +249,35 @@
                 raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
 
 
+def _check_optional(texts):
+    """Raise an error unless each of `texts` is a text or None."""
+    for text in texts:
+        if text is not None:
+            _check_row((text,), (str,))
+
+
 def _check_rows(rows, types):
-    """Raise an error unless each row has values of `types`; ints count as floats."""
+    """Raise an error unless each row has values of `types`."""
+    if not isinstance(rows, (list, tuple)):
+        raise TypeError(f"value is {rows!r}, expected rows")
     for row in rows:
-        for value, expected in zip(row, types, strict=True):
-            is_integral = expected is float and type(value) is int
-            if type(value) is not expected and not is_integral:
-                raise TypeError(f"value is {value!r}, expected {expected.__name__}")
+        if not isinstance(row, (list, tuple)):
+            raise TypeError(f"value is {row!r}, expected a row")
+        _check_row(row, types)
+
+
+def _check_row(row, types):
+    """Raise an error unless `row` has values of `types`; ints count as floats.
+
+    Numbers may be as large as `NUMBER_MAX`, and only floats negative.
+    """
+    for value, expected in zip(row, types, strict=True):
+        is_integral = expected is float and type(value) is int
+        if type(value) is not expected and not is_integral:
+            raise TypeError(f"value is {value!r}, expected {expected.__name__}")
+        minimum = -NUMBER_MAX if expected is float else 0
+        if expected in (int, float) and not minimum <= value <= NUMBER_MAX:
+            raise ValueError(f"value is {value!r}, expected {minimum} to {NUMBER_MAX}")
 
 
 def encode_batches(loads, entries=()):
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -161,8 +161,13 @@
                 _log.warning("datagram_refused", error=repr(error))
                 gevent.sleep(0.01)
                 continue
-            if isinstance(message, Greeting):
+            if not isinstance(message, Greeting):
+                continue
+            try:
                 self._handle_greeting(message)
+            except Exception:
+                # A greeting that can't be applied must not end this task.
+                _log.exception("datagram_broke")
 
     def _handle_greeting(self, greeting):
         is_new = self._roster.record_greeting(
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -289,8 +289,9 @@
 
 
 def test_load_is_decoded_as_it_was_encoded():
-    load = Load(1, 2, True, 3, 4, 1.0, (("10.0.0.1", "z1"),))
+    load = Load(1, 2, True, 3, 4, 1.0, True, (("10.0.0.1", "z1"),))
     decoded = decode(encode(load))
+    assert decoded.forward and load.entries
     assert (decoded.started_ms, decoded.version, decoded.running) == (1, 2, 3)
     assert tuple(map(tuple, decoded.entries)) == load.entries
 
