Refuse datagrams that name a host which is no address

An entry sends datagrams and requests to the hosts that datagrams name. A text that can't be encoded, or contains a null character, raised an error that is no OSError where it was sent to, and ended the task that forwards loads; any other text was looked up as a name.

Hosts in datagrams now have to be IPv4 addresses, texts printable. Five cases of test_host_that_is_no_address_is_a_typed_error failed before, and two new ones of test_malformed_announcement_is_refused, which used "h" and "r" as sound hosts; it now uses addresses and expects these refused.

--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -10,6 +10,7 @@
 class by position. The order of the fields is part of the protocol.
 """
 
+import ipaddress
 import json
 import math
 from dataclasses import MISSING, astuple, dataclass, fields
@@ -26,6 +27,10 @@
 DESCRIPTION_MAX = 200
 
 
+class Host(str):
+    """The type of a field that has an IPv4 address."""
+
+
 @dataclass(frozen=True)
 class Greeting:
     """An entry's greeting to a stager.
@@ -187,8 +192,9 @@
 
 
 def _check_greeting(greeting):
-    _check_row((greeting.host, greeting.failure_domain), (str, str))
-    _check_optional((greeting.model, greeting.silent_forwarder))
+    _check_row((greeting.host, greeting.failure_domain), (Host, str))
+    _check_optional(greeting.model, str)
+    _check_optional(greeting.silent_forwarder, Host)
     _check_rows(greeting.versions, (int, float, float, bool))
     counts = (greeting.wave, greeting.wave_count, greeting.state_revision)
     _check_row((*counts, greeting.version_within_s), (int, int, int, float))
@@ -202,15 +208,15 @@
     _check_row((load.slowdown, load.forward), (float, bool))
     if load.slowdown <= 0:
         raise ValueError(f"slowdown is {load.slowdown!r}")
-    _check_rows(load.entries, (str, str))
+    _check_rows(load.entries, (Host, str))
     _check_rows(load.namings, (int, float, bool))
 
 
 def _check_batch(batch):
     for host, load in batch.loads:
-        _check_row((host,), (str,))
+        _check_row((host,), (Host,))
         _check_load(load)
-    _check_rows(batch.entries, (str, str))
+    _check_rows(batch.entries, (Host, str))
 
 
 def _check_confirmation(confirmation):
@@ -221,7 +227,8 @@
 
 def _check_announcement(announcement):
     _check_row((announcement.revision,), (int,))
-    _check_optional((announcement.host, announcement.root))
+    _check_optional(announcement.host, Host)
+    _check_optional(announcement.root, Host)
 
 
 _CHECKS = {
@@ -231,7 +238,7 @@
     "p": lambda probe: _check_row((probe.sent_s,), (float,)),
     "c": _check_confirmation,
     "s": _check_announcement,
-    "r": lambda reader: _check_row((reader.host,), (str,)),
+    "r": lambda reader: _check_row((reader.host,), (Host,)),
 }
 
 
@@ -249,11 +256,10 @@
                 raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
 
 
-def _check_optional(texts):
-    """Raise an error unless each of `texts` is a text or None."""
-    for text in texts:
-        if text is not None:
-            _check_row((text,), (str,))
+def _check_optional(value, expected):
+    """Raise an error unless `value` is of the type `expected` or None."""
+    if value is not None:
+        _check_row((value,), (expected,))
 
 
 def _check_rows(rows, types):
@@ -272,6 +278,11 @@
     Numbers may be as large as `NUMBER_MAX`, and only floats negative.
     """
     for value, expected in zip(row, types, strict=True):
+        if expected is Host:
+            ipaddress.IPv4Address(_check_text(value))
+            continue
+        if expected is str:
+            _check_text(value)
         is_integral = expected is float and type(value) is int
         if type(value) is not expected and not is_integral:
             raise TypeError(f"value is {value!r}, expected {expected.__name__}")
@@ -280,6 +291,13 @@
             raise ValueError(f"value is {value!r}, expected {minimum} to {NUMBER_MAX}")
 
 
+def _check_text(value):
+    """Return `value`, or raise an error unless it is a printable text."""
+    if type(value) is not str or not value.isprintable():
+        raise TypeError(f"value is {value!r}, expected printable text")
+    return value
+
+
 def encode_batches(loads, entries=()):
     """Return the datagrams that carry `loads`, none larger than `MAX_BYTES`.
 
--- a/tests/test_distribution_odd_datagrams.py
+++ b/tests/test_distribution_odd_datagrams.py
@@ -43,6 +43,28 @@
         decode(data)
 
 
+@pytest.mark.parametrize(
+    "host", ["", "x", "10.0.0.1\0", "\ud800", "10.0.0.999", 7, None]
+)
+def test_host_that_is_no_address_is_a_typed_error(host):
+    """Datagrams are sent to the hosts that other datagrams name."""
+    load = json.loads(encode(LOAD))
+    load[8] = [[host, "z1"]]
+    messages = [
+        load,
+        ["b", [[host, load[1:7]]], []],
+        ["b", [], [[host, "z1"]]],
+        ["r", host],
+        ["g", host, "z1", "m", [[2, 0.5, 0.5, True]]],
+    ]
+    if host is not None:
+        messages += [["s", 3, host], ["s", 3, "10.0.0.1", host]]
+        messages += [["g", "10.0.0.1", "z1", "m", [], 0, 1, 0.0, host]]
+    for message in messages:
+        with pytest.raises(MalformedDatagramError):
+            decode(json.dumps(message).encode())
+
+
 def test_sound_load_is_decoded_and_forwarded():
     assert decode(encode(LOAD)).running == 3
     assert decode(encode(LOAD)).entries == [["10.0.0.1", "z1"]]
--- a/tests/test_relay_spread.py
+++ b/tests/test_relay_spread.py
@@ -150,13 +150,14 @@
 
 
 def test_malformed_announcement_is_refused():
-    assert decode(encode(StateAnnouncement(5, "h", "r"))) == StateAnnouncement(
-        5, "h", "r"
-    )
+    sound = StateAnnouncement(5, "10.0.0.1", "10.0.0.2")
+    assert decode(encode(sound)) == sound
     for data in (
-        b'["s","x","h"]',
+        b'["s","x","10.0.0.1"]',
         b'["s",5]',
-        b'["s",true,"h"]',
+        b'["s",true,"10.0.0.1"]',
+        b'["s",5,"h"]',
+        b'["s",5,"10.0.0.1","r"]',
         b'["s",5,7]',
         b'["r",5]',
     ):
