Resume an answer whose frame is malformed

Could not happen here: a stream is read as numbered frames up to its end frame, and an error of the next target ends it with an error event, never with [DONE]; test_error_of_the_next_target_is_no_part_of_a_broken_stream shows that for eight kinds of errors.

But a line that is JSON without being a frame (a number, a list, a frame without its fields, an error without a message, brackets nested deeply) raised TypeError, KeyError or RecursionError. The answer was cut instead of going on at another target, and the target was not counted as failed.

--- a/briarbeam/entry/answers.py
+++ b/briarbeam/entry/answers.py
@@ -186,10 +186,14 @@
     """
     try:
         frame = json.loads(line)
-    except ValueError as error:
+        if "error" in frame:
+            raise OutcomeUnknownError(frame["error"].get("message", ""))
+        required = ("tokens",) if frame.get("done") else ("index", "token")
+        missing = [name for name in ("version", *required) if name not in frame]
+    except (ValueError, TypeError, AttributeError, RecursionError) as error:
         raise OutcomeUnknownError(f"malformed frame: {error}") from error
-    if "error" in frame:
-        raise OutcomeUnknownError(frame["error"].get("message", ""))
+    if missing:
+        raise OutcomeUnknownError(f"malformed frame: lacks {missing}")
     return frame
 
 
--- a/briarbeam/gate/stream.py
+++ b/briarbeam/gate/stream.py
@@ -12,6 +12,8 @@
 
 CALLER_POLL_S = 0.05
 CANCEL_RETRY_S = 0.25
+# The errors by which a malformed frame shows.
+_FRAME_ERRORS = (ValueError, KeyError, TypeError, AttributeError, RecursionError)
 
 
 class AnswerStream:
@@ -54,7 +56,7 @@
         except BriarbeamError as error:
             self._gate.request_probe()
             yield json.dumps(self._stream_error(error).to_dict()).encode() + b"\n"
-        except (ValueError, KeyError, TypeError) as error:
+        except _FRAME_ERRORS as error:
             unknown = OutcomeUnknownError(f"malformed frame: {error!r}")
             yield json.dumps(unknown.to_dict()).encode() + b"\n"
 
--- a/tests/test_entry_answers.py
+++ b/tests/test_entry_answers.py
@@ -89,6 +89,53 @@
     assert ends == ["unknown"]
 
 
+ODD_LINES = [
+    b"", b"{", b'{"token": "v1-1", "inde', b"7", b"null", b'"text"', b"[]", b"{}",
+    b'["error"]', b'{"error": null}', b'{"error": "text"}', b'{"done": true}',
+    b'{"index": 1, "version": "v1"}', b'{"token": "x", "index": 1}',
+    b"HTTP/1.1 500 Oops", b"[" * 5000 + b"]" * 5000, b"9" * 5000,
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("line", ODD_LINES, ids=lambda line: line[:20])
+def test_line_that_is_no_frame_is_no_part_of_a_stream(line):
+    """The answer resumes at another target, and otherwise ends in an error."""
+    bench = _bench("t1", "t2")
+    make_frames = bench.network._frames
+    odd_targets = {"t1"}
+
+    def frames(name, envelope, version):
+        lines = make_frames(name, envelope, version)
+        return [lines[0], line, *lines[1:]] if name in odd_targets else lines
+
+    bench.network._frames = frames
+    for _ in range(4):
+        text, ends = _texts(_ask(bench).body)
+        assert text == "v1-0 v1-1 v1-2 v1-3"
+        assert ends == ["done"]
+    odd_targets.add("t2")
+    text, ends = _texts(_ask(bench).body)
+    assert text.split() == [f"v1-{index}" for index in range(len(text.split()))]
+    assert ends == ["unknown"]
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    ["no_connect", "refuse", "closed", "fail", "break_before", "break_after",
+     "crossed", "unreadable"],
+)  # fmt: skip
+def test_error_of_the_next_target_is_no_part_of_a_broken_stream(behaviour):
+    bench = _bench("t1", "t2")
+    network = bench.network
+    network.break_after = dict.fromkeys(("t1", "t2"), 2)
+    fail_later = lambda: "ok" if len(network.sent) == 1 else behaviour  # noqa: E731
+    network.behaviours = dict.fromkeys(("t1", "t2"), fail_later)
+    text, ends = _texts(_ask(bench).body)
+    assert text == "v1-0 v1-1"
+    assert len(ends) == 1 and ends != ["done"]
+    assert len(network.sent) > 1
+
+
 @pytest.mark.parametrize("frames_read", [0, 1, 99])
 def test_answer_is_released_however_far_it_was_read(frames_read):
     bench = _bench("t1")
