Report JSON that is nested too deeply as malformed

json.loads raises RecursionError, which is no ValueError, for brackets nested a thousand deep. A caller's body got 500 instead of 400, and a manifest, the refusal of a target and a peer's copy of the desired state raised out of the task that had asked for them.

All four treat it as malformed now. The fuzz tests of these borders draw such values; four failed before with RecursionError.

--- a/briarbeam/distribution/state_copy.py
+++ b/briarbeam/distribution/state_copy.py
@@ -80,7 +80,7 @@
         if not 0 <= age_s < math.inf:
             raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
         return StateCopy(records, store_revision, age_s)
-    except (ValueError, TypeError, zlib.error) as error:
+    except (ValueError, TypeError, RecursionError, zlib.error) as error:
         raise MalformedCopyError(
             f"copy of {len(data)} bytes can't be decoded: {error!r}"
         ) from error
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -57,7 +57,7 @@
         """
         try:
             value = json.loads(self.body or b"{}")
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise InvalidRequestError(f"the body is not JSON: {error}") from error
         if not isinstance(value, dict):
             raise InvalidRequestError("the body must be a JSON object")
--- a/briarbeam/routing/exchange.py
+++ b/briarbeam/routing/exchange.py
@@ -21,6 +21,11 @@
 
 CALLER_POLL_S = 0.1
 
+# The errors by which a malformed refusal shows.
+_REFUSAL_ERRORS = (
+    ValueError, KeyError, TypeError, AttributeError, RecursionError, ExchangeError,
+)  # fmt: skip
+
 _CROSSED = Counter("briarbeam_crossed_replies", "Replies to another request, dropped")
 
 
@@ -114,7 +119,7 @@
         raw = json.loads(response.read())["error"]
         error_type = _ERRORS_BY_CODE.get(raw["code"], OutcomeUnknownError)
         return error_type(raw["message"], retry_after_s=raw.get("retry_after_s"))
-    except (ValueError, KeyError, TypeError, ExchangeError) as error:
+    except _REFUSAL_ERRORS as error:
         return OutcomeUnknownError(f"malformed refusal of a target: {error!r}")
     finally:
         response.close()
--- a/briarbeam/weights/manifest.py
+++ b/briarbeam/weights/manifest.py
@@ -46,7 +46,7 @@
             raw = dict(json.loads(data))
             chunks = tuple(Chunk(**chunk) for chunk in raw.pop("chunks"))
             return cls(chunks=chunks, **raw)
-        except (ValueError, TypeError, KeyError) as error:
+        except (ValueError, TypeError, KeyError, RecursionError) as error:
             raise WeightsError(f"malformed manifest: {error!r}") from error
 
 
