--- a/briarbeam/distribution/state_copy.py
+++ b/briarbeam/distribution/state_copy.py
@@ -85,7 +85,7 @@
             raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
         era = era_of(max((r.revision for r in records.values()), default=0))
         return StateCopy(records, join_revision(era, store_revision), age_s)
-    except (ValueError, TypeError, zlib.error) as error:
+    except (ValueError, TypeError, RecursionError, zlib.error) as error:
         raise MalformedCopyError(
             f"copy of {len(data)} bytes can't be decoded: {error!r}"
         ) from error
