Let stand-ins leave and ask for waits in their answers, and check both

The stand-ins for targets learn `Server-Leaving: 1` in all their answers and 503 with `Retry-After`. The soak draws them as faults:

- `target_leaves_unlisted`: an instance states its leaving in its answers only, is listed as ready until its end, and serves for 4 s;
- `target_leaves` states it in the answers too in half of the cases;
- `target_asks_to_wait`: an instance refuses 0.3 or all of its requests with a wait of 0, 0.4, 1.5 or 4 s.

Back ends record each request that reaches them, whether it runs or not. Two checks use that and what callers received: nothing that a caller sent later than 2 s after an entry had passed on that a back end leaves reaches it from that entry, with or without other faults (a stop or pause of the entry excuses it); and at most two requests reach a back end from an entry from half a second after a refusal with a wait to its end (a stop or pause of the entry and a cut link excuse it).

Each of their causes has a test of its own.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -42,14 +42,30 @@
     first_event: int = 1
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached the back end that it was sent to.
+
+    :param at_s: monotonic time.
+    :param wait_s: the Retry-After with which it was refused, or None.
+    """
+
+    request_id: str
+    backend: str
+    at_s: float
+    wait_s: float | None = None
+
+
 class Records:
     """The runs of all back ends by request id, and the weights that engines loaded.
 
-    Each item of `loads` is the name of an engine, a version and the loaded chunks.
+    `arrivals` lists all requests that reached a back end, whether they ran or not. Each
+    item of `loads` is the name of an engine, a version and the loaded chunks.
     """
 
     def __init__(self):
         self.runs = defaultdict(list)
+        self.arrivals = []
         self.loads = []
 
     def add(self, run):
@@ -72,7 +88,10 @@
     Faults: `lost_share` is the share of answers that are lost after the run, and
     `loss_mode` (``reset``, ``hang`` or ``cut``) selects how. `stray_share` is the share
     of answers that are followed by stray bytes, and `refused_share` the share of
-    requests that are refused with the assurance that they did not run.
+    requests that are refused with the assurance that they did not run. Refusals ask for
+    a wait of `retry_after_s`, or for none if it is None.
+
+    While `leaving` is true, all answers state it.
     """
 
     service = "ledger"
@@ -91,6 +110,7 @@
 
     def clear_faults(self):
         """Stop losing, refusing and extending answers."""
+        self.retry_after_s = None
         self.lost_share, self.loss_mode, self.stray_share, self.refused_share = (
             0.0,
             "reset",
@@ -100,6 +120,7 @@
 
     def start(self):
         """Start listening as a new instance, with a new start time."""
+        self.leaving = False
         self.started_ms = int(time.time() * 1000)
         self._server = StreamServer((self.host, 0), self._serve, backlog=256)
         self._server.start()
@@ -142,18 +163,32 @@
     def _answer(self, sock, request, writer):
         headers = dict(request.headers)
         if headers.get(b"x-expect-instance") != self.name.encode():
-            writer.write(421, [], b"")
+            writer.write(421, self._leaving_headers(), b"")
             return
         overloaded = self.running >= self.slots + 4
         if overloaded or self.random.random() < self.refused_share:
-            writer.write(503, [(b"x-not-run", b"1")], b"")
+            self._refuse(writer, headers)
             return
+        self._record_arrival(headers)
         self.running += 1
         try:
             self._run(sock, request, writer, headers)
         finally:
             self.running = max(0, self.running - 1)
 
+    def _refuse(self, writer, headers):
+        wait_s = self.retry_after_s
+        answer_headers = [(b"x-not-run", b"1"), *self._leaving_headers()]
+        if wait_s is not None:
+            answer_headers.append((b"retry-after", b"%.2f" % wait_s))
+        self._record_arrival(headers, wait_s)
+        writer.write(503, answer_headers, b"")
+
+    def _record_arrival(self, headers, wait_s=None):
+        request_id = headers[b"x-request-id"].decode()
+        arrival = Arrival(request_id, self.name, time.monotonic(), wait_s)
+        self.records.arrivals.append(arrival)
+
     def _run(self, sock, request, writer, headers):
         request_id = headers[b"x-request-id"].decode()
         self._record_run(request_id, headers)
@@ -174,8 +209,12 @@
             (b"x-request-id", request_id.encode()),
             (b"x-response-seal", seal(request_id, self.name).encode()),
             (b"x-server-load", b"%d,0,%d" % (self.running, self.slots)),
+            *self._leaving_headers(),
         ]
 
+    def _leaving_headers(self):
+        return [(b"server-leaving", b"1")] if self.leaving else []
+
     def _maybe_lose_answer(self, sock):
         """Lose the answer with probability `lost_share`; return whether it was lost."""
         if self.random.random() >= self.lost_share:
@@ -221,7 +260,7 @@
         if request.path.startswith("/-/"):
             self._answer_control(request, writer)
         elif not self.version or self.busy:
-            writer.write(421, [], b"")
+            writer.write(421, self._leaving_headers(), b"")
         else:
             super()._answer(sock, request, writer)
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,6 +1,6 @@
 """Checks of the system's guarantees against what callers and back ends recorded."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from standins.platform import CHUNK_COUNT, chunk
 
@@ -12,6 +12,10 @@
 ATTEMPTS_MAX = 2
 KEY_REVOCATION_S = 5.0
 DRAIN_S = 2.0
+# From this long after a refusal with Retry-After to its end, a target may get this many
+# requests of one entry.
+REFUSAL_GRACE_S = 0.5
+ARRIVALS_IN_WAIT_MAX = 2
 # An unplanned fault may still affect requests for this long after its end, so the
 # checks of planned work ignore requests in that time.
 FAULT_EFFECT_S = 3.0
@@ -48,6 +52,8 @@
             self._check_key(attempt, runs)
             self._check_planned_stop(attempt, runs)
         self._check_drains()
+        self._check_leaving_in_answers()
+        self._check_waits()
         self._check_loads()
         self._check_recovery(recovered_s)
         self._check_logs()
@@ -142,6 +148,80 @@
                             attempt,
                         )
 
+    def _check_leaving_in_answers(self):
+        """Check that no entry sends to a target whose leaving it has passed on."""
+        passed_on_s = {}
+        for attempt in self._attempts:
+            if attempt.complete and b"server-leaving" in attempt.headers:
+                backend = self._find_backend(attempt)
+                key = attempt.entry, backend
+                passed_on_s[key] = min(
+                    attempt.ended_s, passed_on_s.get(key, attempt.ended_s)
+                )
+        for key, arrivals in self._arrivals_by_entry().items():
+            for attempt, arrival in arrivals:
+                since_s = passed_on_s.get(key)
+                if (
+                    since_s is not None
+                    and attempt.started_s > since_s + DRAIN_S
+                    and not self._was_stopped(attempt.entry, since_s, arrival.at_s)
+                ):
+                    self._report(
+                        f"reached {arrival.backend} {arrival.at_s - since_s:.2f} s "
+                        "after the entry had passed on that it leaves",
+                        attempt,
+                    )
+
+    def _check_waits(self):
+        """Check that refused entries wait as long as the target asked them to."""
+        for (entry, backend), arrivals in self._arrivals_by_entry().items():
+            for _, refused in arrivals:
+                if refused.wait_s is None:
+                    continue
+                first_s = refused.at_s + REFUSAL_GRACE_S
+                end_s = refused.at_s + refused.wait_s
+                early = [a for _, a in arrivals if first_s < a.at_s < end_s]
+                if (
+                    len(early) > ARRIVALS_IN_WAIT_MAX
+                    and not self._was_stopped(entry, refused.at_s, end_s)
+                    and not self._was_cut_off(backend, refused.at_s, end_s)
+                ):
+                    self._report(
+                        f"{entry} sent {len(early)} requests to {backend}, which had "
+                        f"asked for a wait of {refused.wait_s:.1f} s"
+                    )
+
+    def _arrivals_by_entry(self):
+        """Return pairs of attempt and `Arrival` by entry and back end."""
+        by_id = {attempt.request_id: attempt for attempt in self._attempts}
+        arrivals = defaultdict(list)
+        for arrival in self._records.arrivals:
+            attempt = by_id.get(arrival.request_id)
+            if attempt is not None:
+                arrivals[attempt.entry, arrival.backend].append((attempt, arrival))
+        return arrivals
+
+    def _find_backend(self, attempt):
+        """Return the name of the back end whose answer the caller got, or None."""
+        for run in self._records.runs.get(attempt.request_id, ()):
+            answer_seal = seal(attempt.request_id, run.backend).encode()
+            if attempt.headers.get(b"x-response-seal") == answer_seal:
+                return run.backend
+        return None
+
+    def _was_stopped(self, entry, first_s, last_s):
+        """Return whether a fault stopped or paused the process of `entry`."""
+        return any(
+            item.subject == entry and item.overlaps(first_s, last_s)
+            for item in self._injected
+        )
+
+    def _was_cut_off(self, backend, first_s, last_s):
+        return any(
+            item.subject == f"target/{backend}" and item.overlaps(first_s, last_s)
+            for item in self._injected
+        )
+
     def _check_loads(self):
         for name, version, loaded in self._records.loads:
             wrong = [n for n in range(CHUNK_COUNT) if loaded[n] != chunk(version, n)]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,11 +21,15 @@
 REGISTRATION_EXPIRY_S = 3.6
 # An instance that leaves as planned continues to serve for about this long.
 DRAIN_OVERLAP_S = 2.6
+# The same for one that the list shows as ready until its end. It outlasts the time for
+# which entries may send to it after they have passed on that it leaves.
+UNLISTED_DRAIN_S = 4.0
 
 faults = Registry("fault")
 # Planned work and changes by operators; all other faults are unplanned.
 PLANNED_FAULTS = frozenset({"entry_stops", "settings_change", "state_changes", "key_goes",
-                     "version_is_named", "target_leaves"})  # fmt: skip
+                     "version_is_named", "target_leaves",
+                     "target_leaves_unlisted"})  # fmt: skip
 
 
 @dataclass
@@ -248,6 +252,7 @@
         return
     name = target.name
     target.backend.state = "draining"
+    target.backend.leaving = injector.rng.random() < 0.5
     injector.site.register(target)
     gevent.sleep(DRAIN_OVERLAP_S)
     target.backend.crash()
@@ -255,6 +260,31 @@
     injector.site.restart_target(target)
 
 
+@faults.register("target_leaves_unlisted")
+def target_leaves_unlisted(injector, fault):
+    target = _reserve_target(injector, fault)
+    if target is None:
+        return
+    name = target.name
+    target.backend.leaving = True
+    gevent.sleep(UNLISTED_DRAIN_S)
+    target.backend.crash()
+    injector.site.store.remove("servers", name)
+    injector.site.restart_target(target)
+
+
+@faults.register("target_asks_to_wait")
+def target_asks_to_wait(injector, fault):
+    target = _reserve_target(injector, fault)
+    if target is None:
+        return
+    backend = target.backend
+    backend.refused_share = injector.rng.choice([0.3, 1.0])
+    backend.retry_after_s = injector.rng.choice([0.0, 0.4, 1.5, 4.0])
+    gevent.sleep(injector.rng.uniform(1.0, 5.0))
+    backend.clear_faults()
+
+
 @faults.register("staged_chunk_rots")
 def staged_chunk_rots(injector, fault):
     engines = [t for t in injector.site.targets if hasattr(t.backend, "staged")]
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -111,9 +111,17 @@
 
 
 class Engine(Server):
-    """An engine that streams three events and loads staged chunks without checks."""
+    """An engine that streams three events and loads staged chunks without checks.
+
+    While `leaving` is true, all its answers state it. While `retry_after_s` is not
+    None, it refuses requests with that wait. `arrived_s` has the monotonic times at
+    which requests arrived, refused ones included.
+    """
 
     def __init__(self, address, name):
+        self.leaving = False
+        self.retry_after_s = None
+        self.arrived_s = []
         self.name = name
         self.staged = {}
         self.version = 1
@@ -132,6 +140,12 @@
         }  # fmt: skip
 
     def handle(self, method, path, fields, body, environ):
+        status, headers, content = self._answer(path, fields, body, environ)
+        if self.leaving:
+            headers = [*headers, ("Server-Leaving", "1")]
+        return status, headers, content
+
+    def _answer(self, path, fields, body, environ):
         if path == "/-/report":
             return _json({
                 "models": [{"name": MODEL, "version": self.version}], "busy": False,
@@ -146,6 +160,10 @@
             return self._staged(fields)
         if environ.get("HTTP_X_EXPECT_INSTANCE") != self.name:
             return 421, [], b""
+        self.arrived_s.append(time.monotonic())
+        if self.retry_after_s is not None:
+            wait = ("Retry-After", f"{self.retry_after_s:.2f}")
+            return 503, [("X-Not-Run", "1"), wait], b""
         events = b"".join(b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3))
         headers = [
             ("Content-Type", "text/event-stream"),
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -319,6 +319,50 @@
     assert set(statuses) <= {"200", "503"}
 
 
+@pytest.mark.parametrize("store_is_down", [False, True])
+def test_instance_that_states_its_leaving_in_an_answer_gets_no_new_request(
+    site, store_is_down
+):
+    """The list showed it as ready, and it got requests until its record was removed."""
+    site.store.down = store_is_down
+    site.engine.leaving = True
+    assert "server-leaving: 1" in site.ask().lower()
+    passed_on_s = time.monotonic()
+    while time.monotonic() < passed_on_s + DRAIN_S + 0.5:
+        assert site.ask().split()[1] == "503"
+        gevent.sleep(0.1)
+    assert [at_s for at_s in site.engine.arrived_s if at_s > passed_on_s] == []
+    site.store.down = site.engine.leaving = False
+    site.engine.started_ms = int(time.time() * 1000)
+    site.store.put("servers", "i-1", site.engine.registration("z1"))
+    wait_until(lambda: site.ask().split()[1] == "200")
+
+
+def test_instance_that_asks_to_wait_gets_no_request_until_then(site):
+    site.engine.retry_after_s = 2.0
+    site.ask()
+    refused_s = time.monotonic()
+    arrived_before = len(site.engine.arrived_s)
+    waits_s = []
+    while time.monotonic() < refused_s + 1.8:
+        status, headers = parse_answer(site.ask())
+        assert status == 503
+        waits_s.append(float(headers["retry-after"]) + time.monotonic() - refused_s)
+        gevent.sleep(0.1)
+    assert len(site.engine.arrived_s) == arrived_before
+    assert min(waits_s) >= 1.9
+    site.engine.retry_after_s = None
+    wait_until(lambda: site.ask().split()[1] == "200", 1.0)
+
+
+def parse_answer(text):
+    """Return the status and the headers, by lower-case name, of an answer."""
+    lines = text.partition("\r\n\r\n")[0].split("\r\n")
+    pairs = (line.partition(":") for line in lines[1:])
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    return int(lines[0].split()[1]), headers
+
+
 def test_entry_that_gets_no_requests_shows_the_version_that_it_requires(site):
     site.origin.silent = True
     name_version(site, 2)
