Wait for two targets also with many open connections

Callers saw a stream that was reset, or a 502, once its target was silent for a second, at an entry with more than about a thousand open connections.

Cause: OpenAttempts waited with gevent's select, which first calls select.select. That raises ValueError for descriptors of 1024 and above, and the unexpected error ended both attempts. Entries may have 20,000 descriptors.

The new test takes all lower descriptors; it failed with a reset of the caller's connection and a request_broke line with "filedescriptor out of range in select()". poll has no such limit; it only uses watchers of the event loop.

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -128,7 +128,10 @@
         """
         if len(self._attempts) == 1:
             return list(self._attempts)
-        calls = [attempt.call for attempt in self._attempts]
+        # select.select raises ValueError for descriptors of 1024 and above.
+        poll = select.poll()
+        for attempt in self._attempts:
+            poll.register(attempt.call, select.POLLIN)
         timeout_s = max(0.0, until_s - time.monotonic())
-        readable, _, _ = select.select(calls, [], [], timeout_s)
-        return [attempt for attempt in self._attempts if attempt.call in readable]
+        readable = {descriptor for descriptor, _ in poll.poll(timeout_s * 1000)}
+        return [a for a in self._attempts if a.call.fileno() in readable]
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -1,6 +1,7 @@
 """Answers that callers did not get whole, and what the log says about them."""
 
 import errno
+import os
 
 import gevent
 import pytest
@@ -173,6 +174,26 @@
     assert len(second.requests) == len(second.closed_at_s) == 1
 
 
+@pytest.fixture
+def many_descriptors():
+    """Take all descriptors that `select.select` can handle."""
+    descriptors = [os.open(os.devnull, os.O_RDONLY)]
+    while descriptors[-1] < 1024:
+        descriptors.append(os.dup(descriptors[0]))
+    yield
+    for descriptor in descriptors:
+        os.close(descriptor)
+
+
+def test_silent_target_is_kept_by_an_entry_with_many_connections(many_descriptors):
+    second = FakeInstance(never_answer)
+    first = FakeInstance(pause_in_stream)
+    entry = Entry({"i1": first, "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    assert_whole(entry.ask(method=b"POST"))
+    assert len(second.requests) == 1
+
+
 def test_whole_answer_of_a_silent_target_is_kept_if_the_second_one_refuses():
     def answer_late(instance, sock, request):
         gevent.sleep(PAUSE_S)
