Send a long request whole to a target that reads it late

Callers saw 504 after the whole time limit for a request of more than 8 KB whose target, or the link to it, took its body slower than within a second.

Cause: the task that sends a long request in the background shares the socket with the task that reads the answer, and with it the time limit of one read: 1.1 s, or 0.25 s from connecting. gevent's sendall fails after that time, and the failure was ignored as one that the reading task gets too. It doesn't: the connection is open, the target waits for the rest of the body, and since silent targets are kept, the request can only end at its deadline.

The new test (8 MB, read after 1.6 s) got 504 after 3.0 s before. Now the task waits for the socket without a time limit; it still ends with the attempt, which kills it.

--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -1,5 +1,6 @@
 """Sends one request to one instance over a separate connection."""
 
+import contextlib
 import time
 from dataclasses import dataclass
 
@@ -216,8 +217,14 @@
             )
 
     def _send_in_background(self, data):
+        left = memoryview(data)
         try:
-            self._sock.sendall(data)
+            while left:
+                # The time limit of the socket is the one of the task that reads, so
+                # `send` must not wait.
+                socket.wait_write(self._sock.fileno())
+                with contextlib.suppress(TimeoutError):
+                    left = left[self._sock.send(left) :]
         except OSError:
             # The task that reads gets the same error, or an answer that arrived before
             # it.
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -6,6 +6,7 @@
 import gevent
 import pytest
 
+from briarbeam.catalog import CallerLimits
 from briarbeam.relay import upstream_call
 from briarbeam.telemetry import request_log
 
@@ -206,6 +207,24 @@
     assert len(second.requests) == 1
 
 
+def test_long_request_is_sent_whole_to_a_target_that_reads_it_late():
+    body = bytes(8_000_000)
+    received = []
+
+    def read_late(instance, sock, request):
+        gevent.sleep(PAUSE_S)
+        size_bytes = len(request.partition(b"\r\n\r\n")[2])
+        while size_bytes < len(body) and (part := sock.recv(65536)):
+            size_bytes += len(part)
+        received.append(size_bytes)
+        sock.sendall(ok())
+
+    entry = Entry({"i1": FakeInstance(read_late)}, **NON_IDEMPOTENT)
+    entry.limits = CallerLimits(max_body_bytes=len(body))
+    assert entry.ask(method=b"POST", body=body).endswith(b"done")
+    assert received == [len(body)]
+
+
 @pytest.mark.parametrize("superseded_s", [None, 9.0])
 def test_stream_is_not_cut_for_a_pause_beside_a_change_of_the_desired_state(
     superseded_s,
