Keep a silent target while the time runs out for a second one

Callers saw 504, or a stream that was reset, though their target had answered within the time limit.

Cause: connecting to a second target takes up to 0.25 s. If the time limit came near meanwhile, the send failed with DeadlineError, which is no NotRunError and ended the first attempt as well. If the limit had passed, a read that began after it raised UpstreamSilentError without looking at what had already arrived; the same held for the other time limits of an attempt.

Both cases of the new test got 504 before (connecting takes 0.2 s of the last 0.23 s, and 0.3 s). Now a lack of time for the second send leaves the first attempt open, a read takes what has arrived also after its time, and the time limits apply after that.

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -124,7 +124,7 @@
         A single attempt waits while it receives.
 
         :param until_s: monotonic time.
-        :returns: the attempts to receive from; none if nothing arrives by then.
+        :returns: the attempts to receive from; all if nothing arrives by then.
         """
         if len(self._attempts) == 1:
             return list(self._attempts)
@@ -134,4 +134,5 @@
             poll.register(attempt.call, select.POLLIN)
         timeout_s = max(0.0, until_s - time.monotonic())
         readable = {descriptor for descriptor, _ in poll.poll(timeout_s * 1000)}
-        return [a for a in self._attempts if a.call.fileno() in readable]
+        ready = [a for a in self._attempts if a.call.fileno() in readable]
+        return ready or list(self._attempts)
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -159,7 +159,7 @@
         outcome = "sent"
         try:
             attempts.append(self._send(job, target, stream))
-        except NotRunError as error:
+        except (NotRunError, DeadlineError) as error:
             outcome = error.code
             self._handle_unsent(job, target, error, attempts)
         except UpstreamError as error:
@@ -186,7 +186,7 @@
             if job.unsent_attempts >= UNSENT_ATTEMPTS_MAX:
                 raise self._no_target_error(job) from None
             return
-        if not job.may_have_run:
+        if isinstance(error, DeadlineError) or not job.may_have_run:
             raise error
         # The error is about the retry, which was not sent. The request may have run at
         # an earlier target.
@@ -213,9 +213,7 @@
             attempts.latest.switch_at_s,
             *(attempt.begin_by_s for attempt in attempts),
         )
-        ready = attempts.wait(until_s)
-        silent = not ready
-        for attempt in ready:
+        for attempt in attempts.wait(until_s):
             if attempt not in attempts:
                 continue
             try:
@@ -223,19 +221,19 @@
                 if self._process(job, attempt, attempts, writer, stream):
                     return True
             except UpstreamSilentError:
-                silent = True
+                pass
             except _RefusedError:
                 job.refusals += 1
                 attempts.drop(attempt, "refused")
             except UpstreamError as error:
                 attempts.drop(attempt, error.code)
                 self._handle_failure(job, attempt.target, error, attempts, stream)
-        if silent:
+        if attempts and time.monotonic() >= until_s:
             self._handle_silence(job, attempts, stream)
         return False
 
     def _handle_silence(self, job, attempts, stream):
-        """Handle that nothing arrived until the earliest time limit.
+        """Handle that the earliest time limit passed without progress.
 
         A silent target is not given up before another one has begun to answer: it may
         go on, and the other one may refuse the request.
@@ -346,6 +344,8 @@
         """Return an `Attempt` at `target`.
 
         :raises NotRunError: if nothing was sent.
+        :raises DeadlineError: if nothing was sent for lack of time, but the request was
+            sent to another target before.
         :raises UpstreamError: if the connection breaks.
         """
         call = UpstreamCall(target.instance.address, job.request.method == b"HEAD")
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -159,15 +159,11 @@
             part of a body.
         :raises UpstreamError: if the connection breaks or the answer is malformed.
         """
-        left_s = until_s - time.monotonic()
-        if left_s <= 0:
-            raise UpstreamSilentError(
-                f"{self._address} sent nothing more before the deadline"
-            )
-        self._sock.settimeout(left_s)
+        # What has already arrived is read even if the time is over.
+        self._sock.settimeout(max(0.0, until_s - time.monotonic()))
         try:
             data = self._sock.recv(READ_BLOCK_BYTES)
-        except TimeoutError:
+        except (TimeoutError, BlockingIOError):
             raise UpstreamSilentError(
                 f"{self._address} sent nothing more before the deadline"
             ) from None
@@ -223,7 +219,7 @@
                 # The time limit of the socket is the one of the task that reads, so
                 # `send` must not wait.
                 socket.wait_write(self._sock.fileno())
-                with contextlib.suppress(TimeoutError):
+                with contextlib.suppress(TimeoutError, BlockingIOError):
                     left = left[self._sock.send(left) :]
         except OSError:
             # The task that reads gets the same error, or an answer that arrived before
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -7,7 +7,7 @@
 import pytest
 
 from briarbeam.catalog import CallerLimits
-from briarbeam.relay import upstream_call
+from briarbeam.relay import dispatch, upstream_call
 from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
@@ -165,6 +165,28 @@
     assert_whole(entry.ask(method=b"POST"))
 
 
+@pytest.mark.parametrize("connect_s", [0.2, 0.3])
+def test_silent_target_is_kept_if_time_runs_out_while_the_second_one_is_reached(
+    monkeypatch, connect_s
+):
+    def answer_late(instance, sock, request):
+        gevent.sleep(1.2)
+        sock.sendall(ok(b"late"))
+
+    class SlowConnectCall(upstream_call.UpstreamCall):
+        def connect(self):
+            if self._address == second.address:
+                gevent.sleep(connect_s)
+            super().connect()
+
+    monkeypatch.setattr(dispatch, "UpstreamCall", SlowConnectCall)
+    second = FakeInstance(reply(ok()))
+    entry = Entry({"i1": FakeInstance(answer_late), "i2": second}, timeout_s=1.33)
+    entry.fleet.get("i2").outstanding = 12
+    assert entry.ask().endswith(b"\r\n\r\nlate")
+    assert not second.requests
+
+
 def test_silent_target_that_goes_on_first_is_preferred_to_the_second_one():
     second = FakeInstance(never_answer)
     first = FakeInstance(pause_in_stream)
