--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -1,11 +1,13 @@
 """Answers that callers did not get whole, and what the log says about them."""
 
 import errno
+import os
 
 import gevent
 import pytest
 
-from briarbeam.relay import upstream_call
+from briarbeam.catalog import CallerLimits
+from briarbeam.relay import dispatch, upstream_call
 from briarbeam.relay.admission import ANSWER_MARGIN_S
 from briarbeam.telemetry import request_log
 
@@ -164,6 +166,28 @@
     assert_whole(entry.ask(method=b"POST"))
 
 
+@pytest.mark.parametrize("connect_s", [0.2, 0.3])
+def test_silent_target_is_kept_if_time_runs_out_while_the_second_one_is_reached(
+    monkeypatch, connect_s
+):
+    def answer_late(instance, sock, request):
+        gevent.sleep(1.2)
+        sock.sendall(ok(b"late"))
+
+    class SlowConnectCall(upstream_call.UpstreamCall):
+        def connect(self):
+            if self._address == second.address:
+                gevent.sleep(connect_s)
+            super().connect()
+
+    monkeypatch.setattr(dispatch, "UpstreamCall", SlowConnectCall)
+    second = FakeInstance(reply(ok()))
+    entry = Entry({"i1": FakeInstance(answer_late), "i2": second}, timeout_s=1.33)
+    entry.fleet.get("i2").outstanding = 12
+    assert entry.ask().endswith(b"\r\n\r\nlate")
+    assert not second.requests
+
+
 def test_silent_target_that_goes_on_first_is_preferred_to_the_second_one():
     second = FakeInstance(never_answer)
     first = FakeInstance(pause_in_stream)
@@ -174,6 +198,26 @@
     assert len(second.requests) == len(second.closed_at_s) == 1
 
 
+@pytest.fixture
+def many_descriptors():
+    """Take all descriptors that `select.select` can handle."""
+    descriptors = [os.open(os.devnull, os.O_RDONLY)]
+    while descriptors[-1] < 1024:
+        descriptors.append(os.dup(descriptors[0]))
+    yield
+    for descriptor in descriptors:
+        os.close(descriptor)
+
+
+def test_silent_target_is_kept_by_an_entry_with_many_connections(many_descriptors):
+    second = FakeInstance(never_answer)
+    first = FakeInstance(pause_in_stream)
+    entry = Entry({"i1": first, "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    assert_whole(entry.ask(method=b"POST"))
+    assert len(second.requests) == 1
+
+
 def test_whole_answer_of_a_silent_target_is_kept_if_the_second_one_refuses():
     def answer_late(instance, sock, request):
         gevent.sleep(PAUSE_S)
@@ -186,6 +230,24 @@
     assert len(second.requests) == 1
 
 
+def test_long_request_is_sent_whole_to_a_target_that_reads_it_late():
+    body = bytes(8_000_000)
+    received = []
+
+    def read_late(instance, sock, request):
+        gevent.sleep(PAUSE_S)
+        size_bytes = len(request.partition(b"\r\n\r\n")[2])
+        while size_bytes < len(body) and (part := sock.recv(65536)):
+            size_bytes += len(part)
+        received.append(size_bytes)
+        sock.sendall(ok())
+
+    entry = Entry({"i1": FakeInstance(read_late)}, **NON_IDEMPOTENT)
+    entry.limits = CallerLimits(max_body_bytes=len(body))
+    assert entry.ask(method=b"POST", body=body).endswith(b"done")
+    assert received == [len(body)]
+
+
 @pytest.mark.parametrize("superseded_s", [None, 9.0])
 def test_stream_is_not_cut_for_a_pause_beside_a_change_of_the_desired_state(
     superseded_s,
