Keep a silent target until another one's whole answer is complete

Callers saw 502 though a target answered them in time.

Cause: of two targets, the one whose head arrived first made the entry drop the other, before the body was there. An answer that is no stream is sent only once it is complete, so until then the first target can still be needed: if the second one breaks off within its body, nothing was left.

Now the other attempts are dropped with the last byte, as with events, which count only if they are complete.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -466,11 +466,11 @@
             target.seen_version = reply.weights_version
 
     def _forward_whole(self, attempt, attempts, writer):
-        attempts.keep_only(attempt)
         attempt.switch_at_s = attempt.begin_by_s = math.inf
         body = attempt.read_body()
         if body is None:
             return False
+        attempts.keep_only(attempt)
         head = attempt.head
         writer.write(head.status, wire.returned_headers(head.headers), body)
         attempts.complete(attempt)
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -197,6 +197,23 @@
     assert len(second.requests) == len(second.closed_at_s) == 1
 
 
+def test_silent_target_is_kept_if_the_second_one_breaks_off_within_its_answer():
+    def answer_late(instance, sock, request):
+        gevent.sleep(PAUSE_S)
+        sock.sendall(ok(b"late"))
+
+    def break_off_body(instance, sock, request):
+        sock.sendall(ok(b"done")[:-1])
+        gevent.sleep(0.1)
+        reset(sock)
+
+    second = FakeInstance(break_off_body)
+    entry = Entry({"i1": FakeInstance(answer_late), "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    assert entry.ask().endswith(b"\r\n\r\nlate")
+    assert len(second.requests) == 1
+
+
 @pytest.fixture
 def many_descriptors():
     """Take all descriptors that `select.select` can handle."""
