Log the attempts that were open when a request ended

A request that ended at its time limit, or because its caller left, had an empty list of attempts in the log, so that a cut answer did not say which targets it was waiting for, and for how long.

Cause: attempts were recorded when they were dropped or complete; those that were still open at the end were closed without a record.

The new test (two silent targets, 504) found [] before. Now each attempt is recorded where it is closed; those that the end of the request closes have the outcome "cancelled".

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -55,7 +55,7 @@
 class OpenAttempts:
     """The attempts of one request that may still answer it, in the order of sending.
 
-    A context manager that closes all of them at its end.
+    A context manager that closes those that are still open at its end.
 
     :param job: the `Job`; attempts that end are recorded in it.
     """
@@ -68,8 +68,8 @@
         return self
 
     def __exit__(self, *exc_info):
-        while self._attempts:
-            self._attempts.pop().close()
+        for attempt in self:
+            self._end(attempt, "cancelled")
 
     def __len__(self):
         return len(self._attempts)
@@ -95,15 +95,13 @@
 
         :param outcome: how it ended, for the log.
         """
-        self._attempts.remove(attempt)
-        attempt.close()
+        self._end(attempt, outcome)
         self._job.tried.append(attempt.target.id)
-        self._job.record_attempt(attempt.target, outcome, attempt.started_s)
 
     def complete(self, attempt):
-        """Record that `attempt` has answered the request completely."""
+        """Close `attempt`, which has answered the request completely."""
         attempt.target.record_success()
-        self._job.record_attempt(attempt.target, "ok", attempt.started_s)
+        self._end(attempt, "ok")
 
     def keep_only(self, attempt):
         """Drop all attempts but the one that answers the request.
@@ -136,3 +134,8 @@
         readable = {descriptor for descriptor, _ in poll.poll(timeout_s * 1000)}
         ready = [a for a in self._attempts if a.call.fileno() in readable]
         return ready or list(self._attempts)
+
+    def _end(self, attempt, outcome):
+        self._attempts.remove(attempt)
+        attempt.close()
+        self._job.record_attempt(attempt.target, outcome, attempt.started_s)
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -72,6 +72,16 @@
     assert lines[-1]["cut"]
 
 
+def test_line_of_a_request_has_the_attempts_that_its_time_limit_ended(lines):
+    entry = Entry({f"i{n}": FakeInstance(never_answer) for n in (1, 2)}, timeout_s=1.3)
+    assert entry.ask().split()[1] == b"504"
+    (fields,) = lines
+    assert sorted(attempt[:2] for attempt in fields["attempts"]) == [
+        ("i1", "cancelled"),
+        ("i2", "cancelled"),
+    ]
+
+
 def fail(*args, **kwargs):
     raise RuntimeError("no such thing")
 
