Cut an answer only if its caller accepts nothing of it for 5 seconds

Callers that read a large answer slowly, as over a link that carries a new desired state, saw it end before its last byte after 5 s, while they were still reading. The log had it as caller_left.

Cause: WRITE_TIMEOUT_S is meant for a caller that accepts no bytes for so long, but gevent's sendall applies the time limit of the socket to all of its data.

Now the limit holds for each part that the caller accepts.

--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -275,9 +275,12 @@
 
     def _send(self, data):
         self.begun = True
+        left = memoryview(data)
         try:
+            # The time limit of `sendall` would be one for all of the data.
             self._sock.settimeout(WRITE_TIMEOUT_S)
-            self._sock.sendall(data)
+            while left:
+                left = left[self._sock.send(left) :]
         except OSError as error:
             raise CallerDisconnectedError(
                 f"writing the answer failed: {error!r}"
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -5,9 +5,10 @@
 
 import gevent
 import pytest
+from gevent import socket
 
 from briarbeam.catalog import CallerLimits
-from briarbeam.relay import dispatch, upstream_call
+from briarbeam.relay import callers, dispatch, upstream_call
 from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
@@ -332,3 +333,18 @@
 def reset_later(sock):
     gevent.sleep(0.3)
     reset(sock)
+
+
+def test_answer_is_not_cut_while_its_caller_reads_it_slowly(monkeypatch):
+    monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.5)
+    data = ok(bytes(8_000_000))
+    entry = Entry({"i1": FakeInstance(reply(data))})
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.connect(("127.0.0.1", entry.port))
+    sock.sendall(request_bytes())
+    size_bytes = 0
+    while part := sock.recv(200_000):
+        size_bytes += len(part)
+        gevent.sleep(0.02)
+    assert size_bytes > len(data)
