--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -5,9 +5,10 @@
 
 import gevent
 import pytest
+from gevent import socket
 
 from briarbeam.catalog import CallerLimits
-from briarbeam.relay import dispatch, upstream_call
+from briarbeam.relay import callers, dispatch, upstream_call
 from briarbeam.relay.admission import ANSWER_MARGIN_S
 from briarbeam.telemetry import request_log
 
@@ -73,6 +74,16 @@
     assert lines[-1]["cut"]
 
 
+def test_line_of_a_request_has_the_attempts_that_its_time_limit_ended(lines):
+    entry = Entry({f"i{n}": FakeInstance(never_answer) for n in (1, 2)}, timeout_s=1.3)
+    assert entry.ask().split()[1] == b"504"
+    (fields,) = lines
+    assert sorted(attempt[:2] for attempt in fields["attempts"]) == [
+        ("i1", "cancelled"),
+        ("i2", "cancelled"),
+    ]
+
+
 def fail(*args, **kwargs):
     raise RuntimeError("no such thing")
 
@@ -198,6 +209,23 @@
     assert len(second.requests) == len(second.closed_at_s) == 1
 
 
+def test_silent_target_is_kept_if_the_second_one_breaks_off_within_its_answer():
+    def answer_late(instance, sock, request):
+        gevent.sleep(PAUSE_S)
+        sock.sendall(ok(b"late"))
+
+    def break_off_body(instance, sock, request):
+        sock.sendall(ok(b"done")[:-1])
+        gevent.sleep(0.1)
+        reset(sock)
+
+    second = FakeInstance(break_off_body)
+    entry = Entry({"i1": FakeInstance(answer_late), "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    assert entry.ask().endswith(b"\r\n\r\nlate")
+    assert len(second.requests) == 1
+
+
 @pytest.fixture
 def many_descriptors():
     """Take all descriptors that `select.select` can handle."""
@@ -315,3 +343,18 @@
     assert read_all(sock).split()[1] == b"504"
     assert lines[0]["time_limit_s"] == pytest.approx(0.6 - ANSWER_MARGIN_S)
     assert ANSWER_MARGIN_S > 0.01
+
+
+def test_answer_is_not_cut_while_its_caller_reads_it_slowly(monkeypatch):
+    monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.5)
+    data = ok(bytes(8_000_000))
+    entry = Entry({"i1": FakeInstance(reply(data))})
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    sock.connect(("127.0.0.1", entry.port))
+    sock.sendall(request_bytes())
+    size_bytes = 0
+    while part := sock.recv(200_000):
+        size_bytes += len(part)
+        gevent.sleep(0.02)
+    assert size_bytes > len(data)
