--- a/briarbeam/cli/context.py
+++ b/briarbeam/cli/context.py
@@ -10,8 +10,8 @@
 _STATE_EVENTS = frozenset({
     "store_lost", "store_regained", "history_gone", "desired_state_in_force",
     "version_named", "namings_learned", "evacuated", "instance_seen",
-    "instance_changed", "instance_gone", "weights_seen", "started", "stopping",
-    "load_ordered", "load_ended",
+    "instance_changed", "instance_gone", "instance_leaving", "weights_seen",
+    "started", "stopping", "load_ordered", "load_ended",
 })  # fmt: skip
 _NAMING_EVENTS = frozenset({"version_named", "namings_learned"})
 _LOAD_EVENTS = frozenset({
--- a/tests/test_cli_explain.py
+++ b/tests/test_cli_explain.py
@@ -95,15 +95,21 @@
 
 def test_context_of_a_refused_request_includes_all_instances(tmp_path):
     gone = {"event": "instance_gone", "instance": "i1"}
+    leaving = {"event": "instance_leaving", "instance": "i2"}
     shown = explain(
         tmp_path,
         [
             ("f1", 9, gone),
             ("f1", 31, gone),
+            ("f1", 32, leaving),
             ("f1", 40, request(outcome="no_capacity")),
         ],
     )
-    assert events(shown) == [("f1", "instance_gone"), ("f1", "request")]
+    assert events(shown) == [
+        ("f1", "instance_gone"),
+        ("f1", "instance_leaving"),
+        ("f1", "request"),
+    ]
 
 
 def test_lines_after_the_request_are_not_printed(tmp_path):
