Read the clock once for all targets of a request

The checks for statements of instances made the list of eligible targets slower: 257 instead of 124 microseconds for 100 targets, and a pick 622 instead of 486 (best of five runs, beside other load). The start of an instance is now read only if it has made a statement, and the clock once for all targets: 162 and 519 microseconds.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -123,12 +123,12 @@
     @property
     def leaving(self):
         """Whether it has stated in an answer that it is leaving."""
-        return self.notices.is_leaving(self.started_ms)
+        return self.notices.is_leaving(self)
 
     @property
     def closed_until_s(self):
         """Monotonic time until which it wants no requests; may be past."""
-        return self.notices.closed_until_s(self.started_ms)
+        return self.notices.closed_until_s(self)
 
     def version_of(self, model):
         """Return the version of `model` that is presumably loaded, 0 if none."""
--- a/briarbeam/relay/notices.py
+++ b/briarbeam/relay/notices.py
@@ -46,13 +46,15 @@
 
     def record_leaving(self, statement):
         """Record that the instance is leaving; return whether that is new."""
-        is_new = not self.is_leaving(statement.started_ms)
+        is_new = not self.is_leaving(statement)
         self._leaving = statement
         return is_new
 
-    def is_leaving(self, started_ms):
-        """Return whether the boot that started at `started_ms` is leaving."""
-        return self._leaving is not None and self._leaving.applies_to(started_ms)
+    def is_leaving(self, boot):
+        """Return whether `boot`, an object with a `started_ms`, is leaving."""
+        # The start is read only if needed, as this is called for each target of each
+        # request.
+        return self._leaving is not None and self._leaving.applies_to(boot.started_ms)
 
     def apply_record(self, instance, revision):
         """Withdraw the leaving if the instance was listed as draining and no longer is.
@@ -74,7 +76,7 @@
 
         :param now_s: monotonic time.
         """
-        closed_until_s = self.closed_until_s(statement.started_ms)
+        closed_until_s = self.closed_until_s(statement)
         # Requests that were sent together are refused together, which counts once.
         if now_s >= closed_until_s:
             self._closed_in_a_row += 1
@@ -88,11 +90,11 @@
         """Record that the instance ran a request."""
         self._closed_in_a_row = 0
 
-    def closed_until_s(self, started_ms):
-        """Return the monotonic time until which requests are unwanted, maybe past.
+    def closed_until_s(self, boot):
+        """Return the monotonic time until which requests are unwanted; may be past.
 
-        :param started_ms: identifies the boot of the instance.
+        :param boot: an object with a `started_ms`.
         """
-        if self._closed is None or not self._closed.applies_to(started_ms):
+        if self._closed is None or not self._closed.applies_to(boot.started_ms):
             return -math.inf
         return self._closed_until_s
--- a/briarbeam/relay/target_selector.py
+++ b/briarbeam/relay/target_selector.py
@@ -155,25 +155,31 @@
 
     def eligible_targets(self, requirements):
         """Return the targets that meet `requirements` now, regardless of their load."""
-        targets = self._fleet.targets(requirements.service.name)
-        return [target for target in targets if self.is_eligible(target, requirements)]
+        now_s = self._clock.monotonic_s()
+        return [
+            target
+            for target in self._fleet.targets(requirements.service.name)
+            if self._meets(target, requirements, now_s)
+            and target.closed_until_s <= now_s
+        ]
 
     def is_eligible(self, target, requirements):
         """Return whether `target` meets `requirements` now, regardless of its load.
 
         A target that asked for a wait is not eligible until its end.
         """
-        return target.closed_until_s <= self._clock.monotonic_s() and self._meets(
-            target, requirements
+        now_s = self._clock.monotonic_s()
+        return (
+            self._meets(target, requirements, now_s) and target.closed_until_s <= now_s
         )
 
-    def _meets(self, target, requirements):
+    def _meets(self, target, requirements, now_s):
         """Return whether `target` meets `requirements`, whether it is closed or not."""
         return (
             target.instance.service == requirements.service.name
             and not target.instance.draining
             and not target.leaving
-            and target.replaced_until_s <= self._clock.monotonic_s()
+            and target.replaced_until_s <= now_s
             and target.instance.failure_domain not in self._fleet.evacuated_domains
             and self._region_allowed(target, requirements)
             and self._has_required_weights(target, requirements)
@@ -188,7 +194,7 @@
         waits_s = [
             target.closed_until_s - now_s
             for target in self._fleet.targets(requirements.service.name)
-            if self._meets(target, requirements)
+            if self._meets(target, requirements, now_s)
         ]
         wait_s = min(waits_s, default=0.0)
         return wait_s if wait_s > 0.0 else None
