Don't let a restored store confirm a state that lacks lost writes

Callers saw: a key that a desired state had removed was accepted again. The store had acknowledged that state, was away for 3.5 s and came back from a copy without it; its first answer confirmed the older state, whose age was 0 again, while the removal was over 5 s old.

Cause: an answer confirms that no newer state was acknowledged. After a restore it doesn't: what the copy lacks is written again only a moment later.

For 2 s after a new era became known, and for as long as the store's state is older than the one in force, the age that decides about keys, unknown routes and readiness counts from the last confirmation in the era before. Neighbours still compare and confirm by the age of the store's answers, so the reader stays the reader. Requests without a key are served as before.

An entry that pulls a copy of a new era from a neighbour at the moment waits for that copy instead of reading the store too.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -169,6 +169,7 @@
             is_reader=lambda: not self._exchange.has_reader(),
             awaits_peer_copy=lambda: not self._first_read.is_due(),
             peer_copy_wait_s=self._state_copy_wait_s,
+            lacks_writes=lambda: self._in_force.is_ahead_of_store,
             outage_detector=self._version_mirror,
         )
         watched_kinds = (
@@ -198,14 +199,14 @@
         for mirror in self._mirrors:
             mirror.on_rewound = self._handle_rewind
         self._follower = StoreFollower(self._clock, self._state_mirror, others)
-        _STATE_AGE.set_function(lambda: _or_nan(self._state_mirror.age_s))
+        _STATE_AGE.set_function(lambda: _or_nan(self._state_mirror.settled_age_s))
 
     def _build_servers(self):
         settings, bounds = self._settings, self._settings.bounds
         admission = Admission(
             self._in_force,
             self._spread,
-            lambda: self._state_mirror.age_s,
+            lambda: self._state_mirror.settled_age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
             bounds.config_apply_s,
             self._versions,
@@ -228,7 +229,7 @@
             selector,
             budget,
             self._exchange.position,
-            RequestLog(lambda: self._state_mirror.age_s),
+            RequestLog(lambda: self._state_mirror.settled_age_s),
         )
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
@@ -242,9 +243,11 @@
 
     def _state_copy_wait_s(self):
         """Return how long neighbours may supply the desired state of a new era."""
-        if not self._exchange.has_reader():
-            return 0.0
-        return self._spread.store_read_wait_s()
+        # The reader may change at the store's return; a copy of the new one then counts
+        # for the former one, too.
+        if self._exchange.has_reader() or self._spread.is_pulling():
+            return self._spread.store_read_wait_s()
+        return 0.0
 
     def _handle_rewind(self, era):
         """End the watches of all mirrors that are from before `era`."""
@@ -256,7 +259,7 @@
         self._spread.handle_records_update()
 
     def _is_ready(self):
-        age_s = self._state_mirror.age_s
+        age_s = self._state_mirror.settled_age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
         is_known = age_s is not None and self._version_mirror.age_s is not None
         superseded_s = self._spread.superseded_for_s() or 0.0
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -22,6 +22,9 @@
 # Range of the random interval for an entry that gets the records from the reader.
 FOLLOWER_RETRY_MIN_S = 1.0
 FOLLOWER_RETRY_MAX_S = 2.5
+# How long after a restore of the store its answers are not taken to show all that was
+# ever written. Operators and instances write again what it lost within about 2 s.
+REWRITE_GRACE_S = 2.0
 # Changes that follow each other within this time form a burst.
 BURST_GAP_S = 1.0
 # In a burst, the pause between lists is this many times as long as a list took, so that
@@ -60,6 +63,8 @@
         supply the records before the first list.
     :param peer_copy_wait_s: a function that returns for how many seconds other entries
         may supply the records of a new era before this one lists them.
+    :param lacks_writes: a function that returns whether the records are known to lack
+        what was written before the store was restored.
     :param outage_detector: a `Mirror` of the same store, or None. While that one can't
         reach the store, this one makes no calls; it resumes when that one reaches it
         again.
@@ -78,6 +83,7 @@
         is_reader=None,
         awaits_peer_copy=None,
         peer_copy_wait_s=None,
+        lacks_writes=None,
         outage_detector=None,
     ):
         self._store = store
@@ -91,6 +97,7 @@
         self._is_reader = is_reader or (lambda: True)
         self._awaits_peer_copy = awaits_peer_copy or (lambda: False)
         self._peer_copy_wait_s = peer_copy_wait_s or (lambda: 0.0)
+        self._lacks_writes = lacks_writes or (lambda: False)
         self._list_duration_s = 0.0
         self._in_burst = False
         self._changed_s = -math.inf
@@ -110,6 +117,8 @@
         self.confirmed_s = None
         self.restored_s = None
         self.rewound_s = None
+        # When the records were last confirmed before the last restore of the store.
+        self._confirmed_before_s = None
         self.on_rewound = lambda era: None
 
     @property
@@ -166,6 +175,24 @@
             return None
         return self._clock.boottime_s() - self.confirmed_s
 
+    @property
+    def settled_age_s(self):
+        """Seconds since the records were last known to have all that was written.
+
+        Like `age_s`, but after a restore of the store its answers don't count until
+        what it lost has been written again. None before the first list.
+        """
+        if self._is_settled():
+            return self.age_s
+        return self._clock.boottime_s() - self._confirmed_before_s
+
+    def _is_settled(self):
+        if self.rewound_s is None:
+            return True
+        if self._clock.boottime_s() - self.rewound_s < REWRITE_GRACE_S:
+            return False
+        return not self._lacks_writes()
+
     @property
     def summary(self):
         """The newest revision of a record, and the number of records.
@@ -209,12 +236,17 @@
             gevent.kill(self._watch_task, RecheckError("recheck was requested"))
 
     def recheck_before(self, era):
-        """List the records again if they are from before `era`.
+        """List the records again if they are from before `era` and a watch waits.
 
-        Records that other entries supply are left to them.
+        The store ends the watches of all kinds at about the same time, so this one gets
+        a moment to end by itself.
         """
         if self._era is not None and self._era < era:
             self._record_known_era(era)
+            gevent.spawn_later(PEER_POLL_S, self._recheck_if_behind)
+
+    def _recheck_if_behind(self):
+        if self._era < self._known_era:
             self.recheck()
 
     def _drop_history(self, era):
@@ -319,6 +351,8 @@
     def _update_era(self, era):
         """Record the era of the records that are about to replace the present ones."""
         if self._era is not None and era > self._era:
+            if self._is_settled():
+                self._confirmed_before_s = self.confirmed_s
             self.rewound_s = self.restored_s = self._clock.boottime_s()
             _log.warning("records_rewound", kind=self._kind, era=era, before=self._era)
             self._era = era
--- a/briarbeam/relay/state_in_force.py
+++ b/briarbeam/relay/state_in_force.py
@@ -1,5 +1,7 @@
 """The desired state in force at this entry, and the versions that operators named."""
 
+import math
+
 import structlog
 from prometheus_client import Gauge
 
@@ -21,7 +23,8 @@
 class StateInForce:
     """Keeps the newest desired state that was read; never reverts to an older one.
 
-    `state` is the `DesiredState`, or None before the first one.
+    `state` is the `DesiredState`, or None before the first one. `is_ahead_of_store` is
+    whether the store's records have an older one.
 
     :param clock: the `Clock`.
     """
@@ -29,6 +32,7 @@
     def __init__(self, clock):
         self._clock = clock
         self.state = None
+        self.is_ahead_of_store = False
 
     def update(self, records):
         """Apply the store's records of the desired state, if it is valid and newer."""
@@ -40,7 +44,9 @@
         except MalformedRecordError as error:
             _log.error("desired_state_malformed", error=str(error))
             return
-        if self.state is not None and state.version <= self.state.version:
+        newest = self.state.version if self.state is not None else -math.inf
+        self.is_ahead_of_store = state.version < newest
+        if state.version <= newest:
             return
         self.state = state
         _VERSION.set(state.version)
