List a store without history less and less often

Callers saw nothing, but the links did: where each watch is answered 410, a mirror listed its records ten times a second, and the desired state is the largest of them.

Cause: the pause after a 410 was always 0.1 s, as the list between two such watches counted as a success. It now doubles up to 1 s until a watch succeeds. A state that is listed once a second is still young enough (1.6 s) that neighbours rely on its reader, and changes stay within their bounds.

Evidence: test_store_that_has_no_history_is_listed_less_and_less_often; in 2.2 s the code before made 21 lists, now it makes four to six.

--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -19,6 +19,9 @@
 # lower one detects its return early, the growth keeps calls in a long outage few.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# The longest pause before a list where each watch fails because its history is gone. A
+# state that is listed this often is still fresh enough for neighbours to rely on.
+HISTORY_PAUSE_MAX_S = 1.0
 # Range of the random interval for an entry that gets the records from the reader.
 FOLLOWER_RETRY_MIN_S = 1.0
 FOLLOWER_RETRY_MAX_S = 2.5
@@ -99,6 +102,7 @@
         self._peer_copy_wait_s = peer_copy_wait_s or (lambda: 0.0)
         self._lacks_writes = lacks_writes or (lambda: False)
         self._list_duration_s = 0.0
+        self._history_pause_s = RETRY_MIN_S
         self._in_burst = False
         self._changed_s = -math.inf
         self._records = {}
@@ -153,7 +157,10 @@
             except HistoryGoneError:
                 _log.info("history_gone", kind=self._kind, revision=self._revision)
                 self._revision = None
-                gevent.sleep(RETRY_MIN_S)
+                gevent.sleep(self._history_pause_s)
+                self._history_pause_s = min(
+                    HISTORY_PAUSE_MAX_S, self._history_pause_s * 2
+                )
             except StoreUnavailableError as error:
                 self._mark_unreachable(error)
                 gevent.sleep(pause_s if self._is_reader() else _follower_retry_s())
@@ -309,6 +316,7 @@
         if self._needs_list():
             return self._list(sent_s)
         changes, revision = self._watch()
+        self._history_pause_s = RETRY_MIN_S
         self._mark_reachable()
         if era_of(revision) < self._era:
             # Another entry has supplied records of a newer era in the meantime.
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -18,6 +18,7 @@
 from briarbeam.platform.store import Record, StoreClient
 from briarbeam.relay.errors import HistoryGoneError, StoreRewoundError
 from briarbeam.relay.fleet import Fleet
+from briarbeam.relay.follower import NEIGHBOUR_AGE_MAX_S
 from briarbeam.relay.mirror import REWRITE_GRACE_S, Mirror
 from briarbeam.relay.spread import StateSpread
 from briarbeam.relay.state_in_force import StateInForce
@@ -249,6 +250,23 @@
     assert store.calls == ["watch", "list", "watch"]
 
 
+def test_store_that_has_no_history_is_listed_less_and_less_often():
+    """Each entry listed a large state ten times a second."""
+
+    class ForgetfulStore(RewoundStore):
+        def watch(self, kind, revision, wait_s):
+            self.calls.append("watch")
+            raise HistoryGoneError("410")
+
+    store = ForgetfulStore()
+    mirror, task = new_mirror(store, 2 * ERA_UNIT + 1)
+    gevent.sleep(2.2)
+    assert 4 <= store.calls.count("list") <= 6
+    assert mirror.age_s < NEIGHBOUR_AGE_MAX_S
+    assert mirror.summary == (2 * ERA_UNIT + 3, 1)
+    task.kill()
+
+
 def confirmed_mirror(clock, **options):
     """Return a mirror that was confirmed now."""
     mirror = Mirror(None, "config", clock, lambda: 1.0, lambda records: None, **options)
