Keep evacuations and departures that a restored store has forgotten

Callers saw: after a restore, requests went to a zone that was evacuated and to instances that were leaving or gone, until operators and instances had written that again.

Cause: an entry took the records of the copy for the present. An evacuation that was declared after the copy was made vanished at once, and an instance that had reported that it leaves, or had been removed, was ready again.

An evacuation that vanishes with a restore stays for 5 s or until it is written again; one that was seen in the new era ends as always. For the same time, an instance that was leaving before is treated as leaving, and one whose record was gone as gone, unless it has another start.

Evidence: four tests in tests/test_store_eras.py.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -19,8 +19,9 @@
 from ..telemetry.request_log import RequestLog
 from .admission import SUPERSEDED_STATE_MAX_S, Admission
 from .dispatch import Dispatcher
+from .evacuations import Evacuations
 from .first_read import FirstRead
-from .fleet import Fleet
+from .fleet import REWIND_MEMORY_S, Fleet
 from .follower import StoreFollower
 from .limits import RetryBudget
 from .mirror import Mirror
@@ -83,6 +84,7 @@
             clock.started_s,
         )
         self._fleet = Fleet(clock, self._services)
+        self._evacuations = Evacuations(clock)
         self._build_mirrors(StoreClient(network, settings.store.address))
         self._spread = StateSpread(
             network,
@@ -194,6 +196,7 @@
             )
             for kind, on_change, change_pause_s, wait_s in watched_kinds
         ]  # fmt: skip
+        self._instance_mirror, self._evacuation_mirror = others
         others.append(self._version_mirror)
         self._mirrors = [self._state_mirror, *others]
         for mirror in self._mirrors:
@@ -253,6 +256,12 @@
         """End the watches of all mirrors that are from before `era`."""
         for mirror in self._mirrors:
             mirror.recheck_before(era)
+        # Applies the records once more when nothing from before counts any longer.
+        gevent.spawn_later(REWIND_MEMORY_S + 0.1, self._reapply_records)
+
+    def _reapply_records(self):
+        for mirror in (self._instance_mirror, self._evacuation_mirror):
+            mirror.reapply()
 
     def _update_state(self, new_records):
         self._in_force.update(new_records)
@@ -298,10 +307,12 @@
             m.restored_s for m in self._mirrors if m.restored_s is not None
         ]
         self._fleet.store_restored_s = max(restored_times_s, default=None)
+        self._fleet.store_rewound_s = self._instance_mirror.rewound_s
         self._fleet.update(new_records)
 
     def _update_evacuated(self, new_records):
-        evacuated_domains = frozenset(new_records)
+        self._evacuations.update(new_records, self._evacuation_mirror.rewound_s)
+        evacuated_domains = self._evacuations.domains()
         if evacuated_domains != self._fleet.evacuated_domains:
             _log.info("evacuated", failure_domains=sorted(evacuated_domains))
         self._fleet.evacuated_domains = evacuated_domains
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -6,6 +6,7 @@
 own requests.
 """
 
+import dataclasses
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -20,6 +21,10 @@
 # that expired during an outage are written again within about 2 s of the return.
 # Draining instances must be removed within 2 s.
 REMOVAL_GRACE_S = 1.7
+# How long after a restore of the store an instance that was leaving or gone before is
+# still treated as such, whatever its record says. By then, the instance has written its
+# record again, or the record has expired.
+REWIND_MEMORY_S = 5.0
 # Maximum number of removed instances that are remembered in case their records are
 # written again.
 REMOVED_MAX = 100
@@ -192,7 +197,8 @@
     :param services: a function that returns the declared `Service` objects by name.
 
     `store_restored_s` is the boot time at which the store was last reached again, or
-    None. `on_weights_changed` is called without arguments when a target appears or
+    None, and `store_rewound_s` that of the first list after it was restored from a copy.
+    `on_weights_changed` is called without arguments when a target appears or
     reports other weights. `evacuated_domains` has the failure domains that get no
     requests.
     """
@@ -205,7 +211,7 @@
         self._malformed_revisions = {}
         self._awaits_first_update = True
         self.evacuated_domains = frozenset()
-        self.store_restored_s = None
+        self.store_restored_s = self.store_rewound_s = None
         self.on_weights_changed = lambda: None
 
     def update(self, records):
@@ -293,6 +299,12 @@
         return instance
 
     def _add_or_update(self, instance, now_s):
+        known = self._targets.get(instance.id) or self._removed.get(instance.id)
+        if known is not None and self._may_be_rewound(known, instance):
+            if self._left_before_rewind(known, now_s):
+                return
+            if known.instance.draining:
+                instance = dataclasses.replace(instance, draining=True)
         target = self._targets.get(instance.id) or self._restore(instance)
         service = self._services().get(instance.service)
         if target is None or target.instance.started_ms != instance.started_ms:
@@ -311,6 +323,20 @@
         if instance.cold_left_s > 0:
             target.cold_until_s = max(target.cold_until_s, now_s + instance.cold_left_s)
 
+    def _may_be_rewound(self, known, instance):
+        """Return whether a record may be older than what is known of its instance."""
+        return (
+            self.store_rewound_s is not None
+            and self._clock.boottime_s() - self.store_rewound_s < REWIND_MEMORY_S
+            and known.instance.started_ms == instance.started_ms
+        )
+
+    def _left_before_rewind(self, target, now_s):
+        if target.remove_at_s is None:
+            return False
+        rewound_for_s = self._clock.boottime_s() - self.store_rewound_s
+        return now_s - target.remove_at_s >= rewound_for_s
+
     def _restore(self, instance):
         """Return the removed target of a record that was written again, or None.
 
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -237,6 +237,11 @@
         confirmed_s = max(at_s, self.confirmed_s or -math.inf)
         self._replace(dict(records), revision, confirmed_s)
 
+    def reapply(self):
+        """Call `on_change` with the present records."""
+        if self.confirmed_s is not None:
+            self._on_change(self._records)
+
     def recheck(self):
         """End a waiting watch and list the records again; do nothing if none waits."""
         if self._watch_task is not None:
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -17,7 +17,8 @@
 from briarbeam.platform.revisions import ERA_UNIT, era_of, number_of
 from briarbeam.platform.store import Record, StoreClient
 from briarbeam.relay.errors import HistoryGoneError, StoreRewoundError
-from briarbeam.relay.fleet import Fleet
+from briarbeam.relay.evacuations import Evacuations
+from briarbeam.relay.fleet import REMOVAL_GRACE_S, REWIND_MEMORY_S, Fleet
 from briarbeam.relay.follower import NEIGHBOUR_AGE_MAX_S
 from briarbeam.relay.mirror import REWRITE_GRACE_S, Mirror
 from briarbeam.relay.spread import StateSpread
@@ -174,13 +175,9 @@
 
 
 def test_record_at_a_revision_that_was_malformed_in_the_era_before_is_decoded():
-    spec = {
-        "service": "s", "address": "10.0.0.9:8080", "zone": "z1", "version": "v1",
-        "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": 4, "born": 1700,
-    }  # fmt: skip
     fleet = Fleet(ManualClock(), dict)
     fleet.update({"i1": Record("i1", ERA_UNIT + 7, {"state": "??"})})
-    fleet.update({"i1": Record("i1", 2 * ERA_UNIT + 7, spec)})
+    fleet.update({"i1": Record("i1", 2 * ERA_UNIT + 7, SPEC)})
     assert fleet.get("i1") is not None
 
 
@@ -250,6 +247,97 @@
     assert store.calls == ["watch", "list", "watch"]
 
 
+SPEC = {
+    "service": "s", "address": "10.0.0.9:8080", "zone": "z1", "version": "v1",
+    "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": 4, "born": 1700,
+}  # fmt: skip
+LEAVING = dict(SPEC, state="draining")
+
+
+def fleet_of(clock, *specs):
+    """Return a fleet that got the record of one instance in each of these forms."""
+    fleet = Fleet(clock, dict)
+    for number, spec in enumerate(specs):
+        update_fleet(fleet, spec, ERA_UNIT + number)
+    return fleet
+
+
+def update_fleet(fleet, spec, revision):
+    fleet.update({} if spec is None else {"i1": Record("i1", revision, spec)})
+
+
+def rewind_fleet(fleet, clock, spec):
+    clock.advance(1.0)
+    fleet.store_rewound_s = fleet.store_restored_s = clock.boottime_s()
+    update_fleet(fleet, spec, 2 * ERA_UNIT)
+
+
+def usable(fleet):
+    return [t.id for t in fleet.targets("s") if not t.instance.draining]
+
+
+def test_instance_that_leaves_gets_no_requests_after_a_restore_forgot_it():
+    clock = ManualClock()
+    for specs in ([SPEC, LEAVING], [SPEC, LEAVING, None], [SPEC, None]):
+        fleet = fleet_of(clock, *specs)
+        rewind_fleet(fleet, clock, SPEC)
+        assert usable(fleet) == [], specs
+        # Its record is either written again or expires.
+        update_fleet(fleet, LEAVING, 2 * ERA_UNIT + 1)
+        clock.advance(REWIND_MEMORY_S)
+        update_fleet(fleet, LEAVING, 2 * ERA_UNIT + 1)
+        assert usable(fleet) == [], specs
+
+
+def test_instance_that_a_restore_shows_as_gone_or_leaving_returns():
+    clock = ManualClock()
+    fleet = fleet_of(clock, SPEC)
+    rewind_fleet(fleet, clock, None)
+    assert usable(fleet) == ["i1"]
+    clock.advance(REMOVAL_GRACE_S + 0.1)
+    assert usable(fleet) == []
+    update_fleet(fleet, SPEC, 2 * ERA_UNIT + 1)
+    assert usable(fleet) == ["i1"]
+    # A new start under the same name is another life.
+    fleet = fleet_of(clock, SPEC, LEAVING, None)
+    rewind_fleet(fleet, clock, dict(SPEC, born=1800))
+    assert usable(fleet) == ["i1"]
+    # What the record still says after the time for writing it again is true.
+    fleet = fleet_of(clock, SPEC, None)
+    rewind_fleet(fleet, clock, SPEC)
+    clock.advance(REWIND_MEMORY_S)
+    update_fleet(fleet, SPEC, 2 * ERA_UNIT)
+    assert usable(fleet) == ["i1"]
+
+
+def test_evacuation_that_a_restore_lost_stays_until_it_can_be_written_again():
+    clock = ManualClock()
+    evacuations = Evacuations(clock)
+    evacuations.update(["z1"], None)
+    evacuations.update(["z1", "z2"], None)
+    clock.advance(1.0)
+    rewound_s = clock.boottime_s()
+    evacuations.update(["z1"], rewound_s)
+    assert evacuations.domains() == {"z1", "z2"}
+    # The operator takes one back, and writes the other one again.
+    evacuations.update([], rewound_s)
+    assert evacuations.domains() == {"z2"}
+    evacuations.update(["z2"], rewound_s)
+    evacuations.update([], rewound_s)
+    assert evacuations.domains() == set()
+
+
+def test_evacuation_that_is_not_written_again_ends():
+    clock = ManualClock()
+    evacuations = Evacuations(clock)
+    evacuations.update(["z2"], None)
+    evacuations.update([], clock.boottime_s())
+    clock.advance(REWIND_MEMORY_S - 0.1)
+    assert evacuations.domains() == {"z2"}
+    clock.advance(0.1)
+    assert evacuations.domains() == set()
+
+
 def test_store_that_has_no_history_is_listed_less_and_less_often():
     """Each entry listed a large state ten times a second."""
 
