Restore the store from a copy in the soak

The soak drew outages of the store and lost histories, but no restore. The fault store_rewinds takes the store away for up to 1.2 s and returns it from a copy up to 2 s older; what that lacks is written again within a second.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -179,6 +179,24 @@
         injector.site.store.set_mode(None)
 
 
+@faults.register("store_rewinds")
+def store_rewinds(injector, fault):
+    """The store returns from a copy; what that lacks is written again after a while.
+
+    All this takes less time than a removed key may still be used.
+    """
+    fault.subject = injector.reserve(["store"]) or ""
+    if fault.subject:
+        store, rng = injector.site.store, injector.rng
+        outage_s = rng.uniform(0.2, 1.2)
+        store.set_mode("down")
+        gevent.sleep(outage_s)
+        store.rewind(outage_s + rng.uniform(0.3, 2.0))
+        store.set_mode(None)
+        gevent.sleep(rng.uniform(0.0, 1.0))
+        store.write_lost_again()
+
+
 def _disturb_link(injector, fault, prefix, links, duration_max_s):
     name = injector.reserve([f"{prefix}/{name}" for name in links])
     if name is not None:
--- a/soak/site.py
+++ b/soak/site.py
@@ -42,12 +42,12 @@
         self.mode = None
         super().__init__(address)
 
-    def handle(self, method, path, fields, body, environ):
+    def answer(self, path, fields):
         if self.mode == "slow":
             gevent.sleep(0.3)
         if self.mode == "compacted" and "watch" in fields:
             return 410, [], b""
-        return super().handle(method, path, fields, body, environ)
+        return super().answer(path, fields)
 
     def set_mode(self, mode):
         self.mode = mode
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -123,12 +123,13 @@
             self.records[kind, name] = item
 
     def handle(self, method, path, fields, body, environ):
-        status, headers, content = self._answer(path, fields)
+        status, headers, content = self.answer(path, fields)
         if self.era is not None:
             headers = [*headers, ("Store-Era", str(self.era))]
         return status, headers, content
 
-    def _answer(self, path, fields):
+    def answer(self, path, fields):
+        """Return status, headers and body, without the header of the era."""
         if self.down:
             return 503, [], b""
         kind = path.rsplit("/", 1)[1]
