--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -19,8 +19,9 @@
 from ..telemetry.request_log import RequestLog
 from .admission import SUPERSEDED_STATE_MAX_S, Admission
 from .dispatch import Dispatcher
+from .evacuations import Evacuations
 from .first_read import FirstRead
-from .fleet import Fleet
+from .fleet import REWIND_MEMORY_S, Fleet
 from .follower import StoreFollower
 from .limits import RetryBudget
 from .mirror import Mirror
@@ -83,6 +84,7 @@
             clock.started_s,
         )
         self._fleet = Fleet(clock, self._services)
+        self._evacuations = Evacuations(clock)
         self._build_mirrors(StoreClient(network, settings.store.address))
         self._spread = StateSpread(
             network,
@@ -169,6 +171,7 @@
             is_reader=lambda: not self._exchange.has_reader(),
             awaits_peer_copy=lambda: not self._first_read.is_due(),
             peer_copy_wait_s=self._state_copy_wait_s,
+            lacks_writes=lambda: self._in_force.is_ahead_of_store,
             outage_detector=self._version_mirror,
         )
         watched_kinds = (
@@ -193,19 +196,20 @@
             )
             for kind, on_change, change_pause_s, wait_s in watched_kinds
         ]  # fmt: skip
+        self._instance_mirror, self._evacuation_mirror = others
         others.append(self._version_mirror)
         self._mirrors = [self._state_mirror, *others]
         for mirror in self._mirrors:
             mirror.on_rewound = self._handle_rewind
         self._follower = StoreFollower(self._clock, self._state_mirror, others)
-        _STATE_AGE.set_function(lambda: _or_nan(self._state_mirror.age_s))
+        _STATE_AGE.set_function(lambda: _or_nan(self._state_mirror.settled_age_s))
 
     def _build_servers(self):
         settings, bounds = self._settings, self._settings.bounds
         admission = Admission(
             self._in_force,
             self._spread,
-            lambda: self._state_mirror.age_s,
+            lambda: self._state_mirror.settled_age_s,
             bounds.key_revocation_s - KEY_MARGIN_S,
             bounds.config_apply_s,
             self._versions,
@@ -228,7 +232,7 @@
             selector,
             budget,
             self._exchange.position,
-            RequestLog(lambda: self._state_mirror.age_s),
+            RequestLog(lambda: self._state_mirror.settled_age_s),
         )
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
@@ -242,21 +246,29 @@
 
     def _state_copy_wait_s(self):
         """Return how long neighbours may supply the desired state of a new era."""
-        if not self._exchange.has_reader():
-            return 0.0
-        return self._spread.store_read_wait_s()
+        # The reader may change at the store's return; a copy of the new one then counts
+        # for the former one, too.
+        if self._exchange.has_reader() or self._spread.is_pulling():
+            return self._spread.store_read_wait_s()
+        return 0.0
 
     def _handle_rewind(self, era):
         """End the watches of all mirrors that are from before `era`."""
         for mirror in self._mirrors:
             mirror.recheck_before(era)
+        # Applies the records once more when nothing from before counts any longer.
+        gevent.spawn_later(REWIND_MEMORY_S + 0.1, self._reapply_records)
+
+    def _reapply_records(self):
+        for mirror in (self._instance_mirror, self._evacuation_mirror):
+            mirror.reapply()
 
     def _update_state(self, new_records):
         self._in_force.update(new_records)
         self._spread.handle_records_update()
 
     def _is_ready(self):
-        age_s = self._state_mirror.age_s
+        age_s = self._state_mirror.settled_age_s
         bound_s = self._settings.bounds.key_revocation_s - KEY_MARGIN_S
         is_known = age_s is not None and self._version_mirror.age_s is not None
         superseded_s = self._spread.superseded_for_s() or 0.0
@@ -295,10 +307,12 @@
             m.restored_s for m in self._mirrors if m.restored_s is not None
         ]
         self._fleet.store_restored_s = max(restored_times_s, default=None)
+        self._fleet.store_rewound_s = self._instance_mirror.rewound_s
         self._fleet.update(new_records)
 
     def _update_evacuated(self, new_records):
-        evacuated_domains = frozenset(new_records)
+        self._evacuations.update(new_records, self._evacuation_mirror.rewound_s)
+        evacuated_domains = self._evacuations.domains()
         if evacuated_domains != self._fleet.evacuated_domains:
             _log.info("evacuated", failure_domains=sorted(evacuated_domains))
         self._fleet.evacuated_domains = evacuated_domains
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -19,9 +19,15 @@
 # lower one detects its return early, the growth keeps calls in a long outage few.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
+# The longest pause before a list where each watch fails because its history is gone. A
+# state that is listed this often is still fresh enough for neighbours to rely on.
+HISTORY_PAUSE_MAX_S = 1.0
 # Range of the random interval for an entry that gets the records from the reader.
 FOLLOWER_RETRY_MIN_S = 1.0
 FOLLOWER_RETRY_MAX_S = 2.5
+# How long after a restore of the store its answers are not taken to show all that was
+# ever written. Operators and instances write again what it lost within about 2 s.
+REWRITE_GRACE_S = 2.0
 # Changes that follow each other within this time form a burst.
 BURST_GAP_S = 1.0
 # In a burst, the pause between lists is this many times as long as a list took, so that
@@ -60,6 +66,8 @@
         supply the records before the first list.
     :param peer_copy_wait_s: a function that returns for how many seconds other entries
         may supply the records of a new era before this one lists them.
+    :param lacks_writes: a function that returns whether the records are known to lack
+        what was written before the store was restored.
     :param outage_detector: a `Mirror` of the same store, or None. While that one can't
         reach the store, this one makes no calls; it resumes when that one reaches it
         again.
@@ -78,6 +86,7 @@
         is_reader=None,
         awaits_peer_copy=None,
         peer_copy_wait_s=None,
+        lacks_writes=None,
         outage_detector=None,
     ):
         self._store = store
@@ -91,7 +100,9 @@
         self._is_reader = is_reader or (lambda: True)
         self._awaits_peer_copy = awaits_peer_copy or (lambda: False)
         self._peer_copy_wait_s = peer_copy_wait_s or (lambda: 0.0)
+        self._lacks_writes = lacks_writes or (lambda: False)
         self._list_duration_s = 0.0
+        self._history_pause_s = RETRY_MIN_S
         self._in_burst = False
         self._changed_s = -math.inf
         self._records = {}
@@ -110,6 +121,8 @@
         self.confirmed_s = None
         self.restored_s = None
         self.rewound_s = None
+        # When the records were last confirmed before the last restore of the store.
+        self._confirmed_before_s = None
         self.on_rewound = lambda era: None
 
     @property
@@ -144,7 +157,10 @@
             except HistoryGoneError:
                 _log.info("history_gone", kind=self._kind, revision=self._revision)
                 self._revision = None
-                gevent.sleep(RETRY_MIN_S)
+                gevent.sleep(self._history_pause_s)
+                self._history_pause_s = min(
+                    HISTORY_PAUSE_MAX_S, self._history_pause_s * 2
+                )
             except StoreUnavailableError as error:
                 self._mark_unreachable(error)
                 gevent.sleep(pause_s if self._is_reader() else _follower_retry_s())
@@ -166,6 +182,24 @@
             return None
         return self._clock.boottime_s() - self.confirmed_s
 
+    @property
+    def settled_age_s(self):
+        """Seconds since the records were last known to have all that was written.
+
+        Like `age_s`, but after a restore of the store its answers don't count until
+        what it lost has been written again. None before the first list.
+        """
+        if self._is_settled():
+            return self.age_s
+        return self._clock.boottime_s() - self._confirmed_before_s
+
+    def _is_settled(self):
+        if self.rewound_s is None:
+            return True
+        if self._clock.boottime_s() - self.rewound_s < REWRITE_GRACE_S:
+            return False
+        return not self._lacks_writes()
+
     @property
     def summary(self):
         """The newest revision of a record, and the number of records.
@@ -203,18 +237,28 @@
         confirmed_s = max(at_s, self.confirmed_s or -math.inf)
         self._replace(dict(records), revision, confirmed_s)
 
+    def reapply(self):
+        """Call `on_change` with the present records."""
+        if self.confirmed_s is not None:
+            self._on_change(self._records)
+
     def recheck(self):
         """End a waiting watch and list the records again; do nothing if none waits."""
         if self._watch_task is not None:
             gevent.kill(self._watch_task, RecheckError("recheck was requested"))
 
     def recheck_before(self, era):
-        """List the records again if they are from before `era`.
+        """List the records again if they are from before `era` and a watch waits.
 
-        Records that other entries supply are left to them.
+        The store ends the watches of all kinds at about the same time, so this one gets
+        a moment to end by itself.
         """
         if self._era is not None and self._era < era:
             self._record_known_era(era)
+            gevent.spawn_later(PEER_POLL_S, self._recheck_if_behind)
+
+    def _recheck_if_behind(self):
+        if self._era < self._known_era:
             self.recheck()
 
     def _drop_history(self, era):
@@ -277,6 +321,7 @@
         if self._needs_list():
             return self._list(sent_s)
         changes, revision = self._watch()
+        self._history_pause_s = RETRY_MIN_S
         self._mark_reachable()
         if era_of(revision) < self._era:
             # Another entry has supplied records of a newer era in the meantime.
@@ -319,6 +364,8 @@
     def _update_era(self, era):
         """Record the era of the records that are about to replace the present ones."""
         if self._era is not None and era > self._era:
+            if self._is_settled():
+                self._confirmed_before_s = self.confirmed_s
             self.rewound_s = self.restored_s = self._clock.boottime_s()
             _log.warning("records_rewound", kind=self._kind, era=era, before=self._era)
             self._era = era
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -123,12 +123,13 @@
             self.records[kind, name] = item
 
     def handle(self, method, path, fields, body, environ):
-        status, headers, content = self._answer(path, fields)
+        status, headers, content = self.answer(path, fields)
         if self.era is not None:
             headers = [*headers, ("Store-Era", str(self.era))]
         return status, headers, content
 
-    def _answer(self, path, fields):
+    def answer(self, path, fields):
+        """Return status, headers and body, without the header of the era."""
         if self.down:
             return 503, [], b""
         kind = path.rsplit("/", 1)[1]
@@ -140,11 +141,13 @@
         since, era = int(fields["watch"]), self.era
         end_s = time.monotonic() + int(fields["wait_ms"]) / 1000
         while True:
+            if self.down:
+                return 503, [], b""
             if since > self.revision or era != self.era:
                 return 410, [], b""
             events = [e for r, k, e in self._events if k == kind and r > since]
             left_s = end_s - time.monotonic()
-            if events or left_s <= 0 or self.down:
+            if events or left_s <= 0:
                 return _json({"events": events, "store_revision": self.revision})
             self._changed.wait(left_s)
 
