--- a/briarbeam/kernel/lenient_json.py
+++ b/briarbeam/kernel/lenient_json.py
@@ -12,8 +12,11 @@
 DEPTH_MAX = 32
 # A value may itself be nested in a list or an item of a page.
 _TEXT_DEPTH_MAX = DEPTH_MAX + 8
-# The end quote is optional, so that an unterminated string is scanned only once.
-_TOKEN = re.compile(r'"(?:[^"\\]++|\\.)*+"?|[\[{]|[\]}]', re.DOTALL)
+# Everything up to a run of brackets outside of strings, and the run. The end quote is
+# optional and the end of the text matches, so that nothing is scanned twice.
+_BRACKETS = re.compile(
+    r'(?:[^"\[\]{}]++|"(?:[^"\\]++|\\.)*+"?)*+([\[{]++|[\]}]++|\Z)', re.DOTALL
+)
 
 
 class _Unreadable:
@@ -21,6 +24,7 @@
 
 
 _UNREADABLE = _Unreadable()
+_NESTED_TYPES = frozenset({dict, list, _Unreadable})
 
 
 def parse_leniently(content):
@@ -57,27 +61,28 @@
             for item in level
             for child in (item.values() if isinstance(item, dict) else item)
         )
-    return False
+    return not level
 
 
 def _select_nested(values):
-    return [value for value in values if isinstance(value, (dict, list, _Unreadable))]
+    return [value for value in values if type(value) in _NESTED_TYPES]
 
 
 def _replace_deep_values(text):
     """Return JSON in which ``NaN`` replaces values nested too deeply."""
     parts, depth, kept_to = [], 0, 0
-    for token in _TOKEN.finditer(text):
-        if token[0] in ("[", "{"):
-            depth += 1
-            if depth == _TEXT_DEPTH_MAX:
-                parts.append(text[kept_to : token.start()])
-        elif token[0] in ("]", "}"):
-            if depth == _TEXT_DEPTH_MAX:
+    for match in _BRACKETS.finditer(text):
+        run, start = match[1], match.start(1)
+        if run[:1] in ("[", "{"):
+            if depth < _TEXT_DEPTH_MAX <= depth + len(run):
+                parts.append(text[kept_to : start + _TEXT_DEPTH_MAX - depth - 1])
+            depth += len(run)
+        else:
+            if depth - len(run) < _TEXT_DEPTH_MAX <= depth:
                 parts.append("NaN")
-                kept_to = token.end()
-            depth -= 1
-    # A value that is not closed leaves the rest malformed.
+                kept_to = start + depth - _TEXT_DEPTH_MAX + 1
+            depth -= len(run)
+    # The rest of a text whose brackets don't match is malformed anyway.
     return "".join(parts) + text[kept_to:] if depth == 0 else ""
 
 
