--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -21,6 +21,7 @@
 from geventhttpclient.header import Headers
 from opentelemetry import propagate, trace
 
+from .early_bytes import find_early_fault
 from .errors import (
     ConnectError,
     ExchangeError,
@@ -418,27 +419,11 @@
             raise ConnectError(f"no connection to {address}: {error}") from error
         if self.before_send is not None:
             self.before_send()
-        _check_unanswered(connected, address)
+        if fault := find_early_fault(connected):
+            raise ConnectError(f"{address} {fault}")
         return connected
 
 
-def _check_unanswered(sock, address):
-    """Check that a new connection is open and that nothing was received on it yet.
-
-    What a peer sends before the first request answers none.
-
-    :raises ConnectError: if the connection must not be used.
-    """
-    try:
-        data = sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return
-    except OSError as error:
-        raise ConnectError(f"connection to {address} broke: {error}") from error
-    reason = "answered before the request" if data else "closed the connection"
-    raise ConnectError(f"{address} {reason}")
-
-
 class _PooledResponse:
     """A reply whose connection can be reused once the body was read completely."""
 
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -7,6 +7,7 @@
 import httptools
 from gevent import socket
 
+from ..kernel.early_bytes import find_early_fault
 from ..kernel.errors import NotRunError
 from ..kernel.network import reset_on_close
 from ..kernel.tasks import ReadYielder
@@ -119,22 +120,10 @@
     def check_unanswered(self):
         """Check that the connection is open and that nothing was received yet.
 
-        What an instance sends before the request was sent belongs to no request.
-
         :raises ConnectFailedError: if the connection must not be used.
         """
-        try:
-            data = self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
-        except OSError as error:
-            raise ConnectFailedError(
-                f"connection to {self._address} broke: {error!r}"
-            ) from error
-        raise ConnectFailedError(
-            f"{self._address} "
-            + ("answered before the request" if data else "closed the connection")
-        )
+        if fault := find_early_fault(self._sock):
+            raise ConnectFailedError(f"{self._address} {fault}")
 
     @property
     def is_framed(self):
