Measure requests at targets that leave or refuse with a wait

`make measure-statements` counts, at stand-ins behind entries as processes, the requests that reach a target after its entry has passed on that it leaves, and within the wait that a target asked for.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 SEEDS ?=
 
 .PHONY: demo test test-waiting test-others lint format generate soak \
-	measure-rollout measure-service measure-control measure-state
+	measure-rollout measure-service measure-control measure-state \
+	measure-statements
 
 demo: .venv/.ready
 	$(BIN)/python -m bench.demo
@@ -35,7 +36,7 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
-measure-rollout measure-service measure-control measure-state: .venv/.ready
+measure-rollout measure-service measure-control measure-state measure-statements: .venv/.ready
 	$(BIN)/python -m bench.$(subst -,_,$@)
 
 # Needs grpcio-tools, which nothing else needs, since the generated code is committed.
