Keep a silent target if no second send is allowed

Callers saw 502 after 1.1 s for requests that their target was working on, beside a change of the desired state or while the retry budget was used up.

Cause: an idempotent request at a target without a fresh load report, which are all targets of services without engines, was given up after 1.1 s not only if there was no other target, but also if the newest state was not here yet or the budget allowed no second send. All requests of an entry that take longer met that at once, and their callers sent them again.

Both cases of the new test (answer after 1.6 s) got 502 after 1.1 s before, with not_sent_cause no_desired_state and budget. Now only a lack of targets ends the wait.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -262,6 +262,7 @@
             self._start(job, target, attempts, stream)
         elif (
             len(attempts) == 1
+            and job.not_sent_cause == "no_target"
             and not (stream and stream.begun)
             and not latest.target.has_fresh_report(now_s)
         ):
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -9,6 +9,7 @@
 
 from briarbeam.catalog import CallerLimits
 from briarbeam.relay import callers, dispatch, upstream_call
+from briarbeam.relay.limits import RetryBudget
 from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
@@ -297,6 +298,19 @@
     assert not second.requests
 
 
+@pytest.mark.parametrize("cause", ["state", "budget"])
+def test_silent_target_without_load_report_is_kept_if_no_second_send_is_allowed(cause):
+    second = FakeInstance(reply(ok()))
+    entry = Entry({"i1": FakeInstance(pause_before_stream), "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    if cause == "budget":
+        entry.dispatcher._budget = RetryBudget(0.0, 0, 10.0)
+    else:
+        gevent.spawn_later(0.3, setattr, entry.spread, "superseded_s", 9.0)
+    assert entry.ask().startswith(b"HTTP/1.1 200")
+    assert not second.requests
+
+
 def test_stream_without_ids_is_not_cut_for_a_pause():
     def pause(instance, sock, request):
         data = b"6\r\ndata\n\n\r\n"
