Let a caller that still sends its request see the refusal

Callers that were refused with 413, 431, 408 or 400 while they sent the rest of their request saw a connection that was reset instead of the refusal. Limits apply as they are in force, so a desired state with a lower max_body_bytes does this to requests that were within the older one.

Cause: closing a socket with unread bytes resets the connection, and the reset overtakes the answer.

The new test got a reset before. Now the entry ends its side of the connection and reads on for up to a second before closing.

--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -12,8 +12,9 @@
 from ..catalog import CallerLimits
 from ..kernel.errors import BriarbeamError
 from ..kernel.network import reset_on_close
+from ..kernel.tasks import ReadYielder
 from ..platform import headers as wire
-from .callers import AnswerWriter, RequestReader
+from .callers import READ_BLOCK_BYTES, AnswerWriter, RequestReader
 from .errors import CallerDisconnectedError, MalformedRequestError, StoppingError
 
 # How long new connections may still arrive after readiness has ended. The load balancer
@@ -25,6 +26,8 @@
 # Part of the grace period that is reserved for the process to exit by itself.
 EXIT_MARGIN_S = 0.6
 LISTEN_BACKLOG = 1024
+# How long the rest of a refused request is read before its connection is closed.
+REFUSAL_LINGER_S = 1.0
 
 _CONNECTIONS = Gauge("briarbeam_caller_connections", "Open connections of callers")
 _FAILED_CONNECTIONS = Counter(
@@ -171,5 +174,12 @@
     head = b"HTTP/1.1 %d Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     try:
         sock.sendall(head % error.status)
+        # Closing a socket with unread bytes resets the connection, so that a caller
+        # that still sends its request would not see the refusal.
+        sock.shutdown(socket.SHUT_WR)
+        read_yielder = ReadYielder()
+        with gevent.Timeout(REFUSAL_LINGER_S, False):
+            while data := sock.recv(READ_BLOCK_BYTES):
+                read_yielder.count_read(len(data))
     except OSError:
         return
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -349,6 +349,19 @@
     reset(sock)
 
 
+def test_caller_sees_that_a_request_under_way_exceeds_a_limit_that_was_lowered():
+    body = bytes(4_000_000)
+    entry = Entry({"i1": FakeInstance(reply(ok()))})
+    entry.limits = CallerLimits(max_body_bytes=len(body))
+    sock = entry.connect()
+    data = request_bytes(method=b"POST", body=body)
+    sock.sendall(data[:100_000])
+    gevent.sleep(0.1)
+    entry.limits = CallerLimits(max_body_bytes=1_000_000)
+    sock.sendall(data[100_000:])
+    assert read_all(sock).split()[1] == b"413"
+
+
 def test_answer_is_not_cut_while_its_caller_reads_it_slowly(monkeypatch):
     monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.5)
     data = ok(bytes(8_000_000))
