Answer a complete request before malformed bytes that follow it

Callers got 400 for a valid request if malformed bytes followed it in the same packet, or any bytes after one with "Connection: close".

Cause: the parser's error was raised although the reader already held a complete request, which was discarded.

The new test got 400 before, and the target no request. Now the complete requests are answered first, and the error ends the connection after them.

--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -60,6 +60,7 @@
         self._limits = limits
         self._requests = []
         self._read_ahead_data = b""
+        self._malformed = None
         self._reset()
 
     def read(self, idle_timeout_s):
@@ -71,6 +72,8 @@
         :raises CallerTimeoutError: if a request that has begun is not completed in
             time.
         """
+        if self._malformed is not None and not self._requests:
+            raise self._malformed
         started_s = time.monotonic() if self._started else None
         timeout_s = (
             idle_timeout_s if started_s is None else self._read_timeout_s(started_s)
@@ -90,7 +93,13 @@
                 return None
             if started_s is None:
                 started_s = time.monotonic()
-            self._feed(data)
+            try:
+                self._feed(data)
+            except MalformedRequestError as error:
+                if not self._requests:
+                    raise
+                # The bytes follow complete requests, which are answered first.
+                self._malformed = error
             timeout_s = self._read_timeout_s(started_s)
         return self._requests.pop(0)
 
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -362,6 +362,17 @@
     assert read_all(sock).split()[1] == b"413"
 
 
+def test_complete_request_is_answered_if_malformed_bytes_follow_it():
+    instance = FakeInstance(reply(ok()))
+    entry = Entry({"i1": instance})
+    sock = entry.connect()
+    data = request_bytes().replace(b"connection: close\r\n", b"")
+    sock.sendall(data + b"no request\r\n\r\n")
+    answer = read_all(sock)
+    assert answer.split()[1] == b"200" and b"HTTP/1.1 400" in answer
+    assert len(instance.requests) == 1
+
+
 def test_answer_is_not_cut_while_its_caller_reads_it_slowly(monkeypatch):
     monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.5)
     data = ok(bytes(8_000_000))
