--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -10,6 +10,7 @@
 from briarbeam.catalog import CallerLimits
 from briarbeam.relay import callers, dispatch, upstream_call
 from briarbeam.relay.admission import ANSWER_MARGIN_S
+from briarbeam.relay.limits import RetryBudget
 from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
@@ -298,6 +299,19 @@
     assert not second.requests
 
 
+@pytest.mark.parametrize("cause", ["state", "budget"])
+def test_silent_target_without_load_report_is_kept_if_no_second_send_is_allowed(cause):
+    second = FakeInstance(reply(ok()))
+    entry = Entry({"i1": FakeInstance(pause_before_stream), "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    if cause == "budget":
+        entry.dispatcher._budget = RetryBudget(0.0, 0, 10.0)
+    else:
+        gevent.spawn_later(0.3, setattr, entry.spread, "superseded_s", 9.0)
+    assert entry.ask().startswith(b"HTTP/1.1 200")
+    assert not second.requests
+
+
 def test_stream_without_ids_is_not_cut_for_a_pause():
     def pause(instance, sock, request):
         data = b"6\r\ndata\n\n\r\n"
@@ -345,6 +359,30 @@
     assert ANSWER_MARGIN_S > 0.01
 
 
+def test_caller_sees_that_a_request_under_way_exceeds_a_limit_that_was_lowered():
+    body = bytes(4_000_000)
+    entry = Entry({"i1": FakeInstance(reply(ok()))})
+    entry.limits = CallerLimits(max_body_bytes=len(body))
+    sock = entry.connect()
+    data = request_bytes(method=b"POST", body=body)
+    sock.sendall(data[:100_000])
+    gevent.sleep(0.1)
+    entry.limits = CallerLimits(max_body_bytes=1_000_000)
+    sock.sendall(data[100_000:])
+    assert read_all(sock).split()[1] == b"413"
+
+
+def test_complete_request_is_answered_if_malformed_bytes_follow_it():
+    instance = FakeInstance(reply(ok()))
+    entry = Entry({"i1": instance})
+    sock = entry.connect()
+    data = request_bytes().replace(b"connection: close\r\n", b"")
+    sock.sendall(data + b"no request\r\n\r\n")
+    answer = read_all(sock)
+    assert answer.split()[1] == b"200" and b"HTTP/1.1 400" in answer
+    assert len(instance.requests) == 1
+
+
 def test_answer_is_not_cut_while_its_caller_reads_it_slowly(monkeypatch):
     monkeypatch.setattr(callers, "WRITE_TIMEOUT_S", 0.5)
     data = ok(bytes(8_000_000))
