Log which requests an engine had not begun when it ended

No log told which requests were at an engine when it ended, with which parts of their prompts, nor whether the engine or only a connection had ended.

X-Prefix-Hash is decoded at the border (prompt_parts without the last one, own_part). When a connection breaks before the first event, the entry connects once more: a machine without a listener refuses within a round trip, a live engine accepts, and one without power doesn't answer. Only a refusal is counted and logged as the end of the engine.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -3,6 +3,7 @@
 Header names are lower-case ``bytes``; values are ``bytes`` as they were received.
 """
 
+import re
 from dataclasses import dataclass, field
 
 REQUEST_ID = b"x-request-id"
@@ -15,6 +16,8 @@
 _PRIORITY = b"x-request-priority"
 _KEY_SCHEME = b"bearer "
 _MODEL = b"x-model"
+_PROMPT_PARTS = b"x-prefix-hash"
+_PROMPT_PART = re.compile(rb"([0-9a-f]{1,16}):[0-9]{1,9}")
 
 # Headers that concern one connection only, or that briarbeam sets itself.
 _NOT_FORWARDED = {
@@ -28,6 +31,8 @@
     b"transfer-encoding", b"upgrade", b"content-length",
 }  # fmt: skip
 MAX_PRIORITY = 9
+# Later parts of longer prompts are ignored.
+PROMPT_PARTS_MAX = 16
 
 
 @dataclass
@@ -40,6 +45,10 @@
         valid one.
     :param last_event_id: the last event that a resuming caller received, or None.
     :param model: the model that the caller asks for, or None.
+    :param prompt_parts: the ids of the parts of the prompt that other requests may
+        share, in order.
+    :param own_part: the id of the last part, which belongs to the request or to its
+        session, or None.
     :param forwarded: headers that are forwarded to an instance unchanged.
     """
 
@@ -49,6 +58,8 @@
     time_left_s: float | None = None
     last_event_id: bytes | None = None
     model: str | None = None
+    prompt_parts: tuple = ()
+    own_part: str | None = None
     forwarded: list = field(default_factory=list)
 
 
@@ -90,6 +101,8 @@
             meta.last_event_id = value
         elif name == _MODEL:
             meta.model = value.decode("latin-1")
+        elif name == _PROMPT_PARTS:
+            meta.prompt_parts, meta.own_part = _parse_prompt_parts(value)
         if name not in _NOT_FORWARDED and name not in hop_by_hop:
             meta.forwarded.append((name, value))
     return meta
@@ -169,6 +182,20 @@
         return None
 
 
+def _parse_prompt_parts(value):
+    """Return the ids of the shared parts and of the last part of a prompt.
+
+    :returns: an empty tuple and None if `value` is malformed.
+    """
+    matches = [
+        _PROMPT_PART.fullmatch(item.strip().lower()) for item in value.split(b",")
+    ]
+    if not all(matches):
+        return (), None
+    *shared, own = [match[1].decode() for match in matches]
+    return tuple(dict.fromkeys(shared[:PROMPT_PARTS_MAX])), own
+
+
 def _parse_load(value):
     """Return the running and the waiting requests, both None if not stated."""
     try:
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -63,14 +63,16 @@
     :param budget: the `RetryBudget` of this entry.
     :param position: a function that returns this entry's `EntryPosition`.
     :param request_log: the `RequestLog` that logs each answer.
+    :param crashes: the `EngineCrashes` that watches the requests that were sent.
     """
 
-    def __init__(self, admission, selector, budget, position, request_log):
+    def __init__(self, admission, selector, budget, position, request_log, crashes):
         self._admission = admission
         self._selector = selector
         self._budget = budget
         self._position = position
         self._request_log = request_log
+        self._crashes = crashes
 
     def answer(self, request, writer, sock, reader):
         """Answer `request` through `writer`.
@@ -225,8 +227,9 @@
             target.begin_request()
             self._record_send(job, target)
             try:
-                call.send(head, job.request.body)
-                self._receive(job, target, call, writer, stream)
+                with self._crashes.watch(job, target):
+                    call.send(head, job.request.body)
+                    self._receive(job, target, call, writer, stream)
             finally:
                 target.end_request()
 
@@ -319,6 +322,7 @@
                 break
             # Only a complete event counts as progress: parts are not forwarded.
             if stream.feed(part):
+                job.begun = True
                 switch_at_s = (
                     time.monotonic() + STREAM_SILENCE_S if may_switch else math.inf
                 )
--- /dev/null
+++ b/briarbeam/relay/engine_crashes.py
@@ -0,0 +1,113 @@
+"""Detects engines that end while requests wait for the begin of their answers."""
+
+import contextlib
+import hashlib
+
+import gevent
+import structlog
+from gevent.event import AsyncResult
+from prometheus_client import Counter
+
+from .errors import UpstreamBrokenError
+from .upstream_call import ConnectFailedError, UpstreamCall
+
+# A live machine without a listener refuses a connection within one round trip. Retries
+# wait for this result.
+CONFIRM_TIMEOUT_S = 0.1
+# Connections to a crashed engine break together. Later breaks of the same run use the
+# result of the first one for this long.
+RESULT_CACHE_S = 2.0
+# Delay of the log line, so that it contains all requests of this entry.
+LOG_DELAY_S = 0.1
+
+_CRASHES = Counter(
+    "briarbeam_engine_crashes",
+    "Broken connections before the begin of an answer, once an engine and entry",
+    ["result"],
+)
+_log = structlog.get_logger()
+
+
+class EngineCrashes:
+    """Finds out which requests an engine had not begun to answer when it ended.
+
+    A broken connection alone does not show that the engine ended. It is assumed to have
+    ended if a new connection is refused at once: its machine runs and nothing listens.
+
+    :param clock: the `Clock`.
+    :param on_crash: called with the job, a text that identifies the run of the engine,
+        and the boot time of the crash for each request that had not begun.
+    """
+
+    def __init__(self, clock, on_crash=lambda job, run, at_s: None):
+        self._clock = clock
+        self._on_crash = on_crash
+        self._checks = {}
+
+    @contextlib.contextmanager
+    def watch(self, job, target):
+        """Report a crash of `target` in the body of the ``with`` statement."""
+        try:
+            yield
+        except UpstreamBrokenError:
+            if job.meta.prompt_parts and not job.begun and not target.instance.draining:
+                self._handle_break(job, target)
+            raise
+
+    def _handle_break(self, job, target):
+        run = _describe_run(target)
+        check = self._checks.get(run)
+        if check is None:
+            check = self._checks[run] = _Check(self._clock.boottime_s())
+            gevent.spawn(self._confirm, check, run, target)
+        check.jobs.append(job)
+        if check.result.get():
+            self._on_crash(job, run, check.at_s)
+
+    def _confirm(self, check, run, target):
+        try:
+            has_ended = _refuses_connections(target.instance.address)
+        except Exception as error:
+            check.result.set_exception(error)
+            raise
+        finally:
+            gevent.spawn_later(RESULT_CACHE_S, self._checks.pop, run, None)
+        _CRASHES.labels("ended" if has_ended else "not_confirmed").inc()
+        check.result.set(has_ended)
+        if has_ended:
+            gevent.spawn_later(LOG_DELAY_S, _log_crash, check, target)
+
+
+class _Check:
+    """The check whether a run of an engine ended.
+
+    :param at_s: boot time of the first broken connection.
+    """
+
+    def __init__(self, at_s):
+        self.at_s = at_s
+        self.jobs = []
+        self.result = AsyncResult()
+
+
+def _describe_run(target):
+    text = f"{target.id}|{target.started_ms}"
+    return hashlib.blake2b(text.encode(), digest_size=4).hexdigest()
+
+
+def _refuses_connections(address):
+    try:
+        with UpstreamCall(address) as call:
+            call.connect(CONFIRM_TIMEOUT_S)
+    except ConnectFailedError as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    return False
+
+
+def _log_crash(check, target):
+    _log.info(
+        "engine_ended_under_requests",
+        instance=target.id,
+        requests=[job.meta.request_id.decode("latin-1") for job in check.jobs],
+        parts=[job.meta.prompt_parts for job in check.jobs],
+    )
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -19,6 +19,7 @@
 from ..telemetry.request_log import RequestLog
 from .admission import SUPERSEDED_STATE_MAX_S, Admission
 from .dispatch import Dispatcher
+from .engine_crashes import EngineCrashes
 from .first_read import FirstRead
 from .fleet import Fleet
 from .follower import StoreFollower
@@ -226,6 +227,7 @@
             budget,
             self._exchange.position,
             RequestLog(lambda: self._state_mirror.age_s),
+            EngineCrashes(self._clock),
         )
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -108,6 +108,10 @@
     status = 502
 
 
+class UpstreamBrokenError(UpstreamError):
+    """The connection to the instance broke after the request was sent to it."""
+
+
 class AnswerTooLargeError(UpstreamError):
     """The answer of the instance exceeds a limit; the rest was not read."""
 
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -25,6 +25,7 @@
     :param unsent_attempts: the number of attempts that ended before the request was
         sent.
     :param sends: the number of times that it was sent.
+    :param begun: whether an engine began to answer it.
     :param may_have_run: whether it may have run at a target that failed.
     :param next_target: the target that replaces a silent one, or None.
     :param target_id: the target that it was last sent to, or None.
@@ -49,6 +50,7 @@
     tried: list = field(default_factory=list)
     unsent_attempts: int = 0
     sends: int = 0
+    begun: bool = False
     may_have_run: bool = False
     next_target: object = None
     target_id: str | None = None
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -10,7 +10,7 @@
 from ..kernel.errors import NotRunError
 from ..kernel.network import reset_on_close
 from ..kernel.tasks import ReadYielder
-from .errors import AnswerTooLargeError, UpstreamError
+from .errors import AnswerTooLargeError, UpstreamBrokenError, UpstreamError
 
 # Connecting takes one round trip of a few ms. The kernel sends a lost first packet
 # again only after a second, so a new connection attempt is faster.
@@ -125,7 +125,7 @@
         """Send the request, which may run from now on.
 
         :param head: the bytes of the request line and the headers.
-        :raises UpstreamError: if the connection breaks.
+        :raises UpstreamBrokenError: if the connection breaks.
         """
         self.sent = True
         data = head + body
@@ -135,7 +135,7 @@
         try:
             self._sock.sendall(data)
         except OSError as error:
-            raise UpstreamError(
+            raise UpstreamBrokenError(
                 f"sending to {self._address} failed: {error!r}"
             ) from error
 
@@ -199,7 +199,7 @@
                 f"{self._address} sent nothing more before the deadline"
             ) from None
         except OSError as error:
-            raise UpstreamError(
+            raise UpstreamBrokenError(
                 f"reading from {self._address} failed: {error!r}"
             ) from error
         if not data:
@@ -233,13 +233,13 @@
     def _on_end(self):
         """Handle an orderly end of the connection.
 
-        :raises UpstreamError: if that does not complete the answer. It completes only a
+        :raises UpstreamBrokenError: if that does not complete the answer. It completes only a
             body that has neither a length nor chunks.
         """
         if self._head is not None and not self._framed:
             self._ended = True
         else:
-            raise UpstreamError(
+            raise UpstreamBrokenError(
                 f"{self._address} closed the connection before the answer was complete"
             )
 
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -21,6 +21,7 @@
 from briarbeam.platform.store import Record
 from briarbeam.relay.admission import Admission
 from briarbeam.relay.dispatch import Dispatcher
+from briarbeam.relay.engine_crashes import EngineCrashes
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
 from briarbeam.relay.server import CallerServer
@@ -71,6 +72,7 @@
     def __init__(self, script, host="127.0.0.1"):
         self.requests = []
         self.closed_at_s = []
+        self._open_socks = set()
         self._script = script
         self._server = StreamServer((host, 0), self._serve)
         self._server.start()
@@ -79,6 +81,17 @@
     def close(self):
         self._server.stop(timeout=0)
 
+    def crash(self):
+        """Stop to listen and reset all connections, as if the process ended."""
+        self._server.close()
+        for sock in list(self._open_socks):
+            reset(sock)
+
+    def restart(self):
+        """Listen on the same address again."""
+        self._server = StreamServer(tuple(self.address), self._serve)
+        self._server.start()
+
     def _serve(self, sock, _):
         data = b""
         while b"\r\n\r\n" not in data:
@@ -87,8 +100,12 @@
                 return
             data += part
         self.requests.append(data)
-        with contextlib.suppress(OSError):
-            self._script(self, sock, data)
+        self._open_socks.add(sock)
+        try:
+            with contextlib.suppress(OSError):
+                self._script(self, sock, data)
+        finally:
+            self._open_socks.discard(sock)
         sock.close()
 
     def header(self, name, index=-1):
@@ -112,6 +129,28 @@
     instance.closed_at_s.append(time.monotonic())
 
 
+def crash_on(part, answer=None):
+    """Return a script that crashes the instance at requests with a part of a prompt.
+
+    :param answer: the bytes of the answer to other requests.
+    """
+    answer = answer or stream_head() + event(1) + END
+
+    def script(instance, sock, request):
+        if part in request:
+            instance.crash()
+        else:
+            sock.sendall(answer)
+
+    return script
+
+
+def prompt(*parts):
+    """Return the header of a prompt with the given ids of its parts."""
+    items = b",".join(b"%b:40" % part for part in parts)
+    return b"x-prefix-hash: %b\r\n" % items
+
+
 def reset(sock):
     """Break a connection so that its other side sees a reset."""
     linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
@@ -172,12 +211,14 @@
             0.45,
         )
         request_log = RequestLog(lambda: self.age_s)
+        self.crashes = EngineCrashes(self.clock)
         self.dispatcher = Dispatcher(
             self.admission,
             selector,
             self.budget,
             lambda: EntryPosition(0, 1),
             request_log,
+            self.crashes,
         )
         self.server = CallerServer(
             Address("127.0.0.1", 0), self.dispatcher, lambda: self.limits
