Refuse requests whose prompts have a part that ends engines

Cause: a broken connection counted against the target only. The request went on to a second engine and ended that too; nobody compared what several crashes had in common, and each entry saw one or two of them.

Entries now record which parts of prompts waited at an engine when it ended (a new connection is refused), share that by datagrams, and excuse each part on which an answer begins. A part that explains the crashes better than chance is quarantined: requests with it are refused with 503, those that wait at engines are cancelled, and a request with a suspected part is not sent to a second engine.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -11,12 +11,14 @@
 from ..relay.fleet import LoadReport
 from ..relay.follower import NEIGHBOUR_AGE_MAX_S
 from ..relay.limits import EntryPosition
+from .crash_reporter import CrashReporter
 from .datagram_sender import DatagramSender
 from .errors import MalformedDatagramError
 from .forwarder import LoadForwarder
 from .messages import (
     MAX_BYTES,
     Confirmation,
+    CrashReport,
     Greeting,
     Load,
     LoadBatch,
@@ -80,6 +82,8 @@
     :param on_reader: called with the host that a stager names as the reader of the
         first desired state.
     :param failure_domains: all failure domains, with entries or without.
+    :param evidence: the `CrashEvidence` that entries share.
+    :param quarantine: the `PartQuarantine`.
     """
 
     def __init__(
@@ -94,6 +98,8 @@
         spread,
         on_reader,
         failure_domains,
+        evidence,
+        quarantine,
     ):
         self._address = address
         self._failure_domain = failure_domain
@@ -116,6 +122,9 @@
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sender = DatagramSender(self._sock, address.port)
         self._forwarder = LoadForwarder(clock, self._neighbours, self._send)
+        self._crash_reporter = CrashReporter(
+            evidence, quarantine, address.host, self.entries, self._send
+        )
         self._spread = spread
         spread.send = lambda message, host: self._send(encode(message), host)
         spread.neighbours = self._neighbours
@@ -128,6 +137,7 @@
         gevent.spawn(self._greet_forever)
         gevent.spawn(self._listen_forever)
         gevent.spawn(self._forwarder.run)
+        gevent.spawn(self._crash_reporter.run)
         gevent.spawn(self._probe_forever)
 
     def greet_repeatedly(self):
@@ -303,6 +313,8 @@
                 self._spread.handle_announcement(message)
             elif isinstance(message, StateReader):
                 self._on_reader(message.host)
+            elif isinstance(message, CrashReport):
+                self._crash_reporter.handle_report(host, message)
 
     def _probe_forever(self):
         while True:
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -14,12 +14,18 @@
 import math
 from dataclasses import MISSING, astuple, dataclass, fields
 
+from ..relay.crash_evidence import REQUESTS_PER_CRASH_MAX, CrashRow, RunRow
 from .errors import MalformedDatagramError
 
 # A datagram of this size fits into one Ethernet frame, with the headers of IP and UDP.
 MAX_BYTES = 1400
 # Number of entries listed in one datagram, at about 22 bytes each.
 ENTRIES_PER_DATAGRAM = 40
+# Longest id of a part, a run or a request in a report of crashes. Such a report has at
+# most 16 + 8 + 4 x 16 characters of ids and about 35 others a crash.
+CRASH_ID_MAX_CHARS = 16
+CRASHES_PER_DATAGRAM = 10
+RUNS_PER_DATAGRAM = 40
 
 
 @dataclass(frozen=True)
@@ -144,6 +150,18 @@
     host: str
 
 
+@dataclass(frozen=True)
+class CrashReport:
+    """Crashes that parts of prompts are suspected of.
+
+    :param rows: the fields of `CrashRow` objects.
+    :param run_rows: the fields of `RunRow` objects.
+    """
+
+    rows: tuple
+    run_rows: tuple = ()
+
+
 _TYPES = {
     "g": Greeting,
     "l": Load,
@@ -152,6 +170,7 @@
     "c": Confirmation,
     "s": StateAnnouncement,
     "r": StateReader,
+    "x": CrashReport,
 }
 _LETTERS = {message_type: letter for letter, message_type in _TYPES.items()}
 
@@ -184,6 +203,11 @@
             _check_rows(hosts, (str,))
         elif letter == "r":
             _check_rows([(message.host,)], (str,))
+        elif letter == "x":
+            message = CrashReport(
+                tuple(_decode_crash(row) for row in message.rows),
+                tuple(_decode_run(row) for row in message.run_rows),
+            )
         elif letter == "c":
             _check_ages(message.ages_s)
             _check_rows(message.summaries, (int, int))
@@ -194,6 +218,32 @@
     return message
 
 
+def _decode_crash(row):
+    part, run, age_s, requests, is_excused = row
+    _check_rows([(part, run, age_s, is_excused)], (str, str, float, bool))
+    _check_rows([(request,) for request in requests], (str,))
+    _check_age(age_s)
+    if len(requests) > REQUESTS_PER_CRASH_MAX:
+        raise ValueError(f"crash has {len(requests)} requests")
+    if max(map(len, (part, run, *requests))) > CRASH_ID_MAX_CHARS:
+        raise ValueError(f"crash has an id that is too long: {row!r}")
+    return CrashRow(part, run, float(age_s), tuple(requests), is_excused)
+
+
+def _decode_run(row):
+    name, age_s, count = row
+    _check_rows([(name, age_s, count)], (str, float, int))
+    _check_age(age_s)
+    if len(name) > CRASH_ID_MAX_CHARS or count < 1:
+        raise ValueError(f"run is {row!r}")
+    return RunRow(name, float(age_s), count)
+
+
+def _check_age(age_s):
+    if not 0 <= age_s < math.inf:
+        raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
+
+
 def _check_ages(ages_s):
     """Raise an error unless there is a first age and all ages are valid.
 
@@ -204,8 +254,7 @@
     for age_s in ages_s:
         if age_s is not None:
             _check_rows([(age_s,)], (float,))
-            if not 0 <= age_s < math.inf:
-                raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
+            _check_age(age_s)
 
 
 def _check_rows(rows, types):
@@ -217,6 +266,24 @@
                 raise TypeError(f"value is {value!r}, expected {expected.__name__}")
 
 
+def encode_runs(run_rows):
+    """Return the datagram that carries `RunRow` objects, not too many of them."""
+    items = [[row.name, round(row.age_s, 3), row.count] for row in run_rows]
+    return encode(CrashReport((), tuple(items[:RUNS_PER_DATAGRAM])))
+
+
+def encode_crashes(rows):
+    """Return the datagrams that carry `CrashRow` objects, none above `MAX_BYTES`."""
+    items = [
+        [row.part, row.run, round(row.age_s, 3), row.requests, row.excused]
+        for row in rows
+    ]
+    return [
+        encode(CrashReport(tuple(items[first : first + CRASHES_PER_DATAGRAM])))
+        for first in range(0, len(items), CRASHES_PER_DATAGRAM)
+    ]
+
+
 def encode_batches(loads, entries=()):
     """Return the datagrams that carry `loads`, none larger than `MAX_BYTES`.
 
--- a/briarbeam/distribution/ranking.py
+++ b/briarbeam/distribution/ranking.py
@@ -20,6 +20,14 @@
     return sorted(hosts, key=lambda host: _hash(host, subject))
 
 
+def first_in_rank(entries, subject):
+    """Return the host of the entry of any failure domain that is first in rank.
+
+    :param entries: pairs of IP address and failure domain.
+    """
+    return min((host for host, _ in entries), key=lambda host: _hash(host, subject))
+
+
 def _hash(host, subject):
     return hashlib.blake2b(f"{host}|{subject}".encode(), digest_size=8).digest()
 
--- /dev/null
+++ b/briarbeam/relay/crash_evidence.py
@@ -0,0 +1,271 @@
+"""Records which parts of prompts were at engines when they ended.
+
+A part is suspected if requests with it waited at engines that ended. The begin of an
+answer shows that all parts of its prompt are sound, and excuses earlier crashes. All
+entries share their records; merging them is a union, so order and repetition of the
+messages don't matter.
+"""
+
+import collections
+import math
+from dataclasses import dataclass, field
+
+# How long before a crash the begin of an answer still excuses it.
+BEGIN_EXCUSES_S = 2.0
+# Crashes within this time have one cause, such as the stop of many engines.
+MOMENT_S = 0.2
+# How long a crash is remembered, unless requests with the part are quarantined longer.
+CRASH_EXPIRY_S = 600.0
+PARTS_MAX = 256
+CRASHES_PER_PART_MAX = 16
+REQUESTS_PER_CRASH_MAX = 4
+RUNS_MAX = 128
+# Number of parts of which the begin of the last answer is remembered.
+BEGUN_PARTS_MAX = 8192
+
+
+@dataclass
+class Crash:
+    """The end of one run of an engine under requests with a part.
+
+    :param at_s: boot time.
+    :param requests: the last parts of the prompts of these requests, which tell
+        repetitions of one request from different ones.
+    :param excused: whether an answer to a request with the part began shortly before
+        or later.
+    """
+
+    at_s: float
+    requests: set = field(default_factory=set)
+    excused: bool = False
+
+
+@dataclass
+class Run:
+    """The end of one run of an engine under any requests.
+
+    :param at_s: boot time.
+    :param requests: as in `Crash`, for all parts.
+    :param reported_count: the highest number of requests that another entry reported.
+    """
+
+    at_s: float
+    requests: set = field(default_factory=set)
+    reported_count: int = 0
+
+    @property
+    def count(self):
+        """The number of requests that the engine had not begun to answer."""
+        return max(1, len(self.requests), self.reported_count)
+
+
+@dataclass(frozen=True)
+class RunRow:
+    """One `Run`, as entries report it to each other.
+
+    :param name: identifies the run.
+    :param age_s: the time since its end, in seconds.
+    :param count: the number of requests that the engine had not begun to answer.
+    """
+
+    name: str
+    age_s: float
+    count: int
+
+
+@dataclass(frozen=True)
+class CrashRow:
+    """One `Crash`, as entries report it to each other.
+
+    :param run: identifies the run of the engine.
+    :param age_s: the time since the crash, in seconds.
+    """
+
+    part: str
+    run: str
+    age_s: float
+    requests: tuple
+    excused: bool
+
+
+class CrashEvidence:
+    """The crashes that each part of a prompt is suspected of.
+
+    `runs` has the `Run` objects of all crashes by their names.
+
+    `on_news` is called with pairs of part and run that the other entries don't know
+    yet, `on_change` without arguments after each change.
+
+    :param clock: the `Clock`.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._crashes = {}
+        self.runs = {}
+        self._begun_s = collections.OrderedDict()
+        self.on_news = lambda keys: None
+        self.on_change = lambda: None
+
+    def record_crash(self, parts, request, run, at_s):
+        """Record that the `run` of an engine ended under a request.
+
+        :param parts: the shared parts of its prompt.
+        :param request: the last part of its prompt.
+        :param at_s: boot time of the crash.
+        """
+        for part in parts:
+            excused = self._begun_since(part, at_s)
+            self._add(part, run, Crash(at_s, {request}, excused))
+        self._publish([(part, run) for part in parts])
+
+    def record_begin(self, parts):
+        """Record that an answer to a request with `parts` began."""
+        now_s = self._clock.boottime_s()
+        news = []
+        for part in parts:
+            self._begun_s[part] = now_s
+            self._begun_s.move_to_end(part)
+            for run, crash in self._crashes.get(part, {}).items():
+                if not crash.excused:
+                    crash.excused = True
+                    news.append((part, run))
+        while len(self._begun_s) > BEGUN_PARTS_MAX:
+            self._begun_s.popitem(last=False)
+        self._publish(news)
+
+    def merge(self, rows, run_rows=()):
+        """Add the `CrashRow` and the `RunRow` objects that another entry reported.
+
+        :returns: two lists of pairs of part and run, of the crashes that an answer here
+            excuses, and of those that were known to be excused.
+        """
+        now_s = self._clock.boottime_s()
+        for row in run_rows:
+            run = self._add_run(row.name, now_s - row.age_s)
+            run.reported_count = max(run.reported_count, row.count)
+        newly_excused, known_excused = [], []
+        for row in rows:
+            at_s = now_s - row.age_s
+            if row.age_s > CRASH_EXPIRY_S and row.part not in self._crashes:
+                continue
+            crash = Crash(at_s, set(row.requests), row.excused)
+            crash = self._add(row.part, row.run, crash)
+            if crash is None or row.excused:
+                continue
+            if crash.excused:
+                known_excused.append((row.part, row.run))
+            elif self._begun_since(row.part, crash.at_s):
+                crash.excused = True
+                newly_excused.append((row.part, row.run))
+        self.on_change()
+        return newly_excused, known_excused
+
+    def expire(self, keep=frozenset()):
+        """Forget old crashes.
+
+        :param keep: parts whose crashes are kept.
+        """
+        oldest_s = self._clock.boottime_s() - CRASH_EXPIRY_S
+        kept_runs = {run for part in keep for run in self._crashes.get(part, ())}
+        for name in self.runs.keys() - kept_runs:
+            if self.runs[name].at_s < oldest_s:
+                del self.runs[name]
+        for part in self._crashes.keys() - keep:
+            crashes = self._crashes[part]
+            for run in [run for run, c in crashes.items() if c.at_s < oldest_s]:
+                del crashes[run]
+            if not crashes:
+                del self._crashes[part]
+
+    def unexcused(self):
+        """Return the crashes that are not excused, by run, of each part."""
+        found = {part: self._unexcused_of(part) for part in self._crashes}
+        return {part: crashes for part, crashes in found.items() if crashes}
+
+    def is_suspected(self, part, moments):
+        """Return whether there were unexcused crashes at `moments` or more."""
+        crashes = self._unexcused_of(part)
+        return count_moments(crash.at_s for crash in crashes.values()) >= moments
+
+    def rows(self, keys):
+        """Return the `CrashRow` objects of pairs of part and run that are known."""
+        now_s = self._clock.boottime_s()
+        return [
+            CrashRow(
+                part, run, max(0.0, now_s - crash.at_s), tuple(crash.requests),
+                crash.excused,
+            )
+            for part, run in keys
+            if (crash := self._crashes.get(part, {}).get(run)) is not None
+        ]  # fmt: skip
+
+    def run_rows(self, names):
+        """Return the `RunRow` objects of the runs with the given names."""
+        now_s = self._clock.boottime_s()
+        return [
+            RunRow(name, max(0.0, now_s - run.at_s), run.count)
+            for name in names
+            if (run := self.runs.get(name)) is not None
+        ]
+
+    def last_runs(self):
+        """Return the names of all runs, those that ended last first."""
+        return sorted(self.runs, key=lambda name: -self.runs[name].at_s)
+
+    def main_keys(self):
+        """Return pairs of part and run of unexcused crashes, most suspected first."""
+        unexcused = self.unexcused()
+        parts = sorted(unexcused, key=lambda part: -len(unexcused[part]))
+        return [(part, run) for part in parts for run in unexcused[part]]
+
+    def _unexcused_of(self, part):
+        crashes = self._crashes.get(part, {})
+        return {run: crash for run, crash in crashes.items() if not crash.excused}
+
+    def _begun_since(self, part, at_s):
+        """Return whether an answer here began at most `BEGIN_EXCUSES_S` before."""
+        return self._begun_s.get(part, -math.inf) >= at_s - BEGIN_EXCUSES_S
+
+    def _add(self, part, run, crash):
+        """Unite `crash` with the known one; return it, or None if it is dropped."""
+        run_end = self._add_run(run, crash.at_s)
+        run_end.requests |= crash.requests
+        crashes = self._crashes.setdefault(part, {})
+        known = crashes.setdefault(run, crash)
+        if known is not crash:
+            known.at_s = min(known.at_s, crash.at_s)
+            known.excused |= crash.excused
+            known.requests |= crash.requests
+        known.requests = set(sorted(known.requests)[:REQUESTS_PER_CRASH_MAX])
+        if len(crashes) > CRASHES_PER_PART_MAX:
+            del crashes[min(crashes, key=lambda name: (crashes[name].at_s, name))]
+        if len(self._crashes) > PARTS_MAX:
+            del self._crashes[min(self._crashes, key=self._rank)]
+        return self._crashes.get(part, {}).get(run)
+
+    def _add_run(self, name, at_s):
+        run = self.runs.setdefault(name, Run(at_s))
+        run.at_s = min(run.at_s, at_s)
+        if len(self.runs) > RUNS_MAX:
+            del self.runs[min(self.runs, key=lambda n: (self.runs[n].at_s, n))]
+        return run
+
+    def _rank(self, part):
+        """Return a key that is lowest for the part to be forgotten first."""
+        latest_s = max(crash.at_s for crash in self._crashes[part].values())
+        return len(self._unexcused_of(part)), latest_s, part
+
+    def _publish(self, keys):
+        if keys:
+            self.on_change()
+            self.on_news(keys)
+
+
+def count_moments(times_s):
+    """Return the number of moments in `times_s`, each `MOMENT_S` long."""
+    count, started_s = 0, -math.inf
+    for at_s in sorted(times_s):
+        if at_s - started_s > MOMENT_S:
+            count, started_s = count + 1, at_s
+    return count
--- /dev/null
+++ b/briarbeam/relay/crash_guard.py
@@ -0,0 +1,100 @@
+"""Keeps requests from engines that would end under them."""
+
+import contextlib
+import random
+
+from .engine_crashes import EngineCrashes
+from .errors import QuarantinedError, QuarantinedSentError, UpstreamError
+
+# A request whose engine ended is not sent again if a part of its prompt was at this
+# many crashes before any answer with the part began.
+REPEAT_CRASHES_MAX = 1
+# Limits on the Retry-After of refused requests.
+RETRY_AFTER_MIN_S = 1.0
+RETRY_AFTER_MAX_S = 10.0
+
+
+class CrashGuard:
+    """Refuses, watches and cancels requests by the parts of their prompts.
+
+    :param clock: the `Clock`.
+    :param evidence: the `CrashEvidence`.
+    :param quarantine: the `PartQuarantine`.
+    """
+
+    def __init__(self, clock, evidence, quarantine):
+        self._evidence = evidence
+        self._quarantine = quarantine
+        self._crashes = EngineCrashes(clock, self._record_crash)
+        self._waiting = {}
+        quarantine.on_effective = self._cancel_quarantined
+
+    def admit(self, job):
+        """Check a request that has arrived; it may become the trial of its parts.
+
+        :raises QuarantinedError: if it may not be sent.
+        """
+        job.is_trial = self._find_left_s(job) is not None and (
+            self._quarantine.try_trial(job.meta.prompt_parts)
+        )
+        self.check(job)
+
+    def check(self, job):
+        """Check a request right before it is sent.
+
+        :raises QuarantinedError: if it may not be sent.
+        """
+        left_s = self._find_left_s(job)
+        if left_s is None or job.is_trial:
+            return
+        retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, left_s))
+        raise QuarantinedError(
+            f"engines ended under requests with parts of {job.meta.prompt_parts}",
+            retry_after_s=retry_after_s * random.uniform(0.8, 1.2),
+        )
+
+    def check_repeat(self, job, error):
+        """Raise `error` if `job` ended an engine and may end the next one, too."""
+        if job.is_trial or job.ended_engine and any(
+            self._evidence.is_suspected(part, REPEAT_CRASHES_MAX + 1)
+            for part in job.meta.prompt_parts
+        ):  # fmt: skip
+            raise error
+
+    @contextlib.contextmanager
+    def watch(self, job, target, call):
+        """Watch a request that is sent in the body of the ``with`` statement.
+
+        :param call: the `UpstreamCall`, which is aborted if the request is quarantined
+            before its answer begins.
+        """
+        if not job.begun and job.meta.prompt_parts:
+            self._waiting[id(job)] = job, call
+        try:
+            with self._crashes.watch(job, target, call):
+                yield
+        except UpstreamError as error:
+            if call.aborted:
+                raise QuarantinedSentError(str(error)) from error
+            raise
+        finally:
+            self._waiting.pop(id(job), None)
+
+    def record_begin(self, job):
+        """Record that an engine began to answer `job`."""
+        if not job.begun:
+            job.begun = True
+            self._waiting.pop(id(job), None)
+            self._evidence.record_begin(job.meta.prompt_parts)
+
+    def _find_left_s(self, job):
+        return self._quarantine.left_s(job.meta.prompt_parts)
+
+    def _record_crash(self, job, run, at_s):
+        job.ended_engine = True
+        self._evidence.record_crash(job.meta.prompt_parts, job.meta.own_part, run, at_s)
+
+    def _cancel_quarantined(self):
+        for job, call in list(self._waiting.values()):
+            if not job.is_trial and self._find_left_s(job) is not None:
+                call.abort()
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -63,16 +63,16 @@
     :param budget: the `RetryBudget` of this entry.
     :param position: a function that returns this entry's `EntryPosition`.
     :param request_log: the `RequestLog` that logs each answer.
-    :param crashes: the `EngineCrashes` that watches the requests that were sent.
+    :param guard: the `CrashGuard`.
     """
 
-    def __init__(self, admission, selector, budget, position, request_log, crashes):
+    def __init__(self, admission, selector, budget, position, request_log, guard):
         self._admission = admission
         self._selector = selector
         self._budget = budget
         self._position = position
         self._request_log = request_log
-        self._crashes = crashes
+        self._guard = guard
 
     def answer(self, request, writer, sock, reader):
         """Answer `request` through `writer`.
@@ -89,6 +89,7 @@
             with DisconnectWatch(sock, reader) as caller:
                 job = self._admission.admit(request, meta)
                 job.caller = caller
+                self._guard.admit(job)
                 self._budget.count_request(job.requirements.service.name, job.started_s)
                 self._run(job, writer)
         except CallerDisconnectedError as error:
@@ -201,6 +202,7 @@
 
     def _check_repeatable(self, job, stream, error):
         """Raise `error` if `job` must not be sent again after it may have run."""
+        self._guard.check_repeat(job, error)
         if not job.route.repeatable:
             raise error
         if stream is not None and stream.begun and not stream.can_resume:
@@ -227,7 +229,7 @@
             target.begin_request()
             self._record_send(job, target)
             try:
-                with self._crashes.watch(job, target):
+                with self._guard.watch(job, target, call):
                     call.send(head, job.request.body)
                     self._receive(job, target, call, writer, stream)
             finally:
@@ -239,6 +241,7 @@
         :raises NotRunError: if something changed since the target was picked.
         """
         self._admission.revalidate(job)
+        self._guard.check(job)
         if not self._selector.is_eligible(target, job.requirements):
             raise TargetIneligibleError(f"{target.id} is no longer eligible")
 
@@ -306,6 +309,8 @@
 
     def _forward_whole(self, job, target, call, head, writer, stream):
         body = self._read(job, target, call.read_body)
+        if head.status == 200:
+            self._guard.record_begin(job)
         if stream is not None and stream.begun:
             raise UpstreamError("resumed stream was answered without an event stream")
         writer.write(head.status, wire.returned_headers(head.headers), body)
@@ -322,7 +327,7 @@
                 break
             # Only a complete event counts as progress: parts are not forwarded.
             if stream.feed(part):
-                job.begun = True
+                self._guard.record_begin(job)
                 switch_at_s = (
                     time.monotonic() + STREAM_SILENCE_S if may_switch else math.inf
                 )
--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -39,18 +39,22 @@
         and the boot time of the crash for each request that had not begun.
     """
 
-    def __init__(self, clock, on_crash=lambda job, run, at_s: None):
+    def __init__(self, clock, on_crash):
         self._clock = clock
         self._on_crash = on_crash
         self._checks = {}
 
     @contextlib.contextmanager
-    def watch(self, job, target):
-        """Report a crash of `target` in the body of the ``with`` statement."""
+    def watch(self, job, target, call):
+        """Report a crash of `target` in the body of the ``with`` statement.
+
+        :param call: the `UpstreamCall`; a crash is not searched for if it was aborted.
+        """
         try:
             yield
         except UpstreamBrokenError:
-            if job.meta.prompt_parts and not job.begun and not target.instance.draining:
+            concerns_parts = job.meta.prompt_parts and not job.begun
+            if concerns_parts and not call.aborted and not target.instance.draining:
                 self._handle_break(job, target)
             raise
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -18,13 +18,15 @@
 from ..platform.store import StoreClient
 from ..telemetry.request_log import RequestLog
 from .admission import SUPERSEDED_STATE_MAX_S, Admission
+from .crash_evidence import CrashEvidence
+from .crash_guard import CrashGuard
 from .dispatch import Dispatcher
-from .engine_crashes import EngineCrashes
 from .first_read import FirstRead
 from .fleet import Fleet
 from .follower import StoreFollower
 from .limits import RetryBudget
 from .mirror import Mirror
+from .quarantine import PartQuarantine
 from .server import CallerServer, ReadinessServer
 from .spread import StateSpread
 from .state_in_force import NamedVersions, StateInForce
@@ -98,6 +100,8 @@
             self._spread,
             lambda: self._version_mirror.restored_s,
         )
+        self._evidence = CrashEvidence(clock)
+        self._quarantine = PartQuarantine(clock, self._evidence)
         self._exchange = EntryExchange(
             settings.peer_address,
             settings.instance.failure_domain,
@@ -109,6 +113,8 @@
             self._spread,
             self._first_read.record_named_reader,
             settings.regions,
+            self._evidence,
+            self._quarantine,
         )
         self._fleet.on_weights_changed = self._exchange.schedule_greeting
         self._chunks = ChunkCache(
@@ -227,7 +233,7 @@
             budget,
             self._exchange.position,
             RequestLog(lambda: self._state_mirror.age_s),
-            EngineCrashes(self._clock),
+            CrashGuard(self._clock, self._evidence, self._quarantine),
         )
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -94,6 +94,12 @@
     code = "not_started"
 
 
+class QuarantinedError(NotRunError):
+    """The prompt has parts under which engines ended."""
+
+    code = "quarantined"
+
+
 class DeadlineError(BriarbeamError):
     """The time limit passed after the request was sent to an instance."""
 
@@ -108,6 +114,13 @@
     status = 502
 
 
+class QuarantinedSentError(BriarbeamError):
+    """The request was cancelled at its engine, as its prompt was quarantined."""
+
+    code = "quarantined_sent"
+    status = 502
+
+
 class UpstreamBrokenError(UpstreamError):
     """The connection to the instance broke after the request was sent to it."""
 
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -26,6 +26,8 @@
         sent.
     :param sends: the number of times that it was sent.
     :param begun: whether an engine began to answer it.
+    :param ended_engine: whether an engine ended that had not begun to answer it.
+    :param is_trial: whether it is sent although its prompt is quarantined.
     :param may_have_run: whether it may have run at a target that failed.
     :param next_target: the target that replaces a silent one, or None.
     :param target_id: the target that it was last sent to, or None.
@@ -51,6 +53,8 @@
     unsent_attempts: int = 0
     sends: int = 0
     begun: bool = False
+    ended_engine: bool = False
+    is_trial: bool = False
     may_have_run: bool = False
     next_target: object = None
     target_id: str | None = None
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -1,5 +1,6 @@
 """Sends one request to one instance over a separate connection."""
 
+import contextlib
 import time
 from dataclasses import dataclass
 
@@ -85,6 +86,7 @@
         self._framed = False
         self._ended = False
         self.sent = False
+        self.aborted = False
 
     def __enter__(self):
         return self
@@ -116,6 +118,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
 
+    def abort(self):
+        """End the call; the task that waits for its answer gets an `UpstreamError`."""
+        self.aborted = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     @property
     def _is_complete(self):
         """Whether the answer was read completely."""
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -20,10 +20,12 @@
 from briarbeam.kernel.network import Address
 from briarbeam.platform.store import Record
 from briarbeam.relay.admission import Admission
+from briarbeam.relay.crash_evidence import CrashEvidence
+from briarbeam.relay.crash_guard import CrashGuard
 from briarbeam.relay.dispatch import Dispatcher
-from briarbeam.relay.engine_crashes import EngineCrashes
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
+from briarbeam.relay.quarantine import PartQuarantine
 from briarbeam.relay.server import CallerServer
 from briarbeam.relay.state_in_force import NamedVersions, StateInForce
 from briarbeam.relay.target_selector import TargetSelector
@@ -211,14 +213,16 @@
             0.45,
         )
         request_log = RequestLog(lambda: self.age_s)
-        self.crashes = EngineCrashes(self.clock)
+        self.evidence = CrashEvidence(self.clock)
+        self.quarantine = PartQuarantine(self.clock, self.evidence)
+        self.guard = CrashGuard(self.clock, self.evidence, self.quarantine)
         self.dispatcher = Dispatcher(
             self.admission,
             selector,
             self.budget,
             lambda: EntryPosition(0, 1),
             request_log,
-            self.crashes,
+            self.guard,
         )
         self.server = CallerServer(
             Address("127.0.0.1", 0), self.dispatcher, lambda: self.limits
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -10,9 +10,11 @@
 from briarbeam.distribution.messages import Load
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
+from briarbeam.relay.crash_evidence import CrashEvidence
 from briarbeam.relay.fleet import Fleet
 from briarbeam.relay.follower import NEIGHBOUR_AGE_MAX_S, StoreFollower
 from briarbeam.relay.limits import ColdRateLimiter
+from briarbeam.relay.quarantine import PartQuarantine
 from briarbeam.relay.spread import StateSpread
 
 
@@ -20,6 +22,7 @@
     clock = ManualClock()
     fleet = Fleet(clock, dict)
     address = Address(host, 77)
+    evidence = CrashEvidence(clock)
     return clock, EntryExchange(
         address,
         domain,
@@ -31,6 +34,8 @@
         StateSpread(None, address, clock, None, bool),
         lambda host: None,
         domains,
+        evidence,
+        PartQuarantine(clock, evidence),
     )
 
 
--- a/tests/test_relay_engine_crashes.py
+++ b/tests/test_relay_engine_crashes.py
@@ -21,6 +21,7 @@
 
 def crashes_logged(entry, headers):
     """Send a request and return the fields of the logged crashes."""
+    gevent.sleep(LOG_DELAY_S + 0.05)
     with capture_logs() as lines:
         entry.ask(method=b"POST", headers=headers)
         gevent.sleep(LOG_DELAY_S + 0.05)
@@ -51,7 +52,7 @@
     entry = Entry({"i1": FakeInstance(answer_and_crash)}, **route)
     with pytest.raises(ConnectionResetError):
         entry.ask(method=b"POST", headers=prompt(b"a1", b"c3"))
-    assert not entry.crashes._checks
+    assert not entry.evidence.unexcused()
 
 
 @pytest.mark.parametrize(
