--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -15,12 +15,18 @@
 import math
 from dataclasses import MISSING, astuple, dataclass, fields
 
+from ..relay.crash_evidence import REQUESTS_PER_CRASH_MAX, CrashRow, RunRow
 from .errors import MalformedDatagramError
 
 # A datagram of this size fits into one Ethernet frame, with the headers of IP and UDP.
 MAX_BYTES = 1400
 # Number of entries listed in one datagram, at about 22 bytes each.
 ENTRIES_PER_DATAGRAM = 40
+# Longest id of a part, a run or a request in a report of crashes. Such a report has at
+# most 16 + 8 + 4 x 16 characters of ids and about 35 others a crash.
+CRASH_ID_MAX_CHARS = 16
+CRASHES_PER_DATAGRAM = 10
+RUNS_PER_DATAGRAM = 40
 # Times in milliseconds, revisions and counts are far smaller.
 NUMBER_MAX = 2**53
 # Length of the description of a malformed datagram in an error.
@@ -153,6 +159,18 @@
     host: str
 
 
+@dataclass(frozen=True)
+class CrashReport:
+    """Crashes that parts of prompts are suspected of.
+
+    :param rows: the fields of `CrashRow` objects.
+    :param run_rows: the fields of `RunRow` objects.
+    """
+
+    rows: tuple
+    run_rows: tuple = ()
+
+
 _TYPES = {
     "g": Greeting,
     "l": Load,
@@ -161,6 +179,7 @@
     "c": Confirmation,
     "s": StateAnnouncement,
     "r": StateReader,
+    "x": CrashReport,
 }
 _LETTERS = {message_type: letter for letter, message_type in _TYPES.items()}
 
@@ -182,6 +201,8 @@
         if letter == "b":
             loads = tuple((host, Load(*values)) for host, values in message.loads)
             message = LoadBatch(loads, message.entries)
+        elif letter == "x":
+            message = _decode_crash_report(message)
         _CHECKS[letter](message)
     except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise MalformedDatagramError(
@@ -191,6 +212,15 @@
     return message
 
 
+def _decode_crash_report(report):
+    rows = [
+        CrashRow(part, run, age_s, tuple(requests), is_excused)
+        for part, run, age_s, requests, is_excused in report.rows
+    ]
+    run_rows = [RunRow(name, age_s, count) for name, age_s, count in report.run_rows]
+    return CrashReport(tuple(rows), tuple(run_rows))
+
+
 def _check_greeting(greeting):
     _check_row((greeting.host, greeting.failure_domain), (Host, str))
     _check_optional(greeting.model, str)
@@ -231,6 +261,23 @@
     _check_optional(announcement.root, Host)
 
 
+def _check_crash_report(report):
+    for row in report.rows:
+        _check_row((row.part, row.run, row.age_s), (str, str, float))
+        _check_row((row.excused,), (bool,))
+        _check_rows([(request,) for request in row.requests], (str,))
+        _check_age(row.age_s)
+        if len(row.requests) > REQUESTS_PER_CRASH_MAX:
+            raise ValueError(f"crash has {len(row.requests)} requests")
+        if max(map(len, (row.part, row.run, *row.requests))) > CRASH_ID_MAX_CHARS:
+            raise ValueError(f"crash has an id that is too long: {row!r}")
+    for row in report.run_rows:
+        _check_row((row.name, row.age_s, row.count), (str, float, int))
+        _check_age(row.age_s)
+        if len(row.name) > CRASH_ID_MAX_CHARS or row.count < 1:
+            raise ValueError(f"run is {row!r}")
+
+
 _CHECKS = {
     "g": _check_greeting,
     "l": _check_load,
@@ -239,9 +286,15 @@
     "c": _check_confirmation,
     "s": _check_announcement,
     "r": lambda reader: _check_row((reader.host,), (Host,)),
+    "x": _check_crash_report,
 }
 
 
+def _check_age(age_s):
+    if not 0 <= age_s < math.inf:
+        raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
+
+
 def _check_ages(ages_s):
     """Raise an error unless there is a first age and all ages are valid.
 
@@ -252,8 +305,7 @@
     for age_s in ages_s:
         if age_s is not None:
             _check_rows([(age_s,)], (float,))
-            if not 0 <= age_s < math.inf:
-                raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
+            _check_age(age_s)
 
 
 def _check_optional(value, expected):
@@ -298,6 +350,24 @@
     return value
 
 
+def encode_runs(run_rows):
+    """Return the datagram that carries `RunRow` objects, not too many of them."""
+    items = [[row.name, round(row.age_s, 3), row.count] for row in run_rows]
+    return encode(CrashReport((), tuple(items[:RUNS_PER_DATAGRAM])))
+
+
+def encode_crashes(rows):
+    """Return the datagrams that carry `CrashRow` objects, none above `MAX_BYTES`."""
+    items = [
+        [row.part, row.run, round(row.age_s, 3), row.requests, row.excused]
+        for row in rows
+    ]
+    return [
+        encode(CrashReport(tuple(items[first : first + CRASHES_PER_DATAGRAM])))
+        for first in range(0, len(items), CRASHES_PER_DATAGRAM)
+    ]
+
+
 def encode_batches(loads, entries=()):
     """Return the datagrams that carry `loads`, none larger than `MAX_BYTES`.
 
--- a/briarbeam/platform/revisions.py
+++ b/briarbeam/platform/revisions.py
@@ -10,8 +10,8 @@
 
 # A power of ten, so that both parts can be read from a logged revision.
 ERA_UNIT = 10**12
-# With this limit, revisions fit into 64 bits.
-ERA_MAX = 10**6
+# With this limit, readers of JSON that use floats read revisions exactly.
+ERA_MAX = 9000
 
 
 def join_revision(era, number):
--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -4,7 +4,7 @@
 
 from gevent import select
 
-from .errors import AnswerTooLargeError
+from .errors import AnswerTooLargeError, UpstreamError
 from .events import EventSplitter
 from .upstream_call import UpstreamSilentError
 
@@ -20,12 +20,13 @@
     :param switch_at_s: monotonic time at which the request may be sent to another
         target as well if this one has made no progress.
     :param begin_by_s: monotonic time by which the target must have made progress.
+    :param on_closed: called with `call` once it is closed.
 
     `head` is the accepted `ReplyHead`, or None before it has arrived, and `has_events`
     is whether a complete event has arrived.
     """
 
-    def __init__(self, target, call, switch_at_s, begin_by_s):
+    def __init__(self, target, call, switch_at_s, begin_by_s, on_closed):
         self.target = target
         self.call = call
         self.switch_at_s = switch_at_s
@@ -35,6 +36,7 @@
         self.has_events = False
         self.splitter = EventSplitter()
         self._body = bytearray()
+        self._on_closed = on_closed
 
     def read_body(self):
         """Return the body if it is complete, or None.
@@ -48,9 +50,24 @@
             )
         return bytes(self._body) if self.call.is_complete else None
 
+    def check_stream_end(self):
+        """Check that a stream whose last bytes were received is complete.
+
+        :raises UpstreamError: if it broke off inside an event, or if it has neither a
+            mark of its end nor any event.
+        """
+        partial = self.splitter.remainder.strip(b"\r\n")
+        if partial:
+            raise UpstreamError(
+                f"stream ended inside an event, after {len(partial)} bytes of it"
+            )
+        if not (self.has_events or self.call.is_framed):
+            raise UpstreamError("stream without a length ended before its first event")
+
     def close(self):
         """Close the connection, which cancels the request at the target."""
         self.call.close()
+        self._on_closed(self.call)
         self.target.end_request()
 
 
--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -1,7 +1,6 @@
 """Combines the event streams of several targets into one stream to a caller."""
 
 from ..platform import headers as wire
-from .errors import UpstreamError
 
 
 class CallerStream:
@@ -42,14 +41,8 @@
     def finish(self, head, remainder):
         """End the stream as complete, with any line ends after the last event.
 
-        :param remainder: the bytes after the last complete event.
-        :raises UpstreamError: if they are a part of an event: the target's answer broke
-            off.
+        :param remainder: the bytes after the last event.
         """
-        if remainder.strip(b"\r\n"):
-            raise UpstreamError(
-                f"stream ended inside an event, after {len(remainder)} bytes of it"
-            )
         if remainder or not self.begun:
             self.forward(head, remainder, None)
         self._writer.end_stream()
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -75,14 +75,16 @@
     :param budget: the `RetryBudget` of this entry.
     :param position: a function that returns this entry's `EntryPosition`.
     :param request_log: the `RequestLog` that logs each answer.
+    :param guard: the `CrashGuard`.
     """
 
-    def __init__(self, admission, selector, budget, position, request_log):
+    def __init__(self, admission, selector, budget, position, request_log, guard):
         self._admission = admission
         self._selector = selector
         self._budget = budget
         self._position = position
         self._request_log = request_log
+        self._guard = guard
 
     def answer(self, request, writer, sock, reader):
         """Answer `request` through `writer`.
@@ -100,6 +102,7 @@
             with DisconnectWatch(sock, reader) as caller:
                 job = self._admission.admit(request, meta)
                 job.caller = caller
+                self._guard.admit(job)
                 self._budget.count_request(job.requirements.service.name, job.started_s)
                 self._run(job, writer)
         except CallerDisconnectedError as error:
@@ -222,9 +225,10 @@
             if attempt not in attempts:
                 continue
             try:
-                attempt.call.receive(until_s)
-                if self._process(job, attempt, attempts, writer, stream):
-                    return True
+                with self._guard.watch(job, attempt.target, attempt.call):
+                    attempt.call.receive(until_s)
+                    if self._process(job, attempt, attempts, writer, stream):
+                        return True
             except UpstreamSilentError:
                 pass
             except _RefusedError:
@@ -284,6 +288,7 @@
         """Return whether `job` may be sent to a target beside the open attempts."""
         return (
             job.route.repeatable
+            and self._guard.may_send_beside(job)
             and len(job.tried) + len(attempts) < job.route.max_attempts
             and not (stream is not None and stream.begun and not stream.can_resume)
         )
@@ -358,6 +363,7 @@
 
     def _check_repeatable(self, job, stream, error):
         """Raise `error` if `job` must not be sent again after it may have run."""
+        self._guard.check_repeat(job, error)
         if not job.route.repeatable:
             raise error
         if stream is not None and stream.begun and not stream.can_resume:
@@ -389,14 +395,18 @@
             )  # fmt: skip
             self._record_send(job, target)
             target.begin_request()
-            call.send(head, job.request.body)
+            self._guard.open(job, call)
+            with self._guard.watch(job, target, call):
+                call.send(head, job.request.body)
         except BaseException:
+            self._guard.close(call)
             if call.sent:
                 target.end_request()
             call.close()
             raise
         begin_by_s = self._weights_deadline_s(job, target) if stream else math.inf
-        return Attempt(target, call, self._switch_time_s(target), begin_by_s)
+        switch_at_s = self._switch_time_s(target)
+        return Attempt(target, call, switch_at_s, begin_by_s, self._guard.close)
 
     def _recheck(self, job, target):
         """Check that `job` may still be sent to `target`.
@@ -404,6 +414,7 @@
         :raises NotRunError: if something changed since the target was picked.
         """
         self._admission.revalidate(job)
+        self._guard.check(job)
         if not self._selector.is_eligible(target, job.requirements):
             raise TargetIneligibleError(f"{target.id} is no longer eligible")
 
@@ -429,9 +440,11 @@
         head = attempt.head
         has_events = head.status == 200 and head.is_event_stream()
         if stream is not None and has_events and job.request.method != b"HEAD":
-            return self._forward_events(attempt, attempts, stream)
+            return self._forward_events(job, attempt, attempts, stream)
         if stream is not None and stream.begun:
             raise UpstreamError(f"resumed stream was answered with {head.status}")
+        if head.status == 200:
+            self._guard.record_begin(job)
         return self._forward_whole(attempt, attempts, writer)
 
     def _accept(self, job, attempt, attempts, stream):
@@ -504,20 +517,20 @@
         attempts.complete(attempt)
         return True
 
-    def _forward_events(self, attempt, attempts, stream):
+    def _forward_events(self, job, attempt, attempts, stream):
         events = attempt.splitter.feed(attempt.call.take_part())
         # Only a complete event counts as progress: parts are not forwarded.
         if events:
             attempt.has_events = True
+            self._guard.record_begin(job)
             attempts.keep_only(attempt)
             stream.forward(attempt.head, events, attempt.splitter.last_id)
             attempt.switch_at_s = time.monotonic() + STREAM_SILENCE_S
             attempt.begin_by_s = math.inf
         if not attempt.call.is_complete:
             return False
+        attempt.check_stream_end()
         attempts.keep_only(attempt)
-        if not (attempt.has_events or attempt.call.is_framed):
-            raise UpstreamError("stream without a length ended before its first event")
         stream.finish(attempt.head, attempt.splitter.remainder)
         attempts.complete(attempt)
         return True
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -120,6 +120,12 @@
     status = 502
 
 
+class QuarantinedError(NotRunError):
+    """The prompt has parts under which engines ended."""
+
+    code = "quarantined"
+
+
 class DeadlineError(BriarbeamError):
     """The time limit passed after the request was sent to an instance."""
 
@@ -134,6 +140,17 @@
     status = 502
 
 
+class QuarantinedSentError(BriarbeamError):
+    """The request was cancelled at its engine, as its prompt was quarantined."""
+
+    code = "quarantined_sent"
+    status = 502
+
+
+class UpstreamBrokenError(UpstreamError):
+    """The connection to the instance broke after the request was sent to it."""
+
+
 class AnswerTooLargeError(UpstreamError):
     """The answer of the instance exceeds a limit; the rest was not read."""
 
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -32,6 +32,9 @@
     :param attempts: for each attempt that has ended, the id of its target, how it ended
         and how long it took in seconds.
     :param not_sent_cause: why it was last not sent again, or None.
+    :param begun: whether an engine began to answer it.
+    :param ended_engine: whether an engine ended that had not begun to answer it.
+    :param is_trial: whether it is sent although its prompt is quarantined.
     :param next_target: the target for the next attempt if it is chosen already, or
         None.
     :param target_id: the target that it was last sent to, or None.
@@ -60,6 +63,9 @@
     refusals: int = 0
     attempts: list = field(default_factory=list)
     not_sent_cause: str | None = None
+    begun: bool = False
+    ended_engine: bool = False
+    is_trial: bool = False
     next_target: object = None
     target_id: str | None = None
     target_domain: str | None = None
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -12,7 +12,7 @@
 from ..kernel.errors import NotRunError
 from ..kernel.network import reset_on_close
 from ..kernel.tasks import ReadYielder
-from .errors import AnswerTooLargeError, UpstreamError
+from .errors import AnswerTooLargeError, UpstreamBrokenError, UpstreamError
 
 # Connecting takes one round trip of a few ms. The kernel sends a lost first packet
 # again only after a second, so a new connection attempt is faster.
@@ -83,6 +83,7 @@
         self._framed = False
         self._ended = False
         self.sent = False
+        self.aborted = False
 
     @property
     def head(self):
@@ -136,6 +137,12 @@
         if fault := find_early_fault(self._sock):
             raise ConnectFailedError(f"{self._address} {fault}")
 
+    def abort(self):
+        """End the call; the task that waits for its answer gets an `UpstreamError`."""
+        self.aborted = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     @property
     def is_framed(self):
         """Whether a length or chunks mark the end of the answer."""
@@ -150,7 +157,7 @@
         """Send the request, which may run from now on.
 
         :param head: the bytes of the request line and the headers.
-        :raises UpstreamError: if the connection breaks.
+        :raises UpstreamBrokenError: if the connection breaks.
         """
         self.sent = True
         data = head + body
@@ -160,7 +167,7 @@
         try:
             self._sock.sendall(data)
         except OSError as error:
-            raise UpstreamError(
+            raise UpstreamBrokenError(
                 f"sending to {self._address} failed: {error!r}"
             ) from error
 
@@ -187,7 +194,7 @@
                 f"{self._address} sent nothing more before the deadline"
             ) from None
         except OSError as error:
-            raise UpstreamError(
+            raise UpstreamBrokenError(
                 f"reading from {self._address} failed: {error!r}"
             ) from error
         if not data:
@@ -221,13 +228,13 @@
     def _on_end(self):
         """Handle an orderly end of the connection.
 
-        :raises UpstreamError: if that does not complete the answer. It completes only a
-            body that has neither a length nor chunks.
+        :raises UpstreamBrokenError: if that does not complete the answer. It completes
+            only a body that has neither a length nor chunks.
         """
         if self._head is not None and not self._framed:
             self._ended = True
         else:
-            raise UpstreamError(
+            raise UpstreamBrokenError(
                 f"{self._address} closed the connection before the answer was complete"
             )
 
