Bound the time for which a target that keeps refusing is closed

After 1,025 closings in a row without a success, which takes about a quarter of an hour, each further refusal with `Retry-After` would have raised OverflowError in the request path: the power of two was computed before it was bounded. Callers would have seen broken connections. The time is now doubled from its last value.

The new test failed before with "OverflowError: int too large to convert to float".

--- a/briarbeam/relay/notices.py
+++ b/briarbeam/relay/notices.py
@@ -42,7 +42,7 @@
         self._draining_revision = None
         self._closed = None
         self._closed_until_s = -math.inf
-        self._closed_in_a_row = 0
+        self._least_closed_s = 0.0
 
     def record_leaving(self, statement):
         """Record that the instance is leaving; return whether that is new."""
@@ -79,16 +79,16 @@
         closed_until_s = self.closed_until_s(statement)
         # Requests that were sent together are refused together, which counts once.
         if now_s >= closed_until_s:
-            self._closed_in_a_row += 1
-        least_s = min(
-            CLOSED_IN_A_ROW_MAX_S, CLOSED_MIN_S * 2 ** (self._closed_in_a_row - 1)
-        )
+            self._least_closed_s = min(
+                CLOSED_IN_A_ROW_MAX_S, max(CLOSED_MIN_S, 2 * self._least_closed_s)
+            )
+        wait_s = max(retry_after_s, self._least_closed_s)
         self._closed = statement
-        self._closed_until_s = max(closed_until_s, now_s + max(retry_after_s, least_s))
+        self._closed_until_s = max(closed_until_s, now_s + wait_s)
 
     def record_success(self):
         """Record that the instance ran a request."""
-        self._closed_in_a_row = 0
+        self._least_closed_s = 0.0
 
     def closed_until_s(self, boot):
         """Return the monotonic time until which requests are unwanted; may be past.
--- a/tests/test_relay_notices.py
+++ b/tests/test_relay_notices.py
@@ -400,3 +400,14 @@
     fleet.targets("svc")
     fleet.update(listed(revision=3, born=NOW_MS + 1000))
     assert fleet.get("i1").closed_until_s == 25.0
+
+
+def test_target_that_refuses_for_hours_is_still_only_closed_for_a_while():
+    """The time doubled without bound inside, until it could not be computed."""
+    clock = ManualClock()
+    fleet = Fleet(clock, dict)
+    fleet.update(listed())
+    for _ in range(3000):
+        close(fleet, 0.0)
+        clock.advance(1.1)
+    assert fleet.get("i1").closed_until_s <= clock.monotonic_s()
