Answer callers also after a target has failed a thousand times in a row

What callers saw: a closed connection without an answer, for each request whose target failed, once that target had failed 1,025 times in a row; a service with a single target that is down gets there with a few hundred requests, as each counts up to four failed connections.

Cause: the time for which a target is avoided doubles with each failure, and the power of two was computed before it was bounded. It no longer fits into a float then, and OverflowError ends the task of the connection.

Now the exponent is bounded too; the times stay the same.

Both tests failed before: "OverflowError: int too large to convert to float", and an empty answer instead of a 502.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -36,6 +36,7 @@
 # crash lasts.
 AVOID_MIN_S = 0.4
 AVOID_MAX_S = 4.0
+AVOID_DOUBLINGS_MAX = 10
 
 # How long an instance gets no requests after another one has taken over its address.
 # The store removes the record of a crashed instance after about 4 s.
@@ -194,7 +195,9 @@
             return
         self.failures += 1
         self.results.append(False)
-        pause_s = min(AVOID_MAX_S, AVOID_MIN_S * 2 ** (self.failures - 1))
+        # The exponent is bounded as well: a float can't hold 2 to the power of 1024.
+        doublings = min(self.failures - 1, AVOID_DOUBLINGS_MAX)
+        pause_s = min(AVOID_MAX_S, AVOID_MIN_S * 2**doublings)
         self.avoid_until_s = now_s + pause_s * random.uniform(0.8, 1.2)
 
     def mark_replaced(self, now_s):
--- a/tests/test_relay_balance.py
+++ b/tests/test_relay_balance.py
@@ -100,3 +100,11 @@
     requirements = Requirements(services["svc"], None, 0, ())
     picks = [selector.pick(requirements) for _ in range(100)]
     assert sum(target is not None for target in picks) == 22
+
+
+def test_target_that_keeps_failing_is_only_avoided_for_a_while():
+    """After 1,024 failures in a row, the time to avoid it could not be computed."""
+    target = fleet_of({"i1": 3}).get("i1")
+    for _ in range(3000):
+        target.record_failure(100.0)
+    assert 0.0 < target.avoid_until_s - 100.0 < 10.0
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -106,6 +106,13 @@
     assert entry.ask().split()[1] == b"200"
 
 
+def test_request_is_answered_also_if_its_target_failed_a_thousand_times_before():
+    """An overflow ended the connection of each caller without an answer."""
+    entry = Entry({"i1": FakeInstance(reset_connection)}, **NON_IDEMPOTENT)
+    entry.fleet.get("i1").failures = 1024
+    assert entry.ask(method=b"POST", body=b"x").split()[1] == b"502"
+
+
 def test_refusal_by_two_instances_is_reported_as_not_run():
     fakes = {f"i{n}": FakeInstance(reply(NOT_RUN)) for n in range(3)}
     answer = Entry(fakes, **NON_IDEMPOTENT).ask(method=b"POST", body=b"x")
