Use engines that state the range of their layers

No stand-in stated layers, so that no test saw it; the stand-ins of tests and soak now state them in the platform's form, and test_engine_that_states_the_range_of_its_layers_is_used failed before.

--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -8,6 +8,7 @@
 import ipaddress
 import math
 import reprlib
+from types import NoneType
 
 from ..catalog import (
     CallerLimits,
@@ -90,9 +91,9 @@
 def decode_models(models, layers=None):
     """Return the version of each model that is held completely.
 
-    An engine lists a model while some of its layers are still missing; with an empty
-    list of `layers` it holds no model. A model without a version, or with version 0,
-    has no weights.
+    An engine lists a model while some of its layers are still missing; if `layers`, the
+    range of layers that it holds, is empty, it holds no model. A model without a
+    version, or with version 0, has no weights.
     """
     held = {}
     for model in check_list(models):
@@ -101,7 +102,9 @@
         version = get_integer(model, "version", 0)
         if version:
             held[get_text(model, "name")] = version
-    if layers is not None and not check_list(layers):
+    if not isinstance(layers, (dict, list, NoneType)):
+        raise TypeError(f"expected a range of layers, got {reprlib.repr(layers)}")
+    if layers is not None and not layers:
         return {}
     return held
 
--- a/soak/backends.py
+++ b/soak/backends.py
@@ -250,12 +250,17 @@
 
     def registration(self, address, failure_domain):
         return super().registration(address, failure_domain) | {
-            "models": self._models()
+            "models": self._models(),
+            "layers": self._layers(),
         }
 
     def _models(self):
         return [{"name": MODEL, "version": self.version}] if self.version else []
 
+    def _layers(self):
+        held = 16 if self.version else 0
+        return {"from": 0, "to": held, "version": self.version}
+
     def _answer(self, sock, request, writer):
         if request.path.startswith("/-/"):
             self._answer_control(request, writer)
@@ -268,7 +273,8 @@
         chunk_number = request.target.decode().partition("?num=")[2]
         if request.path == "/-/report":
             report = {
-                "models": self._models(), "busy": self.busy, "seq": self.orders,
+                "models": self._models(), "layers": self._layers(),
+                "busy": self.busy, "seq": self.orders,
                 "queued": 0, "running": self.running, "born": self.started_ms,
             }  # fmt: skip
             writer.write(200, [], json.dumps(report).encode())
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -178,6 +178,7 @@
             "service": "llm", "address": self.address, "zone": failure_domain,
             "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 0,
             "models": [{"name": MODEL, "version": self.version}], "seq": 1,
+            "layers": {"from": 0, "to": 16, "version": self.version},
             "born": self.started_ms,
         }  # fmt: skip
 
@@ -191,6 +192,7 @@
         if path == "/-/report":
             return _json({
                 "models": [{"name": MODEL, "version": self.version}], "busy": False,
+                "layers": {"from": 0, "to": 16, "version": self.version},
                 "seq": self.orders, "queued": 0, "running": 0, "born": self.started_ms,
             })  # fmt: skip
         if path == "/-/order":
--- a/tests/test_platform_records.py
+++ b/tests/test_platform_records.py
@@ -100,9 +100,18 @@
     models = [{"name": "m", "version": 2}]
     assert decode_models(models) == {"m": 2}
     assert decode_models(models, layers=[]) == {}
+    assert decode_models(models, layers={}) == {}
     assert decode_models([{"name": "m", "version": 0}]) == {}
 
 
+def test_engine_that_states_the_range_of_its_layers_is_used():
+    models = [{"name": "m", "version": 2}]
+    layers = {"from": 0, "to": 16, "version": 2}
+    assert decode_models(models, layers) == {"m": 2}
+    spec = dict(INSTANCE_SPEC, models=models, layers=layers)
+    assert decode_instance("i1", spec).models == {"m": 2}
+
+
 def test_restart_under_the_same_id_is_another_target():
     fleet = Fleet(ManualClock(), dict)
     fleet.update({"i1": Record("i1", 1, INSTANCE_SPEC)})
