Cancel a waiting request if its weights are superseded meanwhile

A request that waited at an engine began on weights whose time had passed (VERSION): the time by which it had to begin was computed at its send only, so a naming that the entry learned of later did not bound it.

The new test failed before: 504 at the time limit, with the request still at the engine. The time is now computed while the request waits, at least every half second.

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -1,5 +1,6 @@
 """The sends of one request that are not answered yet."""
 
+import math
 import time
 
 from gevent import select
@@ -19,18 +20,18 @@
     :param call: the `UpstreamCall`, which has sent the request.
     :param switch_at_s: monotonic time at which the request may be sent to another
         target as well if this one has made no progress.
-    :param begin_by_s: monotonic time by which the target must have made progress.
     :param on_closed: called with `call` once it is closed.
 
+    `begin_by_s` is the monotonic time by which the target must have made progress,
     `head` is the accepted `ReplyHead`, or None before it has arrived, and `has_events`
     is whether a complete event has arrived.
     """
 
-    def __init__(self, target, call, switch_at_s, begin_by_s, on_closed):
+    def __init__(self, target, call, switch_at_s, on_closed):
         self.target = target
         self.call = call
         self.switch_at_s = switch_at_s
-        self.begin_by_s = begin_by_s
+        self.begin_by_s = math.inf
         self.started_s = time.monotonic()
         self.head = None
         self.has_events = False
--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -45,6 +45,8 @@
 # A request that still waits at a target with superseded weights is cancelled this long
 # before the time from which none may begin on them, because it could begin too late.
 SUPERSEDED_MARGIN_S = 0.15
+# How often a request that waits at a target is checked against the named versions.
+NAMING_POLL_S = 0.5
 # With less time than this left, a request is not sent to another target.
 SEND_MARGIN_S = 0.05
 # An attempt that ends before the request is sent costs only time, so another target is
@@ -216,11 +218,12 @@
 
         :raises BriarbeamError: if no attempt can answer the request any more.
         """
-        until_s = min(
-            job.deadline_s,
-            attempts.latest.switch_at_s,
-            *(attempt.begin_by_s for attempt in attempts),
-        )
+        until_s = min(job.deadline_s, attempts.latest.switch_at_s)
+        for attempt in attempts:
+            if stream is not None and not attempt.has_events:
+                attempt.begin_by_s = self._begin_by_s(job, attempt.target)
+                poll_at_s = time.monotonic() + NAMING_POLL_S
+                until_s = min(until_s, attempt.begin_by_s, poll_at_s)
         for attempt in attempts.wait(until_s):
             if attempt not in attempts:
                 continue
@@ -404,9 +407,7 @@
                 target.end_request()
             call.close()
             raise
-        begin_by_s = self._weights_deadline_s(job, target) if stream else math.inf
-        switch_at_s = self._switch_time_s(target)
-        return Attempt(target, call, switch_at_s, begin_by_s, self._guard.close)
+        return Attempt(target, call, self._switch_time_s(target), self._guard.close)
 
     def _recheck(self, job, target):
         """Check that `job` may still be sent to `target`.
@@ -484,7 +485,7 @@
             FULL_ENGINE_SILENCE_S if is_full else FIRST_PART_SILENCE_S
         )
 
-    def _weights_deadline_s(self, job, target):
+    def _begin_by_s(self, job, target):
         """Return the monotonic time by which the first event must have arrived.
 
         Later, the request must not begin on the weights of the target any more.
@@ -492,7 +493,7 @@
         left_s = self._admission.superseded_left_s(job, target)
         if left_s is None:
             return math.inf
-        return time.monotonic() + max(0.01, left_s - SUPERSEDED_MARGIN_S)
+        return time.monotonic() + left_s - SUPERSEDED_MARGIN_S
 
     def _update_target(self, target, reply):
         if reply.leaving:
--- a/tests/test_relay_weights.py
+++ b/tests/test_relay_weights.py
@@ -7,6 +7,7 @@
 
 from briarbeam.catalog import RequestKind, Service
 from briarbeam.relay.dispatch import FIRST_PART_SILENCE_S
+from briarbeam.relay.fleet import LoadReport
 
 from .relay_fakes import (
     END,
@@ -192,3 +193,19 @@
         entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     gevent.sleep(0.1)
     assert old.closed_at_s and old.closed_at_s[0] - broken_s[0] < 0.55
+
+
+def test_request_that_waits_is_cancelled_if_its_weights_are_superseded_meanwhile():
+    """The time by which a request had to begin was known at its send only."""
+    service = Service("svc", models=("m",))
+    old = FakeInstance(never_answer)
+    entry = Entry({}, service=service, **RESUMABLE_STREAM)
+    target = entry.add("i1", old.address, models={"m": 1})
+    target.report = LoadReport(time.monotonic() + 9.0, 0, True, 1, 0, 0)
+    entry.name_version(1, age_s=20.0)
+    gevent.spawn_later(0.3, entry.name_version, 2, 7.2)
+    started_s = time.monotonic()
+    answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
+    assert answer.split()[1] == b"502"
+    gevent.sleep(0.1)
+    assert old.closed_at_s[0] - started_s < 0.3 + 8.0 - 7.2
