--- a/tests/test_relay_engine_crashes.py
+++ b/tests/test_relay_engine_crashes.py
@@ -1,7 +1,10 @@
 """Engines that end under requests: what counts as a crash, and what is logged of it."""
 
+from dataclasses import replace
+
 import gevent
 import pytest
+from gevent import socket
 from structlog.testing import capture_logs
 
 from briarbeam.platform.headers import PROMPT_PARTS_MAX, decode_request
@@ -13,6 +16,7 @@
     FakeInstance,
     crash_on,
     event,
+    never_answer,
     prompt,
     reset,
     stream_head,
@@ -42,6 +46,53 @@
     assert not crashes_logged(entry, prompt(b"a1", b"c3"))
 
 
+def break_under_a_request(entry, engine, listen_after):
+    """Break the connection of a waiting request, with a listener that is replaced."""
+    asked = gevent.spawn(entry.ask, method=b"POST", headers=prompt(b"a1", b"c3"))
+    gevent.sleep(0.05)
+    engine.crash()
+    sockets = listen_after(engine.address)
+    assert asked.get(timeout=2.0).startswith(b"HTTP/1.1 502")
+    for sock in sockets:
+        sock.close()
+
+
+def listen_without_accepting(address):
+    """Return a listener with a full queue and the connections in it.
+
+    Further connections are not answered.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(tuple(address))
+    listener.listen(0)
+    queued = [socket.socket() for _ in range(4)]
+    for sock in queued:
+        sock.setblocking(False)
+        sock.connect_ex(tuple(address))
+    return [listener, *queued]
+
+
+def test_machine_that_does_not_answer_is_no_crash_of_an_engine():
+    """It may have lost power or contact, with all engines of its failure domain."""
+    engine = FakeInstance(never_answer)
+    entry = Entry({"i1": engine}, **RESUMABLE_STREAM)
+    break_under_a_request(entry, engine, listen_without_accepting)
+    assert not entry.evidence.unexcused()
+
+
+def test_end_of_a_draining_engine_is_no_crash():
+    engine = FakeInstance(never_answer)
+    entry = Entry({"i1": engine}, **RESUMABLE_STREAM)
+    target = entry.fleet.get("i1")
+    asked = gevent.spawn(entry.ask, method=b"POST", headers=prompt(b"a1", b"c3"))
+    gevent.sleep(0.05)
+    target.instance = replace(target.instance, draining=True)
+    engine.crash()
+    assert asked.get(timeout=2.0).startswith(b"HTTP/1.1 502")
+    assert not entry.evidence.unexcused()
+
+
 def test_crash_after_the_first_event_is_not_attributed_to_the_request():
     def answer_and_crash(instance, sock, request):
         sock.sendall(stream_head() + event(1))
