Cancel waiting requests although the timer fires early

Waiting requests are cancelled once, by a timer, when the quarantine takes effect. The event loop counts from a cached time, so the timer can fire a little early; then no request was concerned yet. The task now waits until the quarantine is in effect.

--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -89,7 +89,7 @@
                 case.trial_s = self._cases[group].trial_s
             else:
                 self._log_new(group, crashes, case)
-                gevent.spawn_later(SETTLE_S, self._apply, group)
+                gevent.spawn_later(SETTLE_S, self._apply, group, case)
             cases[group] = case
         for group in self._cases.keys() - cases.keys():
             _log.info("part_released", parts=sorted(group))
@@ -137,7 +137,10 @@
             if group <= set(parts) and case.is_effective(now_s)
         ]
 
-    def _apply(self, group):
+    def _apply(self, group, case):
+        # A timer may fire early, because the event loop caches the time.
+        while group in self._cases and not case.is_effective(self._clock.boottime_s()):
+            gevent.sleep(SETTLE_S / 8)
         if group in self._cases:
             self.on_effective()
 
