Weigh crashes that follow each other closely, and those without the part

They are separate evidence unless they come at the same moment, so that is 0.05 s now; a part that was present at three of them is found at the third.

--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -12,8 +12,8 @@
 
 # How long before a crash the begin of an answer still excuses it.
 BEGIN_EXCUSES_S = 2.0
-# Crashes within this time have one cause, such as the stop of many engines.
-MOMENT_S = 0.2
+# Crashes within this time count as one, such as the stop of many engines.
+MOMENT_S = 0.05
 # How long a crash is remembered, unless requests with the part are quarantined longer.
 CRASH_EXPIRY_S = 600.0
 PARTS_MAX = 256
--- a/briarbeam/relay/culprits.py
+++ b/briarbeam/relay/culprits.py
@@ -19,6 +19,9 @@
 REPEAT_BITS = 2.5
 # Lower limit for each moment at which engines end.
 MOMENT_MIN_BITS = 1.0
+# Evidence against the responsibility of a part from a crash, between those that it was
+# present at, without it.
+MISS_BITS = 2.0
 # With less than this much evidence, a part must also explain most of the crashes within
 # `RECENT_S`. Many crashes of another cause hit some part several times by chance.
 EVIDENCE_ALONE_BITS = 30.0
@@ -80,6 +83,9 @@
     if len(own) < CRASHES_MIN:
         return NO_EVIDENCE
     bits = _count_bits(crashes, names, own)
+    if not is_held:
+        misses = moments.index(own[-1]) - moments.index(own[0]) + 1 - len(own)
+        bits -= misses * MISS_BITS
     if bits < EVIDENCE_MIN_BITS:
         return NO_EVIDENCE
     if bits < EVIDENCE_ALONE_BITS and not is_held:
