Treat the end of an engine whose record is gone as planned

Some engines never report that they drain: their record is removed, they serve a little longer and exit. The requests that still waited there made their parts suspected of a crash. An engine whose record disappeared counts as leaving now, as one that drains.

--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -54,7 +54,7 @@
             yield
         except UpstreamBrokenError:
             concerns_parts = job.meta.prompt_parts and not job.begun
-            if concerns_parts and not call.aborted and not target.instance.draining:
+            if concerns_parts and not call.aborted and not _is_leaving(target):
                 self._handle_break(job, target)
             raise
 
@@ -94,6 +94,11 @@
         self.result = AsyncResult()
 
 
+def _is_leaving(target):
+    """Return whether `target` is about to end as planned."""
+    return target.instance.draining or target.remove_at_s is not None
+
+
 def _describe_run(target):
     text = f"{target.id}|{target.started_ms}"
     return hashlib.blake2b(text.encode(), digest_size=4).hexdigest()
--- a/tests/test_relay_engine_crashes.py
+++ b/tests/test_relay_engine_crashes.py
@@ -81,13 +81,23 @@
     assert not entry.evidence.unexcused()
 
 
-def test_end_of_a_draining_engine_is_no_crash():
+def start_draining(target):
+    target.instance = replace(target.instance, draining=True)
+
+
+def lose_record(target):
+    target.remove_at_s = 0.0
+
+
+@pytest.mark.parametrize("leave", [start_draining, lose_record])
+def test_end_of_an_engine_that_leaves_is_no_crash(leave):
+    """Some engines never report that they drain; their record is removed."""
     engine = FakeInstance(never_answer)
     entry = Entry({"i1": engine}, **RESUMABLE_STREAM)
     target = entry.fleet.get("i1")
     asked = gevent.spawn(entry.ask, method=b"POST", headers=prompt(b"a1", b"c3"))
     gevent.sleep(0.05)
-    target.instance = replace(target.instance, draining=True)
+    leave(target)
     engine.crash()
     assert asked.get(timeout=2.0).startswith(b"HTTP/1.1 502")
     assert not entry.evidence.unexcused()
