--- a/briarbeam/relay/crash_guard.py
+++ b/briarbeam/relay/crash_guard.py
@@ -55,10 +55,11 @@
 
     def check_repeat(self, job, error):
         """Raise `error` if `job` ended an engine and may end the next one, too."""
-        if job.is_trial or job.ended_engine and any(
+        may_end_another = job.ended_engine and any(
             self._evidence.is_suspected(part, REPEAT_CRASHES_MAX + 1)
             for part in job.meta.prompt_parts
-        ):  # fmt: skip
+        )
+        if job.is_trial or may_end_another:
             raise error
 
     @contextlib.contextmanager
