--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -9,7 +9,7 @@
 from .culprits import find_culprits
 
 # Other entries can excuse a part within this time before it is quarantined.
-SETTLE_S = 0.2
+SETTLE_S = 0.15
 # After this time without a crash, one request is tried. The time doubles each time that
 # an engine ends under such a request.
 TRIAL_AFTER_S = 30.0
@@ -89,7 +89,7 @@
                 case.trial_s = self._cases[group].trial_s
             else:
                 self._log_new(group, crashes, case)
-                gevent.spawn_later(SETTLE_S, self._apply, group)
+                gevent.spawn_later(SETTLE_S, self._apply, group, case)
             cases[group] = case
         for group in self._cases.keys() - cases.keys():
             _log.info("part_released", parts=sorted(group))
@@ -137,7 +137,10 @@
             if group <= set(parts) and case.is_effective(now_s)
         ]
 
-    def _apply(self, group):
+    def _apply(self, group, case):
+        # A timer may fire early, because the event loop caches the time.
+        while group in self._cases and not case.is_effective(self._clock.boottime_s()):
+            gevent.sleep(SETTLE_S / 8)
         if group in self._cases:
             self.on_effective()
 
