--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -20,6 +20,7 @@
 from .admission import SUPERSEDED_STATE_MAX_S, Admission
 from .crash_evidence import CrashEvidence
 from .crash_guard import CrashGuard
+from .delivery import Delivery
 from .dispatch import Dispatcher
 from .evacuations import Evacuations
 from .first_read import FirstRead
@@ -234,14 +235,17 @@
         budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s
         )
-        dispatcher = Dispatcher(
+        request_log = RequestLog(lambda: self._state_mirror.settled_age_s)
+        guard = CrashGuard(self._clock, self._evidence, self._quarantine)
+        delivery = Delivery(
             admission,
             selector,
             budget,
             self._exchange.position,
-            RequestLog(lambda: self._state_mirror.settled_age_s),
-            CrashGuard(self._clock, self._evidence, self._quarantine),
+            request_log,
+            guard,
         )
+        dispatcher = Dispatcher(admission, budget, delivery, guard, request_log)
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
         self._peers = PeerServer(
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -22,6 +22,7 @@
 from briarbeam.relay.admission import Admission
 from briarbeam.relay.crash_evidence import CrashEvidence
 from briarbeam.relay.crash_guard import CrashGuard
+from briarbeam.relay.delivery import Delivery
 from briarbeam.relay.dispatch import Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
@@ -216,7 +217,7 @@
         self.evidence = CrashEvidence(self.clock)
         self.quarantine = PartQuarantine(self.clock, self.evidence)
         self.guard = CrashGuard(self.clock, self.evidence, self.quarantine)
-        self.dispatcher = Dispatcher(
+        self.delivery = Delivery(
             self.admission,
             selector,
             self.budget,
@@ -224,6 +225,9 @@
             request_log,
             self.guard,
         )
+        self.dispatcher = Dispatcher(
+            self.admission, self.budget, self.delivery, self.guard, request_log
+        )
         self.server = CallerServer(
             Address("127.0.0.1", 0), self.dispatcher, lambda: self.limits
         )
--- a/tests/test_distribution_namings.py
+++ b/tests/test_distribution_namings.py
@@ -8,7 +8,7 @@
 from briarbeam.distribution.namings import NamingHistory
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.pause import PauseDetector
-from briarbeam.relay.dispatch import SUPERSEDED_MARGIN_S
+from briarbeam.relay.delivery import SUPERSEDED_MARGIN_S
 from briarbeam.relay.entry import EntryRole
 
 from .relay_fakes import new_versions
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -8,7 +8,7 @@
 from gevent import socket
 
 from briarbeam.catalog import CallerLimits
-from briarbeam.relay import callers, dispatch, upstream_call
+from briarbeam.relay import callers, delivery, upstream_call
 from briarbeam.relay.admission import ANSWER_MARGIN_S
 from briarbeam.relay.limits import RetryBudget
 from briarbeam.telemetry import request_log
@@ -101,14 +101,14 @@
 
 def test_request_may_have_run_if_an_unexpected_error_comes_after_its_send(lines):
     entry = Entry({"i1": FakeInstance(reply(ok()))}, **RESUMABLE_STREAM)
-    entry.dispatcher._update_target = fail
+    entry.delivery._update_target = fail
     answer = entry.ask(method=b"POST")
     assert answer.split()[1] == b"502" and b'"ran":"unknown"' in answer
 
 
 def test_stream_is_reset_if_an_unexpected_error_comes_within_it(lines):
     entry = Entry({"i1": FakeInstance(break_off)}, **RESUMABLE_STREAM)
-    entry.dispatcher._handle_failure = fail
+    entry.delivery._handle_failure = fail
     with pytest.raises(ConnectionResetError):
         entry.ask(method=b"POST")
     assert lines[0]["cut"]
@@ -192,7 +192,7 @@
                 gevent.sleep(connect_s)
             super().connect()
 
-    monkeypatch.setattr(dispatch, "UpstreamCall", SlowConnectCall)
+    monkeypatch.setattr(delivery, "UpstreamCall", SlowConnectCall)
     second = FakeInstance(reply(ok()))
     entry = Entry({"i1": FakeInstance(answer_late), "i2": second}, timeout_s=1.33)
     entry.fleet.get("i2").outstanding = 12
@@ -305,7 +305,7 @@
     entry = Entry({"i1": FakeInstance(pause_before_stream), "i2": second})
     entry.fleet.get("i2").outstanding = 12
     if cause == "budget":
-        entry.dispatcher._budget = RetryBudget(0.0, 0, 10.0)
+        entry.delivery._budget = RetryBudget(0.0, 0, 10.0)
     else:
         gevent.spawn_later(0.3, setattr, entry.spread, "superseded_s", 9.0)
     assert entry.ask().startswith(b"HTTP/1.1 200")
--- a/tests/test_relay_notices.py
+++ b/tests/test_relay_notices.py
@@ -127,7 +127,7 @@
 
     def connect_then_leave(call):
         connect(call)
-        entry.dispatcher._update_target(
+        entry.delivery._update_target(
             entry.fleet.get("i1"), wire.decode_reply(200, [(b"server-leaving", b"1")])
         )
 
@@ -272,7 +272,7 @@
 
     def connect_then_refuse(call):
         connect(call)
-        entry.dispatcher._update_target(
+        entry.delivery._update_target(
             entry.fleet.get("i1"), wire.decode_reply(503, [(b"retry-after", b"2")])
         )
 
--- a/tests/test_relay_refusals.py
+++ b/tests/test_relay_refusals.py
@@ -134,13 +134,13 @@
     entry = Entry({"i2": second}, **NON_IDEMPOTENT)
     entry.add("i1", eager.address)
     entry.fleet.get("i2").outstanding = 12
-    original = entry.dispatcher._recheck
+    original = entry.delivery._recheck
 
     def recheck(job, target):
         gevent.sleep(0.05)
         original(job, target)
 
-    entry.dispatcher._recheck = recheck
+    entry.delivery._recheck = recheck
     answer = entry.ask(method=b"POST", body=b"x")
     assert answer.endswith(b"\r\n\r\nsecond")
     assert eager.received == [b""]
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -324,13 +324,13 @@
     fake = FakeInstance(reply(ok()))
     entry = Entry({"i1": fake})
     newer_state = desired_state(entry.service, version=2, keys=("k9",))
-    original = entry.dispatcher._recheck
+    original = entry.delivery._recheck
 
     def recheck(job, target):
         entry.in_force.state = newer_state
         original(job, target)
 
-    entry.dispatcher._recheck = recheck
+    entry.delivery._recheck = recheck
     assert entry.ask().split()[1] == b"401"
     assert not fake.requests
 
--- a/tests/test_relay_silence.py
+++ b/tests/test_relay_silence.py
@@ -36,7 +36,7 @@
     entry = Entry({"i1": FakeInstance(slow), "i2": second}, **RESUMABLE_STREAM)
     entry.fleet.get("i2").outstanding = 12
     report_load(entry, "i1")
-    entry.dispatcher._budget = RetryBudget(0.0, 0, 10.0)
+    entry.delivery._budget = RetryBudget(0.0, 0, 10.0)
     answer = entry.ask(method=b"POST")
     assert answer.startswith(b"HTTP/1.1 200") and answer.endswith(END)
     assert not second.requests
--- a/tests/test_relay_weights.py
+++ b/tests/test_relay_weights.py
@@ -6,7 +6,7 @@
 import pytest
 
 from briarbeam.catalog import RequestKind, Service
-from briarbeam.relay.dispatch import FIRST_PART_SILENCE_S
+from briarbeam.relay.delivery import FIRST_PART_SILENCE_S
 from briarbeam.relay.fleet import LoadReport
 
 from .relay_fakes import (
@@ -57,13 +57,13 @@
     entry = Entry({}, service=service, **RESUMABLE_STREAM)
     entry.add("i1", fake.address, models={"m": 1})
     entry.name_version(2, age_s=1.0)
-    original = entry.dispatcher._recheck
+    original = entry.delivery._recheck
 
     def recheck(job, target):
         entry.name_version(2, age_s=9.0)
         original(job, target)
 
-    entry.dispatcher._recheck = recheck
+    entry.delivery._recheck = recheck
     answer = entry.ask(method=b"POST", headers=b"x-model: m\r\n")
     assert answer.split()[1] == b"503"
     assert not fake.requests
