--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -198,9 +198,8 @@
 
     `store_restored_s` is the boot time at which the store was last reached again, or
     None, and `store_rewound_s` that of the first list after it was restored from a copy.
-    `on_weights_changed` is called without arguments when a target appears or
-    reports other weights. `evacuated_domains` has the failure domains that get no
-    requests.
+    `on_weights_changed` is called without arguments when a target appears or reports
+    other weights. `evacuated_domains` has the failure domains that get no requests.
     """
 
     def __init__(self, clock, services):
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -363,14 +363,14 @@
 
     def _update_era(self, era):
         """Record the era of the records that are about to replace the present ones."""
-        if self._era is not None and era > self._era:
-            if self._is_settled():
-                self._confirmed_before_s = self.confirmed_s
-            self.rewound_s = self.restored_s = self._clock.boottime_s()
-            _log.warning("records_rewound", kind=self._kind, era=era, before=self._era)
-            self._era = era
-            self.on_rewound(era)
-        self._era = era
+        previous, self._era = self._era, era
+        if previous is None or era <= previous:
+            return
+        if self._is_settled():
+            self._confirmed_before_s = self.confirmed_s
+        self.rewound_s = self.restored_s = self._clock.boottime_s()
+        _log.warning("records_rewound", kind=self._kind, era=era, before=previous)
+        self.on_rewound(era)
 
     def _list(self, sent_s):
         """Replace the records by a list; return whether a pause is due after it.
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -121,9 +121,7 @@
         return superseded_s >= self.store_read_wait_s()
 
     def store_read_wait_s(self):
-        """Return for how many seconds other entries may supply a state before this one
-        reads it from the store.
-        """
+        """Return how long others may supply a state before this entry reads it."""
         wait_s = STORE_READ_AFTER_S + self.rank() * STORE_READ_PER_RANK_S
         return min(STORE_READ_MAX_S, wait_s)
 
