Refuse a request under which two engines ended when it comes again

A request whose last part was at two unexcused crashes in the last 10 s is refused as not run now. The test failed before: the repetition was sent and ended an engine.

--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -16,6 +16,8 @@
 MOMENT_S = 0.05
 # How long a crash is remembered, unless requests with the part are quarantined longer.
 CRASH_EXPIRY_S = 600.0
+# How long crashes are counted against the request that was there, and its repetitions.
+REQUEST_CRASHES_EXPIRY_S = 10.0
 PARTS_MAX = 256
 CRASHES_PER_PART_MAX = 16
 REQUESTS_PER_CRASH_MAX = 4
@@ -188,6 +190,25 @@
         crashes = self._unexcused_of(part)
         return count_moments(crash.at_s for crash in crashes.values()) >= moments
 
+    def count_crashes_under(self, parts, request):
+        """Return the number of recent unexcused crashes under one request.
+
+        :param parts: the shared parts of its prompt.
+        :param request: the last part of its prompt.
+        """
+        oldest_s = self._clock.boottime_s() - REQUEST_CRASHES_EXPIRY_S
+        return max(
+            (
+                count_moments(
+                    crash.at_s
+                    for crash in self._unexcused_of(part).values()
+                    if request in crash.requests and crash.at_s >= oldest_s
+                )
+                for part in parts
+            ),
+            default=0,
+        )
+
     def rows(self, keys):
         """Return the `CrashRow` objects of pairs of part and run that are known."""
         now_s = self._clock.boottime_s()
--- a/briarbeam/relay/crash_guard.py
+++ b/briarbeam/relay/crash_guard.py
@@ -9,6 +9,8 @@
 # A request whose engine ended is not sent again if a part of its prompt was at this
 # many crashes before any answer with the part began.
 REPEAT_CRASHES_MAX = 1
+# A request under which this many engines ended is refused, whoever repeats it.
+REQUEST_CRASHES_MAX = 2
 # Limits on the Retry-After of refused requests.
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 10.0
@@ -38,6 +40,7 @@
             self._quarantine.try_trial(job.meta.prompt_parts)
         )
         self.check(job)
+        self._check_repetition(job)
 
     def check(self, job):
         """Check a request right before it is sent.
@@ -53,6 +56,18 @@
             retry_after_s=retry_after_s * random.uniform(0.8, 1.2),
         )
 
+    def _check_repetition(self, job):
+        if job.is_trial:
+            return
+        crash_count = self._evidence.count_crashes_under(
+            job.meta.prompt_parts, job.meta.own_part
+        )
+        if crash_count >= REQUEST_CRASHES_MAX:
+            raise QuarantinedError(
+                f"{crash_count} engines ended under this request",
+                retry_after_s=RETRY_AFTER_MAX_S * random.uniform(0.8, 1.2),
+            )
+
     def check_repeat(self, job, error):
         """Raise `error` if `job` ended an engine and may end the next one, too."""
         may_end_another = job.ended_engine and any(
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -220,6 +220,25 @@
     assert sum(len(engine.requests) for engine in engines.values()) == sends
 
 
+def test_request_under_which_two_engines_ended_is_not_sent_a_third_time():
+    """The caller's repetition ended a third engine, and told little about the part."""
+    engines = add_engines(6)
+    entry = Entry(engines, **RESUMABLE_STREAM)
+    watch_starts([entry], engines)
+    headers = prompt(b"aa", b"bad", b"c1")
+    for number in range(2):
+        entry.evidence.merge(
+            [CrashRow("bad", f"run{number}", 1.0 + number, ("c1",), False)]
+        )
+    answer = entry.ask(method=b"POST", headers=headers)
+    assert answer.startswith(b"HTTP/1.1 503") and b'"ran":"no"' in answer
+    assert not count_crashes(engines)
+    sound = prompt(b"aa", b"cc", b"c1")
+    assert entry.ask(method=b"POST", headers=sound).endswith(END)
+    entry.evidence.record_begin(("bad",))
+    assert not entry.ask(method=b"POST", headers=headers).startswith(b"HTTP/1.1 503")
+
+
 def test_sound_requests_beside_a_plain_crash_are_answered_by_another_engine():
     def crash_under_ten(instance, sock, request):
         while len(instance.requests) < 10:
