Count each crash, at the same moment too, and those beside it without the part

They counted as one crash, so a fifth and a sixth engine ended before the part was found at the third moment. Each counts now. What protects a sound part when many engines stop at the same moment are the other engines: each that ended without it takes 2 bits off, and one moment alone is never enough.

--- a/briarbeam/relay/culprits.py
+++ b/briarbeam/relay/culprits.py
@@ -1,12 +1,12 @@
 """Finds the parts of prompts that explain why engines ended."""
 
 import math
-from dataclasses import dataclass, field
 
-from .crash_evidence import MOMENT_S
+from .crash_evidence import MOMENT_S, count_moments
 
-# Minimum of separate crashes, and of different requests under which engines ended.
+# Minimum of crashes, of moments at which they came, and of different requests.
 CRASHES_MIN = 3
+MOMENTS_MIN = 2
 REQUESTS_MIN = 2
 # An engine that ends takes all its requests along, so a sound part that is in one of
 # this many requests may be there by chance. More frequent ones are excused by answers.
@@ -17,8 +17,8 @@
 # Evidence from a crash under a request that was at an earlier one, too: engines that end
 # one after the other hit sound requests again when they are repeated.
 REPEAT_BITS = 2.5
-# Lower limit for each moment at which engines end.
-MOMENT_MIN_BITS = 1.0
+# Lower limit for each crash.
+CRASH_MIN_BITS = 1.0
 # Evidence against the responsibility of a part from a crash, between those that it was
 # present at, without it.
 MISS_BITS = 2.0
@@ -42,11 +42,12 @@
         relieve them.
     """
     suspects = {p: c for p, c in crashes_by_part.items() if _is_suspect(c)}
+    ordered = sorted(runs.items(), key=lambda item: (item[1].at_s, item[0]))
     culprits, explained = [], set()
     while suspects:
-        moments = _find_moments({n: r for n, r in runs.items() if n not in explained})
+        ends = [(name, end) for name, end in ordered if name not in explained]
         weight_by_part = {
-            part: _weigh(crashes, crashes.keys() - explained, moments, part in held)
+            part: _weigh(crashes, crashes.keys() - explained, ends, part in held)
             for part, crashes in suspects.items()
         }
         highest = max(weight_by_part.values())
@@ -69,67 +70,47 @@
     return len(crashes) >= CRASHES_MIN and len(requests) >= REQUESTS_MIN
 
 
-def _weigh(crashes, names, moments, is_held):
-    """Return the number of separate crashes and the evidence against a part in bits.
+def _weigh(crashes, names, ends, is_held):
+    """Return the number of crashes and the evidence against a part in bits.
 
     Both are 0 if the evidence does not suffice.
 
     :param crashes: the crashes of the part by run.
     :param names: the runs that no other part explains.
-    :param moments: the `_Moment` objects of all crashes that no other part explains.
+    :param ends: pairs of name and `Run` of all crashes that no other part explains, in
+        order of time.
     :param is_held: whether the part was held responsible before.
     """
-    own = [moment for moment in moments if names & moment.names]
-    if len(own) < CRASHES_MIN:
+    own = [(name, end) for name, end in ends if name in names]
+    moments = count_moments(end.at_s for _, end in own)
+    if len(own) < CRASHES_MIN or moments < MOMENTS_MIN:
         return NO_EVIDENCE
-    bits = _count_bits(crashes, names, own)
+    bits = _count_bits(crashes, own)
+    first_s, last_s = own[0][1].at_s - MOMENT_S, own[-1][1].at_s + MOMENT_S
     if not is_held:
-        misses = moments.index(own[-1]) - moments.index(own[0]) + 1 - len(own)
-        bits -= misses * MISS_BITS
+        between = sum(first_s <= end.at_s <= last_s for _, end in ends)
+        bits -= MISS_BITS * (between - len(own))
     if bits < EVIDENCE_MIN_BITS:
         return NO_EVIDENCE
     if bits < EVIDENCE_ALONE_BITS and not is_held:
-        last_s = own[-1].at_s
-        recent_count = sum(
-            last_s - RECENT_S <= moment.at_s <= last_s for moment in moments
-        )
-        if 2 * len(own) <= recent_count:
+        recent = sum(last_s - RECENT_S <= end.at_s <= last_s for _, end in ends)
+        if 2 * len(own) <= recent:
             return NO_EVIDENCE
     return len(own), bits
 
 
-def _count_bits(crashes, names, moments):
+def _count_bits(crashes, ends):
     """Return the evidence in bits, 0 if the crashes are under too few requests.
 
-    :param moments: the `_Moment` objects in which any of the runs `names` ended.
+    :param crashes: the crashes of a part by run.
+    :param ends: pairs of the name of a run that it was present at and its `Run`.
     """
     seen, bits = set(), 0.0
-    for moment in moments:
-        requests = set().union(
-            *(crashes[name].requests for name in names & moment.names)
-        )
+    for name, end in ends:
+        requests = crashes[name].requests
         if requests <= seen:
             bits += REPEAT_BITS
         else:
-            ratio = REQUESTS_PER_PART / moment.request_count
-            bits += max(MOMENT_MIN_BITS, math.log2(ratio))
+            bits += max(CRASH_MIN_BITS, math.log2(REQUESTS_PER_PART / end.count))
         seen |= requests
     return bits if len(seen) >= REQUESTS_MIN else 0.0
-
-
-@dataclass
-class _Moment:
-    at_s: float
-    names: set = field(default_factory=set)
-    request_count: int = 0
-
-
-def _find_moments(runs):
-    """Return the `_Moment` objects of `Run` objects by name, in order of time."""
-    moments = []
-    for name, run in sorted(runs.items(), key=lambda item: item[1].at_s):
-        if not moments or run.at_s - moments[-1].at_s > MOMENT_S:
-            moments.append(_Moment(run.at_s))
-        moments[-1].names.add(name)
-        moments[-1].request_count += run.count
-    return moments
--- a/tests/test_relay_crash_evidence.py
+++ b/tests/test_relay_crash_evidence.py
@@ -98,6 +98,17 @@
     assert not culprits(evidence)
 
 
+def test_engines_that_end_nearly_together_under_different_requests_count_each():
+    clock, evidence, _ = new_evidence()
+    crash(clock, evidence, "run0", ("aa", "bad", "r0"))
+    evidence.record_begin(("aa",))
+    clock.advance(0.4)
+    crash(clock, evidence, "run1", ("bad", "r1"), ("bb", "r2"))
+    clock.advance(MOMENT_S / 2)
+    crash(clock, evidence, "run2", ("bad", "r3"), ("cc", "r4"))
+    assert culprits(evidence) == {"bad"}
+
+
 def test_crashes_that_a_part_explains_do_not_count_against_others():
     clock, evidence, _ = new_evidence()
     crash_apart(clock, evidence, 4, "bad")
