Treat the end of an engine that said it was leaving as planned

An engine that had stated in an answer that it is leaving, and that the list doesn't show as draining yet, counted as crashed under its requests when it ended. The test with this way of leaving failed before, and passes with the statement in the check.

--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -96,7 +96,7 @@
 
 def _is_leaving(target):
     """Return whether `target` is about to end as planned."""
-    return target.instance.draining or target.remove_at_s is not None
+    return target.instance.draining or target.leaving or target.remove_at_s is not None
 
 
 def _describe_run(target):
