Let entries that may excuse a crash wait clearly different times in the test

Each waits for a random part of 0.03 s, so two waits can end in the same turn of the event loop; both then send, which costs a datagram and is harmless. With equal waits all four send in each run, which is the same symptom.

The test was wrong to leave the waits to chance. They are now 0, 0.2, 0.4 and 0.6 s, and exactly one entry may send, as before.

--- a/tests/test_distribution_crashes.py
+++ b/tests/test_distribution_crashes.py
@@ -1,13 +1,12 @@
 """Reports of crashes between entries: their size, and how excuses spread."""
 
+import itertools
+
 import gevent
 import pytest
 
-from briarbeam.distribution.crash_reporter import (
-    CRASHES_PER_SYNC,
-    EXCUSE_DELAY_MAX_S,
-    CrashReporter,
-)
+from briarbeam.distribution import crash_reporter
+from briarbeam.distribution.crash_reporter import CRASHES_PER_SYNC, CrashReporter
 from briarbeam.distribution.errors import MalformedDatagramError
 from briarbeam.distribution.messages import (
     CRASHES_PER_DATAGRAM,
@@ -99,13 +98,16 @@
         decode(data)
 
 
-def test_crash_is_reported_to_all_and_excused_by_one():
+def test_crash_is_reported_to_all_and_excused_by_one(monkeypatch):
+    # Two entries that wait equally long both send, so the waits differ clearly.
+    delays_s = itertools.count(0.0, 0.2)
+    monkeypatch.setattr(crash_reporter.random, "uniform", lambda *_: next(delays_s))
     group = Group()
     for host in HOSTS[1:]:
         group.evidence[host].record_begin(("aa",))
     now_s = group.clock.boottime_s()
     group.evidence[HOSTS[0]].record_crash(("aa", "bad"), "r1", "run1", now_s)
-    gevent.sleep(EXCUSE_DELAY_MAX_S + 0.05)
+    gevent.sleep(0.2 * len(HOSTS) + 0.05)
     assert group.unexcused() == [{"bad"}] * len(HOSTS)
     reports_before = len(HOSTS) - 1
     excusing = {sender for sender, _ in group.sent[reports_before:]} - {HOSTS[0]}
