Log how an instance's answer was delimited and how its connection ended

The line of a request now has answer_framing, connection_end, answer_events and answer_left_bytes of its last answer. Successes that nothing but the end of the connection marks as complete get 25 lines a second of their own, and briarbeam_unmarked_answers counts them by how the connection ended. No decision is changed: ReplyHead.framing replaces UpstreamCall.is_framed.

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -2,16 +2,40 @@
 
 import math
 import time
+from dataclasses import dataclass
 
 from gevent import select
+from prometheus_client import Counter
 
 from .errors import AnswerTooLargeError, UpstreamError
 from .events import EventSplitter
-from .upstream_call import UpstreamSilentError
+from .upstream_call import Framing, UpstreamSilentError
 
 # Limit on an answer that is no event stream, which is buffered until it is complete.
 BODY_MAX_BYTES = 8 * 1024 * 1024
 
+_UNMARKED = Counter(
+    "briarbeam_unmarked_answers",
+    "Answers of instances with neither a length nor chunks",
+    ["connection_end"],
+)
+
+
+@dataclass(frozen=True)
+class AnswerEnd:
+    """How far an instance's answer came.
+
+    :param framing: the `Framing` of its body.
+    :param connection_end: how the instance ended the connection, or None.
+    :param event_count: the number of complete events.
+    :param left_bytes: the number of bytes after the last event.
+    """
+
+    framing: Framing
+    connection_end: str | None
+    event_count: int
+    left_bytes: int
+
 
 class Attempt:
     """One send of a request to a target, and the progress of the target's answer.
@@ -62,9 +86,22 @@
             raise UpstreamError(
                 f"stream ended inside an event, after {len(partial)} bytes of it"
             )
-        if not (self.has_events or self.call.is_framed):
+        is_marked = self.head.framing is not Framing.CONNECTION
+        if not (self.has_events or is_marked):
             raise UpstreamError("stream without a length ended before its first event")
 
+    def describe_end(self):
+        """Return the `AnswerEnd`, or None if no head has arrived."""
+        head, call = self.call.head, self.call
+        if head is None:
+            return None
+        return AnswerEnd(
+            head.framing,
+            call.connection_end,
+            self.splitter.count,
+            len(self.splitter.remainder),
+        )
+
     def close(self):
         """Close the connection, which cancels the request at the target."""
         self.call.close()
@@ -158,4 +195,9 @@
     def _end(self, attempt, outcome):
         self._attempts.remove(attempt)
         attempt.close()
+        end = attempt.describe_end()
+        if end is not None:
+            self._job.answer_end = end
+            if end.framing is Framing.CONNECTION:
+                _UNMARKED.labels(end.connection_end or "cancelled").inc()
         self._job.record_attempt(attempt.target, outcome, attempt.started_s)
--- a/briarbeam/relay/events.py
+++ b/briarbeam/relay/events.py
@@ -12,11 +12,12 @@
 
 
 class EventSplitter:
-    """Splits bytes into complete events and remembers the last id in them."""
+    """Splits bytes into complete events, and remembers their count and the last id."""
 
     def __init__(self):
         self._remainder = bytearray()
         self.last_id = None
+        self.count = 0
 
     def feed(self, data):
         """Return the bytes of all events that `data` completes.
@@ -28,6 +29,7 @@
         end = 0
         for match in _END.finditer(self._remainder, searched):
             end = match.end()
+            self.count += 1
         if not end and len(self._remainder) > EVENT_MAX_BYTES:
             raise AnswerTooLargeError(f"event is larger than {EVENT_MAX_BYTES} bytes")
         complete = bytes(self._remainder[:end])
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -31,6 +31,7 @@
         run the request.
     :param attempts: for each attempt that has ended, the id of its target, how it ended
         and how long it took in seconds.
+    :param answer_end: the `AnswerEnd` of the last attempt that was answered, or None.
     :param not_sent_cause: why it was last not sent again, or None.
     :param begun: whether an engine began to answer it.
     :param ended_engine: whether an engine ended that had not begun to answer it.
@@ -62,6 +63,7 @@
     sends: int = 0
     refusals: int = 0
     attempts: list = field(default_factory=list)
+    answer_end: object = None
     not_sent_cause: str | None = None
     begun: bool = False
     ended_engine: bool = False
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -1,6 +1,7 @@
 """Sends one request to one instance over a separate connection."""
 
 import contextlib
+import enum
 import time
 from dataclasses import dataclass
 
@@ -44,15 +45,26 @@
     code = "upstream_silent"
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of an answer."""
+
+    NO_BODY = "no_body"
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 @dataclass
 class ReplyHead:
     """The status and the headers of an answer.
 
     :param headers: pairs of lower-case name and value.
+    :param framing: the `Framing` of the body.
     """
 
     status: int
     headers: list
+    framing: Framing = Framing.LENGTH
 
     def is_event_stream(self):
         """Return whether the body is a stream of server-sent events."""
@@ -80,7 +92,7 @@
         self._parts = []
         self._framing_bytes = 0
         self._read_yielder = ReadYielder()
-        self._framed = False
+        self._connection_end = None
         self._ended = False
         self.sent = False
         self.aborted = False
@@ -144,9 +156,9 @@
             self._sock.shutdown(socket.SHUT_RDWR)
 
     @property
-    def is_framed(self):
-        """Whether a length or chunks mark the end of the answer."""
-        return self._framed
+    def connection_end(self):
+        """How the instance ended the connection, ``"closed"``, ``"reset"`` or None."""
+        return self._connection_end
 
     @property
     def is_sent(self):
@@ -194,10 +206,12 @@
                 f"{self._address} sent nothing more before the deadline"
             ) from None
         except OSError as error:
+            self._connection_end = "reset"
             raise UpstreamBrokenError(
                 f"reading from {self._address} failed: {error!r}"
             ) from error
         if not data:
+            self._connection_end = "closed"
             self._on_end()
             return
         self._feed(data)
@@ -231,7 +245,7 @@
         :raises UpstreamBrokenError: if that does not complete the answer. It completes
             only a body that has neither a length nor chunks.
         """
-        if self._head is not None and not self._framed:
+        if self._head is not None and self._head.framing is Framing.CONNECTION:
             self._ended = True
         else:
             raise UpstreamBrokenError(
@@ -266,13 +280,15 @@
         self._interim = status < 200
         if self._interim or self._ended:
             return
+        self._head = ReplyHead(status, self._headers, self._find_framing(status))
+
+    def _find_framing(self, status):
         names = {name for name, _ in self._headers}
-        self._framed = (
-            bool(names & {b"content-length", b"transfer-encoding"})
-            or status in (204, 304)
-            or self._head_only
-        )
-        self._head = ReplyHead(status, self._headers)
+        if status in (204, 304) or self._head_only:
+            return Framing.NO_BODY
+        if b"transfer-encoding" in names:
+            return Framing.CHUNKS
+        return Framing.LENGTH if b"content-length" in names else Framing.CONNECTION
 
     def on_body(self, data):
         if not self._ended:
--- a/briarbeam/telemetry/request_log.py
+++ b/briarbeam/telemetry/request_log.py
@@ -18,6 +18,7 @@
 
 from ..kernel.errors import Ran
 from ..relay.errors import CallerDisconnectedError
+from ..relay.upstream_call import Framing
 
 BUFFER_MAX_LINES = 2000
 # Limits on lines per second. Failures, which include refusals, get five times as many
@@ -27,6 +28,8 @@
 MALFORMED_PER_S = 5
 # Answers that were cut are rare and each is a fault, or a failure of targets.
 CUT_PER_S = 25
+# Successful answers that only the end of their connection marks as complete.
+UNMARKED_PER_S = 25
 _WRITE_MAX_BYTES = 32768
 
 _DROPPED = Counter("briarbeam_log_lines_dropped", "Log lines left out", ["reason"])
@@ -197,7 +200,13 @@
         _ANSWERS.labels(route_kind, outcome).inc()
         elapsed_s = time.monotonic() - request.read_at_s
         _LATENCY.labels(route_kind).observe(elapsed_s)
-        if not self._allow_line("cut" if cut else error is None):
+        end = job.answer_end if job is not None else None
+        is_unmarked = end is not None and end.framing is Framing.CONNECTION
+        if cut:
+            kind = "cut"
+        else:
+            kind = "unmarked" if error is None and is_unmarked else error is None
+        if not self._allow_line(kind):
             self._omitted_count += 1
             _DROPPED.labels("rate").inc()
             return
@@ -226,6 +235,13 @@
                     target_version=job.target_version,
                     superseded_in_s=_round(job.superseded_left_s),
                 )
+        if end is not None:
+            fields.update(
+                answer_framing=str(end.framing),
+                connection_end=end.connection_end,
+                answer_events=end.event_count,
+                answer_left_bytes=end.left_bytes,
+            )
         age_s = self._state_age_s()
         self._log.info(
             "request",
@@ -244,8 +260,8 @@
     def _allow_line(self, kind):
         """Return whether the rate limit allows another line of this kind.
 
-        :param kind: True for a success, False for a failure, ``"cut"`` or
-            ``"malformed"``.
+        :param kind: True for a success, False for a failure, ``"cut"``,
+            ``"unmarked"`` or ``"malformed"``.
         """
         second = int(time.monotonic())
         if second != self._current_second:
@@ -254,6 +270,7 @@
                 True: SUCCESSES_PER_S,
                 False: FAILURES_PER_S,
                 "cut": CUT_PER_S,
+                "unmarked": UNMARKED_PER_S,
                 "malformed": MALFORMED_PER_S,
             }
         left = self._lines_left.get(kind, 0)
