--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -1,17 +1,29 @@
 """Answers of instances with neither a length nor chunks, which end with the connection."""
 
+import time
+
 import gevent
 import pytest
 from structlog.testing import capture_logs
 
+from briarbeam.catalog import CallerLimits
+from briarbeam.relay.errors import UpstreamError
+from briarbeam.relay.limits import RetryBudget
+from briarbeam.relay.upstream_call import UpstreamCall
+
 from .relay_fakes import (
     END,
+    NON_IDEMPOTENT,
+    NOT_RUN,
     RESUMABLE_STREAM,
     SEAL,
     Entry,
     FakeInstance,
     event,
+    never_answer,
+    ok,
     reply,
+    request_bytes,
     reset,
     stream_head,
 )
@@ -57,3 +69,207 @@
     (line,) = [line for line in lines if line["event"] == "request"]
     names = "answer_framing", "connection_end", "answer_events", "answer_left_bytes"
     assert tuple(line[name] for name in names) == fields
+
+
+LONG_BODY = b"x" * 2**22
+
+
+def reset_while_reading(data):
+    """Return a script that answers early, reads on for a while and then resets."""
+
+    def script(instance, sock, request):
+        sock.sendall(data)
+        gevent.sleep(0.3)
+        reset(sock)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "route", [NON_IDEMPOTENT, PLAIN_STREAM], ids=["whole", "stream"]
+)
+def test_reset_during_a_long_request_is_no_end_of_its_answer(route):
+    """The task that sent the request got the error, so a read saw an orderly end."""
+    head, body = (WHOLE_HEAD, b"part") if route is NON_IDEMPOTENT else (
+        STREAM_HEAD, text(1))  # fmt: skip
+    entry = Entry({"i1": FakeInstance(reset_while_reading(head + body))}, **route)
+    entry.limits = CallerLimits(max_body_bytes=2**23)
+    sock = entry.connect()
+    sock.sendall(request_bytes(method=b"POST", body=LONG_BODY))
+    data = b""
+    was_reset = False
+    try:
+        with gevent.Timeout(5.0):
+            while part := sock.recv(65536):
+                data += part
+    except ConnectionResetError:
+        was_reset = True
+    assert was_reset or data.startswith(b"HTTP/1.1 502")
+
+
+def test_aborted_call_is_no_end_of_its_answer():
+    """An orderly end was read after the shutdown of the own connection."""
+    engine = FakeInstance(lambda instance, sock, request: (
+        sock.sendall(WHOLE_HEAD + b"part"), gevent.sleep(1.0)))  # fmt: skip
+    call = UpstreamCall(engine.address)
+    call.connect()
+    call.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    while not call.take_part():
+        call.receive(time.monotonic() + 1.0)
+    call.abort()
+    with pytest.raises(UpstreamError):
+        call.receive(time.monotonic() + 1.0)
+    assert not call.is_complete
+    call.close()
+
+
+def ask(entry, **request):
+    """Return the head and the body that a caller gets, and whether it got a reset."""
+    sock = entry.connect()
+    sock.sendall(request_bytes(**request))
+    data, was_reset = b"", False
+    try:
+        with gevent.Timeout(5.0):
+            while part := sock.recv(65536):
+                data += part
+    except ConnectionResetError:
+        was_reset = True
+    head, _, body = data.partition(b"\r\n\r\n")
+    return head.lower(), body, was_reset
+
+
+def then_end(data):
+    """Return a script that sends `data`, after which the process ends in order."""
+
+    def script(instance, sock, request):
+        instance._server.close()
+        sock.sendall(data)
+
+    return script
+
+
+def assert_no_end_mark(head):
+    assert b"content-length" not in head
+    assert b"transfer-encoding" not in head
+    assert b"connection: close" in head
+
+
+@pytest.mark.parametrize(
+    "kept", [b"", b"connection: keep-alive\r\n"], ids=["plain", "kept"]
+)
+def test_whole_answer_without_an_end_mark_gets_none_on_its_way(kept):
+    """A length was stated that the instance had not stated."""
+    data = WHOLE_HEAD[:-2] + kept + b"\r\nunmarked"
+    entry = Entry({"i1": FakeInstance(reply(data))}, **NON_IDEMPOTENT)
+    head, body, was_reset = ask(entry, method=b"POST")
+    assert_no_end_mark(head)
+    assert (body, was_reset) == (b"unmarked", False)
+
+
+def test_stream_without_an_end_mark_gets_none_on_its_way():
+    """Its caller was sent a last chunk."""
+    data = STREAM_HEAD + text(1) + text(2)
+    entry = Entry({"i1": FakeInstance(reply(data))}, **PLAIN_STREAM)
+    head, body, was_reset = ask(entry, method=b"POST")
+    assert_no_end_mark(head)
+    assert (body, was_reset) == (text(1) + text(2), False)
+
+
+def test_stream_without_an_end_mark_that_is_reset_is_reset_for_its_caller():
+    entry = Entry(
+        {"i1": FakeInstance(then_reset(STREAM_HEAD + text(1)))}, **PLAIN_STREAM
+    )
+    _, body, was_reset = ask(entry, method=b"POST")
+    assert (body, was_reset) == (text(1), True)
+
+
+def test_whole_answer_whose_instance_ended_is_not_complete():
+    """A process that ends closes its connections in order."""
+    script = then_end(WHOLE_HEAD + b"part")
+    entry = Entry({"i1": FakeInstance(script)}, **NON_IDEMPOTENT)
+    head, _, _ = ask(entry, method=b"POST")
+    assert head.split()[1] == b"502"
+    entry = Entry({"i1": FakeInstance(script), "i2": FakeInstance(reply(ok()))})
+    entry.fleet.get("i2").outstanding = 12
+    assert ask(entry)[1] == b"done"
+
+
+def test_stream_whose_instance_ended_between_events_is_not_complete():
+    entry = Entry({"i1": FakeInstance(then_end(STREAM_HEAD + text(1)))}, **PLAIN_STREAM)
+    _, body, was_reset = ask(entry, method=b"POST")
+    assert (body, was_reset) == (text(1), True)
+
+
+def ask_in_turn(*scripts, **route):
+    """Return what a caller gets of a resumable stream, and the instances in order."""
+    fakes = {f"i{n}": FakeInstance(script) for n, script in enumerate(scripts)}
+    entry = Entry(fakes, **(RESUMABLE_STREAM | {"max_attempts": len(fakes)} | route))
+    for number, name in enumerate(fakes):
+        entry.fleet.get(name).outstanding = 4 * number
+    return ask(entry, method=b"POST"), list(fakes.values())
+
+
+def test_stream_without_an_end_mark_gets_its_rest_from_another_instance():
+    """A stream that was broken off between events looked complete."""
+    (head, body, was_reset), fakes = ask_in_turn(
+        reply(STREAM_HEAD + text(1)), reply(stream_head() + event(2) + END)
+    )
+    assert_no_end_mark(head)
+    assert (body, was_reset) == (text(1) + text(2), False)
+    assert fakes[1].header(b"last-event-id") == b"1"
+
+
+def test_stream_without_an_end_mark_ends_once_another_instance_has_no_more():
+    (_, body, was_reset), fakes = ask_in_turn(
+        reply(STREAM_HEAD + text(1) + text(2)), reply(stream_head() + END), never_answer
+    )
+    assert (body, was_reset) == (text(1) + text(2), False)
+    assert fakes[1].header(b"last-event-id") == b"2"
+    assert not fakes[2].requests
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        reply(NOT_RUN),
+        reply(b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"),
+        reply(STREAM_HEAD),
+        lambda instance, sock, request: reset(sock),
+        never_answer,
+    ],
+    ids=["refused", "failed", "unmarked", "reset", "silent"],
+)
+def test_stream_without_an_end_mark_ends_without_one_if_nobody_knows_more(script):
+    with gevent.Timeout(2.0):
+        (_, body, was_reset), fakes = ask_in_turn(reply(STREAM_HEAD + text(1)), script)
+    assert (body, was_reset) == (text(1), False)
+    assert len(fakes[1].requests) == 1
+
+
+def test_rest_of_a_stream_that_breaks_is_no_end():
+    (_, body, was_reset), _ = ask_in_turn(
+        reply(STREAM_HEAD + text(1)), reply(stream_head() + event(2))
+    )
+    assert (body, was_reset) == (text(1) + text(2), True)
+
+
+@pytest.mark.parametrize("knows_end", [True, False])
+def test_rest_without_an_end_mark_is_no_end_of_a_chunked_stream(knows_end):
+    """The caller was told that a last chunk would mark the end."""
+    scripts = [reply(stream_head() + event(1)), reply(STREAM_HEAD + text(2))]
+    if knows_end:
+        scripts.append(reply(stream_head() + END))
+    (_, body, was_reset), fakes = ask_in_turn(*scripts)
+    assert body == event(1) + event(2) + (END if knows_end else b"")
+    assert was_reset != knows_end
+    assert all(len(fake.requests) == 1 for fake in fakes)
+
+
+def test_end_of_a_stream_is_not_asked_for_without_a_retry_budget():
+    fakes = {"i1": FakeInstance(reply(STREAM_HEAD + text(1))), "i2": FakeInstance(
+        reply(stream_head() + event(2) + END))}  # fmt: skip
+    entry = Entry(fakes, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    entry.budget = entry.delivery._budget = RetryBudget(0.0, 0, 10.0)
+    assert ask(entry, method=b"POST")[1:] == (text(1), False)
+    assert not fakes["i2"].requests
