Read a connection's error as one, whichever call got it

Cause: the kernel reports an error of a connection once. The task that sends a long request got it and dropped it, as if the task that reads would get it too; that one then read an orderly end. Likewise a connection that the kernel timed out raises TimeoutError, which counted as silence, and the next read saw an orderly end.

Why this works: the error of the sending task is kept and raised where the end would be read. A broken pipe is left out: the kernel reports it if the instance's orderly end came first.

--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -86,6 +86,7 @@
         self._head_only = head_only
         self._sock = None
         self._send_task = None
+        self._send_error = None
         self._parser = httptools.HttpResponseParser(self)
         self._head = None
         self._interim = False
@@ -201,16 +202,15 @@
         self._sock.settimeout(max(0.0, until_s - time.monotonic()))
         try:
             data = self._sock.recv(READ_BLOCK_BYTES)
-        except (TimeoutError, BlockingIOError):
-            raise UpstreamSilentError(
-                f"{self._address} sent nothing more before the deadline"
-            ) from None
         except OSError as error:
-            self._connection_end = "reset"
-            raise UpstreamBrokenError(
-                f"reading from {self._address} failed: {error!r}"
-            ) from error
+            if _means_not_ready(error):
+                raise UpstreamSilentError(
+                    f"{self._address} sent nothing more before the deadline"
+                ) from None
+            raise self._broken_error("reading from", error) from error
         if not data:
+            if self._send_error is not None:
+                raise self._broken_error("sending to", self._send_error)
             self._connection_end = "closed"
             self._on_end()
             return
@@ -259,12 +259,22 @@
                 # The time limit of the socket is the one of the task that reads, so
                 # `send` must not wait.
                 socket.wait_write(self._sock.fileno())
-                with contextlib.suppress(TimeoutError, BlockingIOError):
+                try:
                     left = left[self._sock.send(left) :]
-        except OSError:
-            # The task that reads gets the same error, or an answer that arrived before
-            # it.
+                except OSError as error:
+                    if not _means_not_ready(error):
+                        raise
+        except BrokenPipeError:
+            # The instance closed the connection in order before it reset it.
             return
+        except OSError as error:
+            # The kernel reports an error of a connection once. After this, the task
+            # that reads gets what arrived before, and then an orderly end.
+            self._send_error = error
+
+    def _broken_error(self, action, error):
+        self._connection_end = "reset"
+        return UpstreamBrokenError(f"{action} {self._address} failed: {error!r}")
 
     # The following methods are called by the parser.
 
@@ -297,3 +307,13 @@
     def on_message_complete(self):
         if not self._interim and self._head is not None:
             self._ended = True
+
+
+def _means_not_ready(error):
+    """Return whether an `OSError` means that a socket operation had to wait too long.
+
+    A connection that the kernel has timed out raises `TimeoutError` with an ``errno``.
+    """
+    return isinstance(error, BlockingIOError) or (
+        isinstance(error, TimeoutError) and error.errno is None
+    )
--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -1,5 +1,6 @@
 """Answers of instances with neither a length nor chunks, which end with the connection."""
 
+import errno
 import time
 
 import gevent
@@ -7,7 +8,7 @@
 from structlog.testing import capture_logs
 
 from briarbeam.catalog import CallerLimits
-from briarbeam.relay.errors import UpstreamError
+from briarbeam.relay.errors import UpstreamBrokenError, UpstreamError
 from briarbeam.relay.limits import RetryBudget
 from briarbeam.relay.upstream_call import UpstreamCall
 
@@ -273,3 +274,47 @@
     entry.budget = entry.delivery._budget = RetryBudget(0.0, 0, 10.0)
     assert ask(entry, method=b"POST")[1:] == (text(1), False)
     assert not fakes["i2"].requests
+
+
+def test_connection_that_the_kernel_timed_out_is_broken():
+    """It counted as silence, and the next read saw an orderly end."""
+    engine = FakeInstance(reply(WHOLE_HEAD + b"part"))
+    call = UpstreamCall(engine.address)
+    call.connect()
+    call.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    call.receive(time.monotonic() + 1.0)
+    plain = call._sock
+
+    class TimedOutSocket:
+        settimeout = plain.settimeout
+
+        def recv(self, size_bytes):
+            raise TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+
+    call._sock = TimedOutSocket()
+    with pytest.raises(UpstreamBrokenError):
+        call.receive(time.monotonic() + 1.0)
+    plain.close()
+
+
+def test_early_answer_that_ends_in_order_before_a_long_request_is_complete():
+    """The instance resets the connection only because of what arrives later."""
+
+    def script(instance, sock, request):
+        sock.settimeout(0.1)
+        try:
+            while True:
+                sock.recv(2**20)
+        except TimeoutError:
+            sock.sendall(WHOLE_HEAD + b"early")
+
+    engine = FakeInstance(script)
+    call = UpstreamCall(engine.address)
+    call.connect()
+    call.send(b"POST / HTTP/1.1\r\n\r\n", b"")
+    call._send_task = gevent.spawn_later(0.3, call._send_in_background, LONG_BODY)
+    gevent.sleep(0.5)
+    while not call.is_complete:
+        call.receive(time.monotonic() + 1.0)
+    assert call.take_part() == b"early"
+    call.close()
