Don't read the own abort of a call as the end of its answer

Cause: abort shuts the connection down, so the next read returns the end of the data as after an orderly close. An answer with neither a length nor chunks counted as complete then; with prompts that are quarantined while an error without a length arrives, callers could get a part of it.

test_aborted_call_is_no_end_of_its_answer failed before (no error, the call was complete) and passes now.

--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -209,6 +209,8 @@
                 ) from None
             raise self._broken_error("reading from", error) from error
         if not data:
+            if self.aborted:
+                raise UpstreamBrokenError(f"call to {self._address} was aborted")
             if self._send_error is not None:
                 raise self._broken_error("sending to", self._send_error)
             self._connection_end = "closed"
