Pass an answer without a mark of its end on without one

What callers saw: an answer of an instance with neither a length nor chunks reached them with a length or a last chunk, which states that it is complete.

Cause: CallerStream and Delivery translated the framing of an answer into a stronger one than they had received.

Now the caller's answer has no mark either and ends with its connection, in order if the instance's did, else with a reset. Before the connection is closed, what the caller still sends is read, as after a refusal, so that unread bytes do not turn the end into a reset.

Tests: test_whole_answer_without_an_end_mark_gets_none_on_its_way and test_stream_without_an_end_mark_gets_none_on_its_way failed before and pass.

--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -1,6 +1,7 @@
 """Combines the event streams of several targets into one stream to a caller."""
 
 from ..platform import headers as wire
+from .upstream_call import Framing
 
 
 class CallerStream:
@@ -9,7 +10,8 @@
     :param writer: the `AnswerWriter`.
 
     `begun` is whether the caller has received a part of it, and `last_id` the last id
-    of an event that was sent to the caller, or None.
+    of an event that was sent to the caller, or None. Its end is marked if the first
+    target marks that of its own stream.
     """
 
     def __init__(self, writer):
@@ -36,7 +38,8 @@
             return
         self.begun = True
         headers = wire.returned_headers(head.headers)
-        self._writer.begin_stream(head.status, headers, events)
+        marks_end = head.framing is not Framing.CONNECTION
+        self._writer.begin_stream(head.status, headers, events, marks_end)
 
     def finish(self, head, remainder):
         """End the stream as complete, with any line ends after the last event.
--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -235,7 +235,9 @@
         after the answer, even if the caller would keep it open.
 
     `begun` is whether bytes of the answer were written, `complete` whether all were,
-    and `keep_alive` whether the connection stays open, as the written head states.
+    `keep_alive` whether the connection stays open, as the written head states, and
+    `ends_with_connection` whether only the end of the connection marks that of the
+    answer.
     """
 
     def __init__(self, sock, request, closing):
@@ -243,39 +245,56 @@
         self._request = request
         self._closing = closing
         self._chunked = False
+        self.ends_with_connection = False
         self.begun = False
         self.complete = False
         self.keep_alive = False
 
-    def write(self, status, headers, body):
+    def write(self, status, headers, body, marks_end=True):
         """Write a complete answer.
 
+        :param marks_end: whether to state its length.
         :raises CallerDisconnectedError: if the caller has disconnected or accepts no
             bytes.
         """
         has_body = self._request.method != b"HEAD" and status not in (204, 304)
-        length = [(b"content-length", b"%d" % len(body))] if status != 204 else []
+        self.ends_with_connection = has_body and not marks_end
+        has_length = status != 204 and not self.ends_with_connection
+        length = [(b"content-length", b"%d" % len(body))] if has_length else []
         head = self._head(status, list(headers) + length)
         self._send(head + body if has_body else head)
         self.complete = True
 
-    def begin_stream(self, status, headers, first):
-        """Write the head and the first bytes of an answer of unknown length."""
-        self._chunked = True
-        coding = [(b"transfer-encoding", b"chunked")]
-        self._send(self._head(status, list(headers) + coding) + _chunk(first))
+    def begin_stream(self, status, headers, first, marks_end=True):
+        """Write the head and the first bytes of an answer of unknown length.
+
+        :param marks_end: whether to send it in chunks, so that the last one marks its
+            end.
+        """
+        self._chunked = marks_end
+        self.ends_with_connection = not marks_end
+        coding = [(b"transfer-encoding", b"chunked")] if marks_end else []
+        self._send(self._head(status, list(headers) + coding) + self._encode(first))
 
     def write_part(self, data):
         """Write more bytes of an answer that was started with `begin_stream`."""
-        self._send(_chunk(data))
+        self._send(self._encode(data))
 
     def end_stream(self):
-        """Write the end marker that completes the answer."""
-        self._send(b"0\r\n\r\n")
+        """Complete the answer, with an end marker unless the connection's end is one."""
+        if self._chunked:
+            self._send(b"0\r\n\r\n")
         self.complete = True
 
+    def _encode(self, data):
+        return _chunk(data) if self._chunked else data
+
     def _head(self, status, headers):
-        self.keep_alive = self._request.keep_alive and not self._closing()
+        self.keep_alive = (
+            self._request.keep_alive
+            and not self._closing()
+            and not self.ends_with_connection
+        )
         if not self.keep_alive:
             headers.append((b"connection", b"close"))
         lines = [b"HTTP/1.1 %d %b" % (status, _reason(status))]
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -16,6 +16,7 @@
 from .retry_hint import RetryHint
 from .upstream_call import (
     ConnectFailedError,
+    Framing,
     TargetIneligibleError,
     UpstreamCall,
     UpstreamSilentError,
@@ -419,7 +420,10 @@
             return False
         attempts.keep_only(attempt)
         head = attempt.head
-        writer.write(head.status, wire.returned_headers(head.headers), body)
+        headers = wire.returned_headers(head.headers)
+        # A length that the target did not state is not known to be right.
+        marks_end = head.framing is not Framing.CONNECTION
+        writer.write(head.status, headers, body, marks_end)
         attempts.complete(attempt)
         return True
 
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -26,8 +26,8 @@
 # Part of the grace period that is reserved for the process to exit by itself.
 EXIT_MARGIN_S = 0.6
 LISTEN_BACKLOG = 1024
-# How long the rest of a refused request is read before its connection is closed.
-REFUSAL_LINGER_S = 1.0
+# How long the rest of what a caller sends is read before its connection is closed.
+LINGER_S = 1.0
 
 _CONNECTIONS = Gauge("briarbeam_caller_connections", "Open connections of callers")
 _FAILED_CONNECTIONS = Counter(
@@ -125,6 +125,8 @@
             else:
                 self._dispatcher.answer(request, writer, sock, reader)
             if not writer.keep_alive:
+                if writer.ends_with_connection:
+                    _close_in_order(sock)
                 return
 
     def _read(self, sock, reader):
@@ -174,11 +176,21 @@
     head = b"HTTP/1.1 %d Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     try:
         sock.sendall(head % error.status)
-        # Closing a socket with unread bytes resets the connection, so that a caller
-        # that still sends its request would not see the refusal.
+    except OSError:
+        return
+    _close_in_order(sock)
+
+
+def _close_in_order(sock):
+    """Tell the caller that nothing follows, and read what it still sends.
+
+    Closing a socket with unread bytes resets the connection, so that a caller that
+    still sends would not see the answer.
+    """
+    try:
         sock.shutdown(socket.SHUT_WR)
         read_yielder = ReadYielder()
-        with gevent.Timeout(REFUSAL_LINGER_S, False):
+        with gevent.Timeout(LINGER_S, False):
             while data := sock.recv(READ_BLOCK_BYTES):
                 read_yielder.count_read(len(data))
     except OSError:
