Don't take the last bytes of an instance that ended for a complete answer

Cause: the kernel closes the connections of a process that ends in order, so the end of a connection alone does not tell a crash.

The check that finds crashes before an answer begins now follows such an answer too: if a new connection is refused at once, the answer broke off. It costs one round trip, and only for these answers. A target that is leaving is left out, as it may stop to listen first.

--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -7,10 +7,12 @@
 from ..platform import headers as wire
 from .attempt import Attempt, OpenAttempts
 from .caller_stream import CallerStream
+from .engine_crashes import has_ended
 from .errors import (
     DeadlineError,
     NoCapacityError,
     NotStartedError,
+    UpstreamBrokenError,
     UpstreamError,
 )
 from .retry_hint import RetryHint
@@ -418,6 +420,7 @@
         body = attempt.read_body()
         if body is None:
             return False
+        _check_unmarked_end(attempt)
         attempts.keep_only(attempt)
         head = attempt.head
         headers = wire.returned_headers(head.headers)
@@ -440,6 +443,7 @@
         if not attempt.call.is_complete:
             return False
         attempt.check_stream_end()
+        _check_unmarked_end(attempt)
         attempts.keep_only(attempt)
         stream.finish(attempt.head, attempt.splitter.remainder)
         attempts.complete(attempt)
@@ -464,5 +468,17 @@
         )
 
 
+def _check_unmarked_end(attempt):
+    """Check that an answer that ended with its connection did not end with its target.
+
+    The connections of a process that ends are closed in order.
+
+    :raises UpstreamBrokenError: if it did.
+    """
+    is_unmarked = attempt.head.framing is Framing.CONNECTION
+    if is_unmarked and has_ended(attempt.target):
+        raise UpstreamBrokenError(f"{attempt.target.id} ended with its connection")
+
+
 class _RefusedError(Exception):
     """Raised when a target states that it did not run the request."""
--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -2,6 +2,7 @@
 
 import errno
 import time
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -332,3 +333,15 @@
         call.receive(time.monotonic() + 1.0)
     assert call.take_part() == b"early"
     call.close()
+
+
+def test_last_answer_of_an_instance_that_leaves_is_complete():
+    """It stops to listen before it has answered everything."""
+
+    def script(instance, sock, request):
+        target = entry.fleet.get("i1")
+        target.instance = replace(target.instance, draining=True)
+        then_end(WHOLE_HEAD + b"last")(instance, sock, request)
+
+    entry = Entry({"i1": FakeInstance(script)}, **NON_IDEMPOTENT)
+    assert ask(entry, method=b"POST")[1:] == (b"last", False)
