Log which requests at an engine that ended are repetitions of one

A line named the ids of the requests that were at the engine, and a caller that repeats a request gives it another id.

engine_ended_under_requests now has contents, an id of the method, the path, the caller's team and the body of each request, which is equal for repetitions. No decision uses it yet.

--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -128,5 +128,6 @@
         "engine_ended_under_requests",
         instance=target.id,
         requests=[job.meta.request_id.decode("latin-1") for job in check.jobs],
+        contents=[job.content_id for job in check.jobs],
         parts=[job.meta.prompt_parts for job in check.jobs],
     )
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -1,5 +1,7 @@
 """The progress of one request through the entry."""
 
+import functools
+import hashlib
 import time
 from dataclasses import dataclass, field
 
@@ -7,6 +9,8 @@
 from ..platform import headers as wire
 from .target_selector import Requirements
 
+CONTENT_ID_DIGITS = 15
+
 
 @dataclass
 class Job:
@@ -75,6 +79,15 @@
     target_version: int | None = None
     superseded_left_s: float | None = None
 
+    @functools.cached_property
+    def content_id(self):
+        """What repetitions of the request share: method, path, caller and body."""
+        team = self.team.name if self.team is not None else ""
+        head = (self.meta.host, self.request.target.decode("latin-1"), team)
+        digest = hashlib.blake2b(self.request.body, digest_size=16)
+        digest.update(repr((self.request.method, *head)).encode())
+        return digest.hexdigest()[:CONTENT_ID_DIGITS]
+
     @property
     def may_have_run(self):
         """Whether it was sent to a target that did not state that it did not run it."""
