Call what crashes are held against a suspect

The messages between entries and all decisions stay the same; the tests of evidence, quarantine and reports pass as before.

--- a/briarbeam/distribution/crash_reporter.py
+++ b/briarbeam/distribution/crash_reporter.py
@@ -22,7 +22,7 @@
     """Sends and receives the rows of `CrashEvidence`.
 
     :param evidence: the `CrashEvidence` of this entry.
-    :param quarantine: the `PartQuarantine` of this entry.
+    :param quarantine: the `Quarantine` of this entry.
     :param host: the IP address of this entry.
     :param entries: a function that returns pairs of host and failure domain of the live
         entries.
@@ -47,7 +47,7 @@
 
     def synchronize(self):
         """Forget old crashes, and send the main ones to one other entry."""
-        self._evidence.expire(self._quarantine.parts)
+        self._evidence.expire(self._quarantine.suspects)
         keys = self._evidence.main_keys()[:CRASHES_PER_SYNC]
         hosts = self._other_hosts()
         if keys and hosts:
@@ -61,7 +61,7 @@
         """Merge a `CrashReport` from `host`."""
         for row in report.rows:
             if row.excused:
-                self._unsent.discard((row.part, row.run))
+                self._unsent.discard((row.suspect, row.run))
         newly_excused, known_excused = self._evidence.merge(
             report.rows, report.run_rows
         )
--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -83,7 +83,7 @@
         first desired state.
     :param failure_domains: all failure domains, with entries or without.
     :param evidence: the `CrashEvidence` that entries share.
-    :param quarantine: the `PartQuarantine`.
+    :param quarantine: the `Quarantine`.
     """
 
     def __init__(
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -263,13 +263,13 @@
 
 def _check_crash_report(report):
     for row in report.rows:
-        _check_row((row.part, row.run, row.age_s), (str, str, float))
+        _check_row((row.suspect, row.run, row.age_s), (str, str, float))
         _check_row((row.excused,), (bool,))
         _check_rows([(request,) for request in row.requests], (str,))
         _check_age(row.age_s)
         if len(row.requests) > REQUESTS_PER_CRASH_MAX:
             raise ValueError(f"crash has {len(row.requests)} requests")
-        if max(map(len, (row.part, row.run, *row.requests))) > CRASH_ID_MAX_CHARS:
+        if max(map(len, (row.suspect, row.run, *row.requests))) > CRASH_ID_MAX_CHARS:
             raise ValueError(f"crash has an id that is too long: {row!r}")
     for row in report.run_rows:
         _check_row((row.name, row.age_s, row.count), (str, float, int))
@@ -359,7 +359,7 @@
 def encode_crashes(rows):
     """Return the datagrams that carry `CrashRow` objects, none above `MAX_BYTES`."""
     items = [
-        [row.part, row.run, round(row.age_s, 3), row.requests, row.excused]
+        [row.suspect, row.run, round(row.age_s, 3), row.requests, row.excused]
         for row in rows
     ]
     return [
--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -1,9 +1,9 @@
-"""Records which parts of prompts were at engines when they ended.
+"""Records which suspects were at engines when they ended.
 
-A part is suspected if requests with it waited at engines that ended. The begin of an
-answer shows that all parts of its prompt are sound, and excuses earlier crashes. All
-entries share their records; merging them is a union, so order and repetition of the
-messages don't matter.
+A suspect is a part of prompts. It is suspected if requests with it waited at engines
+that ended. The begin of an answer shows that all suspects of its request are sound, and
+excuses earlier crashes. All entries share their records; merging them is a union, so
+order and repetition of the messages don't matter.
 """
 
 import collections
@@ -14,26 +14,26 @@
 BEGIN_EXCUSES_S = 2.0
 # Crashes within this time count as one, such as the stop of many engines.
 MOMENT_S = 0.05
-# How long a crash is remembered, unless requests with the part are quarantined longer.
+# How long a crash is remembered, unless requests with the suspect are quarantined longer.
 CRASH_EXPIRY_S = 600.0
 # How long crashes are counted against the request that was there, and its repetitions.
 REQUEST_CRASHES_EXPIRY_S = 10.0
-PARTS_MAX = 256
-CRASHES_PER_PART_MAX = 16
+SUSPECTS_MAX = 256
+CRASHES_PER_SUSPECT_MAX = 16
 REQUESTS_PER_CRASH_MAX = 4
 RUNS_MAX = 128
-# Number of parts of which the begin of the last answer is remembered.
-BEGUN_PARTS_MAX = 8192
+# Number of suspects of which the begin of the last answer is remembered.
+BEGUN_SUSPECTS_MAX = 8192
 
 
 @dataclass
 class Crash:
-    """The end of one run of an engine under requests with a part.
+    """The end of one run of an engine under requests with a suspect.
 
     :param at_s: boot time.
     :param requests: the last parts of the prompts of these requests, which tell
         repetitions of one request from different ones.
-    :param excused: whether an answer to a request with the part began shortly before
+    :param excused: whether an answer to a request with it began shortly before
         or later.
     """
 
@@ -47,7 +47,7 @@
     """The end of one run of an engine under any requests.
 
     :param at_s: boot time.
-    :param requests: as in `Crash`, for all parts.
+    :param requests: as in `Crash`, for all suspects.
     :param reported_count: the highest number of requests that another entry reported.
     """
 
@@ -83,7 +83,7 @@
     :param age_s: the time since the crash, in seconds.
     """
 
-    part: str
+    suspect: str
     run: str
     age_s: float
     requests: tuple
@@ -91,11 +91,11 @@
 
 
 class CrashEvidence:
-    """The crashes that each part of a prompt is suspected of.
+    """The crashes of each suspect.
 
     `runs` has the `Run` objects of all crashes by their names.
 
-    `on_news` is called with pairs of part and run that the other entries don't know
+    `on_news` is called with pairs of suspect and run that the other entries don't know
     yet, `on_change` without arguments after each change.
 
     :param clock: the `Clock`.
@@ -116,30 +116,30 @@
         :param request: the last part of its prompt.
         :param at_s: boot time of the crash.
         """
-        for part in parts:
-            excused = self._begun_since(part, at_s)
-            self._add(part, run, Crash(at_s, {request}, excused))
-        self._publish([(part, run) for part in parts])
+        for suspect in parts:
+            excused = self._begun_since(suspect, at_s)
+            self._add(suspect, run, Crash(at_s, {request}, excused))
+        self._publish([(suspect, run) for suspect in parts])
 
     def record_begin(self, parts):
         """Record that an answer to a request with `parts` began."""
         now_s = self._clock.boottime_s()
         news = []
-        for part in parts:
-            self._begun_s[part] = now_s
-            self._begun_s.move_to_end(part)
-            for run, crash in self._crashes.get(part, {}).items():
+        for suspect in parts:
+            self._begun_s[suspect] = now_s
+            self._begun_s.move_to_end(suspect)
+            for run, crash in self._crashes.get(suspect, {}).items():
                 if not crash.excused:
                     crash.excused = True
-                    news.append((part, run))
-        while len(self._begun_s) > BEGUN_PARTS_MAX:
+                    news.append((suspect, run))
+        while len(self._begun_s) > BEGUN_SUSPECTS_MAX:
             self._begun_s.popitem(last=False)
         self._publish(news)
 
     def merge(self, rows, run_rows=()):
         """Add the `CrashRow` and the `RunRow` objects that another entry reported.
 
-        :returns: two lists of pairs of part and run, of the crashes that an answer here
+        :returns: two lists of pairs of suspect and run, of the crashes that an answer here
             excuses, and of those that were known to be excused.
         """
         now_s = self._clock.boottime_s()
@@ -149,17 +149,17 @@
         newly_excused, known_excused = [], []
         for row in rows:
             at_s = now_s - row.age_s
-            if row.age_s > CRASH_EXPIRY_S and row.part not in self._crashes:
+            if row.age_s > CRASH_EXPIRY_S and row.suspect not in self._crashes:
                 continue
             crash = Crash(at_s, set(row.requests), row.excused)
-            crash = self._add(row.part, row.run, crash)
+            crash = self._add(row.suspect, row.run, crash)
             if crash is None or row.excused:
                 continue
             if crash.excused:
-                known_excused.append((row.part, row.run))
-            elif self._begun_since(row.part, crash.at_s):
+                known_excused.append((row.suspect, row.run))
+            elif self._begun_since(row.suspect, crash.at_s):
                 crash.excused = True
-                newly_excused.append((row.part, row.run))
+                newly_excused.append((row.suspect, row.run))
         self.on_change()
         return newly_excused, known_excused
 
@@ -169,25 +169,25 @@
         :param keep: parts whose crashes are kept.
         """
         oldest_s = self._clock.boottime_s() - CRASH_EXPIRY_S
-        kept_runs = {run for part in keep for run in self._crashes.get(part, ())}
+        kept_runs = {run for suspect in keep for run in self._crashes.get(suspect, ())}
         for name in self.runs.keys() - kept_runs:
             if self.runs[name].at_s < oldest_s:
                 del self.runs[name]
-        for part in self._crashes.keys() - keep:
-            crashes = self._crashes[part]
+        for suspect in self._crashes.keys() - keep:
+            crashes = self._crashes[suspect]
             for run in [run for run, c in crashes.items() if c.at_s < oldest_s]:
                 del crashes[run]
             if not crashes:
-                del self._crashes[part]
+                del self._crashes[suspect]
 
     def unexcused(self):
-        """Return the crashes that are not excused, by run, of each part."""
-        found = {part: self._unexcused_of(part) for part in self._crashes}
-        return {part: crashes for part, crashes in found.items() if crashes}
+        """Return the crashes that are not excused, by run, of each suspect."""
+        found = {suspect: self._unexcused_of(suspect) for suspect in self._crashes}
+        return {suspect: crashes for suspect, crashes in found.items() if crashes}
 
-    def is_suspected(self, part, moments):
+    def is_suspected(self, suspect, moments):
         """Return whether there were unexcused crashes at `moments` or more."""
-        crashes = self._unexcused_of(part)
+        crashes = self._unexcused_of(suspect)
         return count_moments(crash.at_s for crash in crashes.values()) >= moments
 
     def count_crashes_under(self, parts, request):
@@ -201,24 +201,24 @@
             (
                 count_moments(
                     crash.at_s
-                    for crash in self._unexcused_of(part).values()
+                    for crash in self._unexcused_of(suspect).values()
                     if request in crash.requests and crash.at_s >= oldest_s
                 )
-                for part in parts
+                for suspect in parts
             ),
             default=0,
         )
 
     def rows(self, keys):
-        """Return the `CrashRow` objects of pairs of part and run that are known."""
+        """Return the `CrashRow` objects of pairs of suspect and run that are known."""
         now_s = self._clock.boottime_s()
         return [
             CrashRow(
-                part, run, max(0.0, now_s - crash.at_s), tuple(crash.requests),
+                suspect, run, max(0.0, now_s - crash.at_s), tuple(crash.requests),
                 crash.excused,
             )
-            for part, run in keys
-            if (crash := self._crashes.get(part, {}).get(run)) is not None
+            for suspect, run in keys
+            if (crash := self._crashes.get(suspect, {}).get(run)) is not None
         ]  # fmt: skip
 
     def run_rows(self, names):
@@ -235,35 +235,35 @@
         return sorted(self.runs, key=lambda name: -self.runs[name].at_s)
 
     def main_keys(self):
-        """Return pairs of part and run of unexcused crashes, most suspected first."""
+        """Return pairs of suspect and run of unexcused crashes, most suspected first."""
         unexcused = self.unexcused()
-        parts = sorted(unexcused, key=lambda part: -len(unexcused[part]))
-        return [(part, run) for part in parts for run in unexcused[part]]
+        suspects = sorted(unexcused, key=lambda name: -len(unexcused[name]))
+        return [(suspect, run) for suspect in suspects for run in unexcused[suspect]]
 
-    def _unexcused_of(self, part):
-        crashes = self._crashes.get(part, {})
+    def _unexcused_of(self, suspect):
+        crashes = self._crashes.get(suspect, {})
         return {run: crash for run, crash in crashes.items() if not crash.excused}
 
-    def _begun_since(self, part, at_s):
+    def _begun_since(self, suspect, at_s):
         """Return whether an answer here began at most `BEGIN_EXCUSES_S` before."""
-        return self._begun_s.get(part, -math.inf) >= at_s - BEGIN_EXCUSES_S
+        return self._begun_s.get(suspect, -math.inf) >= at_s - BEGIN_EXCUSES_S
 
-    def _add(self, part, run, crash):
+    def _add(self, suspect, run, crash):
         """Unite `crash` with the known one; return it, or None if it is dropped."""
         run_end = self._add_run(run, crash.at_s)
         run_end.requests |= crash.requests
-        crashes = self._crashes.setdefault(part, {})
+        crashes = self._crashes.setdefault(suspect, {})
         known = crashes.setdefault(run, crash)
         if known is not crash:
             known.at_s = min(known.at_s, crash.at_s)
             known.excused |= crash.excused
             known.requests |= crash.requests
         known.requests = set(sorted(known.requests)[:REQUESTS_PER_CRASH_MAX])
-        if len(crashes) > CRASHES_PER_PART_MAX:
+        if len(crashes) > CRASHES_PER_SUSPECT_MAX:
             del crashes[min(crashes, key=lambda name: (crashes[name].at_s, name))]
-        if len(self._crashes) > PARTS_MAX:
+        if len(self._crashes) > SUSPECTS_MAX:
             del self._crashes[min(self._crashes, key=self._rank)]
-        return self._crashes.get(part, {}).get(run)
+        return self._crashes.get(suspect, {}).get(run)
 
     def _add_run(self, name, at_s):
         run = self.runs.setdefault(name, Run(at_s))
@@ -272,10 +272,10 @@
             del self.runs[min(self.runs, key=lambda n: (self.runs[n].at_s, n))]
         return run
 
-    def _rank(self, part):
-        """Return a key that is lowest for the part to be forgotten first."""
-        latest_s = max(crash.at_s for crash in self._crashes[part].values())
-        return len(self._unexcused_of(part)), latest_s, part
+    def _rank(self, suspect):
+        """Return a key that is lowest for the suspect to be forgotten first."""
+        latest_s = max(crash.at_s for crash in self._crashes[suspect].values())
+        return len(self._unexcused_of(suspect)), latest_s, suspect
 
     def _publish(self, keys):
         if keys:
--- a/briarbeam/relay/crash_guard.py
+++ b/briarbeam/relay/crash_guard.py
@@ -21,7 +21,7 @@
 
     :param clock: the `Clock`.
     :param evidence: the `CrashEvidence`.
-    :param quarantine: the `PartQuarantine`.
+    :param quarantine: the `Quarantine`.
     """
 
     def __init__(self, clock, evidence, quarantine):
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -28,7 +28,7 @@
 from .follower import StoreFollower
 from .limits import RetryBudget
 from .mirror import Mirror
-from .quarantine import PartQuarantine
+from .quarantine import Quarantine
 from .server import CallerServer, ReadinessServer
 from .spread import StateSpread
 from .state_in_force import NamedVersions, StateInForce
@@ -104,7 +104,7 @@
             lambda: self._version_mirror.restored_s,
         )
         self._evidence = CrashEvidence(clock)
-        self._quarantine = PartQuarantine(clock, self._evidence)
+        self._quarantine = Quarantine(clock, self._evidence)
         self._exchange = EntryExchange(
             settings.peer_address,
             settings.instance.failure_domain,
--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -49,7 +49,7 @@
         return max(0.0, self.last_crash_s + self.trial_after_s - now_s)
 
 
-class PartQuarantine:
+class Quarantine:
     """Decides which requests may not be sent because of the parts of their prompts.
 
     `on_effective` is called without arguments when more requests are concerned.
@@ -69,8 +69,8 @@
         evidence.on_change = self.update
 
     @property
-    def parts(self):
-        """The parts of all groups."""
+    def suspects(self):
+        """The suspects of all groups."""
         return frozenset().union(*self._cases)
 
     def update(self):
@@ -78,7 +78,7 @@
         now_s = self._clock.boottime_s()
         crashes_by_part = self._evidence.unexcused()
         cases = {}
-        groups = find_culprits(crashes_by_part, self._evidence.runs, self.parts)
+        groups = find_culprits(crashes_by_part, self._evidence.runs, self.suspects)
         for group in groups:
             crashes = crashes_by_part[min(group)].values()
             times_s = sorted(crash.at_s for crash in crashes)
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -26,7 +26,7 @@
 from briarbeam.relay.dispatch import Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
-from briarbeam.relay.quarantine import PartQuarantine
+from briarbeam.relay.quarantine import Quarantine
 from briarbeam.relay.server import CallerServer
 from briarbeam.relay.state_in_force import NamedVersions, StateInForce
 from briarbeam.relay.target_selector import TargetSelector
@@ -215,7 +215,7 @@
         )
         request_log = RequestLog(lambda: self.age_s)
         self.evidence = CrashEvidence(self.clock)
-        self.quarantine = PartQuarantine(self.clock, self.evidence)
+        self.quarantine = Quarantine(self.clock, self.evidence)
         self.guard = CrashGuard(self.clock, self.evidence, self.quarantine)
         self.delivery = Delivery(
             self.admission,
--- a/tests/test_distribution_crashes.py
+++ b/tests/test_distribution_crashes.py
@@ -24,7 +24,7 @@
     CrashRow,
     RunRow,
 )
-from briarbeam.relay.quarantine import PartQuarantine
+from briarbeam.relay.quarantine import Quarantine
 
 LONG_ID = "f" * 16
 HOSTS = [f"10.0.0.{number}" for number in range(5)]
@@ -44,7 +44,7 @@
         evidence = self.evidence[host]
         return CrashReporter(
             evidence,
-            PartQuarantine(self.clock, evidence),
+            Quarantine(self.clock, evidence),
             host,
             lambda: {(other, "z1") for other in HOSTS},
             lambda data, to: self._deliver(host, data, to),
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -14,7 +14,7 @@
 from briarbeam.relay.fleet import Fleet
 from briarbeam.relay.follower import NEIGHBOUR_AGE_MAX_S, StoreFollower
 from briarbeam.relay.limits import ColdRateLimiter
-from briarbeam.relay.quarantine import PartQuarantine
+from briarbeam.relay.quarantine import Quarantine
 from briarbeam.relay.spread import StateSpread
 
 
@@ -35,7 +35,7 @@
         lambda host: None,
         domains,
         evidence,
-        PartQuarantine(clock, evidence),
+        Quarantine(clock, evidence),
     )
 
 
--- a/tests/test_relay_crash_evidence.py
+++ b/tests/test_relay_crash_evidence.py
@@ -10,11 +10,11 @@
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.relay.crash_evidence import (
     BEGIN_EXCUSES_S,
-    BEGUN_PARTS_MAX,
+    BEGUN_SUSPECTS_MAX,
     CRASH_EXPIRY_S,
-    CRASHES_PER_PART_MAX,
+    CRASHES_PER_SUSPECT_MAX,
     MOMENT_S,
-    PARTS_MAX,
+    SUSPECTS_MAX,
     CrashEvidence,
     CrashRow,
 )
@@ -23,7 +23,7 @@
     SETTLE_S,
     TRIAL_AFTER_MAX_S,
     TRIAL_AFTER_S,
-    PartQuarantine,
+    Quarantine,
 )
 
 
@@ -31,7 +31,7 @@
     clock = ManualClock()
     clock.advance(1000.0)
     evidence = CrashEvidence(clock)
-    return clock, evidence, PartQuarantine(clock, evidence)
+    return clock, evidence, Quarantine(clock, evidence)
 
 
 def crash(clock, evidence, run, *prompts):
@@ -59,10 +59,10 @@
 def test_part_is_responsible_after_enough_crashes():
     clock, evidence, quarantine = new_evidence()
     crash_apart(clock, evidence, CRASHES_MIN - 1, "aa", "bad")
-    assert not quarantine.parts
+    assert not quarantine.suspects
     evidence.record_begin(("aa",))
     crash_apart(clock, evidence, 1, "bad")
-    assert quarantine.parts == {"bad"}
+    assert quarantine.suspects == {"bad"}
     assert quarantine.left_s(("aa", "bad")) is None
     clock.advance(SETTLE_S)
     assert 29.0 < quarantine.left_s(("aa", "bad")) <= TRIAL_AFTER_S
@@ -137,13 +137,13 @@
     for number in range(3):
         clock.advance(1.0)
         crash(clock, evidence, f"run{number}", ("bad", f"b{number}"), *others)
-    assert quarantine.parts == {"bad"}
+    assert quarantine.suspects == {"bad"}
     for number in range(8):
         clock.advance(1.0)
         crash(clock, evidence, f"plain{number}", *others)
         evidence.record_begin([part for part, _ in others])
     crash(clock, evidence, "run3", ("bad", "b3"), *others)
-    assert quarantine.parts == {"bad"}
+    assert quarantine.suspects == {"bad"}
     assert not find_culprits(evidence.unexcused(), evidence.runs)
 
 
@@ -157,7 +157,7 @@
         waits_s.append(round(wait_s + SETTLE_S))
         assert not quarantine.try_trial(("bad",))
         clock.advance(wait_s)
-        evidence.expire(quarantine.parts)
+        evidence.expire(quarantine.suspects)
         assert quarantine.try_trial(("bad",))
         assert not quarantine.try_trial(("bad",))
         clock.advance(0.5)
@@ -181,7 +181,7 @@
     crash_apart(clock, evidence, 3, "bad")
     crash_apart(clock, evidence, 2, "aa")
     clock.advance(CRASH_EXPIRY_S + 1.0)
-    evidence.expire(quarantine.parts)
+    evidence.expire(quarantine.suspects)
     assert set(evidence.unexcused()) == {"bad"}
     evidence.merge([CrashRow("aa", "old", CRASH_EXPIRY_S + 2.0, ("r",), False)])
     assert set(evidence.unexcused()) == {"bad"}
@@ -189,9 +189,9 @@
 
 def test_last_begins_are_bounded():
     _, evidence, _ = new_evidence()
-    for number in range(BEGUN_PARTS_MAX + 100):
+    for number in range(BEGUN_SUSPECTS_MAX + 100):
         evidence.record_begin((f"{number:x}",))
-    assert len(evidence._begun_s) == BEGUN_PARTS_MAX
+    assert len(evidence._begun_s) == BEGUN_SUSPECTS_MAX
 
 
 class Traffic:
@@ -228,7 +228,7 @@
     traffic = Traffic(seed)
     begin(clock, evidence, traffic, 3.0, rate_per_s, 1.0)
     crashes = 0
-    while "bad" not in quarantine.parts:
+    while "bad" not in quarantine.suspects:
         crashes += 1
         batch = [traffic.prompt() for _ in range(15)]
         bad = traffic.prompt(bad_share=1.0)
@@ -237,7 +237,7 @@
         share = max(0.1, (engines - crashes) / engines)
         begin(clock, evidence, traffic, 0.3, rate_per_s, share)
     begin(clock, evidence, traffic, 1.0, rate_per_s, 0.5)
-    assert quarantine.parts == {"bad"}
+    assert quarantine.suspects == {"bad"}
 
 
 @pytest.mark.parametrize("seed", range(4))
@@ -264,7 +264,7 @@
             crash(clock, evidence, f"run{number}-{engine}", *batch)
             clock.advance(gap_s)
         clock.advance(SETTLE_S)
-        assert not quarantine.parts
+        assert not quarantine.suspects
         begin(clock, evidence, traffic, interval_s, 100, share)
 
 
@@ -275,7 +275,7 @@
         evidence.record_begin(("hot",))
         prompts = [("hot", f"r{number}-{index}") for index in range(16)]
         crash(clock, evidence, f"run{number}", *prompts)
-        assert not quarantine.parts
+        assert not quarantine.suspects
 
 
 PARTS = st.sampled_from([f"p{number}" for number in range(5)])
@@ -298,7 +298,7 @@
     def _send(self, entry, keys):
         rows = entry.rows(keys)
         self.sent.append((entry, self.clock.boottime_s(), rows))
-        self.excused |= {(row.part, row.run) for row in rows if row.excused}
+        self.excused |= {(row.suspect, row.run) for row in rows if row.excused}
 
     @rule(part=PARTS, run=RUNS, request=PARTS, entry=st.integers(0, 1))
     def end(self, part, run, request, entry):
@@ -363,11 +363,11 @@
 
 def test_table_is_bounded():
     clock, evidence, _ = new_evidence()
-    for number in range(PARTS_MAX + 50):
+    for number in range(SUSPECTS_MAX + 50):
         crash(clock, evidence, "run", (f"{number:x}", "r"))
-    assert len(evidence._crashes) == PARTS_MAX
-    crash_apart(clock, evidence, CRASHES_PER_PART_MAX + 5, "bad")
-    assert len(evidence._crashes["bad"]) == CRASHES_PER_PART_MAX
-    for number in range(PARTS_MAX + 50):
+    assert len(evidence._crashes) == SUSPECTS_MAX
+    crash_apart(clock, evidence, CRASHES_PER_SUSPECT_MAX + 5, "bad")
+    assert len(evidence._crashes["bad"]) == CRASHES_PER_SUSPECT_MAX
+    for number in range(SUSPECTS_MAX + 50):
         crash(clock, evidence, "run2", (f"x{number:x}", "r"))
     assert culprits(evidence) == {"bad"}
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -132,13 +132,13 @@
         assert entry.ask(method=b"POST", headers=sound).endswith(END)
         gevent.sleep(0.25)
     assert count_crashes(engines) <= 5
-    assert all(entry.quarantine.parts == {"bad"} for entry in network.entries[:9])
-    assert not network.entries[9].quarantine.parts
+    assert all(entry.quarantine.suspects == {"bad"} for entry in network.entries[:9])
+    assert not network.entries[9].quarantine.suspects
     network.cut = set()
     for _ in range(5):
         for reporter in network.reporters.values():
             reporter.synchronize()
-    assert network.entries[9].quarantine.parts == {"bad"}
+    assert network.entries[9].quarantine.suspects == {"bad"}
 
 
 def test_quarantined_request_is_refused_at_once_as_not_run():
@@ -160,7 +160,7 @@
     answer = entry.ask(method=b"POST", headers=prompt(b"aa", b"bad", b"c1"))
     assert answer.startswith(b"HTTP/1.1 503")
     assert entry.ask(method=b"POST", headers=prompt(b"aa", b"c2")).endswith(END)
-    assert entry.quarantine.parts == {"bad"}
+    assert entry.quarantine.suspects == {"bad"}
     answer = entry.ask(method=b"POST", headers=prompt(b"bad", b"c3"))
     assert answer.startswith(b"HTTP/1.1 503")
 
@@ -256,7 +256,7 @@
     second = FakeInstance(reply(stream_head() + event(1) + END))
     entry.add("i2", second.address)
     assert all(task.get(timeout=3.0).endswith(END) for task in asked)
-    assert not entry.quarantine.parts
+    assert not entry.quarantine.suspects
 
 
 def test_trial_ends_the_quarantine_or_renews_it():
@@ -286,7 +286,7 @@
     entry.fleet._targets.clear()
     entry.add("i3", mended.address)
     assert entry.ask(method=b"POST", headers=headers[2]).endswith(END)
-    assert not entry.quarantine.parts
+    assert not entry.quarantine.suspects
     assert entry.ask(method=b"POST", headers=headers[3]).endswith(END)
 
 
