Refuse a request under which engines end, whatever its prompt

Cause: a request was held against by its prompt's parts only. Answers to sound requests with the same part excused its crashes all the time; it was told from others by the last part of its prompt; requests without a prompt were not watched; and a first event excused a request that ended its engine right after. The class: a repeated input that ends its processor, known under too narrow a name.

Now a request with all its repetitions is a second kind of suspect of the mechanism for parts. It is known by method, host, path, team and body. Only an engine that survives it excuses it. The rule that refused a request after two crashes for 10 s is gone.

--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -1,14 +1,17 @@
 """Records which suspects were at engines when they ended.
 
-A suspect is a part of prompts. It is suspected if requests with it waited at engines
-that ended. The begin of an answer shows that all suspects of its request are sound, and
-excuses earlier crashes. All entries share their records; merging them is a union, so
-order and repetition of the messages don't matter.
+A suspect is a part of prompts, or a request with all its repetitions. It is suspected if
+requests with it waited at engines that ended. An answer shows that all suspects of its
+request are sound, and excuses earlier crashes. All entries share their records; merging
+them is a union, so order and repetition of the messages don't matter.
 """
 
 import collections
+import heapq
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+from .suspects import is_request, request_suspect
 
 # How long before a crash the begin of an answer still excuses it.
 BEGIN_EXCUSES_S = 2.0
@@ -16,9 +19,9 @@
 MOMENT_S = 0.05
 # How long a crash is remembered, unless requests with the suspect are quarantined longer.
 CRASH_EXPIRY_S = 600.0
-# How long crashes are counted against the request that was there, and its repetitions.
-REQUEST_CRASHES_EXPIRY_S = 10.0
-SUSPECTS_MAX = 256
+SUSPECTS_MAX = 512
+# How many suspects are forgotten when there are too many.
+FORGOTTEN_AT_ONCE = 64
 CRASHES_PER_SUSPECT_MAX = 16
 REQUESTS_PER_CRASH_MAX = 4
 RUNS_MAX = 128
@@ -31,8 +34,8 @@
     """The end of one run of an engine under requests with a suspect.
 
     :param at_s: boot time.
-    :param requests: the last parts of the prompts of these requests, which tell
-        repetitions of one request from different ones.
+    :param requests: the content ids of these requests, which tell repetitions of one
+        request from different ones.
     :param excused: whether an answer to a request with it began shortly before
         or later.
     """
@@ -106,6 +109,7 @@
         self._crashes = {}
         self.runs = {}
         self._begun_s = collections.OrderedDict()
+        self._change_count = 0
         self.on_news = lambda keys: None
         self.on_change = lambda: None
 
@@ -113,25 +117,41 @@
         """Record that the `run` of an engine ended under a request.
 
         :param parts: the shared parts of its prompt.
-        :param request: the last part of its prompt.
+        :param request: its content id.
         :param at_s: boot time of the crash.
         """
-        for suspect in parts:
+        suspects = *parts, request_suspect(request)
+        for suspect in suspects:
             excused = self._begun_since(suspect, at_s)
             self._add(suspect, run, Crash(at_s, {request}, excused))
-        self._publish([(suspect, run) for suspect in parts])
+        self._publish([(suspect, run) for suspect in suspects])
 
     def record_begin(self, parts):
         """Record that an answer to a request with `parts` began."""
+        self._excuse(parts)
+
+    def record_survival(self, request):
+        """Record that an engine has survived a request.
+
+        :param request: its content id.
+        """
+        self._excuse([request_suspect(request)])
+
+    def _excuse(self, suspects):
         now_s = self._clock.boottime_s()
         news = []
-        for suspect in parts:
+        for suspect in suspects:
             self._begun_s[suspect] = now_s
             self._begun_s.move_to_end(suspect)
-            for run, crash in self._crashes.get(suspect, {}).items():
+            crashes = self._crashes.get(suspect, {})
+            # A request is not held responsible for a single crash, so that the others
+            # need not know.
+            is_news = not is_request(suspect) or len(crashes) > 1
+            for run, crash in crashes.items():
                 if not crash.excused:
                     crash.excused = True
-                    news.append((suspect, run))
+                    if is_news:
+                        news.append((suspect, run))
         while len(self._begun_s) > BEGUN_SUSPECTS_MAX:
             self._begun_s.popitem(last=False)
         self._publish(news)
@@ -143,9 +163,12 @@
             excuses, and of those that were known to be excused.
         """
         now_s = self._clock.boottime_s()
+        changes = self._change_count
         for row in run_rows:
             run = self._add_run(row.name, now_s - row.age_s)
-            run.reported_count = max(run.reported_count, row.count)
+            if row.count > run.reported_count:
+                run.reported_count = row.count
+                self._change_count += 1
         newly_excused, known_excused = [], []
         for row in rows:
             at_s = now_s - row.age_s
@@ -160,7 +183,9 @@
             elif self._begun_since(row.suspect, crash.at_s):
                 crash.excused = True
                 newly_excused.append((row.suspect, row.run))
-        self.on_change()
+                self._change_count += 1
+        if self._change_count != changes:
+            self.on_change()
         return newly_excused, known_excused
 
     def expire(self, keep=frozenset()):
@@ -182,33 +207,17 @@
 
     def unexcused(self):
         """Return the crashes that are not excused, by run, of each suspect."""
-        found = {suspect: self._unexcused_of(suspect) for suspect in self._crashes}
-        return {suspect: crashes for suspect, crashes in found.items() if crashes}
+        return {
+            suspect: found
+            for suspect in self._crashes
+            if (found := self._unexcused_of(suspect))
+        }
 
     def is_suspected(self, suspect, moments):
         """Return whether there were unexcused crashes at `moments` or more."""
         crashes = self._unexcused_of(suspect)
         return count_moments(crash.at_s for crash in crashes.values()) >= moments
 
-    def count_crashes_under(self, parts, request):
-        """Return the number of recent unexcused crashes under one request.
-
-        :param parts: the shared parts of its prompt.
-        :param request: the last part of its prompt.
-        """
-        oldest_s = self._clock.boottime_s() - REQUEST_CRASHES_EXPIRY_S
-        return max(
-            (
-                count_moments(
-                    crash.at_s
-                    for crash in self._unexcused_of(suspect).values()
-                    if request in crash.requests and crash.at_s >= oldest_s
-                )
-                for suspect in parts
-            ),
-            default=0,
-        )
-
     def rows(self, keys):
         """Return the `CrashRow` objects of pairs of suspect and run that are known."""
         now_s = self._clock.boottime_s()
@@ -253,16 +262,21 @@
         run_end = self._add_run(run, crash.at_s)
         run_end.requests |= crash.requests
         crashes = self._crashes.setdefault(suspect, {})
-        known = crashes.setdefault(run, crash)
-        if known is not crash:
-            known.at_s = min(known.at_s, crash.at_s)
-            known.excused |= crash.excused
-            known.requests |= crash.requests
-        known.requests = set(sorted(known.requests)[:REQUESTS_PER_CRASH_MAX])
+        known = crashes.get(run, Crash(math.inf))
+        requests = sorted(known.requests | crash.requests)[:REQUESTS_PER_CRASH_MAX]
+        united = Crash(
+            min(known.at_s, crash.at_s), set(requests), known.excused or crash.excused
+        )
+        # The ages in repeated reports differ by how long these were on their way.
+        is_known = known.at_s <= united.at_s + MOMENT_S
+        if not is_known or known != replace(united, at_s=known.at_s):
+            self._change_count += 1
+        crashes[run] = united
         if len(crashes) > CRASHES_PER_SUSPECT_MAX:
             del crashes[min(crashes, key=lambda name: (crashes[name].at_s, name))]
         if len(self._crashes) > SUSPECTS_MAX:
-            del self._crashes[min(self._crashes, key=self._rank)]
+            for name in heapq.nsmallest(FORGOTTEN_AT_ONCE, self._crashes, self._rank):
+                del self._crashes[name]
         return self._crashes.get(suspect, {}).get(run)
 
     def _add_run(self, name, at_s):
@@ -274,8 +288,9 @@
 
     def _rank(self, suspect):
         """Return a key that is lowest for the suspect to be forgotten first."""
-        latest_s = max(crash.at_s for crash in self._crashes[suspect].values())
-        return len(self._unexcused_of(suspect)), latest_s, suspect
+        crashes = self._crashes[suspect].values()
+        latest_s = max(crash.at_s for crash in crashes)
+        return sum(not crash.excused for crash in crashes), latest_s, suspect
 
     def _publish(self, keys):
         if keys:
--- a/briarbeam/relay/crash_guard.py
+++ b/briarbeam/relay/crash_guard.py
@@ -2,22 +2,23 @@
 
 import contextlib
 import random
+import time
 
 from .engine_crashes import EngineCrashes
 from .errors import QuarantinedError, QuarantinedSentError, UpstreamError
 
-# A request whose engine ended is not sent again if a part of its prompt was at this
-# many crashes before any answer with the part began.
+# A request whose engine ended is not sent again if one of its suspects was at this many
+# other crashes without an excuse.
 REPEAT_CRASHES_MAX = 1
-# A request under which this many engines ended is refused, whoever repeats it.
-REQUEST_CRASHES_MAX = 2
+# An engine has survived a request if it still answers this long after it began to.
+SURVIVED_AFTER_S = 0.5
 # Limits on the Retry-After of refused requests.
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_MAX_S = 10.0
 
 
 class CrashGuard:
-    """Refuses, watches and cancels requests by the parts of their prompts.
+    """Refuses, watches and cancels requests by what they are suspected of.
 
     :param clock: the `Clock`.
     :param evidence: the `CrashEvidence`.
@@ -32,15 +33,14 @@
         quarantine.on_effective = self._cancel_quarantined
 
     def admit(self, job):
-        """Check a request that has arrived; it may become the trial of its parts.
+        """Check a request that has arrived; it may become the trial of its suspects.
 
         :raises QuarantinedError: if it may not be sent.
         """
         job.is_trial = self._find_left_s(job) is not None and (
-            self._quarantine.try_trial(job.meta.prompt_parts)
+            self._quarantine.try_trial(job.suspects)
         )
         self.check(job)
-        self._check_repetition(job)
 
     def check(self, job):
         """Check a request right before it is sent.
@@ -52,22 +52,10 @@
             return
         retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, left_s))
         raise QuarantinedError(
-            f"engines ended under requests with parts of {job.meta.prompt_parts}",
+            f"engines ended under one of {job.suspects}",
             retry_after_s=retry_after_s * random.uniform(0.8, 1.2),
         )
 
-    def _check_repetition(self, job):
-        if job.is_trial:
-            return
-        crash_count = self._evidence.count_crashes_under(
-            job.meta.prompt_parts, job.meta.own_part
-        )
-        if crash_count >= REQUEST_CRASHES_MAX:
-            raise QuarantinedError(
-                f"{crash_count} engines ended under this request",
-                retry_after_s=RETRY_AFTER_MAX_S * random.uniform(0.8, 1.2),
-            )
-
     def check_repeat(self, job, error):
         """Raise `error` if `job` ended an engine and may end the next one, too."""
         if job.is_trial or (job.ended_engine and self._is_suspected(job)):
@@ -84,7 +72,7 @@
 
         :param call: the `UpstreamCall`.
         """
-        if not job.begun and job.meta.prompt_parts:
+        if not job.begun:
             self._waiting[call] = job
 
     def close(self, call):
@@ -105,24 +93,35 @@
                 raise QuarantinedSentError(str(error)) from error
             raise
 
-    def record_begin(self, job):
-        """Record that an engine began to answer `job`."""
+    def record_progress(self, job):
+        """Record that an engine began to answer `job`, or goes on."""
+        now_s = time.monotonic()
         if not job.begun:
-            job.begun = True
+            job.begun_s = now_s
             self._evidence.record_begin(job.meta.prompt_parts)
+        elif now_s - job.begun_s >= SURVIVED_AFTER_S:
+            self.record_survival(job)
+
+    def record_survival(self, job):
+        """Record that an engine has survived `job`, such as by a complete answer."""
+        if not job.survived:
+            job.survived = True
+            self._evidence.record_survival(job.content_id)
 
     def _is_suspected(self, job):
         return any(
-            self._evidence.is_suspected(part, REPEAT_CRASHES_MAX + 1)
-            for part in job.meta.prompt_parts
+            self._evidence.is_suspected(suspect, REPEAT_CRASHES_MAX + 1)
+            for suspect in job.suspects
         )
 
     def _find_left_s(self, job):
-        return self._quarantine.left_s(job.meta.prompt_parts)
+        return self._quarantine.left_s(job.suspects)
 
     def _record_crash(self, job, run, at_s):
         job.ended_engine = True
-        self._evidence.record_crash(job.meta.prompt_parts, job.meta.own_part, run, at_s)
+        # A part is held against by crashes before the begin of an answer only.
+        parts = () if job.begun else job.meta.prompt_parts
+        self._evidence.record_crash(parts, job.content_id, run, at_s)
 
     def _cancel_quarantined(self):
         for call, job in list(self._waiting.items()):
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -370,8 +370,8 @@
         if stream is not None and stream.begun:
             raise UpstreamError(f"resumed stream was answered with {head.status}")
         if head.status == 200:
-            self._guard.record_begin(job)
-        return self._forward_whole(attempt, attempts, writer)
+            self._guard.record_progress(job)
+        return self._forward_whole(job, attempt, attempts, writer)
 
     def _accept(self, job, attempt, attempts, stream):
         """Check the head of an answer.
@@ -432,7 +432,7 @@
         if reply.weights_version is not None:
             target.seen_version = reply.weights_version
 
-    def _forward_whole(self, attempt, attempts, writer):
+    def _forward_whole(self, job, attempt, attempts, writer):
         attempt.switch_at_s = attempt.begin_by_s = math.inf
         body = attempt.read_body()
         if body is None:
@@ -443,6 +443,7 @@
         headers = wire.returned_headers(head.headers)
         # A length that the target did not state is not known to be right.
         marks_end = head.framing is not Framing.CONNECTION
+        self._guard.record_survival(job)
         writer.write(head.status, headers, body, marks_end)
         attempts.complete(attempt)
         return True
@@ -452,7 +453,7 @@
         # Only a complete event counts as progress: parts are not forwarded.
         if events:
             attempt.has_events = True
-            self._guard.record_begin(job)
+            self._guard.record_progress(job)
             attempts.keep_only(attempt)
             stream.forward(attempt.head, events, attempt.splitter.last_id)
             attempt.switch_at_s = time.monotonic() + STREAM_SILENCE_S
@@ -468,6 +469,7 @@
             attempt.target.record_success()
             attempts.drop(attempt, "end_unmarked")
             return False
+        self._guard.record_survival(job)
         stream.finish(attempt.head, attempt.splitter.remainder)
         attempts.complete(attempt)
         return True
--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -1,4 +1,4 @@
-"""Detects engines that end while requests wait for the begin of their answers."""
+"""Detects engines that end under requests that they have not survived."""
 
 import contextlib
 import hashlib
@@ -22,21 +22,21 @@
 
 _CRASHES = Counter(
     "briarbeam_engine_crashes",
-    "Broken connections before the begin of an answer, once an engine and entry",
+    "Broken connections under requests not yet survived, once an engine and entry",
     ["result"],
 )
 _log = structlog.get_logger()
 
 
 class EngineCrashes:
-    """Finds out which requests an engine had not begun to answer when it ended.
+    """Finds out which requests an engine had not survived when it ended.
 
     A broken connection alone does not show that the engine ended. It is assumed to have
     ended if a new connection is refused at once: its machine runs and nothing listens.
 
     :param clock: the `Clock`.
     :param on_crash: called with the job, a text that identifies the run of the engine,
-        and the boot time of the crash for each request that had not begun.
+        and the boot time of the crash for each request that it had not survived.
     """
 
     def __init__(self, clock, on_crash):
@@ -53,8 +53,7 @@
         try:
             yield
         except UpstreamBrokenError:
-            concerns_parts = job.meta.prompt_parts and not job.begun
-            if concerns_parts and not call.aborted and not _is_leaving(target):
+            if not (job.survived or call.aborted or _is_leaving(target)):
                 self._handle_break(job, target)
             raise
 
--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -1,4 +1,4 @@
-"""Keeps requests away from engines whose prompts have parts that end engines."""
+"""Keeps requests away from engines that would end them."""
 
 from dataclasses import dataclass
 
@@ -8,7 +8,7 @@
 
 from .culprits import find_culprits
 
-# Other entries can excuse a part within this time before it is quarantined.
+# Other entries can excuse a suspect within this time before it is quarantined.
 SETTLE_S = 0.05
 # After this time without a crash, one request is tried. The time doubles each time that
 # an engine ends under such a request.
@@ -22,14 +22,15 @@
 TRIAL_TURN_S = 5.0
 
 _QUARANTINED = Gauge(
-    "briarbeam_quarantined_parts", "Groups of parts of prompts that end engines"
+    "briarbeam_quarantined_suspects",
+    "Groups of parts of prompts, and requests, that end engines",
 )
 _log = structlog.get_logger()
 
 
 @dataclass
 class _Case:
-    """A group of parts that is held responsible for crashes.
+    """A group of suspects that is held responsible for crashes.
 
     :param since_s: boot time from which that is known.
     :param last_crash_s: boot time of the last crash.
@@ -50,7 +51,7 @@
 
 
 class Quarantine:
-    """Decides which requests may not be sent because of the parts of their prompts.
+    """Decides which requests may not be sent because engines ended under their suspects.
 
     `on_effective` is called without arguments when more requests are concerned.
     `is_turn` is called with a text that identifies a trial, and returns whether this
@@ -74,13 +75,13 @@
         return frozenset().union(*self._cases)
 
     def update(self):
-        """Find the responsible parts again, after the evidence has changed."""
+        """Find the responsible suspects again, after the evidence has changed."""
         now_s = self._clock.boottime_s()
-        crashes_by_part = self._evidence.unexcused()
+        crashes_by_suspect = self._evidence.unexcused()
         cases = {}
-        groups = find_culprits(crashes_by_part, self._evidence.runs, self.suspects)
+        groups = find_culprits(crashes_by_suspect, self._evidence.runs, self.suspects)
         for group in groups:
-            crashes = crashes_by_part[min(group)].values()
+            crashes = crashes_by_suspect[min(group)].values()
             times_s = sorted(crash.at_s for crash in crashes)
             earlier = [c for known, c in self._cases.items() if known & group]
             since_s = min((case.since_s for case in earlier), default=now_s)
@@ -92,30 +93,30 @@
                 gevent.spawn_later(SETTLE_S, self._apply, group, case)
             cases[group] = case
         for group in self._cases.keys() - cases.keys():
-            _log.info("part_released", parts=sorted(group))
+            _log.info("suspect_released", suspects=sorted(group))
         self._cases = cases
         _QUARANTINED.set(len(cases))
 
-    def left_s(self, parts):
-        """Return for how long a request with `parts` may not be sent, or None.
+    def left_s(self, suspects):
+        """Return for how long a request with `suspects` may not be sent, or None.
 
         :returns: None if it may be sent; 0 if it is due for a trial by some entry.
         """
         now_s = self._clock.boottime_s()
         return max(
-            (case.left_s(now_s) for _, case in self._effective_cases(parts)),
+            (case.left_s(now_s) for _, case in self._effective_cases(suspects)),
             default=None,
         )
 
-    def try_trial(self, parts):
-        """Return whether a request with `parts` is the next trial of all its groups."""
+    def try_trial(self, suspects):
+        """Return whether a request with `suspects` is the next trial of all its groups."""
         now_s = self._clock.boottime_s()
-        cases = self._effective_cases(parts)
+        cases = self._effective_cases(suspects)
         if not all(self._is_due(group, case, now_s) for group, case in cases):
             return False
         for group, case in cases:
             case.trial_s = now_s
-            _log.info("part_tried", parts=sorted(group))
+            _log.info("suspect_tried", suspects=sorted(group))
         return True
 
     def _is_due(self, group, case, now_s):
@@ -127,14 +128,14 @@
         turn = int(overdue_s / TRIAL_TURN_S)
         return self.is_turn(f"{','.join(sorted(group))}/{turn}")
 
-    def _effective_cases(self, parts):
+    def _effective_cases(self, suspects):
         if not self._cases:
             return []
         now_s = self._clock.boottime_s()
         return [
             (group, case)
             for group, case in self._cases.items()
-            if group <= set(parts) and case.is_effective(now_s)
+            if group <= set(suspects) and case.is_effective(now_s)
         ]
 
     def _apply(self, group, case):
@@ -146,8 +147,8 @@
 
     def _log_new(self, group, crashes, case):
         _log.info(
-            "part_quarantined",
-            parts=sorted(group),
+            "suspect_quarantined",
+            suspects=sorted(group),
             crashes=len(crashes),
             trial_after_s=case.trial_after_s,
         )
