Show in a model that sound requests beside a deadly one come through

Eight engines, 60 requests a second, each sent up to four times as its engines end; with a deadly request once a second, and with crashes of other causes every 0.7 and 2 s. Of sound requests at most one, and one in fifty of those at crashes, is refused or cancelled.

--- a/tests/test_relay_deadly_requests.py
+++ b/tests/test_relay_deadly_requests.py
@@ -1,11 +1,18 @@
 """Requests that end engines, whatever their prompts: how few engines end."""
 
 import contextlib
+import math
+import random
 
 import gevent
 import pytest
 from structlog.testing import capture_logs
 
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.relay.crash_evidence import CrashEvidence
+from briarbeam.relay.quarantine import Quarantine
+from briarbeam.relay.suspects import request_suspect
+
 from .relay_fakes import (
     END,
     NON_IDEMPOTENT,
@@ -116,3 +123,99 @@
     assert len(crashes) == 2
     assert crashes[0]["contents"] == crashes[1]["contents"]
     assert len(crashes[0]["contents"]) == 1
+
+
+class Fleet:
+    """A model of engines with requests that wait, end engines or are answered.
+
+    A request whose engine ends is sent to another one, up to `SENDS_MAX` times in all.
+
+    :param deadly: the content id of the request that ends engines, or None.
+    """
+
+    ENGINES = 8
+    SENDS_MAX = 4
+
+    def __init__(self, seed, deadly=None):
+        self.random = random.Random(seed)
+        self.clock = ManualClock()
+        self.clock.advance(1000.0)
+        self.evidence = CrashEvidence(self.clock)
+        self.quarantine = Quarantine(self.clock, self.evidence)
+        self.deadly = deadly
+        self.waiting = []
+        self.down_until_s = {}
+        self.crashes = self.requests_at_crashes = self.refused = 0
+
+    def is_refused(self, content):
+        is_held = self.quarantine.left_s((request_suspect(content),)) is not None
+        self.refused += is_held and content != self.deadly
+        return is_held
+
+    def send(self, content, sends=1):
+        if self.is_refused(content):
+            return
+        now_s = self.clock.boottime_s()
+        up = [n for n in range(self.ENGINES) if self.down_until_s.get(n, 0.0) <= now_s]
+        if up:
+            begins_s = now_s + self.random.uniform(0.3, 1.5)
+            self.waiting.append((begins_s, content, sends, self.random.choice(up)))
+
+    def end(self, engine):
+        now_s = self.clock.boottime_s()
+        self.crashes += 1
+        self.down_until_s[engine] = now_s + 3.0
+        hit = [job for job in self.waiting if job[3] == engine]
+        self.waiting = [job for job in self.waiting if job[3] != engine]
+        self.requests_at_crashes += len(hit)
+        for _, content, _, _ in hit:
+            self.evidence.record_crash((), content, f"run{self.crashes}", now_s)
+        for _, content, sends, _ in hit:
+            if sends < self.SENDS_MAX:
+                self.send(content, sends + 1)
+
+    def run(self, duration_s, requests_per_s, crash_interval_s=math.inf):
+        """Play `duration_s`, with crashes of another cause at intervals."""
+        next_crash_s = self.clock.boottime_s() + crash_interval_s
+        for step in range(int(duration_s * 10)):
+            self.clock.advance(0.1)
+            now_s = self.clock.boottime_s()
+            # Those that wait are cancelled once a quarantine takes effect.
+            self.waiting = [job for job in self.waiting if not self.is_refused(job[1])]
+            for index in range(requests_per_s // 10):
+                self.send(f"{step}-{index}")
+            if self.deadly is not None and step % 10 == 0:
+                self.send(self.deadly, self.SENDS_MAX - 1)
+            for job in sorted(self.waiting):
+                if job in self.waiting and job[0] <= now_s:
+                    self.begin(job)
+            if now_s >= next_crash_s:
+                next_crash_s = now_s + crash_interval_s
+                self.end(self.random.randrange(self.ENGINES))
+
+    def begin(self, job):
+        _, content, _, engine = job
+        if content == self.deadly:
+            self.end(engine)
+        else:
+            self.waiting.remove(job)
+            self.evidence.record_survival(content)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_sound_requests_beside_a_deadly_one_come_through(seed):
+    """Two crashes often have a sound request in common, as it is repeated at once."""
+    fleet = Fleet(seed, "deadly")
+    fleet.run(25.0, 60)
+    assert fleet.crashes <= 6
+    assert fleet.refused <= 1
+    assert fleet.quarantine.suspects == {request_suspect("deadly")}
+
+
+@pytest.mark.parametrize("interval_s", [0.7, 2.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_repeated_requests_come_through_crashes_of_other_causes(seed, interval_s):
+    fleet = Fleet(seed)
+    fleet.run(25.0, 60, interval_s)
+    assert fleet.requests_at_crashes >= 40
+    assert fleet.refused <= fleet.requests_at_crashes // 50
