Log a quarantine once it takes effect

suspect_quarantined is now written when requests are refused from, and suspect_released only after that. The new test failed before (two lines of a suspect that was excused at once) and passes.

--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -89,11 +89,11 @@
             if group in self._cases:
                 case.trial_s = self._cases[group].trial_s
             else:
-                self._log_new(group, crashes, case)
-                gevent.spawn_later(SETTLE_S, self._apply, group, case)
+                gevent.spawn_later(SETTLE_S, self._apply, group, case, len(crashes))
             cases[group] = case
         for group in self._cases.keys() - cases.keys():
-            _log.info("suspect_released", suspects=sorted(group))
+            if self._cases[group].is_effective(now_s):
+                _log.info("suspect_released", suspects=sorted(group))
         self._cases = cases
         _QUARANTINED.set(len(cases))
 
@@ -138,21 +138,19 @@
             if group <= set(suspects) and case.is_effective(now_s)
         ]
 
-    def _apply(self, group, case):
+    def _apply(self, group, case, crash_count):
         # A timer may fire early, because the event loop caches the time.
         while group in self._cases and not case.is_effective(self._clock.boottime_s()):
             gevent.sleep(SETTLE_S / 8)
         if group in self._cases:
+            _log.info(
+                "suspect_quarantined",
+                suspects=sorted(group),
+                crashes=crash_count,
+                trial_after_s=case.trial_after_s,
+            )
             self.on_effective()
 
-    def _log_new(self, group, crashes, case):
-        _log.info(
-            "suspect_quarantined",
-            suspects=sorted(group),
-            crashes=len(crashes),
-            trial_after_s=case.trial_after_s,
-        )
-
 
 def _trial_after_s(times_s):
     """Return the time from the last crash to the next trial.
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -4,6 +4,7 @@
 
 import gevent
 import pytest
+from structlog.testing import capture_logs
 
 from briarbeam.distribution.crash_reporter import CrashReporter
 from briarbeam.distribution.messages import decode
@@ -304,3 +305,15 @@
     ]
     assert all(len(entries) == 1 for entries in turns)
     assert len({id(entries[0]) for entries in turns}) > 4
+
+
+def test_suspect_that_is_excused_at_once_leaves_no_line():
+    """Entries hear of a crash one request at a time, and logged each step."""
+    entry = Entry({}, **RESUMABLE_STREAM)
+    with capture_logs() as lines:
+        entry.evidence.merge(evidence_rows("bad"))
+        entry.evidence.record_begin(("bad",))
+        gevent.sleep(SETTLE_S + 0.05)
+        quarantine(entry, "worse")
+    events = [line["suspects"] for line in lines if "suspects" in line]
+    assert events == [["worse"]]
