Count only requests that had not begun in the evidence against a part

Cause: each crash counts the less against a part, the more requests the engine had not begun. Requests that had begun but were not survived yet are crash reports, too, since they may be what ended the engine, and were counted with them.

test_requests_that_had_begun_do_not_weaken_the_evidence_against_a_part failed before (the part was not found after three crashes) and passes.

--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -47,10 +47,10 @@
 
 @dataclass
 class Run:
-    """The end of one run of an engine under any requests.
+    """The end of one run of an engine.
 
     :param at_s: boot time.
-    :param requests: as in `Crash`, for all suspects.
+    :param requests: as in `Crash`, for all parts of prompts.
     :param reported_count: the highest number of requests that another entry reported.
     """
 
@@ -260,7 +260,8 @@
     def _add(self, suspect, run, crash):
         """Unite `crash` with the known one; return it, or None if it is dropped."""
         run_end = self._add_run(run, crash.at_s)
-        run_end.requests |= crash.requests
+        if not is_request(suspect):
+            run_end.requests |= crash.requests
         crashes = self._crashes.setdefault(suspect, {})
         known = crashes.get(run, Crash(math.inf))
         requests = sorted(known.requests | crash.requests)[:REQUESTS_PER_CRASH_MAX]
--- a/tests/test_relay_crash_evidence.py
+++ b/tests/test_relay_crash_evidence.py
@@ -115,6 +115,19 @@
     assert culprits(evidence) == {"bad"}
 
 
+def test_requests_that_had_begun_do_not_weaken_the_evidence_against_a_part():
+    """Two more engines ended before the part was found."""
+    clock, evidence, quarantine = new_evidence()
+    for number in range(CRASHES_MIN):
+        clock.advance(1.0)
+        run, now_s = f"run{number}", clock.boottime_s()
+        for index in range(12):
+            evidence.record_crash((), f"begun{number}-{index}", run, now_s)
+        prompts = [(f"m{number}-{index}", f"r{number}-{index}") for index in range(3)]
+        crash(clock, evidence, run, ("bad", f"b{number}"), *prompts)
+    assert quarantine.suspects == {"bad"}
+
+
 def test_crashes_that_a_part_explains_do_not_count_against_others():
     clock, evidence, _ = new_evidence()
     crash_apart(clock, evidence, 4, "bad")
