Answer what has no answer at the end of the grace period

Reported by other operators: in a planned stop, in calm, requests that came late in the grace were passed on and cut at its end without an answer, among them some that may not be repeated (LOST). It can happen here: a request read 2.8 s after SIGTERM may take longer than the rest, and connections that were still open were closed with the process.

Now such a request fails while there is time: with 502 if it was sent, with 503 if not, and a stream that was begun with a reset, as for any other fault. Its target sees the connection close.

--- a/briarbeam/relay/dispatch.py
+++ b/briarbeam/relay/dispatch.py
@@ -6,7 +6,13 @@
 from ..platform import headers as wire
 from .admission import RETRY_AFTER_S
 from .callers import DisconnectWatch
-from .errors import CallerDisconnectedError, InternalError, NotRunInternalError
+from .errors import (
+    CallerDisconnectedError,
+    GraceEndedError,
+    InternalError,
+    NotRunInternalError,
+    StoppingError,
+)
 
 _log = structlog.get_logger()
 
@@ -50,6 +56,15 @@
         except CallerDisconnectedError as error:
             outcome = error
             raise
+        except GraceEndedError as error:
+            if writer.complete:
+                return
+            outcome = error
+            if writer.begun:
+                raise
+            if job is None or not job.may_have_run:
+                outcome = StoppingError("entry ended before the request was sent")
+            self._refuse(writer, outcome)
         except BriarbeamError as error:
             outcome = error
             if writer.begun:
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -140,6 +140,13 @@
     status = 502
 
 
+class GraceEndedError(BriarbeamError):
+    """This process ends before the request was answered, after it was sent."""
+
+    code = "stopping_sent"
+    status = 502
+
+
 class QuarantinedSentError(BriarbeamError):
     """The request was cancelled at its engine, as its prompt was quarantined."""
 
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -15,7 +15,12 @@
 from ..kernel.tasks import ReadYielder
 from ..platform import headers as wire
 from .callers import READ_BLOCK_BYTES, AnswerWriter, RequestReader
-from .errors import CallerDisconnectedError, MalformedRequestError, StoppingError
+from .errors import (
+    CallerDisconnectedError,
+    GraceEndedError,
+    MalformedRequestError,
+    StoppingError,
+)
 
 # How long new connections may still arrive after readiness has ended. The load balancer
 # checks it once a second, and sends no more connections after two failed checks.
@@ -25,6 +30,8 @@
 ACCEPT_AFTER_STOP_S = 2.8
 # Part of the grace period that is reserved for the process to exit by itself.
 EXIT_MARGIN_S = 0.6
+# How long the last answers may take to be written, out of `EXIT_MARGIN_S`.
+END_ANSWERS_S = 0.3
 LISTEN_BACKLOG = 1024
 # How long the rest of what a caller sends is read before its connection is closed.
 LINGER_S = 1.0
@@ -50,6 +57,7 @@
         self._limits = limits
         self._idle_sockets = set()
         self._open_sockets = set()
+        self._answering = set()
         self._closing = False
         self._refuse_after_s = math.inf
         self._server = StreamServer(tuple(address), self._serve, backlog=LISTEN_BACKLOG)
@@ -61,8 +69,8 @@
     def close_gracefully(self, grace_s):
         """Stop serving after the requests that were read are answered.
 
-        New requests are still served for `ACCEPT_AFTER_STOP_S`. Connections that are
-        still open `EXIT_MARGIN_S` before the end of the grace period are cut.
+        New requests are still served for `ACCEPT_AFTER_STOP_S`. Requests that are not
+        answered `EXIT_MARGIN_S` before the end of the grace period fail.
 
         :param grace_s: seconds until the process will be killed.
         """
@@ -77,8 +85,19 @@
             if not self._open_sockets and time.monotonic() > self._refuse_after_s:
                 break
             gevent.sleep(0.05)
+        cut_count = len(self._answering)
+        self._end_answers()
         self._server.stop(timeout=0)
-        _log.info("callers_closed", cut=len(self._open_sockets))
+        _log.info("callers_closed", cut=cut_count)
+
+    def _end_answers(self):
+        """Let requests that are not answered yet fail, so that their callers know."""
+        for task in list(self._answering):
+            error = GraceEndedError("entry ends before the answer")
+            gevent.kill(task, error)
+        until_s = time.monotonic() + END_ANSWERS_S
+        while self._answering and time.monotonic() < until_s:
+            gevent.sleep(0.01)
 
     def _serve(self, sock, _):
         self._open_sockets.add(sock)
@@ -123,7 +142,12 @@
                     request, writer, StoppingError("entry is shutting down")
                 )
             else:
-                self._dispatcher.answer(request, writer, sock, reader)
+                task = gevent.getcurrent()
+                self._answering.add(task)
+                try:
+                    self._dispatcher.answer(request, writer, sock, reader)
+                finally:
+                    self._answering.discard(task)
             if not writer.keep_alive:
                 if writer.ends_with_connection:
                     _close_in_order(sock)
