Refuse late requests in a short grace period, too

The time for which a stopping entry takes new requests, 2.8 s, did not depend on the grace period: with one of 3 s, requests were passed on after the time at which the rest is cut.

Now new requests are refused in the second half of the grace period at the latest, so that each one that is taken has the other half. With 8 s nothing changes.

test_request_late_in_a_short_grace_is_refused_at_once failed before (200 with a second left to answer it, sent to the instance) and passes.

--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -69,16 +69,17 @@
     def close_gracefully(self, grace_s):
         """Stop serving after the requests that were read are answered.
 
-        New requests are still served for `ACCEPT_AFTER_STOP_S`. Requests that are not
-        answered `EXIT_MARGIN_S` before the end of the grace period fail.
+        New requests are still served for `ACCEPT_AFTER_STOP_S`, but not in the second half
+        of the grace period. Requests that are not answered `EXIT_MARGIN_S` before the end of the grace period fail.
 
         :param grace_s: seconds until the process will be killed.
         """
         started_s = time.monotonic()
         self._closing = True
-        self._refuse_after_s = started_s + ACCEPT_AFTER_STOP_S
-        gevent.sleep(BALANCER_NOTICE_S)
-        deadline_s = started_s + grace_s - EXIT_MARGIN_S
+        usable_s = grace_s - EXIT_MARGIN_S
+        self._refuse_after_s = started_s + min(ACCEPT_AFTER_STOP_S, usable_s / 2)
+        gevent.sleep(min(BALANCER_NOTICE_S, usable_s / 2))
+        deadline_s = started_s + usable_s
         while time.monotonic() < deadline_s:
             for sock in list(self._idle_sockets):
                 sock.close()
--- a/tests/test_relay_stopping.py
+++ b/tests/test_relay_stopping.py
@@ -12,7 +12,9 @@
     FakeInstance,
     event,
     never_answer,
+    ok,
     read_all,
+    reply,
     request_bytes,
     stream_head,
 )
@@ -66,3 +68,25 @@
     entry.server.close_gracefully(3.6)
     with pytest.raises(ConnectionResetError):
         asked.get(timeout=0.5)
+
+
+def test_request_late_in_a_short_grace_is_refused_at_once():
+    """It was passed on, and cut at the end of the grace."""
+
+    def script(instance, sock, request):
+        (never_answer if b"/a/slow" in request else reply(ok()))(
+            instance, sock, request
+        )
+
+    fake = FakeInstance(script)
+    entry = Entry({"i1": fake}, timeout_s=6.0, **NON_IDEMPOTENT)
+    ask_late(entry, path=b"/a/slow")
+    gevent.sleep(0.1)
+    stop = gevent.spawn(entry.server.close_gracefully, 3.0)
+    gevent.sleep(0.8)
+    assert entry.ask().split()[1] == b"200"
+    gevent.sleep(0.8)
+    assert entry.ask().split()[1] == b"503"
+    assert len(fake.requests) == 2
+    stop.join(timeout=1.5)
+    assert stop.ready()
