Don't take a service's reply without a mark of its end for complete

Such a reply is now an unknown outcome, as after a broken connection: a gate keeps whole replies for repeated keys, so it can't pass on one of which nobody knows whether it is whole. Completions are not concerned, as their last frame marks the end; chunks, manifests and records are checked by their digests or as JSON.

The fake network of the gate's tests states how its replies end, as servers do.

--- a/briarbeam/gate/backends.py
+++ b/briarbeam/gate/backends.py
@@ -161,7 +161,8 @@
 
         :param before_send: function called right before the first byte is sent.
         :raises UnavailableError: if nothing was sent.
-        :raises OutcomeUnknownError: if the service may have run the call.
+        :raises OutcomeUnknownError: if the service may have run the call, but did not
+            reply, or not with a mark of the reply's end.
         """
         request = HttpRequest(
             method,
@@ -173,8 +174,15 @@
             before_send=before_send,
         )
         try:
-            return fetch(self._network, self._address, request)
+            status, headers, answer = fetch(self._network, self._address, request)
         except ConnectError as error:
             raise UnavailableError(str(error)) from error
         except ExchangeError as error:
             raise OutcomeUnknownError(str(error)) from error
+        has_end = headers.keys() & {"content-length", "transfer-encoding"}
+        if not has_end and status not in (204, 304):
+            raise OutcomeUnknownError(
+                f"the reply of {self._address} has neither a length nor chunks, so "
+                f"that its {len(answer)} bytes may be a part"
+            )
+        return status, headers, answer
--- a/tests/gate_fakes.py
+++ b/tests/gate_fakes.py
@@ -53,7 +53,13 @@
 class _Reply:
     def __init__(self, response):
         self.status = response.status
-        self.headers = response.headers
+        # As a real server does, by a length or in chunks.
+        mark = (
+            "content-length"
+            if isinstance(response.body, bytes)
+            else "transfer-encoding"
+        )
+        self.headers = {**response.headers, mark: ""}
         self._body = response.body
         self._reading = False
         self._closed = False
