Don't end a stream without the event that a target had begun

CallerStream now remembers that an event had begun until one is forwarded, and does not end before. The caller gets a reset, or 502.

Seven tests failed before and pass.

--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -23,6 +23,7 @@
         self.begun = False
         self.last_id = None
         self.rest_by_s = math.inf
+        self._expects_event = False
 
     @property
     def may_end(self):
@@ -44,6 +45,7 @@
         if last_id is not None:
             self.last_id = last_id
         self.rest_by_s = math.inf
+        self._expects_event = False
         if self.begun:
             self._writer.write_part(events)
             return
@@ -52,6 +54,14 @@
         marks_end = head.framing is not Framing.CONNECTION
         self._writer.begin_stream(head.status, headers, events, marks_end)
 
+    def record_break(self, remainder):
+        """Record that a target broke off.
+
+        :param remainder: what it sent after its last event.
+        """
+        if remainder.strip(b"\r\n"):
+            self._expects_event = True
+
     def await_rest(self, remainder, by_s):
         """Wait for more events, as the end of the last target's was not marked.
 
@@ -67,8 +77,11 @@
 
         :param remainder: the bytes after the last event.
         :raises UpstreamError: if the end of `head`'s stream is not marked, but the
-            caller was told that its stream's would be.
+            caller was told that its stream's would be, or if another target had begun
+            an event that is missing.
         """
+        if self._expects_event:
+            raise UpstreamError("an event that another target had begun is missing")
         if remainder or not self.begun:
             self.forward(head, remainder, None)
         is_marked = head.framing is not Framing.CONNECTION
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -182,6 +182,8 @@
                 job.refusals += 1
                 attempts.drop(attempt, "refused")
             except UpstreamError as error:
+                if stream is not None:
+                    stream.record_break(attempt.splitter.remainder)
                 attempts.drop(attempt, error.code)
                 self._handle_failure(job, attempt.target, error, attempts, stream)
         if attempts and time.monotonic() >= until_s:
--- a/tests/test_relay_broken_streams.py
+++ b/tests/test_relay_broken_streams.py
@@ -272,3 +272,18 @@
         answer = Entry({"i1": FakeInstance(script)}, **NON_IDEMPOTENT).ask()
     assert answer.split()[1] == status.split()[0]
     assert answer.endswith(b"\r\n\r\n")
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_rest_without_the_event_that_had_begun_is_not_the_rest(name):
+    """A second target that sent nothing more completed the stream."""
+    answer, was_reset, second = ask_two(reply(BROKEN[name]), reply(framed()))
+    assert second.header(b"last-event-id") == b"1"
+    assert_only_events(answer, 1, is_marked="unframed" not in name)
+    assert was_reset
+
+
+def test_answer_without_the_event_that_had_begun_is_no_answer():
+    answer, _, second = ask_two(reply(framed(b"id: 1\ndata")), reply(framed()))
+    assert len(second.requests) == 1
+    assert answer.split()[1] == b"502"
