Don't end a stream in order whose rest broke off inside an event

If that one broke off, was reset or fell silent inside an event, the stream still ended in order, though it was known that there was more.

The caller gets a reset now. Three tests failed before and pass.

--- a/briarbeam/relay/caller_stream.py
+++ b/briarbeam/relay/caller_stream.py
@@ -28,7 +28,8 @@
     @property
     def may_end(self):
         """Whether all events were sent, as far as the targets show."""
-        return self.rest_by_s < math.inf and self._writer.ends_with_connection
+        is_awaiting_rest = self.rest_by_s < math.inf and not self._expects_event
+        return is_awaiting_rest and self._writer.ends_with_connection
 
     @property
     def can_resume(self):
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -202,6 +202,8 @@
                 f"{attempts.target_ids()} sent nothing more before the deadline"
             )
         if stream is not None and now_s >= stream.rest_by_s:
+            for attempt in attempts:
+                stream.record_break(attempt.splitter.remainder)
             raise UpstreamSilentError(f"{attempts.target_ids()} sent no rest in time")
         for attempt in attempts:
             if now_s >= attempt.begin_by_s:
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -70,7 +70,8 @@
         """Stop serving after the requests that were read are answered.
 
         New requests are still served for `ACCEPT_AFTER_STOP_S`, but not in the second half
-        of the grace period. Requests that are not answered `EXIT_MARGIN_S` before the end of the grace period fail.
+        of the grace period. Requests that are not answered `EXIT_MARGIN_S` before its
+        end fail.
 
         :param grace_s: seconds until the process will be killed.
         """
--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -345,3 +345,27 @@
 
     entry = Entry({"i1": FakeInstance(script)}, **NON_IDEMPOTENT)
     assert ask(entry, method=b"POST")[1:] == (b"last", False)
+
+
+def fall_silent(data):
+    """Return a script that sends `data` and nothing more."""
+
+    def script(instance, sock, request):
+        sock.sendall(data)
+        never_answer(instance, sock, request)
+
+    return script
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        reply(stream_head() + b"5\r\nid: 2\r\n"),
+        then_reset(STREAM_HEAD + b"id: 2"),
+        fall_silent(STREAM_HEAD + b"id: 2"),
+    ],
+    ids=["closed", "reset", "silent"],
+)
+def test_stream_whose_rest_breaks_off_inside_an_event_does_not_end_in_order(script):
+    (_, body, was_reset), _ = ask_in_turn(reply(STREAM_HEAD + text(1)), script)
+    assert (body, was_reset) == (text(1), True)
