Remove the last part of a prompt, which told requests apart

Requests are told apart by their content since the quarantine of requests, so that nothing reads RequestMeta.own_part any more. The tests of decoded prompts check the shared parts as before. Doc texts of the reports between entries speak of suspects.

--- a/briarbeam/distribution/crash_reporter.py
+++ b/briarbeam/distribution/crash_reporter.py
@@ -1,4 +1,4 @@
-"""Shares the crashes that parts of prompts are suspected of among all entries."""
+"""Shares the crashes that are held against suspects among all entries."""
 
 import random
 
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -22,7 +22,7 @@
 MAX_BYTES = 1400
 # Number of entries listed in one datagram, at about 22 bytes each.
 ENTRIES_PER_DATAGRAM = 40
-# Longest id of a part, a run or a request in a report of crashes. Such a report has at
+# Longest id of a suspect, a run or a request in a report of crashes. Such a report has at
 # most 16 + 8 + 4 x 16 characters of ids and about 35 others a crash.
 CRASH_ID_MAX_CHARS = 16
 CRASHES_PER_DATAGRAM = 10
@@ -161,7 +161,7 @@
 
 @dataclass(frozen=True)
 class CrashReport:
-    """Crashes that parts of prompts are suspected of.
+    """Crashes that are held against suspects.
 
     :param rows: the fields of `CrashRow` objects.
     :param run_rows: the fields of `RunRow` objects.
--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -57,8 +57,6 @@
     :param model: the model that the caller asks for, or None.
     :param prompt_parts: the ids of the parts of the prompt that other requests may
         share, in order.
-    :param own_part: the id of the last part, which belongs to the request or to its
-        session, or None.
     :param forwarded: headers that are forwarded to an instance unchanged.
     """
 
@@ -69,7 +67,6 @@
     last_event_id: bytes | None = None
     model: str | None = None
     prompt_parts: tuple = ()
-    own_part: str | None = None
     forwarded: list = field(default_factory=list)
 
 
@@ -132,7 +129,7 @@
         elif name == _MODEL:
             meta.model = value.decode("latin-1")
         elif name == _PROMPT_PARTS:
-            meta.prompt_parts, meta.own_part = _parse_prompt_parts(value)
+            meta.prompt_parts = _parse_prompt_parts(value)
         if name not in _NOT_FORWARDED and name not in hop_by_hop:
             meta.forwarded.append((name, value))
     return meta
@@ -223,17 +220,17 @@
 
 
 def _parse_prompt_parts(value):
-    """Return the ids of the shared parts and of the last part of a prompt.
+    """Return the ids of the shared parts of a prompt, all but the last.
 
-    :returns: an empty tuple and None if `value` is malformed.
+    :returns: an empty tuple if `value` is malformed.
     """
     matches = [
         _PROMPT_PART.fullmatch(item.strip().lower()) for item in value.split(b",")
     ]
     if not all(matches):
-        return (), None
-    *shared, own = [match[1].decode() for match in matches]
-    return tuple(dict.fromkeys(shared[:PROMPT_PARTS_MAX])), own
+        return ()
+    *shared, _ = [match[1].decode() for match in matches]
+    return tuple(dict.fromkeys(shared[:PROMPT_PARTS_MAX]))
 
 
 def _parse_load(value):
--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -191,7 +191,7 @@
     def expire(self, keep=frozenset()):
         """Forget old crashes.
 
-        :param keep: parts whose crashes are kept.
+        :param keep: suspects whose crashes are kept.
         """
         oldest_s = self._clock.boottime_s() - CRASH_EXPIRY_S
         kept_runs = {run for suspect in keep for run in self._crashes.get(suspect, ())}
