Let back ends of the soak answer without a mark of the end

Back ends now send them for a while, whole, reset, or ended in order between two events or within a whole answer. What looks whole by its framing has to be whole, and any part that a caller gets has to be the beginning of its own answer.

--- a/soak/backends.py
+++ b/soak/backends.py
@@ -86,10 +86,12 @@
     """A service instance that uses raw sockets, so that it can send broken answers.
 
     Faults: `lost_share` is the share of answers that are lost after the run, and
-    `loss_mode` (``reset``, ``hang`` or ``cut``) selects how. `stray_share` is the share
-    of answers that are followed by stray bytes, and `refused_share` the share of
-    requests that are refused with the assurance that they did not run. Refusals ask for
-    a wait of `retry_after_s`, or for none if it is None.
+    `loss_mode` (``reset``, ``hang``, ``cut``, or ``end`` for an orderly end between two
+    events or within a whole answer) selects how. `stray_share` is the share of answers
+    that are followed by stray bytes, `unmarked_share` that of answers with neither a
+    length nor chunks, and `refused_share` the share of requests that are refused with
+    the assurance that they did not run. Refusals ask for a wait of `retry_after_s`, or
+    for none if it is None.
 
     While `leaving` is true, all answers state it.
     """
@@ -111,6 +113,7 @@
     def clear_faults(self):
         """Stop losing, refusing and extending answers."""
         self.retry_after_s = None
+        self.unmarked_share = 0.0
         self.lost_share, self.loss_mode, self.stray_share, self.refused_share = (
             0.0,
             "reset",
@@ -193,10 +196,16 @@
         request_id = headers[b"x-request-id"].decode()
         self._record_run(request_id, headers)
         gevent.sleep(LEDGER_WORK_S)
+        answer_headers = self._headers(request_id)
+        body = expected_answer(request_id)
         if self._maybe_lose_answer(sock):
+            if self.loss_mode == "end":
+                part = body[: self.random.randrange(len(body))]
+                writer.write(200, answer_headers, part, marks_end=False)
             return
-        writer.write(200, self._headers(request_id), expected_answer(request_id))
-        if self.random.random() < self.stray_share:
+        marks_end = self._marks_end()
+        writer.write(200, answer_headers, body, marks_end)
+        if marks_end and self.random.random() < self.stray_share:
             sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray")
 
     def _record_run(self, request_id, headers, first_event=1):
@@ -215,10 +224,15 @@
     def _leaving_headers(self):
         return [(b"server-leaving", b"1")] if self.leaving else []
 
+    def _marks_end(self):
+        return self.random.random() >= self.unmarked_share
+
     def _maybe_lose_answer(self, sock):
         """Lose the answer with probability `lost_share`; return whether it was lost."""
         if self.random.random() >= self.lost_share:
             return False
+        if self.loss_mode == "end":
+            return True
         if self.loss_mode == "hang":
             gevent.sleep(IDLE_TIMEOUT_S)
         elif self.loss_mode == "cut":
@@ -320,12 +334,13 @@
             writer.end_stream()
             return
         lost_at = self.random.randint(first, EVENT_COUNT)
+        marks_end = self._marks_end()
         for number in range(first, EVENT_COUNT + 1):
             if number == lost_at and self._maybe_lose_answer(sock):
                 return
             event = event_bytes(request_id, number)
             if number == first:
-                writer.begin_stream(200, answer_headers, event)
+                writer.begin_stream(200, answer_headers, event, marks_end)
             else:
                 writer.write_part(event)
             gevent.sleep(EVENT_GAP_S)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -66,7 +66,11 @@
     def _check_answer(self, attempt, runs):
         if attempt.status == -1:
             self._report("received bytes that are not a valid HTTP answer", attempt)
-        if attempt.status != 200 or not attempt.complete:
+        if attempt.status != 200:
+            return
+        if not attempt.expected_body().startswith(attempt.body):
+            self._report("received bytes that belong to no answer to it", attempt)
+        if not attempt.complete:
             return
         if attempt.body != attempt.expected_body():
             self._report(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -249,6 +249,19 @@
     backend.clear_faults()
 
 
+@faults.register("target_marks_no_ends")
+def target_marks_no_ends(injector, fault):
+    target = _reserve_target(injector, fault)
+    if target is None:
+        return
+    backend = target.backend
+    backend.unmarked_share = 1.0
+    backend.lost_share = injector.rng.choice([0.0, 0.3])
+    backend.loss_mode = injector.rng.choice(["reset", "end"])
+    gevent.sleep(injector.rng.uniform(1.0, 5.0))
+    backend.clear_faults()
+
+
 @faults.register("target_crashes")
 def target_crashes(injector, fault):
     target = _reserve_target(injector, fault)
