Weigh only suspects that may be held responsible

Each report of a crash made an entry weigh up to 512 suspects, most of them requests that were at one crash, which no rule holds responsible.

CrashEvidence.unexcused leaves out suspects with fewer than two crashes when the quarantine asks.

--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -205,12 +205,16 @@
             if not crashes:
                 del self._crashes[suspect]
 
-    def unexcused(self):
-        """Return the crashes that are not excused, by run, of each suspect."""
+    def unexcused(self, crashes_min=1):
+        """Return the crashes that are not excused, by run, of each suspect.
+
+        :param crashes_min: suspects with fewer of them are left out.
+        """
         return {
             suspect: found
-            for suspect in self._crashes
-            if (found := self._unexcused_of(suspect))
+            for suspect, crashes in self._crashes.items()
+            if len(crashes) >= crashes_min
+            and len(found := self._unexcused_of(suspect)) >= crashes_min
         }
 
     def is_suspected(self, suspect, moments):
--- a/briarbeam/relay/culprits.py
+++ b/briarbeam/relay/culprits.py
@@ -35,6 +35,8 @@
 # is at two crashes of other causes now and then, and hardly ever at three.
 REQUEST_CRASHES_MIN = 2
 REQUEST_CRASHES_ALONE = 3
+# Suspects with fewer crashes are not held responsible by any rule.
+SUSPECT_CRASHES_MIN = min(CRASHES_MIN, REQUEST_CRASHES_MIN)
 NO_EVIDENCE = (0, 0.0)
 
 # The rules by the kind of suspect, in the order in which crashes are explained.
@@ -48,7 +50,8 @@
     were present at exactly the same crashes can't be told apart. They form a group,
     which is responsible only for requests that have all of it.
 
-    :param crashes_by_suspect: as returned by `CrashEvidence.unexcused`.
+    :param crashes_by_suspect: as returned by `CrashEvidence.unexcused`, at least of
+        those suspects with `SUSPECT_CRASHES_MIN`.
     :param runs: the `Run` objects of all crashes by their names.
     :param held: suspects that were held responsible before; crashes of other causes do
         not relieve them.
--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -6,7 +6,7 @@
 import structlog
 from prometheus_client import Gauge
 
-from .culprits import find_culprits
+from .culprits import SUSPECT_CRASHES_MIN, find_culprits
 
 # Other entries can excuse a suspect within this time before it is quarantined.
 SETTLE_S = 0.05
@@ -77,7 +77,7 @@
     def update(self):
         """Find the responsible suspects again, after the evidence has changed."""
         now_s = self._clock.boottime_s()
-        crashes_by_suspect = self._evidence.unexcused()
+        crashes_by_suspect = self._evidence.unexcused(SUSPECT_CRASHES_MIN)
         cases = {}
         groups = find_culprits(crashes_by_suspect, self._evidence.runs, self.suspects)
         for group in groups:
