Fix the order of three instances in tests of unmarked answers

Traced: an entry draws its targets by their free slots, and the line of the request names i2 after i0.

The tests now let the entry choose in a given order; their checks are the same. With each draw forced to the least likely target, two tests of the file failed before, this one among them, and none does now; the other new test files and test_relay_broken_streams.py have no failure like that either.

--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -216,12 +216,27 @@
     assert (body, was_reset) == (text(1), True)
 
 
+def choose_in_order(entry, names):
+    """Let an entry choose targets in the order of `names`, instead of drawing them."""
+    selector = entry.delivery._selector
+    draw = selector.pick
+
+    def pick(requirements, excluded=()):
+        for name in names:
+            others = [other for other in names if other != name]
+            target = draw(requirements, (*excluded, *others))
+            if target is not None:
+                return target
+        return None
+
+    selector.pick = pick
+
+
 def ask_in_turn(*scripts, **route):
     """Return what a caller gets of a resumable stream, and the instances in order."""
     fakes = {f"i{n}": FakeInstance(script) for n, script in enumerate(scripts)}
     entry = Entry(fakes, **(RESUMABLE_STREAM | {"max_attempts": len(fakes)} | route))
-    for number, name in enumerate(fakes):
-        entry.fleet.get(name).outstanding = (0, 12, 15)[number]
+    choose_in_order(entry, list(fakes))
     return ask(entry, method=b"POST"), list(fakes.values())
 
 
@@ -285,7 +300,7 @@
     fakes = {"i1": FakeInstance(reply(STREAM_HEAD + text(1))), "i2": FakeInstance(
         reply(stream_head() + event(2) + END))}  # fmt: skip
     entry = Entry(fakes, **RESUMABLE_STREAM)
-    entry.fleet.get("i2").outstanding = 12
+    choose_in_order(entry, ["i1", "i2"])
     entry.budget = entry.delivery._budget = RetryBudget(0.0, 0, 10.0)
     assert ask(entry, method=b"POST")[1:] == (text(1), False)
     assert not fakes["i2"].requests
