--- a/briarbeam/kernel/rpc.py
+++ b/briarbeam/kernel/rpc.py
@@ -63,11 +63,9 @@
         """
         channel = self._get_channel(address)
         self._active_calls[channel] += 1
+        call = getattr(stub(channel), method)(message, timeout=timeout_s)
         try:
-            return self.run_coroutine(
-                getattr(stub(channel), method)(message, timeout=timeout_s),
-                timeout_s + 0.5,
-            )
+            return self.run_coroutine(self._await_call(channel, call), timeout_s + 0.5)
         except ConnectionRefusedError as error:
             raise ConnectError(f"no connection to {address}: {error}") from error
         except (
@@ -77,12 +75,9 @@
             TimeoutError,
             gevent.Timeout,
         ) as error:
-            self._close_channel(address)
+            if self._channels.get(address) is channel:
+                self._close_channel(address)
             raise ExchangeError(f"{method} at {address} failed: {error!r}") from error
-        finally:
-            self._active_calls[channel] -= 1
-            if not self._active_calls[channel]:
-                del self._active_calls[channel]
 
     def run_coroutine(self, coroutine, timeout_s=None):
         """Run `coroutine` on the event loop and return its result.
@@ -127,6 +122,23 @@
         if channel is not None:
             self._loop.call_soon_threadsafe(channel.close)
 
+    async def _await_call(self, channel, call):
+        """Return the result of `call`; close a dropped channel after its last call.
+
+        A call that waited for the connection may open one after the channel was closed.
+        The garbage collector must not be left to close it: it does so in whichever
+        greenlet it runs, also while the selector updates its watchers, and a watcher of
+        a closed descriptor makes libev abort the process.
+        """
+        try:
+            return await call
+        finally:
+            self._active_calls[channel] -= 1
+            if not self._active_calls[channel]:
+                del self._active_calls[channel]
+                if channel not in self._channels.values():
+                    channel.close()
+
 
 class _SourceChannel(Channel):
     """A channel that connects from the local address `source_host`."""
--- a/tests/test_kernel_rpc.py
+++ b/tests/test_kernel_rpc.py
@@ -1,7 +1,9 @@
 """Control calls: typed errors and a limit on open channels."""
 
+import asyncio
 import socket
 
+import gevent
 import pytest
 
 from briarbeam.kernel import rpc
@@ -75,3 +77,39 @@
     for address in addresses * 2:
         assert _exchange(loop, address).sender == "a"
         assert len(loop._channels) <= 3
+
+
+def test_connection_of_a_call_that_outlives_its_channel_is_closed(loop, monkeypatch):
+    """It was left to the garbage collector, which ended processes in libev."""
+    original = loop._loop.create_connection
+
+    async def connect_slowly(*args, **kwargs):
+        await asyncio.sleep(0.2)
+        return await original(*args, **kwargs)
+
+    monkeypatch.setattr(loop._loop, "create_connection", connect_slowly)
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        address = Address(*listener.getsockname())
+        # Ends while it connects, so that the later one connects on a closed channel.
+        early = gevent.spawn(_exchange_or_error, loop, address, 0.1)
+        late = gevent.spawn(_exchange_or_error, loop, address, 0.8)
+        gevent.sleep(0.05)
+        # The garbage collector can't close a channel that is referenced.
+        (channel,) = loop._channels.values()
+        connection, _ = listener.accept()
+        connection.settimeout(3.0)
+        with connection:
+            while connection.recv(4096):
+                pass
+        assert isinstance(early.get(), ExchangeError)
+        assert isinstance(late.get(), ExchangeError)
+        assert not loop._active_calls[channel]
+
+
+def _exchange_or_error(loop, address, timeout_s):
+    try:
+        return _exchange(loop, address, timeout_s=timeout_s)
+    except ExchangeError as error:
+        return error
