--- a/briarbeam/weights/waves.py
+++ b/briarbeam/weights/waves.py
@@ -102,7 +102,10 @@
         self._check_predecessor(wave, domain)
         record = self._read(wave, domain)
         own = self._instance.name
-        limit = 1 if self._is_first_change(wave, domain, record) else wave.limit(domain)
+        limit = wave.limit(domain)
+        if self._is_first_change(wave, domain, record):
+            self._check_goes_alone(wave, domain)
+            limit = 1
         if own not in record.holders and len(record.holders) >= limit:
             raise WaitingForPermitError(
                 f"{len(record.holders)} targets of {domain} change now, "
@@ -196,6 +199,22 @@
         first = wave.domains[0]
         return domain == first or not self._read(wave, first).changed
 
+    def _check_goes_alone(self, wave, domain):
+        """Check that no target elsewhere changes while none has changed yet.
+
+        A failure domain that stalled gives way to others, and may resume meanwhile.
+        """
+        others = {
+            other: self._read(wave, other) for other in wave.domains if other != domain
+        }
+        if any(record.changed for record in others.values()):
+            return
+        for other, record in others.items():
+            if record.holders:
+                raise WaitingForPermitError(
+                    f"{min(record.holders)} of {other} changes alone first"
+                )
+
     def _check_failures(self, wave):
         _, failures = self._failures(wave)
         if len(failures) > wave.spec.failures_max:
--- a/tests/test_weights_changeover.py
+++ b/tests/test_weights_changeover.py
@@ -221,6 +221,22 @@
 TestWaves.settings = settings(max_examples=40, stateful_step_count=40)
 
 
+def test_first_domain_that_resumes_after_a_stall_does_not_join_the_first_change():
+    """One target of each failure domain changed before any had shown the version."""
+    clock, objects = ManualClock(), Objects()
+    wave = _wave()
+    first, other = (sorted(TARGETS[domain])[0] for domain in wave.domains)
+    one, two = (_permits(clock, objects, name) for name in (first, other))
+    with pytest.raises(WaitingForPermitError):
+        two.take(wave)
+    clock.advance(STALL_TIMEOUT_S)
+    two.take(wave)
+    with pytest.raises(WaitingForPermitError, match=f"{other} of {other[0]}"):
+        one.take(wave)
+    two.release(wave, changed=True)
+    one.take(wave)
+
+
 def test_failed_changeover_stops_the_rollout_until_it_is_resumed():
     clock, objects = ManualClock(), Objects()
     first = _wave().domains[0]
