--- a/tests/test_gate_admission.py
+++ b/tests/test_gate_admission.py
@@ -94,8 +94,12 @@
         return found[index % len(found)] if found else None
 
     def _yield_to_tasks(self):
-        gevent.sleep(0)
-        gevent.sleep(0)
+        """Let all tasks run until none is ready any more.
+
+        Each task that gives up its turn costs one, so their number bounds the turns.
+        """
+        for _ in range(len(self.requests) + 2):
+            gevent.sleep(0)
 
     def _record_incarnation(self, incarnation):
         if incarnation != self.known_incarnation:
