--- a/briarbeam/catalog.py
+++ b/briarbeam/catalog.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from .kernel.network import Address
+from .placement.engine_cost import EngineCost
 
 
 class RequestKind(enum.Enum):
@@ -72,6 +73,7 @@
         to a cold instance; 0 for no limit.
     :param models: names of the models that its engines serve; empty for plain services.
     :param origin: the `WeightOrigin` of its models, or None.
+    :param engine_cost: the `EngineCost` of its engines, or None if it is not declared.
     """
 
     name: str
@@ -79,6 +81,7 @@
     cold_requests_per_s: float = 0.0
     models: tuple = ()
     origin: WeightOrigin | None = None
+    engine_cost: EngineCost | None = None
 
 
 @dataclass(frozen=True)
--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -19,6 +19,7 @@
     MAX_BYTES,
     Confirmation,
     CrashReport,
+    GrantReply,
     Greeting,
     Load,
     LoadBatch,
@@ -84,6 +85,7 @@
     :param failure_domains: all failure domains, with entries or without.
     :param evidence: the `CrashEvidence` that entries share.
     :param quarantine: the `Quarantine`.
+    :param grants: the `GrantClient`.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         failure_domains,
         evidence,
         quarantine,
+        grants,
     ):
         self._address = address
         self._failure_domain = failure_domain
@@ -125,6 +128,8 @@
         self._crash_reporter = CrashReporter(
             evidence, quarantine, address.host, self.entries, self._send
         )
+        self._grants = grants
+        grants.send = self._send
         self._spread = spread
         spread.send = lambda message, host: self._send(encode(message), host)
         spread.neighbours = self._neighbours
@@ -321,6 +326,8 @@
             self._spread.handle_announcement(message)
         elif isinstance(message, StateReader):
             self._on_reader(message.host)
+        elif isinstance(message, GrantReply):
+            self._grants.handle_reply(host, message)
         elif isinstance(message, CrashReport):
             self._crash_reporter.handle_report(host, message)
 
--- /dev/null
+++ b/briarbeam/distribution/grant_client.py
@@ -0,0 +1,82 @@
+"""Asks the daemons beside engines whether they can take a request."""
+
+import itertools
+
+from gevent.event import AsyncResult
+from prometheus_client import Counter, Histogram
+
+from ..placement.grants import Decision
+from .messages import GrantRequest, encode
+
+# How long an answer is waited for. It takes two ways of a few milliseconds; the daemon
+# beside a busy engine answers a few milliseconds later.
+ANSWER_TIMEOUT_S = 0.03
+# How long a daemon is not asked again after it gave no answer.
+SILENCE_PAUSE_S = 0.5
+
+_ASKED = Counter("briarbeam_grants_asked", "Questions to daemons", ["result"])
+_ANSWER_S = Histogram(
+    "briarbeam_grant_answer_seconds",
+    "Time until a daemon beside an engine answered",
+    buckets=(0.001, 0.002, 0.004, 0.008, 0.016, 0.03),
+)
+
+
+class GrantClient:
+    """Asks for the places of engines, and matches the answers to the questions.
+
+    :param clock: the `Clock`.
+
+    `send` sends a datagram's bytes to a host.
+    """
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._open = {}
+        self.send = lambda data, host: None
+
+    def covers(self, target):
+        """Return whether the places of `target` are granted by the daemon beside it."""
+        now_s = self._clock.monotonic_s()
+        return target.has_fresh_report(now_s) and target.not_asked_until_s <= now_s
+
+    def ask(self, target, demand, cost):
+        """Return the `Decision` of the daemon beside `target`, or None if it is silent.
+
+        :param demand: the `Demand` of the request.
+        :param cost: the `PassCost` of the engine.
+        """
+        host, number = target.instance.address.host, next(self._numbers)
+        answer = self._open[number, host] = AsyncResult()
+        request = GrantRequest(
+            number,
+            round(demand.read_s, 5),
+            None if demand.within_s is None else round(demand.within_s, 4),
+            demand.wait_max_s,
+            demand.cold_requests_per_s,
+            cost.slots,
+            round(cost.base_s, 6),
+            round(cost.per_request_s, 7),
+            round(cost.passes_per_answer, 3),
+        )
+        asked_s = self._clock.monotonic_s()
+        try:
+            self.send(encode(request), host)
+            reply = answer.wait(ANSWER_TIMEOUT_S)
+        finally:
+            del self._open[number, host]
+        now_s = self._clock.monotonic_s()
+        if reply is None:
+            target.not_asked_until_s = now_s + SILENCE_PAUSE_S
+            _ASKED.labels("silent").inc()
+            return None
+        _ANSWER_S.observe(now_s - asked_s)
+        _ASKED.labels("granted" if reply.granted else "refused").inc()
+        return Decision(reply.granted, reply.wait_s)
+
+    def handle_reply(self, host, reply):
+        """Apply a `GrantReply` of the daemon at `host`; a late one has no effect."""
+        answer = self._open.get((reply.number, host))
+        if answer is not None:
+            answer.set(reply)
--- /dev/null
+++ b/briarbeam/distribution/grant_office.py
@@ -0,0 +1,56 @@
+"""Answers the entries that ask whether they may send a request to an engine."""
+
+from prometheus_client import Counter
+
+from ..placement.engine_cost import PassCost
+from ..placement.grants import CLOSED_WAIT_S, Decision, Demand, GrantDesk
+from .messages import GrantReply, encode
+
+_ANSWERS = Counter(
+    "briarbeam_grant_answers", "Requests that entries asked to place", ["result"]
+)
+
+
+class GrantOffice:
+    """Receives the questions of entries for the `GrantDesk` of one engine.
+
+    :param clock: the `Clock`.
+    :param send: a function of a datagram's bytes and a host.
+    :param accepts: a function that returns whether the engine accepts requests.
+    """
+
+    def __init__(self, clock, send, accepts):
+        self._clock = clock
+        self._send = send
+        self._accepts = accepts
+        self._desk = GrantDesk()
+
+    def observe(self, report):
+        """Apply a fresh `EngineReport`."""
+        self._desk.observe(
+            report.running + report.waiting, report.slowdown, self._clock.monotonic_s()
+        )
+
+    def answer(self, request, host):
+        """Answer the `GrantRequest` of the entry at `host`."""
+        decision = self._decide(request)
+        _ANSWERS.labels("granted" if decision.granted else "refused").inc()
+        reply = GrantReply(request.number, decision.granted, round(decision.wait_s, 4))
+        self._send(encode(reply), host)
+
+    def _decide(self, request):
+        if not self._accepts():
+            return Decision(False, CLOSED_WAIT_S)
+        demand = Demand(
+            request.read_s,
+            request.within_s,
+            request.wait_max_s,
+            request.cold_requests_per_s,
+        )
+        cost = PassCost(
+            request.slots,
+            request.base_s,
+            request.per_request_s,
+            request.passes_per_answer,
+        )
+        return self._desk.decide(demand, cost, self._clock.monotonic_s())
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -171,6 +171,41 @@
     run_rows: tuple = ()
 
 
+@dataclass(frozen=True)
+class GrantRequest:
+    """An entry's question whether it may send a request to the engine of a stager.
+
+    The fields from `read_s` to `cold_requests_per_s` are those of a `Demand`, the last
+    ones those of a `PassCost`.
+
+    :param number: identifies the question at the entry.
+    """
+
+    number: int
+    read_s: float
+    within_s: float | None
+    wait_max_s: float
+    cold_requests_per_s: float
+    slots: int
+    base_s: float
+    per_request_s: float
+    passes_per_answer: float
+
+
+@dataclass(frozen=True)
+class GrantReply:
+    """The answer to a `GrantRequest`.
+
+    :param number: as in the question.
+    :param granted: as in `Decision`.
+    :param wait_s: as in `Decision`.
+    """
+
+    number: int
+    granted: bool
+    wait_s: float
+
+
 _TYPES = {
     "g": Greeting,
     "l": Load,
@@ -180,6 +215,8 @@
     "s": StateAnnouncement,
     "r": StateReader,
     "x": CrashReport,
+    "q": GrantRequest,
+    "a": GrantReply,
 }
 _LETTERS = {message_type: letter for letter, message_type in _TYPES.items()}
 
@@ -278,6 +315,29 @@
             raise ValueError(f"run is {row!r}")
 
 
+def _check_grant_request(request):
+    times_s = (
+        request.read_s,
+        request.wait_max_s,
+        request.base_s,
+        request.per_request_s,
+    )
+    shares = (request.cold_requests_per_s, request.passes_per_answer)
+    _check_row((request.number, request.slots), (int, int))
+    for value in (*times_s, *shares):
+        _check_row((value,), (float,))
+        _check_age(value)
+    if request.within_s is not None:
+        _check_row((request.within_s,), (float,))
+    if not request.slots:
+        raise ValueError("engine has 0 slots")
+
+
+def _check_grant_reply(reply):
+    _check_row((reply.number, reply.granted, reply.wait_s), (int, bool, float))
+    _check_age(reply.wait_s)
+
+
 _CHECKS = {
     "g": _check_greeting,
     "l": _check_load,
@@ -287,6 +347,8 @@
     "s": _check_announcement,
     "r": lambda reader: _check_row((reader.host,), (Host,)),
     "x": _check_crash_report,
+    "q": _check_grant_request,
+    "a": _check_grant_reply,
 }
 
 
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -16,7 +16,8 @@
 from .datagram_sender import DatagramSender
 from .errors import ChunkUnavailableError, MalformedDatagramError
 from .fetcher import ChunkFetcher
-from .messages import MAX_BYTES, Greeting, decode, encode
+from .grant_office import GrantOffice
+from .messages import MAX_BYTES, GrantRequest, Greeting, decode, encode
 from .namings import NamingHistory
 from .overdue import OverdueDetector
 from .peer_server import PeerServer
@@ -85,6 +86,9 @@
             failure_domain,
             lambda message, host: self._send(encode(message), host),
         )
+        self._grant_office = GrantOffice(
+            clock, lambda data, host: self._send(data, host), self._accepts
+        )
         self._greeting = None
         self._clock = clock
         self._namings = NamingHistory(clock)
@@ -155,18 +159,19 @@
     def _listen_forever(self):
         while True:
             try:
-                data, _ = self._sock.recvfrom(MAX_BYTES)
+                data, (host, _) = self._sock.recvfrom(MAX_BYTES)
                 message = decode(data)
             except (OSError, MalformedDatagramError) as error:
                 _log.warning("datagram_refused", error=repr(error))
                 gevent.sleep(0.01)
                 continue
-            if not isinstance(message, Greeting):
-                continue
             try:
-                self._handle_greeting(message)
+                if isinstance(message, Greeting):
+                    self._handle_greeting(message)
+                elif isinstance(message, GrantRequest):
+                    self._grant_office.answer(message, host)
             except Exception:
-                # A greeting that can't be applied must not end this task.
+                # A message that can't be applied must not end this task.
                 _log.exception("datagram_broke")
 
     def _handle_greeting(self, greeting):
@@ -220,6 +225,7 @@
             try:
                 self._report = engines.fetch_report(self._network, self._engine)
                 load = self._current_load()
+                self._grant_office.observe(self._report)
                 _VERSION.set(load[1])
                 if self._greeting is not None:
                     within_s = self._greeting.version_within_s
@@ -236,8 +242,13 @@
     def _current_load(self):
         """Return the engine's report, its version, and whether it accepts requests."""
         report = self._report
-        accepting = not (self._loading_weights or self._drains_early())
-        return report, self._held_version(report), accepting
+        return report, self._held_version(report), self._accepts()
+
+    def _accepts(self):
+        """Return whether the engine can be reached and accepts requests."""
+        return self._report is not None and not (
+            self._loading_weights or self._drains_early()
+        )
 
     def _announce_load(self):
         if self._report is not None:
--- /dev/null
+++ b/briarbeam/placement/grants.py
@@ -0,0 +1,153 @@
+"""Decides beside an engine whether it can take another request in time.
+
+Entries place requests by loads that are a fraction of a second old, and none of them
+sees what the others have sent meanwhile. Above the capacity of the engines, all of them
+fill the same ones, so that most requests are late although most could be in time. The
+daemon beside the engine is asked for each request instead, and knows all that it
+granted. After all machines have started again, it also knows how many requests its cold
+engine was sent, which entries that don't know each other yet can't.
+"""
+
+import collections
+from dataclasses import dataclass
+
+# An engine whose requests wait for less than this counts as idle. It takes a request
+# that can't be in time, because no engine could serve that one sooner.
+IDLE_WAIT_S = 0.02
+# How long a granted request takes to appear in the engine's report: the way to the
+# entry and from there to the engine.
+UNREPORTED_S = 0.04
+# The rate of a cold engine applies to the arrivals in any second. The way of a request
+# varies, so the grants of a longer time count.
+COLD_WINDOW_S = 1.1
+# Share of a cold engine's rate that is granted. The rest is for entries that get no
+# answer and send by their own share.
+COLD_GRANTED_SHARE = 0.8
+# Weight of the last pass in the mean duration of a pass.
+PASS_WEIGHT = 0.2
+# Time after which refused requests may ask again if nothing better is known.
+CLOSED_WAIT_S = 0.35
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What one request needs from an engine.
+
+    :param read_s: the time to read its prompt at the usual pace.
+    :param within_s: the time within which its first event has to be made, or None if it
+        is to be placed however late that will be.
+    :param wait_max_s: how long it may wait for other requests; has no effect if
+        `within_s` is None.
+    :param cold_requests_per_s: the rate of requests that the engine may get while it is
+        cold; 0 if it isn't cold, or for no limit.
+    """
+
+    read_s: float
+    within_s: float | None = None
+    wait_max_s: float = 0.0
+    cold_requests_per_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Decision:
+    """Whether a request may be sent to the engine.
+
+    :param granted: whether it may be sent at once.
+    :param wait_s: the predicted time to its first event if it is granted, otherwise the
+        time after which the engine is expected to be able to take it.
+    """
+
+    granted: bool
+    wait_s: float
+
+
+class GrantDesk:
+    """Grants the places of one engine.
+
+    It follows the engine's passes by the published cost. The phase of the passes is
+    unknown, but their durations and what is left to read are known from the grants.
+
+    Loads that it answers: more requests than the engines bear, for a second or for
+    long; one entry that gets a third of them; engines that are slow or cold.
+    """
+
+    def __init__(self):
+        self._reported_load = 0
+        self._slowdown = 1.0
+        self._granted_s = collections.deque()
+        self._cold_granted_s = collections.deque()
+        self._pass_ends_s = 0.0
+        self._mean_pass_s = 0.0
+        # The time that the prompts take that were granted, but are not being read yet.
+        self._unread_s = 0.0
+
+    def observe(self, load, slowdown, now_s):
+        """Apply a fresh report of the engine.
+
+        :param load: the number of requests that run or wait there.
+        :param slowdown: how many times slower than usual the engine is.
+        :param now_s: monotonic time.
+        """
+        self._reported_load, self._slowdown = load, slowdown
+        while self._granted_s and self._granted_s[0] <= now_s - UNREPORTED_S:
+            self._granted_s.popleft()
+
+    def decide(self, demand, cost, now_s):
+        """Return the `Decision` on a request, and count it if it is granted.
+
+        :param demand: its `Demand`.
+        :param cost: the `PassCost` of the engine.
+        :param now_s: monotonic time.
+        """
+        cold_wait_s = self._cold_wait_s(demand, now_s)
+        if cold_wait_s > 0.0:
+            return Decision(False, cold_wait_s)
+        load = self._reported_load + len(self._granted_s)
+        steps_s = cost.steps_s(load) * self._slowdown
+        self._advance(now_s, load, steps_s)
+        wait_s = max(
+            self._pass_ends_s - now_s + self._unread_s, self._slot_wait_s(load, cost)
+        )
+        read_s = demand.read_s * self._slowdown
+        first_event_s = wait_s + read_s + steps_s
+        if demand.within_s is not None and wait_s > IDLE_WAIT_S:
+            excess_s = max(first_event_s - demand.within_s, wait_s - demand.wait_max_s)
+            if excess_s > 0:
+                return Decision(False, min(excess_s, wait_s))
+        self._unread_s += read_s
+        self._granted_s.append(now_s)
+        self._cold_granted_s.append(now_s)
+        return Decision(True, first_event_s)
+
+    def _advance(self, now_s, load, steps_s):
+        """Follow the engine's passes until `now_s`."""
+        while self._pass_ends_s <= now_s:
+            duration_s = self._unread_s + steps_s
+            if not duration_s or self._pass_ends_s + duration_s < now_s - 1.0:
+                # It was idle, or nobody asked for longer than any pass lasts.
+                self._pass_ends_s, self._unread_s = now_s, 0.0
+                return
+            self._mean_pass_s += PASS_WEIGHT * (duration_s - self._mean_pass_s)
+            self._pass_ends_s += duration_s
+            self._unread_s = 0.0
+
+    def _slot_wait_s(self, load, cost):
+        """Return how long another request waits for a slot."""
+        excess = load + 1 - cost.slots
+        if excess <= 0:
+            return 0.0
+        steps_s = cost.steps_s(load) * self._slowdown
+        pass_s = max(self._mean_pass_s, steps_s)
+        return excess * cost.passes_per_answer * pass_s / cost.slots
+
+    def _cold_wait_s(self, demand, now_s):
+        """Return the time until a cold engine may get another request."""
+        recent = self._cold_granted_s
+        while recent and recent[0] <= now_s - COLD_WINDOW_S:
+            recent.popleft()
+        if not demand.cold_requests_per_s:
+            return 0.0
+        limit = max(1, int(demand.cold_requests_per_s * COLD_GRANTED_SHARE))
+        if len(recent) < limit:
+            return 0.0
+        return recent[len(recent) - limit] + COLD_WINDOW_S - now_s
--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -16,6 +16,8 @@
 _PRIORITY = b"x-request-priority"
 _KEY_SCHEME = b"bearer "
 _MODEL = b"x-model"
+# The number of prompt tokens, then the limit on output tokens.
+_TOKENS = b"x-token-usage"
 _PROMPT_PARTS = b"x-prefix-hash"
 _PROMPT_PART = re.compile(rb"([0-9a-f]{1,16}):[0-9]{1,9}")
 _LEAVING = b"server-leaving"
@@ -43,6 +45,8 @@
 MAX_PRIORITY = 9
 # Later parts of longer prompts are ignored.
 PROMPT_PARTS_MAX = 16
+# Prompts are far shorter; a longer one is treated as if its length were not stated.
+TOKENS_MAX = 10_000_000
 
 
 @dataclass
@@ -55,6 +59,7 @@
         valid one.
     :param last_event_id: the last event that a resuming caller received, or None.
     :param model: the model that the caller asks for, or None.
+    :param prompt_tokens: the length of the prompt, or None if not stated.
     :param prompt_parts: the ids of the parts of the prompt that other requests may
         share, in order.
     :param forwarded: headers that are forwarded to an instance unchanged.
@@ -66,6 +71,7 @@
     time_left_s: float | None = None
     last_event_id: bytes | None = None
     model: str | None = None
+    prompt_tokens: int | None = None
     prompt_parts: tuple = ()
     forwarded: list = field(default_factory=list)
 
@@ -128,6 +134,8 @@
             meta.last_event_id = value
         elif name == _MODEL:
             meta.model = value.decode("latin-1")
+        elif name == _TOKENS:
+            meta.prompt_tokens = _parse_prompt_tokens(value)
         elif name == _PROMPT_PARTS:
             meta.prompt_parts = _parse_prompt_parts(value)
         if name not in _NOT_FORWARDED and name not in hop_by_hop:
@@ -233,6 +241,12 @@
     return tuple(dict.fromkeys(shared[:PROMPT_PARTS_MAX]))
 
 
+def _parse_prompt_tokens(value):
+    """Return the number of prompt tokens, or None if `value` is malformed."""
+    tokens = _parse_int(value.partition(b",")[0])
+    return tokens if tokens is not None and 0 <= tokens <= TOKENS_MAX else None
+
+
 def _parse_load(value):
     """Return the running and the waiting requests, both None if not stated."""
     try:
--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -10,6 +10,8 @@
 import reprlib
 from types import NoneType
 
+import structlog
+
 from ..catalog import (
     CallerLimits,
     DesiredState,
@@ -22,6 +24,7 @@
 )
 from ..kernel.errors import SettingsError
 from ..kernel.network import Address
+from ..placement.engine_cost import EngineCost, PassCost
 from ..relay.errors import MalformedRecordError
 from .pages import INTEGER_MAX
 
@@ -42,6 +45,8 @@
 # Length of a malformed value's description in an error.
 _DESCRIPTION_MAX = 300
 
+_log = structlog.get_logger()
+
 
 def decode_desired_state(spec):
     """Return the `DesiredState` in `spec`.
@@ -209,15 +214,56 @@
 
 def _decode_service(item):
     engine = item.get("engine")
+    models = engine["models"] if engine else ()
     return Service(
         name=item["name"],
         cold_start_s=item.get("cold_start_s", 0.0),
         cold_requests_per_s=item.get("cold_per_s", 0.0),
-        models=tuple(m["name"] for m in engine["models"]) if engine else (),
+        models=tuple(model["name"] for model in models),
         origin=_decode_origin(item) if item.get("origin") else None,
+        engine_cost=_decode_engine_cost(item["name"], engine) if engine else None,
     )
 
 
+def _decode_engine_cost(service, engine):
+    """Return the `EngineCost` in a service's record, or None if it is incomplete.
+
+    Requests are served without it, placed by the loads that engines report.
+    """
+    try:
+        usual = engine["usual"]
+        prompt_tokens = _get_cost(usual, "prompt")
+        answer_tokens = _get_cost(usual, "answer")
+        steps = get_integer(engine, "stride", 1, SLOTS_MAX)
+        context_tokens = prompt_tokens + answer_tokens / 2
+        per_request_ms = (
+            _get_cost(engine, "per_seq_ms")
+            + _get_cost(engine, "context_per_k") * context_tokens / 1000
+        )
+        return EngineCost(
+            PassCost(
+                slots=get_integer(engine, "slots", 1, SLOTS_MAX),
+                base_s=steps * _get_cost(engine, "step_ms") / 1000,
+                per_request_s=steps * per_request_ms / 1000,
+                passes_per_answer=answer_tokens / steps,
+            ),
+            read_s_per_token=1 / max(1.0, _get_cost(engine, "read_per_s")),
+            read_s_per_pair=_get_cost(engine, "pairs_per_m") / 1e9,
+            usual_prompt_tokens=prompt_tokens,
+        )
+    except _DECODE_ERRORS as error:
+        _log.warning("engine_cost_odd", service=service, error=_describe(error))
+        return None
+
+
+def _get_cost(spec, field):
+    """Return a field's number, which is finite and not negative."""
+    value = get_typed(spec, field, (int, float))
+    if not 0 <= value <= INTEGER_MAX:
+        raise ValueError(f"{field} is {value!r}, expected a number from 0")
+    return float(value)
+
+
 def _decode_origin(item):
     return WeightOrigin(
         address=Address.parse(item["origin"]),
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -64,9 +64,12 @@
     :param position: a function that returns this entry's `EntryPosition`.
     :param request_log: the `RequestLog` that counts sends.
     :param guard: the `CrashGuard`.
+    :param places: the `PlaceFinder`.
     """
 
-    def __init__(self, admission, selector, budget, position, request_log, guard):
+    def __init__(
+        self, admission, selector, budget, position, request_log, guard, places
+    ):
         self._admission = admission
         self._selector = selector
         self._retry_hint = RetryHint(selector)
@@ -74,6 +77,7 @@
         self._position = position
         self._request_log = request_log
         self._guard = guard
+        self._places = places
 
     def deliver(self, job, writer):
         """Send `job` until it is answered through `writer`.
@@ -263,7 +267,7 @@
                 raise
             # The error is about the retry only; the request may have run before.
             return None
-        target = self._selector.pick(job.requirements, (*tried, *excluded))
+        target = self._places.find(job, (*tried, *excluded))
         if target is None:
             job.not_sent_cause = "no_target"
             return None
@@ -285,7 +289,9 @@
         return NoCapacityError(
             f"no target of service {job.requirements.service.name} "
             "can take the request",
-            retry_after_s=self._retry_hint.retry_after_s(job.requirements),
+            retry_after_s=self._retry_hint.retry_after_s(
+                job.requirements, job.place_wait_s
+            ),
         )
 
     def _timeout_error(self, job):
@@ -456,7 +462,9 @@
         events = attempt.splitter.feed(attempt.call.take_part())
         # Only a complete event counts as progress: parts are not forwarded.
         if events:
-            attempt.has_events = True
+            if not attempt.has_events:
+                attempt.has_events = True
+                job.record_first_event()
             self._guard.record_progress(job)
             attempts.keep_only(attempt)
             stream.forward(attempt.head, events, attempt.splitter.last_id)
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -10,6 +10,7 @@
 from ..catalog import CallerLimits
 from ..distribution.chunks import ChunkCache
 from ..distribution.exchange import EntryExchange
+from ..distribution.grant_client import GrantClient
 from ..distribution.peer_server import PeerServer
 from ..distribution.waves import plan_wave, updated_share
 from ..kernel.pause import PauseDetector
@@ -28,6 +29,7 @@
 from .follower import StoreFollower
 from .limits import RetryBudget
 from .mirror import Mirror
+from .places import PlaceFinder
 from .quarantine import Quarantine
 from .server import CallerServer, ReadinessServer
 from .spread import StateSpread
@@ -105,6 +107,7 @@
         )
         self._evidence = CrashEvidence(clock)
         self._quarantine = Quarantine(clock, self._evidence)
+        self._grants = GrantClient(clock)
         self._exchange = EntryExchange(
             settings.peer_address,
             settings.instance.failure_domain,
@@ -118,6 +121,7 @@
             settings.regions,
             self._evidence,
             self._quarantine,
+            self._grants,
         )
         self._fleet.on_weights_changed = self._exchange.schedule_greeting
         self._chunks = ChunkCache(
@@ -244,6 +248,7 @@
             self._exchange.position,
             request_log,
             guard,
+            PlaceFinder(selector, self._grants, self._clock),
         )
         dispatcher = Dispatcher(admission, budget, delivery, guard, request_log)
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -95,6 +95,8 @@
         have its address.
     :param results: whether each of the most recent answers was a success.
     :param notices: its `Notices`.
+    :param not_asked_until_s: monotonic time until which the daemon beside it is not asked
+        for places, as it gave no answer.
     """
 
     instance: object
@@ -112,6 +114,7 @@
     replaced_until_s: float = 0.0
     results: deque = field(default_factory=lambda: deque(maxlen=20))
     notices: Notices = field(default_factory=Notices)
+    not_asked_until_s: float = 0.0
 
     @property
     def id(self):
--- a/briarbeam/relay/job.py
+++ b/briarbeam/relay/job.py
@@ -44,6 +44,12 @@
     :param is_trial: whether it is sent although one of its suspects is quarantined.
     :param next_target: the target for the next attempt if it is chosen already, or
         None.
+    :param predicted_s: the time to the first event that was predicted when its last place
+        was granted, in seconds, or None.
+    :param place_wait_s: the time until a place was expected when all engines that were
+        asked refused it, in seconds, or None.
+    :param first_event_s: the time from `started_s` to the first event of its answer, in
+        seconds, or None.
     :param target_id: the target that it was last sent to, or None.
     :param target_domain: the failure domain of that target, or None.
     :param state_age_s: the age of the desired state at the last send, in seconds.
@@ -76,6 +82,9 @@
     ended_engine: bool = False
     is_trial: bool = False
     next_target: object = None
+    predicted_s: float | None = None
+    place_wait_s: float | None = None
+    first_event_s: float | None = None
     target_id: str | None = None
     target_domain: str | None = None
     state_age_s: float | None = None
@@ -106,6 +115,11 @@
         """Whether it was sent to a target that did not state that it did not run it."""
         return self.sends > self.refusals
 
+    def record_first_event(self):
+        """Record the time to the first event of the answer, for the log."""
+        if self.first_event_s is None:
+            self.first_event_s = time.monotonic() - self.started_s
+
     def record_attempt(self, target, outcome, started_s):
         """Record an attempt that has ended, for the log.
 
--- /dev/null
+++ b/briarbeam/relay/places.py
@@ -0,0 +1,87 @@
+"""Finds a target for a request, and asks the daemon beside an engine for a place."""
+
+from ..placement.grants import Demand
+
+# Engines that are asked for a request before its caller is refused. With one engine
+# asked, requests are refused while another engine is idle; more than a few cost time.
+ENGINES_ASKED_MAX = 3
+# How long a request may wait for others at an engine. With more, requests that allow for
+# more time would make those late that allow for less, and a longer queue serves nobody
+# sooner.
+WAIT_MAX_S = 0.2
+# The same for a request that returns after a refusal and can't be in time any more. It
+# gets a place that nobody who still can be in time needs.
+RETURNED_WAIT_MAX_S = 0.05
+# A request with less than this share of the route's time limit left is assumed to have
+# been refused before: its caller's time limit counts from the first attempt.
+RETURNED_TIME_SHARE = 0.85
+# Part of the target latency that the ways between caller, entry and engine take.
+WAYS_S = 0.02
+
+
+class PlaceFinder:
+    """Finds targets that can take a request in time.
+
+    :param selector: the `TargetSelector`, which ranks targets by their reported loads.
+    :param grants: the `GrantClient`.
+    :param clock: the `Clock`.
+    """
+
+    def __init__(self, selector, grants, clock):
+        self._selector = selector
+        self._grants = grants
+        self._clock = clock
+
+    def find(self, job, excluded):
+        """Return a target that can take `job`, or None.
+
+        Targets whose places nobody grants, because they are no engines or the daemon
+        beside them is silent, are chosen by their reported loads.
+
+        :param excluded: ids of the targets that are not chosen.
+        """
+        cost = job.requirements.service.engine_cost
+        if cost is None:
+            return self._selector.pick(job.requirements, excluded)
+        refused, waits_s = [], []
+        while len(refused) < ENGINES_ASKED_MAX:
+            target = self._selector.pick(
+                job.requirements, (*excluded, *refused), self._grants.covers
+            )
+            if target is None:
+                break
+            if not self._grants.covers(target):
+                return target
+            decision = self._grants.ask(
+                target, self._demand(job, target, cost), cost.pass_cost
+            )
+            if decision is None:
+                # The next choice goes by the loads that are known here.
+                continue
+            if decision.granted:
+                job.predicted_s = decision.wait_s
+                return target
+            refused.append(target.id)
+            waits_s.append(decision.wait_s)
+        job.place_wait_s = min(waits_s, default=None)
+        return None
+
+    def _demand(self, job, target, cost):
+        within_s, wait_max_s = None, 0.0
+        if not job.sends:
+            wait_max_s = RETURNED_WAIT_MAX_S if _has_returned(job) else WAIT_MAX_S
+            elapsed_s = self._clock.monotonic_s() - job.started_s
+            within_s = job.route.target_latency_s - elapsed_s - WAYS_S
+        service = job.requirements.service
+        is_cold = target.is_cold(self._clock.monotonic_s())
+        return Demand(
+            cost.read_s(job.meta.prompt_tokens),
+            within_s,
+            wait_max_s,
+            service.cold_requests_per_s if is_cold else 0.0,
+        )
+
+
+def _has_returned(job):
+    left_s = job.meta.time_left_s
+    return left_s is not None and left_s < RETURNED_TIME_SHARE * job.route.timeout_s
--- a/briarbeam/relay/retry_hint.py
+++ b/briarbeam/relay/retry_hint.py
@@ -15,6 +15,10 @@
 # longer the wait, the more callers wait for it.
 OPENING_SPREAD_SHARE = 0.5
 OPENING_SPREAD_MIN_S = 0.2
+# Range of the time that is added to the wait for a place. Callers that were refused
+# together return one after another, once a short burst has passed. They can't be in
+# time any more, so they make room for those that still can.
+RETURN_MIN_S, RETURN_MAX_S = 1.0, 1.6
 
 
 class RetryHint:
@@ -26,8 +30,13 @@
     def __init__(self, selector):
         self._selector = selector
 
-    def retry_after_s(self, requirements):
-        """Return a random Retry-After for a request that no target can take now."""
+    def retry_after_s(self, requirements, place_wait_s=None):
+        """Return a random Retry-After for a request that no target can take now.
+
+        :param place_wait_s: the time until an engine is expected to take it, or None.
+        """
+        if place_wait_s is not None:
+            return place_wait_s + random.uniform(RETURN_MIN_S, RETURN_MAX_S)
         opening_s = self.opening_after_s(requirements)
         if opening_s is not None:
             return opening_s
--- a/briarbeam/relay/target_selector.py
+++ b/briarbeam/relay/target_selector.py
@@ -57,7 +57,7 @@
         self._position = position
         self._mean_loads = {}
 
-    def pick(self, requirements, tried=()):
+    def pick(self, requirements, tried=(), covers=lambda target: False):
         """Return a target for `requirements`, or None if none can take the request.
 
         Entries learn of each other's requests with a delay. If all chose the least busy
@@ -65,6 +65,8 @@
         strongly by free slots.
 
         :param tried: ids of targets that are not chosen again.
+        :param covers: a function that returns whether the daemon beside a target grants
+            its places, so that neither its room nor its cold rate is checked here.
         """
         now_s = self._clock.monotonic_s()
         usable = [t for t in self.eligible_targets(requirements) if t.id not in tried]
@@ -73,12 +75,12 @@
                 target
                 for target in usable
                 if not (skip_avoided and target.avoid_until_s > now_s)
-                and self._has_room(target, now_s)
+                and (covers(target) or self._has_room(target, now_s))
             ]
             near_targets = self._near_with_capacity(open_targets, now_s)
-            target = self._draw(near_targets, requirements.service, now_s)
+            target = self._draw(near_targets, requirements.service, now_s, covers)
             if target is None:
-                target = self._draw(open_targets, requirements.service, now_s)
+                target = self._draw(open_targets, requirements.service, now_s, covers)
             if target is not None:
                 return target
         return None
@@ -93,7 +95,7 @@
             < NEAR_LOAD_SHARE_MAX * target.instance.slots
         ]
 
-    def _draw(self, targets, service, now_s):
+    def _draw(self, targets, service, now_s, covers):
         """Return one of `targets` by weighted random choice, or None.
 
         Cold targets are chosen only within the rate that `service` allows for them.
@@ -102,7 +104,7 @@
         while candidates:
             weights = [self._weight(target, now_s) for target in candidates]
             target = random.choices(candidates, weights)[0]
-            if not target.is_cold(now_s):
+            if not target.is_cold(now_s) or covers(target):
                 return target
             # The rate is read from the service at each send, because the instance may
             # have been listed before the desired state was known.
--- a/briarbeam/telemetry/request_log.py
+++ b/briarbeam/telemetry/request_log.py
@@ -229,6 +229,9 @@
                 not_sent_cause=job.not_sent_cause,
                 required_version=job.requirements.required_version,
                 time_limit_s=round(job.deadline_s - job.started_s, 3),
+                predicted_s=_round(job.predicted_s),
+                first_event_s=_round(job.first_event_s),
+                place_wait_s=_round(job.place_wait_s),
             )
             if job.target_version is not None:
                 fields.update(
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -16,6 +16,7 @@
     Service,
     Team,
 )
+from briarbeam.distribution.grant_client import GrantClient
 from briarbeam.kernel.clock import SystemClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform.store import Record
@@ -26,6 +27,7 @@
 from briarbeam.relay.dispatch import Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
+from briarbeam.relay.places import PlaceFinder
 from briarbeam.relay.quarantine import Quarantine
 from briarbeam.relay.server import CallerServer
 from briarbeam.relay.state_in_force import NamedVersions, StateInForce
@@ -214,6 +216,7 @@
             0.45,
         )
         request_log = RequestLog(lambda: self.age_s)
+        self.grants = GrantClient(self.clock)
         self.evidence = CrashEvidence(self.clock)
         self.quarantine = Quarantine(self.clock, self.evidence)
         self.guard = CrashGuard(self.clock, self.evidence, self.quarantine)
@@ -224,6 +227,7 @@
             lambda: EntryPosition(0, 1),
             request_log,
             self.guard,
+            PlaceFinder(selector, self.grants, self.clock),
         )
         self.dispatcher = Dispatcher(
             self.admission, self.budget, self.delivery, self.guard, request_log
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -7,6 +7,7 @@
     REMOTE_GREETERS,
     EntryExchange,
 )
+from briarbeam.distribution.grant_client import GrantClient
 from briarbeam.distribution.messages import Load
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
@@ -36,6 +37,7 @@
         domains,
         evidence,
         Quarantine(clock, evidence),
+        GrantClient(clock),
     )
 
 
