--- a/briarbeam/distribution/copies.py
+++ b/briarbeam/distribution/copies.py
@@ -24,6 +24,7 @@
         self.manifest = manifest
         self.chunks = {}
         self._started_s = time.monotonic()
+        self._staged_seen_s = {}
         self._missed_until_s = {}
         self._consecutive_misses = 0
         self._backoff_until_s = 0.0
@@ -51,6 +52,18 @@
         self.chunks[number] = content
         self._consecutive_misses = 0
 
+    def record_staged(self, number):
+        """Record that the staging area holds the verified bytes of a chunk."""
+        self._staged_seen_s[number] = time.monotonic()
+
+    def was_staged(self, number, within_s):
+        """Return whether a chunk was staged correctly at some time within `within_s`.
+
+        :param within_s: seconds before now.
+        """
+        seen_s = self._staged_seen_s.get(number, -math.inf)
+        return time.monotonic() - seen_s <= within_s
+
     def record_miss(self, number):
         """Record that no entry had the chunk in time."""
         now_s = time.monotonic()
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -47,6 +47,9 @@
 DRAIN_S = 1.2
 # An engine of the first wave whose copy is late accepts requests again after this.
 DRAIN_MAX_S = 2.0
+# How long a staged chunk is trusted without reading it again. Staged chunks may become
+# corrupt at any time, and the engine loads them as they are.
+STAGED_TRUST_S = 0.5
 # A load that takes longer is no longer waited for. The next step then depends on what
 # the engine reports.
 LOAD_TIMEOUT_S = 12.0
@@ -388,6 +391,7 @@
                     return
                 continue
             copy.add(number, content)
+            copy.record_staged(number)
 
     def _fetch_chunk(self, copy, number):
         try:
@@ -471,13 +475,18 @@
     def _stage(self, copy):
         """Write the chunks of `copy` that are not staged or staged with other bytes.
 
-        The engine loads staged chunks without verifying them.
+        The engine loads staged chunks without verifying them. Those that were read in
+        the last `STAGED_TRUST_S` are not read again: after a restart of the engine that
+        would take as long as the load.
         """
         manifest = copy.manifest
         staged = engines.list_staged(self._network, self._engine, manifest.model)
         written = 0
         for number, content in sorted(copy.chunks.items()):
-            if number in staged and self._read_staged(manifest, number) == content:
+            if number in staged and (
+                copy.was_staged(number, STAGED_TRUST_S)
+                or self._read_staged(manifest, number) == content
+            ):
                 continue
             engines.write_staged(
                 self._network, self._engine, manifest.model, number, content
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -371,14 +371,18 @@
         """
         state = self._in_force.state
         if state is None:
-            # The stager may know an entry that has a state.
-            is_engine = target.instance.models is not None
-            return {"model": None, "versions": ()} if is_engine else None
-        service = self._services().get(target.instance.service)
-        if service is None or not service.models:
-            return None
-        model = state.find_model()
-        engines = self._fleet.targets(service.name)
+            if target.instance.models is None:
+                return None
+            # An engine that has lost its weights loads them while the state is read.
+            model = self._versions.only_model()
+            if model is None:
+                return {"model": None, "versions": ()}
+        else:
+            service = self._services().get(target.instance.service)
+            if service is None or not service.models:
+                return None
+            model = state.find_model()
+        engines = self._fleet.targets(target.instance.service)
         return {
             "model": model,
             "versions": tuple(
--- a/briarbeam/relay/state_in_force.py
+++ b/briarbeam/relay/state_in_force.py
@@ -105,6 +105,11 @@
             self._histories[model] = NamingHistory(self._clock)
         return self._histories[model]
 
+    def only_model(self):
+        """Return the model with named versions, or None if there is not exactly one."""
+        models = [model for model, known in self._histories.items() if known.newest]
+        return models[0] if len(models) == 1 else None
+
     def newest(self, model):
         """Return the newest version named for `model`; 1 before any was named."""
         return self.history(model).newest or FIRST_VERSION
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -119,6 +119,16 @@
     assert harness.network.count(PEER, "/chunks/") == 0
 
 
+def test_restarted_engine_does_not_wait_while_its_chunks_are_read_twice():
+    """The second time took as long as the load of the weights."""
+    harness = StagerHarness()
+    harness.engine.staged = {n: chunk(1, n) for n in range(CHUNK_COUNT)}
+    harness.greet((1, 0.0, 0.0))
+    harness.run(0.4)
+    assert harness.engine.version == 1
+    assert harness.network.count(ENGINE, "?num=") == CHUNK_COUNT
+
+
 def test_later_wave_waits_for_the_one_before_but_not_past_its_deadline():
     harness = StagerHarness(version=1)
     harness.greet((1, 9.0, 1.0), (2, 1.0, 0.0), wave=1)
