--- a/briarbeam/relay/places.py
+++ b/briarbeam/relay/places.py
@@ -5,6 +5,9 @@
 # Engines that are asked for a request before its caller is refused. With one engine
 # asked, requests are refused while another engine is idle; more than a few cost time.
 ENGINES_ASKED_MAX = 3
+# After this many daemons gave no answer, a request is placed without asking: each one
+# costs the time of an answer, and a cut hides many at once.
+SILENT_MAX = 2
 # How long a request may wait for others at an engine. With more, requests that allow for
 # more time would make those late that allow for less, and a longer queue serves nobody
 # sooner.
@@ -43,8 +46,10 @@
         cost = job.requirements.service.engine_cost
         if cost is None:
             return self._selector.pick(job.requirements, excluded)
-        refused, waits_s = [], []
+        refused, waits_s, silent_count = [], [], 0
         while len(refused) < ENGINES_ASKED_MAX:
+            if silent_count >= SILENT_MAX:
+                return self._selector.pick(job.requirements, (*excluded, *refused))
             target = self._selector.pick(
                 job.requirements, (*excluded, *refused), self._grants.covers
             )
@@ -56,7 +61,8 @@
                 target, self._demand(job, target, cost), cost.pass_cost
             )
             if decision is None:
-                # The next choice goes by the loads that are known here.
+                # The next choice of this engine goes by the load that is known here.
+                silent_count += 1
                 continue
             if decision.granted:
                 job.predicted_s = decision.wait_s
--- a/tests/test_placement_grants.py
+++ b/tests/test_placement_grants.py
@@ -211,6 +211,13 @@
     assert len(daemons.asked) == 1
 
 
+def test_cut_that_hides_many_daemons_costs_a_request_two_answers():
+    """A request waited for each of 40 daemons in turn."""
+    entry, daemons = entry_with_engines(count=40)
+    assert entry.ask().startswith(b"HTTP/1.1 200")
+    assert len(daemons.asked) <= 2
+
+
 def test_cold_engine_of_a_silent_daemon_gets_the_share_of_this_entry():
     entry, daemons = entry_with_engines(cold_per_s=2.0, cold_s=5.0)
     answers = [entry.ask()[9:12] for _ in range(4)]
