--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -24,6 +24,7 @@
     Load,
     LoadBatch,
     Probe,
+    RecordsAnnouncement,
     StateAnnouncement,
     StateReader,
     decode,
@@ -61,6 +62,8 @@
 POSITION_CACHE_S = 0.25
 # Changes of the fleet's weights within this time share one greeting.
 COALESCE_S = 0.05
+# Index of the records of instances among the summaries of a `Confirmation`.
+INSTANCE_SUMMARY = 1
 # Entries that no stager has listed for this long are considered lost.
 ENTRY_EXPIRY_S = 4.0
 
@@ -86,6 +89,7 @@
     :param evidence: the `CrashEvidence` that entries share.
     :param quarantine: the `Quarantine`.
     :param grants: the `GrantClient`.
+    :param record_copies: the `RecordCopies` of the records of instances.
     """
 
     def __init__(
@@ -103,6 +107,7 @@
         evidence,
         quarantine,
         grants,
+        record_copies,
     ):
         self._address = address
         self._failure_domain = failure_domain
@@ -130,6 +135,9 @@
         )
         self._grants = grants
         grants.send = self._send
+        self._record_copies = record_copies
+        record_copies.send = lambda message, host: self._send(encode(message), host)
+        record_copies.neighbours = self._neighbours
         self._spread = spread
         spread.send = lambda message, host: self._send(encode(message), host)
         spread.neighbours = self._neighbours
@@ -324,6 +332,8 @@
             self._handle_confirmation(host, message)
         elif isinstance(message, StateAnnouncement):
             self._spread.handle_announcement(message)
+        elif isinstance(message, RecordsAnnouncement):
+            self._record_copies.handle_announcement(host, message)
         elif isinstance(message, StateReader):
             self._on_reader(message.host)
         elif isinstance(message, GrantReply):
@@ -362,6 +372,8 @@
         self._follower.handle_confirmation(
             message.sent_s, message.ages_s, message.summaries
         )
+        if len(message.summaries) > INSTANCE_SUMMARY:
+            self._record_copies.compare(host, message.summaries[INSTANCE_SUMMARY])
 
     def _answer_probe(self, host, probe):
         ages_s, summaries = self._follower.describe()
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -147,6 +147,16 @@
     root: str | None = None
 
 
+@dataclass(frozen=True)
+class RecordsAnnouncement:
+    """A reader's announcement that its records of instances have changed.
+
+    :param revision: the store's revision that they were read at.
+    """
+
+    revision: int
+
+
 @dataclass(frozen=True)
 class StateReader:
     """Names the entry that reads the desired state for those that hold none.
@@ -217,6 +227,7 @@
     "x": CrashReport,
     "q": GrantRequest,
     "a": GrantReply,
+    "i": RecordsAnnouncement,
 }
 _LETTERS = {message_type: letter for letter, message_type in _TYPES.items()}
 
@@ -349,6 +360,7 @@
     "x": _check_crash_report,
     "q": _check_grant_request,
     "a": _check_grant_reply,
+    "i": lambda announcement: _check_row((announcement.revision,), (int,)),
 }
 
 
--- a/briarbeam/distribution/peer_server.py
+++ b/briarbeam/distribution/peer_server.py
@@ -26,11 +26,13 @@
     :param get_state: a function of a revision that returns the bytes of a desired state
         of at least that revision, or raises `ChunkUnavailableError`; None in a daemon
         that holds no desired state.
+    :param get_records: the same for the records of instances.
     """
 
-    def __init__(self, address, chunks, get_state=None):
+    def __init__(self, address, chunks, get_state=None, get_records=None):
         self._chunks = chunks
         self._get_state = get_state
+        self._get_records = get_records
         self._active_state_copies = 0
         self._server = StreamServer(tuple(address), self._serve)
 
@@ -52,6 +54,8 @@
                 return self._chunks.get_chunk(parts[0], int(parts[1]), int(parts[2]))
             if kind == "states" and self._get_state is not None:
                 return self._get_state(int(parts[0]))
+            if kind == "records" and self._get_records is not None:
+                return self._get_records(int(parts[0]))
         except (IndexError, ValueError) as error:
             raise ChunkUnavailableError(f"path is not served: {path}") from error
         raise ChunkUnavailableError(f"path is not served: {path}")
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -31,6 +31,7 @@
 from .mirror import Mirror
 from .places import PlaceFinder
 from .quarantine import Quarantine
+from .record_copies import RecordCopies
 from .server import CallerServer, ReadinessServer
 from .spread import StateSpread
 from .state_in_force import NamedVersions, StateInForce
@@ -91,6 +92,12 @@
         )
         self._fleet = Fleet(clock, self._services)
         self._evacuations = Evacuations(clock)
+        self._record_copies = RecordCopies(
+            network,
+            settings.peer_address,
+            clock,
+            lambda: self._follower.following,
+        )
         self._build_mirrors(StoreClient(network, settings.store.address))
         self._spread = StateSpread(
             network,
@@ -122,6 +129,7 @@
             self._evidence,
             self._quarantine,
             self._grants,
+            self._record_copies,
         )
         self._fleet.on_weights_changed = self._exchange.schedule_greeting
         self._chunks = ChunkCache(
@@ -192,23 +200,27 @@
                 self._update_fleet,
                 INSTANCE_CHANGE_PAUSE_S,
                 WATCH_WAIT_S,
+                self._record_copies.is_supplied,
             ),
             (
                 records.EVACUATION_KIND,
                 self._update_evacuated,
                 CHANGE_PAUSE_S,
                 WATCH_WAIT_S,
+                None,
             ),
         )
         others = [
             Mirror(
                 store, kind, self._clock,
                 lambda wait_s=wait_s: self._follower.watch_wait_s(wait_s),
-                on_change, change_pause_s, outage_detector=self._version_mirror,
+                on_change, change_pause_s, is_supplied_by_peers=is_supplied,
+                outage_detector=self._version_mirror,
             )
-            for kind, on_change, change_pause_s, wait_s in watched_kinds
+            for kind, on_change, change_pause_s, wait_s, is_supplied in watched_kinds
         ]  # fmt: skip
         self._instance_mirror, self._evacuation_mirror = others
+        self._record_copies.mirror = self._instance_mirror
         others.append(self._version_mirror)
         self._mirrors = [self._state_mirror, *others]
         for mirror in self._mirrors:
@@ -254,7 +266,10 @@
         self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
         self._peers = PeerServer(
-            settings.peer_address, self._chunks, self._spread.encode_state
+            settings.peer_address,
+            self._chunks,
+            self._spread.encode_state,
+            self._record_copies.encode,
         )
 
     def _is_supplied_by_peers(self):
@@ -326,6 +341,7 @@
         self._fleet.store_restored_s = max(restored_times_s, default=None)
         self._fleet.store_rewound_s = self._instance_mirror.rewound_s
         self._fleet.update(new_records)
+        self._record_copies.announce()
 
     def _update_evacuated(self, new_records):
         self._evacuations.update(new_records, self._evacuation_mirror.rewound_s)
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -221,9 +221,14 @@
         if self.confirmed_s is not None:
             self.confirmed_s = max(self.confirmed_s, at_s)
 
+    @property
+    def store_revision(self):
+        """The store's revision that the records were read at, 0 before the first list."""
+        return self._revision or self.summary[0]
+
     def snapshot(self):
         """Return the records by name, and the store's revision to watch from."""
-        return dict(self._records), self._revision or self.summary[0]
+        return dict(self._records), self.store_revision
 
     def replace_if_newer(self, records, revision, at_s):
         """Replace the records by those of another entry if these are newer.
@@ -237,6 +242,19 @@
         confirmed_s = max(at_s, self.confirmed_s or -math.inf)
         self._replace(dict(records), revision, confirmed_s)
 
+    def replace_if_later(self, records, revision, at_s):
+        """Replace the records by those that another entry read at a later revision.
+
+        Unlike `replace_if_newer`, it also replaces them by fewer records.
+
+        :param revision: the store's revision that they were read at, to resume a watch
+            from.
+        :param at_s: when they matched the store, in boot time of this entry.
+        """
+        if self._revision is None or revision <= self._revision:
+            return
+        self._replace(dict(records), revision, max(at_s, self.confirmed_s))
+
     def reapply(self):
         """Call `on_change` with the present records."""
         if self.confirmed_s is not None:
@@ -320,12 +338,17 @@
         sent_s = self._clock.boottime_s()
         if self._needs_list():
             return self._list(sent_s)
+        watched_revision = self._revision
         changes, revision = self._watch()
         self._history_pause_s = RETRY_MIN_S
         self._mark_reachable()
         if era_of(revision) < self._era:
             # Another entry has supplied records of a newer era in the meantime.
             return False
+        if self._revision != watched_revision and not self._is_large:
+            # Another entry has supplied records in the meantime. The changes are from
+            # before them, or the next watch shows them again.
+            return False
         if self._is_large:
             # Another entry may have supplied newer records in the meantime.
             current_revision = self.summary[0]
--- a/tests/test_distribution_exchange.py
+++ b/tests/test_distribution_exchange.py
@@ -16,6 +16,7 @@
 from briarbeam.relay.follower import NEIGHBOUR_AGE_MAX_S, StoreFollower
 from briarbeam.relay.limits import ColdRateLimiter
 from briarbeam.relay.quarantine import Quarantine
+from briarbeam.relay.record_copies import RecordCopies
 from briarbeam.relay.spread import StateSpread
 
 
@@ -38,6 +39,7 @@
         evidence,
         Quarantine(clock, evidence),
         GrantClient(clock),
+        RecordCopies(None, address, clock, bool),
     )
 
 
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from bench.node_process import NodePorts, NodeProcess
-from briarbeam.relay.entry import STATE_WAIT_S
+from briarbeam.relay.entry import STATE_WAIT_S, WATCH_WAIT_S
 from standins.platform import (
     CHUNK_COUNT,
     Engine,
@@ -25,24 +25,26 @@
 STAGER_HOST, LEDGER_HOST = "127.0.0.2", "127.0.0.4"
 # In these tests only states with several hundred routes are larger.
 LARGE_BODY_BYTES = 16384
+CHANGED = '"instance_changed"'
 
 
 class StoreProxy(Server):
-    """A proxy between an entry and the store that counts large answers.
+    """A proxy between an entry and the store that counts large answers and calls.
 
-    While `silent` is true it answers nothing; while `refuses` is true it answers 503.
+    `instance_calls` counts the calls for the records of instances. While `silent` is true it answers nothing; while `refuses` is true it answers 503.
 
     :param large_answer_s: the seconds by which a large answer is delayed.
     """
 
     def __init__(self, address, store, large_answer_s=0.0):
-        self.large_answers = 0
+        self.large_answers = self.instance_calls = 0
         self.refuses = False
         self._large_answer_s = large_answer_s
         self._store = store
         super().__init__(address)
 
     def handle(self, method, path, fields, body, environ):
+        self.instance_calls += "/servers" in path
         if self.refuses:
             return 503, [], b""
         answer = self._store.handle(method, path, fields, body, environ)
@@ -293,6 +295,30 @@
         site.stop()
 
 
+def test_change_of_an_instance_costs_calls_of_one_entry_only(tmp_path):
+    """It ended a watch at every entry of the failure domain."""
+    site = Site(tmp_path, 4)
+    try:
+        wait_until(site.is_serving)
+        # The watches from before a reader confirmed the records end first.
+        gevent.sleep(WATCH_WAIT_S + 2.0)
+        before = [proxy.instance_calls for proxy in site.proxies]
+        logged = [node.log_path.read_text().count(CHANGED) for node in site.nodes]
+        for state in ("draining", "ready", "draining"):
+            site.store.put(
+                "servers", "i-2", {**site.ledger.registration(), "state": state}
+            )
+            gevent.sleep(1.5)
+        calls = [
+            p.instance_calls - n for p, n in zip(site.proxies, before, strict=True)
+        ]
+        assert sum(count > 0 for count in calls) == 1, calls
+        for node, count in zip(site.nodes, logged, strict=True):
+            assert node.log_path.read_text().count(CHANGED) == count + 3
+    finally:
+        site.stop()
+
+
 def test_entries_that_started_without_the_store_share_a_large_state(tmp_path):
     """When the store returned, all of them read the state from it at the same time."""
     site = Site(tmp_path, 0, routes=500)
