--- a/briarbeam/distribution/copies.py
+++ b/briarbeam/distribution/copies.py
@@ -77,9 +77,13 @@
         """Return whether fetching is paused after consecutive misses."""
         return time.monotonic() < self._backoff_until_s
 
+    def missing_share(self):
+        """Return the share of the chunks that have not been fetched."""
+        return 1.0 - len(self.chunks) / len(self.manifest.digests)
+
     def is_mostly_complete(self):
         """Return whether more than half of the chunks have been fetched."""
-        return 2 * len(self.chunks) > len(self.manifest.digests)
+        return self.missing_share() < 0.5
 
     def age_s(self):
         """Return the seconds since the copy was started."""
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -322,8 +322,8 @@
         """Return the versions to fetch, the most urgent one first.
 
         Of the last two versions, the newer one is fetched first, unless the older one
-        is mostly complete or would then miss its deadline. The other one is fetched
-        while no chunk of the first is available.
+        is mostly complete, or only the older one can be complete by the older one's
+        deadline. The other one is fetched while no chunk of the first is available.
         """
         report, greeting = self._report, self._greeting
         if report is None or greeting is None:
@@ -342,7 +342,9 @@
             # An engine without weights can serve with the older version meanwhile.
             return [newest, older]
         left_s = greeting.version_within_s - self._namings.age_s(older)
-        older_would_be_late = 0 < left_s < self._copy_time_s()
+        only_older_in_time = (
+            self._fetch_time_s(older) <= left_s < self._fetch_time_s(newest)
+        )
         copy = self._copies.get(older)
         finishes_older = (
             copy is not None
@@ -350,9 +352,7 @@
             and older_is_useful(greeting.version_within_s, self._namings.age_s(newest))
         )
         return (
-            [older, newest]
-            if older_would_be_late or finishes_older
-            else [newest, older]
+            [older, newest] if only_older_in_time or finishes_older else [newest, older]
         )
 
     def _updated_share(self, version):
@@ -374,10 +374,12 @@
         copy = self._copies.get(version)
         return copy is not None and not copy.missing()
 
-    def _copy_time_s(self):
-        """Return the estimated seconds to transfer a whole copy over the link."""
+    def _fetch_time_s(self, version):
+        """Return the estimated seconds until a copy is complete over a free link."""
         sizes = [copy.size_bytes() for copy in self._copies.values()]
-        return max(sizes, default=0) / self._link_bytes_per_s
+        copy_time_s = max(sizes, default=0) / self._link_bytes_per_s
+        copy = self._copies.get(version)
+        return copy_time_s * (1.0 if copy is None else copy.missing_share())
 
     def _reuse_staged(self, copy):
         """Add the chunks that were staged before a restart of this process."""
