--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -14,7 +14,7 @@
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
 from briarbeam.placement.engine_cost import EngineCost, PassCost
-from briarbeam.placement.grants import GrantDesk
+from briarbeam.placement.grants import GrantPolicy
 from briarbeam.relay.fleet import LoadReport, Target
 from briarbeam.relay.limits import EntryPosition
 from briarbeam.relay.places import PlaceFinder
@@ -75,14 +75,14 @@
 
 
 class Engine:
-    """One engine, which works in passes, and the desk beside it.
+    """One engine, which works in passes, and the policy beside it.
 
     :param slowdown: how many times slower than usual it is.
     """
 
     def __init__(self, slowdown=1.0):
         self.slowdown = slowdown
-        self.desk = GrantDesk()
+        self.policy = GrantPolicy()
         self.waiting, self.reading, self.writing = [], [], []
         self.busy = False
         self.arrivals_s = []
@@ -145,7 +145,7 @@
 
 
 class _Grants:
-    """Stands in for the `GrantClient`: asks the desks of the simulated engines."""
+    """Stands in for the `GrantClient`: asks the policies of the simulated engines."""
 
     def __init__(self, simulation, enabled):
         self._simulation = simulation
@@ -157,7 +157,7 @@
     def ask(self, target, demand, cost):
         engine = self._simulation.engines[int(target.id)]
         now_s = self._simulation.clock.monotonic_s()
-        return engine.desk.decide(demand, cost, now_s)
+        return engine.policy.decide(demand, cost, now_s)
 
 
 class _Entry:
@@ -313,7 +313,9 @@
             return
         running = len(engine.reading) + len(engine.writing)
         report = (running, len(engine.waiting), engine.slowdown)
-        engine.desk.observe(sum(report[:2]), engine.slowdown, self.clock.monotonic_s())
+        engine.policy.observe(
+            sum(report[:2]), engine.slowdown, self.clock.monotonic_s()
+        )
         self._at(self.now_s + REPORT_DELAY_S, self._receive, engine, report)
         self._at(self.now_s + REPORT_INTERVAL_S, self._report, engine)
 
--- a/briarbeam/distribution/grant_office.py
+++ b/briarbeam/distribution/grant_server.py
@@ -3,7 +3,7 @@
 from prometheus_client import Counter
 
 from ..placement.engine_cost import PassCost
-from ..placement.grants import CLOSED_WAIT_S, Decision, Demand, GrantDesk
+from ..placement.grants import CLOSED_WAIT_S, Decision, Demand, GrantPolicy
 from .messages import GrantReply, encode
 
 _ANSWERS = Counter(
@@ -11,8 +11,8 @@
 )
 
 
-class GrantOffice:
-    """Receives the questions of entries for the `GrantDesk` of one engine.
+class GrantServer:
+    """Receives the questions of entries for the `GrantPolicy` of one engine.
 
     :param clock: the `Clock`.
     :param send: a function of a datagram's bytes and a host.
@@ -23,11 +23,11 @@
         self._clock = clock
         self._send = send
         self._accepts = accepts
-        self._desk = GrantDesk()
+        self._policy = GrantPolicy()
 
     def observe(self, report):
         """Apply a fresh `EngineReport`."""
-        self._desk.observe(
+        self._policy.observe(
             report.running + report.waiting, report.slowdown, self._clock.monotonic_s()
         )
 
@@ -53,4 +53,4 @@
             request.per_request_s,
             request.passes_per_answer,
         )
-        return self._desk.decide(demand, cost, self._clock.monotonic_s())
+        return self._policy.decide(demand, cost, self._clock.monotonic_s())
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -16,7 +16,7 @@
 from .datagram_sender import DatagramSender
 from .errors import ChunkUnavailableError, MalformedDatagramError
 from .fetcher import ChunkFetcher
-from .grant_office import GrantOffice
+from .grant_server import GrantServer
 from .messages import MAX_BYTES, GrantRequest, Greeting, decode, encode
 from .namings import NamingHistory
 from .overdue import OverdueDetector
@@ -89,7 +89,7 @@
             failure_domain,
             lambda message, host: self._send(encode(message), host),
         )
-        self._grant_office = GrantOffice(
+        self._grant_server = GrantServer(
             clock, lambda data, host: self._send(data, host), self._accepts
         )
         self._greeting = None
@@ -172,7 +172,7 @@
                 if isinstance(message, Greeting):
                     self._handle_greeting(message)
                 elif isinstance(message, GrantRequest):
-                    self._grant_office.answer(message, host)
+                    self._grant_server.answer(message, host)
             except Exception:
                 # A message that can't be applied must not end this task.
                 _log.exception("datagram_broke")
@@ -228,7 +228,7 @@
             try:
                 self._report = engines.fetch_report(self._network, self._engine)
                 load = self._current_load()
-                self._grant_office.observe(self._report)
+                self._grant_server.observe(self._report)
                 _VERSION.set(load[1])
                 if self._greeting is not None:
                     within_s = self._greeting.version_within_s
--- a/briarbeam/placement/grants.py
+++ b/briarbeam/placement/grants.py
@@ -63,7 +63,7 @@
     wait_s: float
 
 
-class GrantDesk:
+class GrantPolicy:
     """Grants the places of one engine.
 
     It follows the engine's passes by the published cost. The phase of the passes is
--- a/tests/test_placement_grants.py
+++ b/tests/test_placement_grants.py
@@ -9,11 +9,11 @@
 from briarbeam.catalog import Service
 from briarbeam.distribution.errors import MalformedDatagramError
 from briarbeam.distribution.grant_client import GrantClient
-from briarbeam.distribution.grant_office import GrantOffice
+from briarbeam.distribution.grant_server import GrantServer
 from briarbeam.distribution.messages import GrantReply, GrantRequest, decode, encode
 from briarbeam.kernel.clock import SystemClock
 from briarbeam.placement.engine_cost import EngineCost, PassCost
-from briarbeam.placement.grants import COLD_WINDOW_S, Demand, GrantDesk
+from briarbeam.placement.grants import COLD_WINDOW_S, Demand, GrantPolicy
 from briarbeam.platform.engines import EngineReport
 from briarbeam.platform.records import decode_desired_state
 from briarbeam.relay.fleet import LoadReport
@@ -31,67 +31,69 @@
 
 def test_idle_engine_takes_a_prompt_that_no_engine_could_read_in_time():
     """Such requests would be refused for ever."""
-    assert GrantDesk().decide(demand(read_s=1.0), PASS, 10.0).granted
+    assert GrantPolicy().decide(demand(read_s=1.0), PASS, 10.0).granted
 
 
 def test_granted_prompts_count_before_a_report_shows_them():
     """Entries filled an engine together, as none saw what the others had sent."""
-    desk = GrantDesk()
-    decisions = [desk.decide(demand(), PASS, 10.0) for _ in range(8)]
+    policy = GrantPolicy()
+    decisions = [policy.decide(demand(), PASS, 10.0) for _ in range(8)]
     assert [d.granted for d in decisions[:4]] == [True] * 4
     assert not decisions[-1].granted
     assert decisions[-1].wait_s > 0.0
 
 
 def test_refused_engine_has_a_place_after_the_stated_wait():
-    desk = GrantDesk()
+    policy = GrantPolicy()
     now_s = 10.0
-    while (decision := desk.decide(demand(), PASS, now_s)).granted:
+    while (decision := policy.decide(demand(), PASS, now_s)).granted:
         pass
     now_s += decision.wait_s + 0.06
-    desk.observe(2, 1.0, now_s)
-    assert desk.decide(demand(), PASS, now_s).granted
+    policy.observe(2, 1.0, now_s)
+    assert policy.decide(demand(), PASS, now_s).granted
 
 
 def test_request_that_is_sent_again_is_placed_however_late():
-    desk = GrantDesk()
-    desk.observe(40, 1.0, 10.0)
-    assert not desk.decide(demand(), PASS, 10.0).granted
-    assert desk.decide(demand(within_s=None), PASS, 10.0).granted
+    policy = GrantPolicy()
+    policy.observe(40, 1.0, 10.0)
+    assert not policy.decide(demand(), PASS, 10.0).granted
+    assert policy.decide(demand(within_s=None), PASS, 10.0).granted
 
 
 def test_slow_engine_takes_fewer_requests():
     counts = []
     for slowdown in (1.0, 3.0):
-        desk = GrantDesk()
-        desk.observe(1, slowdown, 10.0)
-        counts.append(sum(desk.decide(demand(), PASS, 10.0).granted for _ in range(9)))
+        policy = GrantPolicy()
+        policy.observe(1, slowdown, 10.0)
+        counts.append(
+            sum(policy.decide(demand(), PASS, 10.0).granted for _ in range(9))
+        )
     assert counts[1] < counts[0]
 
 
 def test_time_without_questions_leaves_no_wait_behind():
-    desk = GrantDesk()
-    desk.observe(2, 1.0, 10.0)
+    policy = GrantPolicy()
+    policy.observe(2, 1.0, 10.0)
     for _ in range(9):
-        desk.decide(demand(), PASS, 10.0)
-    desk.observe(0, 1.0, 5000.0)
-    assert desk.decide(demand(), PASS, 5000.0).wait_s < 0.1
+        policy.decide(demand(), PASS, 10.0)
+    policy.observe(0, 1.0, 5000.0)
+    assert policy.decide(demand(), PASS, 5000.0).wait_s < 0.1
 
 
 def test_cold_engine_is_granted_its_rate_over_any_second():
-    desk = GrantDesk()
+    policy = GrantPolicy()
     cold = demand(within_s=None, cold=10.0)
-    granted = [desk.decide(cold, PASS, 10.0).granted for _ in range(20)]
+    granted = [policy.decide(cold, PASS, 10.0).granted for _ in range(20)]
     assert granted.count(True) == 7
-    wait_s = desk.decide(cold, PASS, 10.5).wait_s
+    wait_s = policy.decide(cold, PASS, 10.5).wait_s
     assert wait_s == pytest.approx(COLD_WINDOW_S - 0.5)
-    assert desk.decide(cold, PASS, 10.5 + wait_s).granted
+    assert policy.decide(cold, PASS, 10.5 + wait_s).granted
 
 
-def office(accepts=True):
+def new_server(accepts=True):
     sent = []
     clock = SystemClock()
-    made = GrantOffice(
+    made = GrantServer(
         clock, lambda data, host: sent.append((data, host)), lambda: accepts
     )
     made.observe(REPORT)
@@ -102,7 +104,7 @@
 
 
 def test_question_is_answered_to_the_entry_that_asked():
-    made, sent = office()
+    made, sent = new_server()
     made.answer(decode(encode(REQUEST)), "10.0.0.9")
     ((data, host),) = sent
     answer = decode(data)
@@ -111,7 +113,7 @@
 
 def test_engine_that_is_about_to_load_weights_grants_nothing():
     """Its requests would have waited for the load."""
-    made, sent = office(accepts=False)
+    made, sent = new_server(accepts=False)
     made.answer(REQUEST, "10.0.0.9")
     answer = decode(sent[0][0])
     assert not answer.granted
