--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -278,9 +278,7 @@
             if call.attempts > 1:
                 call.outcome = "refused"
                 return
-            wait_s = entry.retry_hint.retry_after_s(
-                self._requirements, job.place_wait_s
-            )
+            wait_s = entry.retry_hint.retry_after_s(job)
             self._at(self.now_s + wait_s, self._attempt, call)
             return
         target.begin_request()
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -12,9 +12,10 @@
 from ..kernel.errors import BriarbeamError
 from ..kernel.pause import PauseDetector
 from ..platform import engines
-from .copies import Copy, matches_digest
+from .copies import Copy
 from .datagram_sender import DatagramSender
 from .errors import ChunkUnavailableError, MalformedDatagramError
+from .fetch_order import FetchOrder
 from .fetcher import ChunkFetcher
 from .grant_server import GrantServer
 from .messages import MAX_BYTES, GrantRequest, Greeting, decode, encode
@@ -23,8 +24,9 @@
 from .peer_server import PeerServer
 from .reporter import LoadReporter
 from .roster import Roster
+from .staging_area import StagingArea
 from .state_announcer import StateAnnouncer
-from .waves import WAVES_MAX, choose_strategy, older_is_useful
+from .waves import WAVES_MAX, choose_strategy
 
 # The share of the machine's link that chunks served to entries may use. When they used
 # all of it, the median time to the first token of the engine's requests rose by a tenth
@@ -47,14 +49,10 @@
 DRAIN_S = 1.2
 # An engine of the first wave whose copy is late accepts requests again after this.
 DRAIN_MAX_S = 2.0
-# How long a staged chunk is trusted without reading it again. Staged chunks may become
-# corrupt at any time, and the engine loads them as they are.
-STAGED_TRUST_S = 0.5
 # A load that takes longer is no longer waited for. The next step then depends on what
 # the engine reports.
 LOAD_TIMEOUT_S = 12.0
 
-_STAGED = Counter("briarbeam_chunks_staged", "Chunks put beside the engine")
 _ORDERS = Counter("briarbeam_orders", "Orders to the engine", ["result"])
 _VERSION = Gauge("briarbeam_engine_version", "Weights that the engine holds")
 _log = structlog.get_logger()
@@ -95,6 +93,7 @@
         self._greeting = None
         self._clock = clock
         self._namings = NamingHistory(clock)
+        self._fetch_order = FetchOrder(clock, self._namings, link_bytes_per_s)
         self._pause_detector = PauseDetector(clock)
         self._overdue_detector = OverdueDetector(self._namings)
         self._manifest_retry_at_s = {}
@@ -104,6 +103,7 @@
         self._loading_weights = False
         self._draining_since_s = None
         self._copies = {}
+        self._staging_area = StagingArea(network, engine)
         self._fetcher = ChunkFetcher(
             network, self._roster, failure_domain, address.port
         )
@@ -315,86 +315,26 @@
                 self._manifest_retry_at_s[version] = time.monotonic() + MANIFEST_RETRY_S
                 return None
             copy = self._copies[version] = Copy(manifest)
-            self._reuse_staged(copy)
+            self._staging_area.reuse(copy)
         return copy
 
     def _rank_versions(self):
-        """Return the versions to fetch, the most urgent one first.
-
-        Of the last two versions, the newer one is fetched first, unless the older one
-        is mostly complete, or only the older one can be complete by the older one's
-        deadline. The other one is fetched while no chunk of the first is available.
-        """
+        """Return the versions to fetch, the most urgent one first."""
         report, greeting = self._report, self._greeting
         if report is None or greeting is None:
             return []
         held = self._held_version(report)
-        newest_complete = max([held, *filter(self._is_complete, self._copies)])
-        waiting = [
-            version
-            for version, _, _, _ in greeting.versions
-            if version > newest_complete and not self._is_expired(version)
-        ]
-        if len(waiting) < 2:
-            return waiting
-        older, newest = waiting[-2:]
-        if not held:
-            # An engine without weights can serve with the older version meanwhile.
-            return [newest, older]
-        left_s = greeting.version_within_s - self._namings.age_s(older)
-        only_older_in_time = (
-            self._fetch_time_s(older) <= left_s < self._fetch_time_s(newest)
-        )
-        copy = self._copies.get(older)
-        finishes_older = (
-            copy is not None
-            and copy.is_mostly_complete()
-            and older_is_useful(greeting.version_within_s, self._namings.age_s(newest))
-        )
-        return (
-            [older, newest] if only_older_in_time or finishes_older else [newest, older]
-        )
+        return self._fetch_order.rank(greeting, held, self._copies)
 
     def _updated_share(self, version):
         """Return the share of the engines that hold `version` or a newer one."""
         shares = {known: share for known, _, share, _ in self._greeting.versions}
         return shares.get(version, 0.0)
 
-    def _is_expired(self, version):
-        """Return whether requests may no longer begin on `version`."""
-        superseded_at_s = self._namings.superseded_at_s(version)
-        if superseded_at_s is None:
-            return False
-        return (
-            self._clock.boottime_s() - superseded_at_s
-            >= self._greeting.version_within_s
-        )
-
     def _is_complete(self, version):
         copy = self._copies.get(version)
         return copy is not None and not copy.missing()
 
-    def _fetch_time_s(self, version):
-        """Return the estimated seconds until a copy is complete over a free link."""
-        sizes = [copy.size_bytes() for copy in self._copies.values()]
-        copy_time_s = max(sizes, default=0) / self._link_bytes_per_s
-        copy = self._copies.get(version)
-        return copy_time_s * (1.0 if copy is None else copy.missing_share())
-
-    def _reuse_staged(self, copy):
-        """Add the chunks that were staged before a restart of this process."""
-        manifest = copy.manifest
-        staged = engines.list_staged(self._network, self._engine, manifest.model)
-        for number in sorted(staged):
-            content = self._read_staged(manifest, number)
-            if not matches_digest(manifest, number, content):
-                if not copy.chunks:
-                    # The staging area holds another version; no two share a chunk.
-                    return
-                continue
-            copy.add(number, content)
-            copy.record_staged(number)
-
     def _fetch_chunk(self, copy, number):
         try:
             content = self._fetcher.fetch_chunk(copy.manifest, number)
@@ -448,7 +388,7 @@
             strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
             return
-        self._stage(copy)
+        self._staging_area.stage(copy)
         self._order_load(copy.manifest, strategy)
 
     def _discard_older(self, held):
@@ -474,33 +414,6 @@
             _log.info("drain_begun", version=incomplete[-1].manifest.version)
         return time.monotonic() - self._draining_since_s < DRAIN_MAX_S
 
-    def _stage(self, copy):
-        """Write the chunks of `copy` that are not staged or staged with other bytes.
-
-        The engine loads staged chunks without verifying them. Those that were read in
-        the last `STAGED_TRUST_S` are not read again: after a restart of the engine that
-        would take as long as the load.
-        """
-        manifest = copy.manifest
-        staged = engines.list_staged(self._network, self._engine, manifest.model)
-        written = 0
-        for number, content in sorted(copy.chunks.items()):
-            if number in staged and (
-                copy.was_staged(number, STAGED_TRUST_S)
-                or self._read_staged(manifest, number) == content
-            ):
-                continue
-            engines.write_staged(
-                self._network, self._engine, manifest.model, number, content
-            )
-            copy.record_staged(number)
-            written += 1
-        _STAGED.inc(written)
-        _log.info("staged", version=manifest.version, written=written)
-
-    def _read_staged(self, manifest, number):
-        return engines.read_staged(self._network, self._engine, manifest.model, number)
-
     def _order_load(self, manifest, strategy):
         report = engines.fetch_report(self._network, self._engine)
         self._report, self._loading_weights = report, True
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -289,9 +289,7 @@
         return NoCapacityError(
             f"no target of service {job.requirements.service.name} "
             "can take the request",
-            retry_after_s=self._retry_hint.retry_after_s(
-                job.requirements, job.place_wait_s
-            ),
+            retry_after_s=self._retry_hint.retry_after_s(job),
         )
 
     def _timeout_error(self, job):
@@ -462,9 +460,8 @@
         events = attempt.splitter.feed(attempt.call.take_part())
         # Only a complete event counts as progress: parts are not forwarded.
         if events:
-            if not attempt.has_events:
-                attempt.has_events = True
-                job.record_first_event()
+            attempt.has_events = True
+            job.record_first_event()
             self._guard.record_progress(job)
             attempts.keep_only(attempt)
             stream.forward(attempt.head, events, attempt.splitter.last_id)
--- a/briarbeam/relay/retry_hint.py
+++ b/briarbeam/relay/retry_hint.py
@@ -30,17 +30,14 @@
     def __init__(self, selector):
         self._selector = selector
 
-    def retry_after_s(self, requirements, place_wait_s=None):
-        """Return a random Retry-After for a request that no target can take now.
-
-        :param place_wait_s: the time until an engine is expected to take it, or None.
-        """
-        if place_wait_s is not None:
-            return place_wait_s + random.uniform(RETURN_MIN_S, RETURN_MAX_S)
-        opening_s = self.opening_after_s(requirements)
+    def retry_after_s(self, job):
+        """Return a random Retry-After for a `Job` that no target can take now."""
+        if job.place_wait_s is not None:
+            return job.place_wait_s + random.uniform(RETURN_MIN_S, RETURN_MAX_S)
+        opening_s = self.opening_after_s(job.requirements)
         if opening_s is not None:
             return opening_s
-        return self._usual_s(requirements) * random.uniform(0.8, 1.2)
+        return self._usual_s(job.requirements) * random.uniform(0.8, 1.2)
 
     def opening_after_s(self, requirements):
         """Return a random Retry-After that ends after the first target opens.
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -71,6 +71,9 @@
         greeting = Greeting(PEER.host, "z1", MODEL, namings, wave, wave_count, within_s)
         self.stager._handle_greeting(greeting)
 
+    def fetch_time_s(self, version):
+        return self.stager._fetch_order.fetch_time_s(version, self.stager._copies)
+
     def run(self, seconds):
         """Run the stager's tasks for a number of short pauses of the event loop.
 
@@ -172,8 +175,8 @@
     harness.slow_s = 0.02
     harness.greet((2, 0.0, 0.0))
     harness.run(0.08)
-    copy_s = harness.stager._fetch_time_s(3)
-    assert 0 < harness.stager._fetch_time_s(2) < copy_s
+    copy_s = harness.fetch_time_s(3)
+    assert 0 < harness.fetch_time_s(2) < copy_s
     harness.greet((2, 8.0 - 0.95 * copy_s, 0.0), (3, 0.0, 0.0))
     assert harness.stager._rank_versions()[0] == 2
 
@@ -189,7 +192,7 @@
     copy = harness.stager._open_copy(3)
     for number in range(CHUNK_COUNT // 2):
         copy.add(number, chunk(3, number))
-    left_s = 0.75 * harness.stager._fetch_time_s(2)
+    left_s = 0.75 * harness.fetch_time_s(2)
     harness.greet((2, 8.0 - left_s, 0.0), (3, 8.0 - left_s, 0.0), wave=1)
     assert harness.stager._rank_versions()[0] == 3
 
@@ -199,7 +202,7 @@
     harness = StagerHarness(version=1)
     harness.greet((2, 0.0, 0.0), (3, 0.0, 0.0), wave=1)
     harness.stager._open_copy(2).add(0, chunk(2, 0))
-    left_s = 0.5 * harness.stager._fetch_time_s(3)
+    left_s = 0.5 * harness.fetch_time_s(3)
     harness.greet((2, 8.0 - left_s, 0.0), (3, 0.0, 0.0), wave=1)
     assert harness.stager._rank_versions()[0] == 3
 
