Order a load only of chunks that were checked shortly before

What callers saw: tokens made with corrupt weights, until the next load.

Cause: nothing tied the check of a chunk to its use. `stage` went through the chunks once and `_order_load` did not look back. Ages were taken on the steady clock, which doesn't count a suspension, after the answer had been processed.

Now a check has the boot time from before its read or write, and the age of the oldest one is looked at between connecting for the order and its first byte, with no wait in between. Above 1.5 s nothing is sent and older chunks are read again; with the second that the engine has to answer, it takes chunks at most 2.5 s after their check, where 3 s are allowed. What remains of the gap is detected: unless the order is known to be accepted within 3 s of the oldest check, all chunks are read once more. What is right then was right before. If one isn't, the engine gets no requests until it loads again or restarts. The same proof covers orders without an answer, and chunks that were written meanwhile for another load.

The fake network of these tests calls `before_send`, as the real one does.

--- a/briarbeam/distribution/copies.py
+++ b/briarbeam/distribution/copies.py
@@ -52,17 +52,20 @@
         self.chunks[number] = content
         self._consecutive_misses = 0
 
-    def record_staged(self, number):
-        """Record that the staging area holds the verified bytes of a chunk."""
-        self._staged_seen_s[number] = time.monotonic()
+    def record_staged(self, number, checked_s):
+        """Record that the staging area held the verified bytes of a chunk.
 
-    def was_staged(self, number, within_s):
-        """Return whether a chunk was staged correctly at some time within `within_s`.
-
-        :param within_s: seconds before now.
+        :param checked_s: the boot time at which it did, in seconds.
         """
-        seen_s = self._staged_seen_s.get(number, -math.inf)
-        return time.monotonic() - seen_s <= within_s
+        self._staged_seen_s[number] = checked_s
+
+    def staged_s(self, number):
+        """Return when a chunk was last known to be staged, minus infinity if never."""
+        return self._staged_seen_s.get(number, -math.inf)
+
+    def oldest_staged_s(self):
+        """Return the earliest of the times at which the chunks were last checked."""
+        return min(map(self.staged_s, range(len(self.manifest.digests))))
 
     def record_miss(self, number):
         """Record that no entry had the chunk in time."""
--- a/briarbeam/distribution/errors.py
+++ b/briarbeam/distribution/errors.py
@@ -21,6 +21,12 @@
     code = "corrupt_chunk"
 
 
+class StaleCheckError(NotRunError):
+    """Staged chunks were checked too long ago to order that they be loaded."""
+
+    code = "stale_check"
+
+
 class MalformedCopyError(BriarbeamError):
     """The bytes from another entry could not be decoded as a desired state."""
 
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -18,6 +18,7 @@
 from .fetch_order import FetchOrder
 from .fetcher import ChunkFetcher
 from .grant_server import GrantServer
+from .load_proof import LoadProof
 from .messages import MAX_BYTES, GrantRequest, Greeting, decode, encode
 from .namings import NamingHistory
 from .overdue import OverdueDetector
@@ -103,7 +104,8 @@
         self._loading_weights = False
         self._draining_since_s = None
         self._copies = {}
-        self._staging_area = StagingArea(network, engine)
+        self._staging_area = StagingArea(network, clock, engine)
+        self._load_proof = LoadProof(self._staging_area)
         self._fetcher = ChunkFetcher(
             network, self._roster, failure_domain, address.port
         )
@@ -248,9 +250,12 @@
         return report, self._held_version(report), self._accepts()
 
     def _accepts(self):
-        """Return whether the engine can be reached and accepts requests."""
-        return self._report is not None and not (
-            self._loading_weights or self._drains_early()
+        """Return whether the engine can be reached, is whole and accepts requests."""
+        report = self._report
+        return report is not None and not (
+            self._loading_weights
+            or self._load_proof.is_open(report)
+            or self._drains_early()
         )
 
     def _announce_load(self):
@@ -374,7 +379,10 @@
         is no newer one.
         """
         report, greeting = self._report, self._greeting
-        if report is None or greeting is None or report.busy:
+        if report is None or greeting is None:
+            return
+        self._load_proof.settle(report)
+        if report.busy:
             return
         held = self._held_version(report)
         version = max((v for v in self._copies if self._is_complete(v)), default=0)
@@ -388,8 +396,9 @@
             strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
             return
-        self._staging_area.stage(copy)
-        self._order_load(copy.manifest, strategy)
+        self._load_proof.record_written(self._staging_area.stage(copy))
+        self._staging_area.check_age(copy)
+        self._order_load(copy, strategy)
 
     def _discard_older(self, held):
         for version in [v for v in self._copies if v < held]:
@@ -414,13 +423,21 @@
             _log.info("drain_begun", version=incomplete[-1].manifest.version)
         return time.monotonic() - self._draining_since_s < DRAIN_MAX_S
 
-    def _order_load(self, manifest, strategy):
+    def _order_load(self, copy, strategy):
+        manifest = copy.manifest
         report = engines.fetch_report(self._network, self._engine)
         self._report, self._loading_weights = report, True
         self._announce_load()
         gevent.sleep(ANNOUNCE_DELAY_S)
         self._announce_load()
-        ordered_s = time.monotonic()
+        ordered_s, checked_age_s = time.monotonic(), 0.0
+
+        def check_before_send():
+            nonlocal checked_age_s
+            self._staging_area.check_age(copy)
+            checked_age_s = self._staging_area.checked_age_s(copy)
+            self._load_proof.record_order(copy, report)
+
         result = engines.order_load(
             self._network,
             self._engine,
@@ -428,7 +445,10 @@
             manifest.version,
             report.accepted_orders,
             strategy,
+            check_before_send,
         )
+        if result is engines.OrderResult.BEGUN:
+            self._load_proof.record_begun()
         _ORDERS.labels(result.value).inc()
         _log.info(
             "load_ordered",
@@ -439,6 +459,7 @@
             running=report.running,
             age_s=round(self._namings.age_s(manifest.version), 3),
             strategy=strategy,
+            checked_age_s=round(checked_age_s, 3),
             result=result.value,
         )
         if result is not engines.OrderResult.REFUSED:
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -80,13 +80,22 @@
         raise UpstreamError(f"report from {address} is malformed: {error!r}") from error
 
 
-def order_load(network, address, model, version, accepted_orders, strategy="preempt"):
+def order_load(
+    network,
+    address,
+    model,
+    version,
+    accepted_orders,
+    strategy="preempt",
+    before_send=None,
+):
     """Order the engine to load its staged chunks, and return an `OrderResult`.
 
     :param accepted_orders: the number of orders that the engine must have accepted so
         far; it refuses the order otherwise.
     :param strategy: ``queue`` finishes running requests first and accepts no others
         meanwhile; ``preempt`` interrupts them, and they continue after the load.
+    :param before_send: as in `HttpRequest`.
     :raises BriarbeamError: if the engine does not answer; the order may still take
         effect.
     """
@@ -99,6 +108,7 @@
         {"content-type": "application/json"},
         timeout_s=CALL_TIMEOUT_S,
         fresh=True,
+        before_send=before_send,
     )
     status, _, _ = fetch(network, address, request)
     results = {202: OrderResult.BEGUN, 200: OrderResult.IN_EFFECT}
--- a/tests/distribution_fakes.py
+++ b/tests/distribution_fakes.py
@@ -36,8 +36,10 @@
         self.calls = []
 
     def send(self, address, request):
-        self.calls.append((address, request.method, request.path))
         handler = self.handlers.get(address)
+        if handler is not None and request.before_send is not None:
+            request.before_send()
+        self.calls.append((address, request.method, request.path))
         if handler is None:
             raise UnreachableError(str(address))
         return handler(request)
@@ -58,9 +60,19 @@
         self.accepted = 0
         self.loaded = None
         self.running = 0
+        # Called before and after each answer, for example to advance a clock.
+        self.before = lambda method, path: None
+        self.after = lambda method, path: None
 
     def __call__(self, request):
         path, _, query = request.path.partition("?")
+        self.before(request.method, path)
+        try:
+            return self._answer(request, path, query)
+        finally:
+            self.after(request.method, path)
+
+    def _answer(self, request, path, query):
         if path == "/-/report":
             return Reply(200, json.dumps(self.report()).encode())
         if path == "/-/order":
