Reset an unmarked answer that the entry does not complete

Cause: such an answer ends with its connection, and the kernel closes the connections of a process that ends in order. An unexpected error, and an exit with open answers, closed them in order, too.

Now the connection of such an answer is one that is reset when it is closed (SO_LINGER with 0 s), from before its first byte until after its last one. So a reset is what each failure leaves, known or not, and the orderly end is what the entry does itself once it takes the end as true. Chunks with a last one for the caller were weighed: the entry would state an end that nobody stated to it, which its tests rule out since.

The line of a request has `caller_end`; its test looks at it, too.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -137,9 +137,14 @@
         """
 
 
-def reset_on_close(sock):
-    """Make ``close`` reset the connection, even with unsent or unread data."""
-    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+def reset_on_close(sock, enabled=True):
+    """Make ``close`` reset the connection, even with unsent or unread data.
+
+    The end of the process closes it too.
+
+    :param enabled: False to close it in order again.
+    """
+    linger = int(enabled).to_bytes(4, "little") + (0).to_bytes(4, "little")
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     except OSError:
--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -9,6 +9,7 @@
 import httptools
 from gevent import get_hub
 
+from ..kernel.network import reset_on_close
 from .errors import (
     BodyTooLargeError,
     CallerDisconnectedError,
@@ -229,6 +230,10 @@
 class AnswerWriter:
     """Writes the answer to one request.
 
+    The kernel closes the connections of a process that ends in order. So while an
+    answer is incomplete whose end only that of the connection marks, the connection is
+    one that is reset when it is closed.
+
     :param sock: the connected socket.
     :param request: the `CallerRequest`.
     :param closing: a function that returns whether the connection has to be closed
@@ -262,8 +267,10 @@
         has_length = status != 204 and not self.ends_with_connection
         length = [(b"content-length", b"%d" % len(body))] if has_length else []
         head = self._head(status, list(headers) + length)
+        if self.ends_with_connection:
+            reset_on_close(self._sock)
         self._send(head + body if has_body else head)
-        self.complete = True
+        self._complete()
 
     def begin_stream(self, status, headers, first, marks_end=True):
         """Write the head and the first bytes of an answer of unknown length.
@@ -273,6 +280,8 @@
         """
         self._chunked = marks_end
         self.ends_with_connection = not marks_end
+        if self.ends_with_connection:
+            reset_on_close(self._sock)
         coding = [(b"transfer-encoding", b"chunked")] if marks_end else []
         self._send(self._head(status, list(headers) + coding) + self._encode(first))
 
@@ -284,7 +293,12 @@
         """Complete the answer, with an end marker unless the connection's end is one."""
         if self._chunked:
             self._send(b"0\r\n\r\n")
+        self._complete()
+
+    def _complete(self):
         self.complete = True
+        if self.ends_with_connection:
+            reset_on_close(self._sock, enabled=False)
 
     def _encode(self, data):
         return _chunk(data) if self._chunked else data
--- a/briarbeam/telemetry/request_log.py
+++ b/briarbeam/telemetry/request_log.py
@@ -255,6 +255,7 @@
             status=getattr(error, "status", None),
             answer_begun=writer.begun,
             cut=cut,
+            caller_end=_describe_caller_end(writer, cut),
             elapsed_s=round(elapsed_s, 3),
             config_age_s=_round(age_s),
             **fields,
@@ -281,6 +282,15 @@
         return left > 0
 
 
+def _describe_caller_end(writer, cut):
+    """Return how the caller learns that its answer ended, or None if it doesn't."""
+    if cut:
+        return "reset"
+    if not writer.complete:
+        return None
+    return "closed" if writer.ends_with_connection else "marked"
+
+
 def _common_regions(allowed_regions):
     """Return the regions that all sets allow, or None if all regions are allowed.
 
--- a/tests/test_node_processes.py
+++ b/tests/test_node_processes.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.server import StreamServer
 
 from bench.node_process import NodePorts, NodeProcess
 from standins.platform import (
@@ -358,6 +359,59 @@
     wait_until(lambda: site.ask().split()[1] == "200", 1.0)
 
 
+UNMARKED_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Response-Seal: sealed\r\nContent-Type: %b\r\n\r\n"
+)
+LONG_ANSWER = b"x" * 2**22
+
+
+def stream_unmarked(sock, _):
+    """Answer with events and without a mark of the end."""
+    sock.recv(65536)
+    sock.sendall(UNMARKED_HEAD % b"text/event-stream")
+    for number in range(1, 100):
+        sock.sendall(b"id: %d\ndata: x\n\n" % number)
+        gevent.sleep(0.1)
+
+
+def answer_unmarked(sock, _):
+    """Answer with a long body and without a mark of the end."""
+    sock.recv(65536)
+    sock.sendall(UNMARKED_HEAD % b"text/plain" + LONG_ANSWER)
+
+
+@pytest.mark.parametrize("serve", [stream_unmarked, answer_unmarked])
+def test_unmarked_answer_of_a_killed_entry_does_not_look_complete(site, serve):
+    """The kernel closes the connections of a killed process in order."""
+    server = StreamServer((ENTRY_HOST, 0), serve)
+    server.start()
+    state = desired_state(2, site.origin.address)
+    kind = "streaming" if serve is stream_unmarked else "non_idempotent"
+    state["routes"][0] |= {"service": "plain", "kind": kind, "path_prefix": "/plain/"}
+    state["routes"][0] |= {"resumable": False}
+    state["services"].append({"name": "plain"})
+    site.store.put("servers", "p-1", site.engine.registration("z1") | {
+        "service": "plain", "address": f"{ENTRY_HOST}:{server.server_port}",
+        "models": [], "layers": {}})  # fmt: skip
+    site.store.put("config", "main", state)
+    gevent.sleep(1.0)
+    with socket.create_connection((ENTRY_HOST, site.callers)) as sock:
+        sock.sendall(
+            b"POST /plain/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id1\r\n"
+            b"X-Deadline-Ms: 5000\r\nAuthorization: Bearer key1\r\n"
+            b"Content-Length: 2\r\nConnection: close\r\n\r\nhi"
+        )
+        data = sock.recv(1024)
+        gevent.sleep(0.5)
+        site.processes["entry"].process.kill()
+        site.processes["entry"].process.wait()
+        with pytest.raises(ConnectionResetError), gevent.Timeout(5.0):
+            while part := sock.recv(65536):
+                data += part
+    server.stop()
+    assert data.startswith(b"HTTP/1.1 200 OK")
+
+
 def parse_answer(text):
     """Return the status and the headers, by lower-case name, of an answer."""
     lines = text.partition("\r\n\r\n")[0].split("\r\n")
--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -54,11 +54,17 @@
 @pytest.mark.parametrize(
     "script, fields",
     [
-        (reply(STREAM_HEAD + text(1) + text(2)), ("connection", "closed", 2, 0)),
-        (reply(STREAM_HEAD + text(1) + b"id:"), ("connection", "closed", 1, 3)),
-        (then_reset(STREAM_HEAD + text(1)), ("connection", "reset", 1, 0)),
-        (reply(stream_head() + event(1)), ("chunks", "closed", 1, 0)),
-        (reply(stream_head() + event(1) + END), ("chunks", None, 1, 0)),
+        (
+            reply(STREAM_HEAD + text(1) + text(2)),
+            ("connection", "closed", 2, 0, "closed"),
+        ),
+        (
+            reply(STREAM_HEAD + text(1) + b"id:"),
+            ("connection", "closed", 1, 3, "reset"),
+        ),
+        (then_reset(STREAM_HEAD + text(1)), ("connection", "reset", 1, 0, "reset")),
+        (reply(stream_head() + event(1)), ("chunks", "closed", 1, 0, "reset")),
+        (reply(stream_head() + event(1) + END), ("chunks", None, 1, 0, "marked")),
     ],
     ids=["closed", "closed in event", "reset", "chunks closed", "chunks"],
 )
@@ -70,7 +76,10 @@
         except ConnectionResetError:
             gevent.sleep(0.05)
     (line,) = [line for line in lines if line["event"] == "request"]
-    names = "answer_framing", "connection_end", "answer_events", "answer_left_bytes"
+    names = (
+        "answer_framing", "connection_end", "answer_events", "answer_left_bytes",
+        "caller_end",
+    )  # fmt: skip
     assert tuple(line[name] for name in names) == fields
 
 
