Send callers with HTTP/1.0 no chunks

What callers saw: a stream for a caller with HTTP/1.0 came in chunks, whose sizes it took for parts of the answer.

Cause: `begin_stream` chose chunks without a look at the caller's version of the protocol.

Test: test_caller_that_can_not_read_chunks_gets_the_stream_without_them, of a whole and of a broken stream, fails before in both cases.

--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -34,6 +34,7 @@
     :param headers: pairs of lower-case name and value.
     :param keep_alive: whether the connection stays open after the answer.
     :param read_at_s: monotonic time at which its last byte was read.
+    :param reads_chunks: whether the caller can read an answer in chunks.
     """
 
     method: bytes = b""
@@ -42,6 +43,7 @@
     body: bytes = b""
     keep_alive: bool = True
     read_at_s: float = 0.0
+    reads_chunks: bool = True
 
     @property
     def path(self):
@@ -193,6 +195,7 @@
         request.method = self._parser.get_method()
         request.target = b"".join(self._url)
         request.keep_alive = self._parser.should_keep_alive()
+        request.reads_chunks = self._parser.get_http_version() != "1.0"
         size_bytes = len(request.target) + sum(
             len(name) + len(value) + 4 for name, value in request.headers
         )
@@ -276,8 +279,9 @@
         """Write the head and the first bytes of an answer of unknown length.
 
         :param marks_end: whether to send it in chunks, so that the last one marks its
-            end.
+            end. A caller with HTTP/1.0 can't read chunks.
         """
+        marks_end = marks_end and self._request.reads_chunks
         self._chunked = marks_end
         self.ends_with_connection = not marks_end
         if self.ends_with_connection:
