Correct a manifest that arrived corrupt

At a new version, the same answer kept the engines on the older one until nothing could begin there.

Cause: the first manifest that can be decoded was kept for as long as its version, and a chunk that did not match always accused the chunk.

Now bytes that fit the digest of any manifest are right, as no corruption makes bytes fit a digest. A manifest is requested again if the same bytes fail against it twice, or at once if an entry sent them, which verifies them itself; a digest that two manifests state is not doubted any more, so a right manifest with wrong chunks costs one look. Looks that fail, and chunks that do not match, are repeated less and less often, and the worker goes on with other chunks meanwhile. Stagers do the same with the entry that sent a chunk. A manifest needs the declared number of chunks: with fewer, an engine would be ordered to load while some were missing.

--- a/briarbeam/catalog.py
+++ b/briarbeam/catalog.py
@@ -74,6 +74,8 @@
     :param models: names of the models that its engines serve; empty for plain services.
     :param origin: the `WeightOrigin` of its models, or None.
     :param engine_cost: the `EngineCost` of its engines, or None if it is not declared.
+    :param chunk_count: the number of chunks of its models' weights, or None if it is
+        not declared.
     """
 
     name: str
@@ -82,6 +84,7 @@
     models: tuple = ()
     origin: WeightOrigin | None = None
     engine_cost: EngineCost | None = None
+    chunk_count: int | None = None
 
 
 @dataclass(frozen=True)
@@ -146,6 +149,13 @@
                 return service.origin
         return None
 
+    def find_chunk_count(self, model):
+        """Return the number of chunks of a model's weights, or None if unknown."""
+        for service in self.services.values():
+            if model in service.models:
+                return service.chunk_count
+        return None
+
     def find_model(self):
         """Return the first model of the first service that has one, or None."""
         for service in self.services.values():
--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -4,7 +4,6 @@
 the names of metrics and log events, "draw" means a download from the origin or a peer.
 """
 
-import hashlib
 import time
 
 import gevent
@@ -15,8 +14,13 @@
 from ..kernel.errors import BriarbeamError
 from ..kernel.network import Address, HttpRequest, fetch
 from ..platform import engines
-from .errors import ChunkUnavailableError, CorruptChunkError
+from .errors import (
+    ChunkUnavailableError,
+    CorruptChunkError,
+    MalformedManifestError,
+)
 from .ranking import chunk_subject, manifest_subject, rank_entries
+from .version_digests import VersionDigests
 from .waves import OLDER_USEFUL_S
 
 # Limits on the concurrent chunk downloads of a failure domain, all its entries
@@ -66,7 +70,7 @@
     def __init__(self, model, version):
         self.model = model
         self.version = version
-        self.manifest = None
+        self.digests = None
         self.manifest_ready = Event()
         self.chunks = {}
         self.task = None
@@ -74,9 +78,15 @@
         self.last_progress_s = time.monotonic()
         self._wanted = set()
         self._claimed = set()
+        self._deferred_until_s = {}
         self._wanted_changed = Event()
         self._arrival_events = {}
 
+    @property
+    def manifest(self):
+        """The best known `Manifest`, or None."""
+        return self.digests.manifest if self.digests is not None else None
+
     def stalled_s(self):
         """Return the seconds since the last progress.
 
@@ -106,17 +116,36 @@
     def claim_next(self):
         """Claim the lowest missing chunk that no other task downloads.
 
-        Blocks until there is one. A claim ends when the chunk is added.
+        Blocks until there is one. A claim ends when the chunk is added or deferred.
 
         :returns: the number of the chunk.
         """
-        while not (unclaimed := self.missing() - self._claimed):
+        while True:
+            now_s = time.monotonic()
+            unclaimed = self.missing() - self._claimed
+            due = [
+                number
+                for number in unclaimed
+                if self._deferred_until_s.get(number, 0.0) <= now_s
+            ]
+            if due:
+                break
             self._wanted_changed.clear()
-            self._wanted_changed.wait()
-        number = min(unclaimed)
+            waits_s = [self._deferred_until_s[number] - now_s for number in unclaimed]
+            self._wanted_changed.wait(min(waits_s, default=None))
+        number = min(due)
         self._claimed.add(number)
         return number
 
+    def defer(self, number, pause_s):
+        """End the claim of a chunk, which is not claimed again for `pause_s` seconds."""
+        self._deferred_until_s[number] = time.monotonic() + pause_s
+        self._claimed.discard(number)
+
+    def is_claimed(self, number):
+        """Return whether a task downloads a chunk."""
+        return number in self._claimed
+
     def add(self, number, content):
         """Store a verified chunk and wake the tasks that wait for it."""
         self.chunks[number] = content
@@ -155,6 +184,8 @@
         domain whose engines hold the version, with a copy in their staging area.
     :param superseded_left_s: a function of model and version that returns for how many
         seconds requests may still begin on it, or None if there is no limit.
+    :param chunk_count: a function of a model that returns the declared number of its
+        chunks, or None if that is unknown.
     """
 
     def __init__(
@@ -166,7 +197,9 @@
         entries,
         holders,
         superseded_left_s,
+        chunk_count=lambda model: None,
     ):
+        self._chunk_count = chunk_count
         self._network = network
         self._address = address
         self._failure_domain = failure_domain
@@ -253,8 +286,10 @@
 
     def _download_version(self, cached):
         """Download the wanted chunks of `cached` until the version is dropped."""
-        while cached.manifest is None:
-            cached.manifest = self._download_manifest(cached)
+        while cached.digests is None:
+            manifest = self._download_manifest(cached)
+            if manifest is not None:
+                cached.digests = VersionDigests(manifest)
         cached.manifest_ready.set()
         _log.info("draw_started", model=cached.model, version=cached.version)
         workers = [
@@ -277,7 +312,7 @@
     def _download_wanted(self, cached):
         while True:
             number = cached.claim_next()
-            while number not in cached.chunks:
+            while cached.is_claimed(number):
                 if self._is_preempted(cached):
                     gevent.sleep(RETRY_PAUSE_S)
                     continue
@@ -315,15 +350,14 @@
                 chunk_subject(cached.model, cached.version, number)
             )
             content = self._fetch_chunk(source, cached, number)
-            digest = hashlib.sha256(content).hexdigest()
-            if digest != cached.manifest.digests[number]:
-                raise CorruptChunkError(
-                    f"chunk {cached.model}/{cached.version}/{number} "
-                    "does not match its digest"
-                )
+            self._verify(source, cached, number, content)
         except ChunkUnavailableError as error:
             self._handle_unavailable(source, cached, error)
             return
+        except CorruptChunkError as error:
+            self._record_failure(source, error)
+            cached.defer(number, cached.digests.pause_s(number))
+            return
         except BriarbeamError as error:
             self._record_failure(source, error)
             gevent.sleep(RETRY_PAUSE_S)
@@ -331,6 +365,26 @@
         self._record_success(source)
         cached.add(number, content)
 
+    def _verify(self, source, cached, number, content):
+        """Check that `content` is a chunk; doubt the manifest if it can't be.
+
+        :raises CorruptChunkError: if it is not.
+        """
+        if cached.digests.accepts(number, content):
+            return
+        # Stagers serve what is staged, unverified, and have no manifest.
+        is_holder = source in self._holder_peers(cached)
+        if is_holder or not cached.digests.record_mismatch(
+            number,
+            content,
+            source is not None,
+            lambda: self._fetch_manifest(source, cached),
+        ):
+            raise CorruptChunkError(
+                f"chunk {cached.model}/{cached.version}/{number} "
+                "does not match its digest"
+            )
+
     def _fetch_chunk(self, source, cached, number):
         if source is None:
             address = self._origin_address()
@@ -352,17 +406,7 @@
             source = self._pick_neighbour(cached) or self._pick_source(
                 manifest_subject(cached.model, cached.version)
             )
-            if source is None:
-                return engines.fetch_manifest(
-                    self._network,
-                    self._origin_address(),
-                    cached.model,
-                    cached.version,
-                    ORIGIN_TIMEOUT_S,
-                )
-            return fetch_peer_manifest(
-                self._network, source, cached.model, cached.version
-            )
+            return self._fetch_manifest(source, cached)
         except ChunkUnavailableError as error:
             self._handle_unavailable(source, cached, error)
             return None
@@ -371,6 +415,28 @@
             gevent.sleep(RETRY_PAUSE_S)
             return None
 
+    def _fetch_manifest(self, source, cached):
+        """Return the `Manifest` that `source` has, or the origin if that is None.
+
+        :raises MalformedManifestError: if it has not the declared number of chunks.
+        :raises BriarbeamError: if it can't be fetched.
+        """
+        model, version = cached.model, cached.version
+        if source is None:
+            address = self._origin_address()
+            manifest = engines.fetch_manifest(
+                self._network, address, model, version, ORIGIN_TIMEOUT_S
+            )
+        else:
+            manifest = fetch_peer_manifest(self._network, source, model, version)
+        count, expected = len(manifest.digests), self._chunk_count(model)
+        if expected is not None and count != expected:
+            raise MalformedManifestError(
+                f"manifest of {model}/{version} has {count} digests, "
+                f"expected {expected}"
+            )
+        return manifest
+
     def _origin_address(self):
         origin = self._find_origin()
         if origin is None:
--- a/briarbeam/distribution/copies.py
+++ b/briarbeam/distribution/copies.py
@@ -1,10 +1,11 @@
 """Copies of the weights that a stager assembles in memory for its engine."""
 
-import hashlib
 import math
 import random
 import time
 
+from .version_digests import VersionDigests
+
 # Delay before a chunk that an entry did not have is requested again. The entry already
 # waited for the chunk before it answered.
 MISSED_RETRY_S = 0.25
@@ -18,10 +19,10 @@
 
 
 class Copy:
-    """The manifest of a version and the verified chunks fetched so far."""
+    """The digests of a version and the verified chunks fetched so far."""
 
     def __init__(self, manifest):
-        self.manifest = manifest
+        self.digests = VersionDigests(manifest)
         self.chunks = {}
         self._started_s = time.monotonic()
         self._staged_seen_s = {}
@@ -29,6 +30,11 @@
         self._consecutive_misses = 0
         self._backoff_until_s = 0.0
 
+    @property
+    def manifest(self):
+        """The best known `Manifest`."""
+        return self.digests.manifest
+
     def next_number(self):
         """Return the number of the chunk to request next.
 
@@ -76,6 +82,11 @@
             self._consecutive_misses = 0
             self._backoff_until_s = now_s + BACKOFF_S
 
+    def record_mismatch(self, number):
+        """Record that the bytes of a chunk did not match its digest."""
+        pause_s = self.digests.pause_s(number)
+        self._missed_until_s[number] = time.monotonic() + pause_s
+
     def is_backing_off(self):
         """Return whether fetching is paused after consecutive misses."""
         return time.monotonic() < self._backoff_until_s
@@ -115,13 +126,3 @@
             return 0
         mean_bytes = sum(map(len, self.chunks.values())) / len(self.chunks)
         return mean_bytes * len(self.manifest.digests)
-
-
-def matches_digest(manifest, number, content):
-    """Return whether `content` has the digest of chunk `number` in `manifest`.
-
-    :param content: the bytes of the chunk, or None, which matches no digest.
-    """
-    if content is None or number >= len(manifest.digests):
-        return False
-    return hashlib.sha256(content).hexdigest() == manifest.digests[number]
--- a/briarbeam/distribution/errors.py
+++ b/briarbeam/distribution/errors.py
@@ -21,6 +21,12 @@
     code = "corrupt_chunk"
 
 
+class MalformedManifestError(BriarbeamError):
+    """A manifest does not have the declared number of chunks."""
+
+    code = "malformed_manifest"
+
+
 class StaleCheckError(NotRunError):
     """Staged chunks were checked too long ago to order that they be loaded."""
 
--- a/briarbeam/distribution/fetcher.py
+++ b/briarbeam/distribution/fetcher.py
@@ -7,7 +7,6 @@
 from ..kernel.errors import BriarbeamError
 from ..kernel.network import Address
 from .chunks import fetch_peer_chunk, fetch_peer_manifest
-from .copies import matches_digest
 from .errors import ChunkUnavailableError, CorruptChunkError
 from .ranking import chunk_subject, manifest_subject, rank_entries
 
@@ -49,25 +48,38 @@
             lambda peer: fetch_peer_manifest(self._network, peer, model, version),
         )
 
-    def fetch_chunk(self, manifest, number):
+    def fetch_chunk(self, digests, number):
         """Return the verified bytes of a chunk.
 
+        Entries verify chunks themselves. So if one does not match, the manifest of the
+        entry that sent it is compared with the known one.
+
+        :param digests: the `VersionDigests`.
+
         :raises ChunkUnavailableError: as in `fetch_manifest`.
         :raises CorruptChunkError: if the bytes do not match the digest in the manifest.
         :raises BriarbeamError: as in `fetch_manifest`.
         """
-        model, version = manifest.model, manifest.version
+        model, version = digests.manifest.model, digests.manifest.version
+        network = self._network
+
+        def fetch(peer):
+            content = fetch_peer_chunk(network, peer, model, version, number)
+            if digests.accepts(number, content) or digests.record_mismatch(
+                number,
+                content,
+                verified=True,
+                look=lambda: fetch_peer_manifest(network, peer, model, version),
+            ):
+                return content
+            raise CorruptChunkError(
+                f"chunk {model}/{version}/{number} of {peer} does not match its digest"
+            )
+
         try:
             content = self._fetch_from_first(
-                chunk_subject(model, version, number),
-                lambda peer: fetch_peer_chunk(
-                    self._network, peer, model, version, number
-                ),
+                chunk_subject(model, version, number), fetch
             )
-            if not matches_digest(manifest, number, content):
-                raise CorruptChunkError(
-                    f"chunk {model}/{version}/{number} does not match its digest"
-                )
         except BriarbeamError:
             _FETCHED.labels("failed").inc()
             raise
@@ -92,7 +104,7 @@
         host = ranked[0]
         try:
             return fetch(Address(host, self._port))
-        except ChunkUnavailableError:
+        except (ChunkUnavailableError, CorruptChunkError):
             raise
         except BriarbeamError:
             self._avoid_until_s[host] = now_s + AVOID_S
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -14,7 +14,11 @@
 from ..platform import engines
 from .copies import Copy
 from .datagram_sender import DatagramSender
-from .errors import ChunkUnavailableError, MalformedDatagramError
+from .errors import (
+    ChunkUnavailableError,
+    CorruptChunkError,
+    MalformedDatagramError,
+)
 from .fetch_order import FetchOrder
 from .fetcher import ChunkFetcher
 from .grant_server import GrantServer
@@ -342,11 +346,15 @@
 
     def _fetch_chunk(self, copy, number):
         try:
-            content = self._fetcher.fetch_chunk(copy.manifest, number)
+            content = self._fetcher.fetch_chunk(copy.digests, number)
         except ChunkUnavailableError as error:
             copy.record_miss(number)
             _log.info("chunk_not_fetched", number=number, error=str(error))
             return
+        except CorruptChunkError as error:
+            copy.record_mismatch(number)
+            _log.info("chunk_not_fetched", number=number, error=str(error))
+            return
         except BriarbeamError as error:
             _log.info("chunk_not_fetched", number=number, error=str(error))
             gevent.sleep(FETCH_PAUSE_S)
--- a/briarbeam/distribution/staging_area.py
+++ b/briarbeam/distribution/staging_area.py
@@ -4,7 +4,6 @@
 from prometheus_client import Counter
 
 from ..platform import engines
-from .copies import matches_digest
 from .errors import StaleCheckError
 
 # How long a staged chunk is trusted without reading it again. Staged chunks may become
@@ -47,7 +46,7 @@
         for number in sorted(staged):
             checked_s = self._clock.boottime_s()
             content = self._read(manifest, number)
-            if not matches_digest(manifest, number, content):
+            if not copy.digests.accepts(number, content):
                 if not copy.chunks:
                     # The staging area holds another version; no two share a chunk.
                     return
--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -222,9 +222,21 @@
         models=tuple(model["name"] for model in models),
         origin=_decode_origin(item) if item.get("origin") else None,
         engine_cost=_decode_engine_cost(item["name"], engine) if engine else None,
+        chunk_count=_get_chunk_count(item["name"], engine) if engine else None,
     )
 
 
+def _get_chunk_count(service, engine):
+    """Return the declared number of chunks of the weights, or None without one."""
+    if "chunks" not in engine:
+        return None
+    try:
+        return get_integer(engine, "chunks", 1)
+    except _DECODE_ERRORS as error:
+        _log.warning("chunk_count_odd", service=service, error=_describe(error))
+        return None
+
+
 def _decode_engine_cost(service, engine):
     """Return the `EngineCost` in a service's record, or None if it is incomplete.
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -140,6 +140,7 @@
             self._exchange.entries,
             self._hosts_with_weights,
             self._superseded_left_s,
+            self._chunk_count,
         )
         self._build_servers()
 
@@ -323,6 +324,10 @@
         state = self._in_force.state
         return state.find_origin() if state is not None else None
 
+    def _chunk_count(self, model):
+        state = self._in_force.state
+        return state.find_chunk_count(model) if state is not None else None
+
     def _hosts_with_weights(self, model, version):
         own_domain = self._settings.instance.failure_domain
         return [
