Share a budget of memory among all that an entry holds

What callers saw, reported by other operators: a faulty instance sent bytes without end, the machine that had called it kept them, ran out of memory, and the requests of others ended with it. Here an entry kept 8 MiB of each such answer, and of large requests nearly three times their size: 48 calls to a faulty instance took 450 MB, 48 sound requests of 4 MB 611 MB, where the smallest entries have 160 MB.

Cause: each request and answer had a limit, and nobody owned the sum. Lists of parts stayed beside the joined body, and each send copied it behind its head.

Now bodies of requests share a quarter of the memory that the settings state, and answers another one. The first 16 KiB of each are not counted, a team or a target may use half. A body without room is refused at once with 503, which is true, as it was not read; of answers, the largest of the target that holds most is given up, as a broken one; a complete one never. Requests that are sent ahead are not read any more. Replies of engines, the origin and peers have limits of 1 and 2 MiB instead of 16.

--- a/bench/node_process.py
+++ b/bench/node_process.py
@@ -30,6 +30,8 @@
 contact_s = 3.0
 [link]
 mbit_per_s = 100
+[memory]
+limit_mb = {memory_mb}
 [regions]
 {regions}
 """
@@ -53,6 +55,7 @@
     :param folder: the folder of the settings file and the log.
     :param domains: the names of all failure domains.
     :param engine: the address of the engine that a stager serves, None for an entry.
+    :param memory_mb: the memory that its settings state.
     """
 
     name: str
@@ -64,6 +67,7 @@
     folder: Path
     domains: tuple
     engine: str | None = None
+    memory_mb: float = 300
     process: subprocess.Popen | None = None
 
     @property
@@ -76,7 +80,8 @@
         regions = "\n".join(f'{name} = "{name}-region"' for name in self.domains)
         text = _SETTINGS.format(
             role=self.role, name=self.name, host=self.host, domain=self.domain,
-            store=self.store, regions=regions, **vars(self.ports),
+            store=self.store, regions=regions, memory_mb=self.memory_mb,
+            **vars(self.ports),
         )  # fmt: skip
         if self.engine is not None:
             text += f'[engine]\naddress = "{self.engine}"\n'
--- a/briarbeam/distribution/chunks.py
+++ b/briarbeam/distribution/chunks.py
@@ -545,7 +545,11 @@
 
 def _fetch_peer(network, peer, path):
     request = HttpRequest(
-        "GET", path, timeout_s=PEER_TIMEOUT_S, connect_timeout_s=PEER_CONNECT_TIMEOUT_S
+        "GET",
+        path,
+        timeout_s=PEER_TIMEOUT_S,
+        connect_timeout_s=PEER_CONNECT_TIMEOUT_S,
+        max_bytes=engines.CHUNK_MAX_BYTES,
     )
     status, _, content = fetch(network, peer, request)
     if status != 200:
--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -87,6 +87,7 @@
         its probe, with no wait between the last call and the first byte. If it raises,
         the request is not sent.
     :param connect_timeout_s: time limit to establish a new connection.
+    :param max_bytes: limit of the body of the reply if it is read in one call.
     :param probe_path: path that is requested first on the fresh connection. If the peer
         doesn't answer, or is about to close the connection, the request is not sent.
     """
@@ -101,6 +102,7 @@
     before_send: Callable[[], None] | None = None
     probe_path: str | None = None
     connect_timeout_s: float = CONNECT_TIMEOUT_S
+    max_bytes: int = REPLY_MAX_BYTES
 
 
 class HttpResponse(Protocol):
@@ -112,8 +114,8 @@
     def read(self, size_bytes=None) -> bytes:
         """Return up to `size_bytes` of the body, or the rest of it if None.
 
-        :raises ReplyTooLargeError: if the rest is larger than `REPLY_MAX_BYTES`, or the
-            chunk framing exceeds its limit.
+        :raises ReplyTooLargeError: if the rest is larger than the request allows, or
+            the chunk framing exceeds its limit.
         """
 
     def lines(self):
@@ -445,7 +447,7 @@
 
     def read(self, size_bytes=None):
         if size_bytes is None:
-            self._read_limit.allow(REPLY_MAX_BYTES)
+            self._read_limit.allow(self._request.max_bytes)
             data = self._read_with_timeout(self._raw.read)
         else:
             self._read_limit.allow(size_bytes + HEAD_MAX_BYTES)
--- a/briarbeam/node_settings.py
+++ b/briarbeam/node_settings.py
@@ -91,6 +91,19 @@
         return self.mbit_per_s * 1e6 / 8
 
 
+class MemorySettings(_Section):
+    """The memory that this process may use; the platform ends one that uses more.
+
+    `limit_mb`: in megabytes.
+    """
+
+    limit_mb: float = Field(200, gt=0)
+
+    @property
+    def limit_bytes(self):
+        return int(self.limit_mb * 1e6)
+
+
 class EngineSettings(_Section):
     """Address of the engine on the machine of a stager."""
 
@@ -106,6 +119,7 @@
     store: StoreSettings
     bounds: BoundSettings
     link: LinkSettings
+    memory: MemorySettings = MemorySettings()
     regions: dict[str, str]
     engine: EngineSettings | None = None
 
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -14,6 +14,9 @@
 # hangs, and a longer timeout would delay the detection that the machine is reachable
 # again.
 CONNECT_TIMEOUT_S = 0.3
+# Limits of replies. A stager reads several at a time, in 128 MB of memory.
+SMALL_REPLY_MAX_BYTES = 1024 * 1024
+CHUNK_MAX_BYTES = 2 * 1024 * 1024
 # Range of the slowdown, by which the choice of a target divides.
 SLOWDOWN_MIN = 0.01
 SLOWDOWN_MAX = 1e4
@@ -109,6 +112,7 @@
         timeout_s=CALL_TIMEOUT_S,
         fresh=True,
         before_send=before_send,
+        max_bytes=SMALL_REPLY_MAX_BYTES,
     )
     status, _, _ = fetch(network, address, request)
     results = {202: OrderResult.BEGUN, 200: OrderResult.IN_EFFECT}
@@ -133,7 +137,10 @@
     :raises BriarbeamError: if the engine can't be reached.
     """
     request = HttpRequest(
-        "GET", f"/-/stage-get/{model}?num={number}", timeout_s=CALL_TIMEOUT_S
+        "GET",
+        f"/-/stage-get/{model}?num={number}",
+        timeout_s=CALL_TIMEOUT_S,
+        max_bytes=CHUNK_MAX_BYTES,
     )
     status, _, content = fetch(network, address, request)
     return content if status == 200 else None
@@ -149,6 +156,7 @@
         f"/-/stage-put/{model}?num={number}",
         content,
         timeout_s=CALL_TIMEOUT_S,
+        max_bytes=SMALL_REPLY_MAX_BYTES,
     )
     status, _, _ = fetch(network, address, request)
     if status not in (200, 201, 204):
@@ -196,12 +204,22 @@
     :raises BriarbeamError: if the origin can't be reached or refuses the request.
     """
     path = f"/-/piece/{model}?num={number}&version={version}"
-    return _get(network, address, path, timeout_s)
+    return _get(network, address, path, timeout_s, CHUNK_MAX_BYTES)
 
 
-def _get(network, address, path, timeout_s=CALL_TIMEOUT_S):
+def _get(
+    network,
+    address,
+    path,
+    timeout_s=CALL_TIMEOUT_S,
+    max_bytes=SMALL_REPLY_MAX_BYTES,
+):
     request = HttpRequest(
-        "GET", path, timeout_s=timeout_s, connect_timeout_s=CONNECT_TIMEOUT_S
+        "GET",
+        path,
+        timeout_s=timeout_s,
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+        max_bytes=max_bytes,
     )
     status, _, content = fetch(network, address, request)
     if status != 200:
--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -126,8 +126,8 @@
         elif name == b"host":
             meta.host = value.decode("latin-1").lower().rsplit(":", 1)[0]
         elif name == b"authorization":
-            if value[:7].lower() == _KEY_SCHEME:
-                meta.key = value[7:].strip().decode("latin-1")
+            key = _decode_key(value)
+            meta.key = meta.key if key is None else key
         elif name == _DEADLINE_MS:
             meta.time_left_s = _parse_milliseconds(value)
         elif name == _LAST_EVENT_ID:
@@ -143,6 +143,18 @@
     return meta
 
 
+def find_key(headers):
+    """Return the caller's key in a list of pairs of header name and value, or None."""
+    keys = [_decode_key(value) for name, value in headers if name == b"authorization"]
+    return next((key for key in reversed(keys) if key is not None), None)
+
+
+def _decode_key(value):
+    if value[:7].lower() != _KEY_SCHEME:
+        return None
+    return value[7:].strip().decode("latin-1")
+
+
 def encode_request(
     meta, method, target, body, instance_id, time_left_s, team, priority, last_event_id,
     expected_version=None,
--- a/briarbeam/relay/admission.py
+++ b/briarbeam/relay/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from ..platform import headers as wire
 from .errors import (
     NoCapacityError,
     NoDesiredStateError,
@@ -23,6 +24,15 @@
 SUPERSEDED_RETRY_AFTER_S = 0.3
 
 
+def find_team_name(state, headers):
+    """Return the name of the team whose key is in `headers`, or None.
+
+    :param state: the `DesiredState`, or None.
+    """
+    team = state.teams_by_key.get(wire.find_key(headers)) if state is not None else None
+    return team.name if team is not None else None
+
+
 class Admission:
     """Decides whether a request may be sent, and what its target has to meet.
 
--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -9,6 +9,7 @@
 
 from .errors import AnswerTooLargeError, UpstreamError
 from .events import EventSplitter
+from .memory_budget import MemoryBudgetError
 from .upstream_call import Framing, UpstreamSilentError
 
 # Limit on an answer that is no event stream, which is buffered until it is complete.
@@ -45,13 +46,14 @@
     :param switch_at_s: monotonic time at which the request may be sent to another
         target as well if this one has made no progress.
     :param on_closed: called with `call` once it is closed.
+    :param budget: the `MemoryBudget` of what is received of answers.
 
     `begin_by_s` is the monotonic time by which the target must have made progress,
     `head` is the accepted `ReplyHead`, or None before it has arrived, and `has_events`
     is whether a complete event has arrived.
     """
 
-    def __init__(self, target, call, switch_at_s, on_closed):
+    def __init__(self, target, call, switch_at_s, on_closed, budget):
         self.target = target
         self.call = call
         self.switch_at_s = switch_at_s
@@ -62,18 +64,51 @@
         self.splitter = EventSplitter()
         self._body = bytearray()
         self._on_closed = on_closed
+        self._holder = budget.open(target.id, self._give_up)
 
     def read_body(self):
         """Return the body if it is complete, or None.
 
-        :raises AnswerTooLargeError: if it has more than `BODY_MAX_BYTES`.
+        :raises AnswerTooLargeError: if it has more than `BODY_MAX_BYTES`, or may not be
+            held.
         """
-        self._body += self.call.take_part()
-        if len(self._body) > BODY_MAX_BYTES:
+        part = self.call.take_part()
+        if len(self._body) + len(part) > BODY_MAX_BYTES:
             raise AnswerTooLargeError(
                 f"{self.target.id}: body is larger than {BODY_MAX_BYTES} bytes"
             )
-        return bytes(self._body) if self.call.is_complete else None
+        self._hold(len(self._body) + len(part))
+        self._body += part
+        if not self.call.is_complete:
+            return None
+        # A complete answer is delivered whatever comes after it.
+        self._holder.keep()
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
+    def read_events(self):
+        """Return the bytes of the events that are complete now.
+
+        :raises AnswerTooLargeError: if an event is larger than its limit, or may not be
+            held.
+        """
+        events = self.splitter.feed(self.call.take_part())
+        if not events or self.splitter.left_bytes < self._holder.size_bytes:
+            self._hold(self.splitter.left_bytes)
+        return events
+
+    def _give_up(self):
+        self._body = bytearray()
+        self.splitter.drop_partial()
+        self.call.give_up()
+
+    def _hold(self, size_bytes):
+        try:
+            self._holder.resize(size_bytes)
+        except MemoryBudgetError as error:
+            raise AnswerTooLargeError(
+                f"{self.target.id}: no room for more of its answer: {error}"
+            ) from error
 
     def check_stream_end(self):
         """Check that a stream whose last bytes were received is complete.
@@ -99,12 +134,13 @@
             head.framing,
             call.connection_end,
             self.splitter.count,
-            len(self.splitter.remainder),
+            self.splitter.left_bytes,
         )
 
     def close(self):
         """Close the connection, which cancels the request at the target."""
         self.call.close()
+        self._holder.release()
         self._on_closed(self.call)
         self.target.end_request()
 
--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -16,12 +16,18 @@
     CallerTimeoutError,
     HeaderTooLargeError,
     MalformedRequestError,
+    NoMemoryError,
 )
+from .memory_budget import FREE_BYTES, HeldMemory, MemoryBudgetError
 
 READ_BLOCK_BYTES = 65536
 # Limit on the bytes of further requests that are read while one is being answered. They
 # are read to detect whether the caller has disconnected.
 READ_AHEAD_MAX_BYTES = 65536
+# The group in the budget of all that is read ahead.
+READ_AHEAD_GROUP = "read ahead"
+# A longer body is sent separately from its head instead of being copied behind it.
+JOINED_BODY_MAX_BYTES = 65536
 # A caller that accepts no bytes of its answer for this long is treated as disconnected.
 WRITE_TIMEOUT_S = 5.0
 
@@ -35,6 +41,7 @@
     :param keep_alive: whether the connection stays open after the answer.
     :param read_at_s: monotonic time at which its last byte was read.
     :param reads_chunks: whether the caller can read an answer in chunks.
+    :param holder: the `Holder` of its body, or None if that is short.
     """
 
     method: bytes = b""
@@ -44,6 +51,13 @@
     keep_alive: bool = True
     read_at_s: float = 0.0
     reads_chunks: bool = True
+    holder: object = None
+
+    def release(self):
+        """Drop the body, which is not needed any more."""
+        self.body = b""
+        if self.holder is not None:
+            self.holder.release()
 
     @property
     def path(self):
@@ -54,15 +68,24 @@
 class RequestReader:
     """Reads the requests of one connection, one after another.
 
+    Its requests and what is read ahead count as held until `close`, or until the
+    request is released.
+
     :param sock: the connected socket.
     :param limits: a function that returns the `CallerLimits` in force.
+    :param budget: the `MemoryBudget` of requests; None for no limit.
+    :param find_group: a function of the headers that returns the group in `budget`.
     """
 
-    def __init__(self, sock, limits):
+    def __init__(self, sock, limits, budget=None, find_group=lambda headers: None):
         self._sock = sock
         self._limits = limits
+        self._budget = budget or HeldMemory.divide().requests
+        self._find_group = find_group
         self._requests = []
         self._read_ahead_data = b""
+        self._read_ahead_holder = self._budget.open(READ_AHEAD_GROUP)
+        self._may_read_ahead = True
         self._malformed = None
         self._reset()
 
@@ -72,6 +95,7 @@
         :param idle_timeout_s: how long to wait for its first byte, in seconds.
         :raises MalformedRequestError: if the bytes are no valid request, or exceed a
             limit.
+        :raises NoMemoryError: if its body may not be held.
         :raises CallerTimeoutError: if a request that has begun is not completed in
             time.
         """
@@ -98,7 +122,7 @@
                 started_s = time.monotonic()
             try:
                 self._feed(data)
-            except MalformedRequestError as error:
+            except (MalformedRequestError, NoMemoryError) as error:
                 if not self._requests:
                     raise
                 # The bytes follow complete requests, which are answered first.
@@ -122,16 +146,37 @@
         except OSError:
             return False
         self._read_ahead_data += data
+        try:
+            self._read_ahead_holder.resize(len(self._read_ahead_data))
+        except MemoryBudgetError:
+            self._may_read_ahead = False
         return bool(data)
 
     @property
     def is_read_ahead_full(self):
-        """Whether `READ_AHEAD_MAX_BYTES` of further requests are buffered."""
-        return len(self._read_ahead_data) >= READ_AHEAD_MAX_BYTES
+        """Whether no more of further requests may be buffered.
+
+        These are `READ_AHEAD_MAX_BYTES`, or fewer if all connections together buffer
+        too many.
+        """
+        return (
+            not self._may_read_ahead
+            or len(self._read_ahead_data) >= READ_AHEAD_MAX_BYTES
+        )
+
+    def close(self):
+        """Drop what was read."""
+        for request in [self._request, *self._requests]:
+            request.release()
+        self._requests.clear()
+        self._read_ahead_data = b""
+        self._read_ahead_holder.release()
 
     def _receive(self, timeout_s):
         if self._read_ahead_data:
             data, self._read_ahead_data = self._read_ahead_data, b""
+            self._read_ahead_holder.release()
+            self._may_read_ahead = True
             return data
         self._sock.settimeout(timeout_s)
         return self._sock.recv(READ_BLOCK_BYTES)
@@ -166,7 +211,7 @@
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as error:
             cause = error.__context__
-            if isinstance(cause, MalformedRequestError):
+            if isinstance(cause, (MalformedRequestError, NoMemoryError)):
                 raise cause from None
             raise MalformedRequestError(f"malformed request: {error!r}") from error
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -212,19 +257,45 @@
             raise MalformedRequestError(
                 f"{names.count(b'host')} Host headers, expected 1"
             )
+        self._open_holder()
         if (b"expect", b"100-continue") in request.headers:
             self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _open_holder(self):
+        """Open the `Holder` of the body that follows.
+
+        :raises NoMemoryError: if there is no room for the length that is stated.
+        """
+        request = self._request
+        headers = dict(request.headers)
+        # The parser has checked that it is a number.
+        stated_bytes = int(headers.get(b"content-length", 0))
+        if stated_bytes <= FREE_BYTES and b"transfer-encoding" not in headers:
+            return
+        group = self._find_group(request.headers)
+        request.holder = self._budget.open(group)
+        # A body above its own limit is refused for that.
+        if stated_bytes > self._limits().max_body_bytes:
+            return
+        if not self._budget.fits(group, stated_bytes):
+            raise NoMemoryError(f"no room for a body of {stated_bytes} bytes")
+
     def on_body(self, data):
         self._body_bytes += len(data)
         if self._body_bytes > self._limits().max_body_bytes:
             raise BodyTooLargeError(
                 f"body is too large: at least {self._body_bytes} bytes"
             )
+        if self._request.holder is not None:
+            try:
+                self._request.holder.resize(self._body_bytes)
+            except MemoryBudgetError as error:
+                raise NoMemoryError(f"no room for more of a body: {error}") from error
         self._body.append(data)
 
     def on_message_complete(self):
         self._request.body = b"".join(self._body)
+        self._body = []
         self._request.read_at_s = time.monotonic()
         self._requests.append(self._request)
         self._started = False
@@ -272,7 +343,11 @@
         head = self._head(status, list(headers) + length)
         if self.ends_with_connection:
             reset_on_close(self._sock)
-        self._send(head + body if has_body else head)
+        if has_body and len(body) > JOINED_BODY_MAX_BYTES:
+            self._send(head)
+            self._send(body)
+        else:
+            self._send(head + body if has_body else head)
         self._complete()
 
     def begin_stream(self, status, headers, first, marks_end=True):
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -65,10 +65,19 @@
     :param request_log: the `RequestLog` that counts sends.
     :param guard: the `CrashGuard`.
     :param places: the `PlaceFinder`.
+    :param held_answers: the `MemoryBudget` of answers.
     """
 
     def __init__(
-        self, admission, selector, budget, position, request_log, guard, places
+        self,
+        admission,
+        selector,
+        budget,
+        position,
+        request_log,
+        guard,
+        places,
+        held_answers,
     ):
         self._admission = admission
         self._selector = selector
@@ -78,6 +87,7 @@
         self._request_log = request_log
         self._guard = guard
         self._places = places
+        self._held_answers = held_answers
 
     def deliver(self, job, writer):
         """Send `job` until it is answered through `writer`.
@@ -340,7 +350,13 @@
                 target.end_request()
             call.close()
             raise
-        return Attempt(target, call, self._switch_time_s(target), self._guard.close)
+        return Attempt(
+            target,
+            call,
+            self._switch_time_s(target),
+            self._guard.close,
+            self._held_answers,
+        )
 
     def _recheck(self, job, target):
         """Check that `job` may still be sent to `target`.
@@ -457,7 +473,7 @@
         return True
 
     def _forward_events(self, job, attempt, attempts, stream):
-        events = attempt.splitter.feed(attempt.call.take_part())
+        events = attempt.read_events()
         # Only a complete event counts as progress: parts are not forwarded.
         if events:
             attempt.has_events = True
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -18,7 +18,7 @@
 from ..platform import records
 from ..platform.store import StoreClient
 from ..telemetry.request_log import RequestLog
-from .admission import SUPERSEDED_STATE_MAX_S, Admission
+from .admission import SUPERSEDED_STATE_MAX_S, Admission, find_team_name
 from .crash_evidence import CrashEvidence
 from .crash_guard import CrashGuard
 from .delivery import Delivery
@@ -28,6 +28,7 @@
 from .fleet import REWIND_MEMORY_S, Fleet
 from .follower import StoreFollower
 from .limits import RetryBudget
+from .memory_budget import HeldMemory
 from .mirror import Mirror
 from .places import PlaceFinder
 from .quarantine import Quarantine
@@ -254,6 +255,7 @@
         )
         request_log = RequestLog(lambda: self._state_mirror.settled_age_s)
         guard = CrashGuard(self._clock, self._evidence, self._quarantine)
+        held = HeldMemory.divide(settings.memory.limit_bytes)
         delivery = Delivery(
             admission,
             selector,
@@ -262,9 +264,16 @@
             request_log,
             guard,
             PlaceFinder(selector, self._grants, self._clock),
+            held.answers,
         )
         dispatcher = Dispatcher(admission, budget, delivery, guard, request_log)
-        self._callers = CallerServer(settings.listen.callers, dispatcher, self._limits)
+        self._callers = CallerServer(
+            settings.listen.callers,
+            dispatcher,
+            self._limits,
+            held.requests,
+            self._find_team,
+        )
         self._readiness = ReadinessServer(settings.listen.readiness, self._is_ready)
         self._peers = PeerServer(
             settings.peer_address,
@@ -316,6 +325,9 @@
         state = self._in_force.state
         return state.limits if state is not None else CallerLimits()
 
+    def _find_team(self, headers):
+        return find_team_name(self._in_force.state, headers)
+
     def _services(self):
         state = self._in_force.state
         return state.services if state is not None else {}
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -62,6 +62,12 @@
     status = 413
 
 
+class NoMemoryError(NotRunError):
+    """This process may not hold the body of the request; the rest was not read."""
+
+    code = "no_memory"
+
+
 class CallerTimeoutError(MalformedRequestError):
     """The caller took too long to send its request."""
 
--- a/briarbeam/relay/events.py
+++ b/briarbeam/relay/events.py
@@ -43,6 +43,11 @@
         """Discard an incomplete event."""
         self._remainder.clear()
 
+    @property
+    def left_bytes(self):
+        """The number of bytes after the last complete event."""
+        return len(self._remainder)
+
     @property
     def remainder(self):
         """The bytes after the last complete event."""
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -14,11 +14,13 @@
 from ..kernel.network import reset_on_close
 from ..kernel.tasks import ReadYielder
 from ..platform import headers as wire
+from .admission import RETRY_AFTER_S
 from .callers import READ_BLOCK_BYTES, AnswerWriter, RequestReader
 from .errors import (
     CallerDisconnectedError,
     GraceEndedError,
     MalformedRequestError,
+    NoMemoryError,
     StoppingError,
 )
 
@@ -50,11 +52,16 @@
     :param address: the `Address` to listen on.
     :param dispatcher: the `Dispatcher` that answers requests.
     :param limits: a function that returns the `CallerLimits` in force.
+    :param held_requests: the `MemoryBudget` of requests.
+    :param find_team: a function of the headers of a request that returns the name of
+        its team, or None.
     """
 
-    def __init__(self, address, dispatcher, limits):
+    def __init__(self, address, dispatcher, limits, held_requests, find_team):
         self._dispatcher = dispatcher
         self._limits = limits
+        self._held_requests = held_requests
+        self._find_team = find_team
         self._idle_sockets = set()
         self._open_sockets = set()
         self._answering = set()
@@ -125,13 +132,20 @@
             sock.close()
 
     def _serve_requests(self, sock):
-        reader = RequestReader(sock, self._limits)
+        reader = RequestReader(sock, self._limits, self._held_requests, self._find_team)
+        try:
+            self._serve_from(sock, reader)
+        finally:
+            reader.close()
+
+    def _serve_from(self, sock, reader):
         while True:
             try:
                 request = self._read(sock, reader)
-            except MalformedRequestError as error:
+            except (MalformedRequestError, NoMemoryError) as error:
                 self._dispatcher.log_malformed(error)
-                _refuse_malformed(sock, error)
+                reader.close()
+                _refuse_unread(sock, error)
                 return
             if request is None:
                 return
@@ -150,6 +164,7 @@
                     self._dispatcher.answer(request, writer, sock, reader)
                 finally:
                     self._answering.discard(task)
+                    request.release()
             if not writer.keep_alive:
                 if writer.ends_with_connection:
                     _close_in_order(sock)
@@ -198,10 +213,14 @@
             sock.close()
 
 
-def _refuse_malformed(sock, error):
-    head = b"HTTP/1.1 %d Refused\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+def _refuse_unread(sock, error):
+    """Refuse a request that was not read completely."""
+    lines = [b"HTTP/1.1 %d Refused" % error.status]
+    lines += [b"connection: close", b"content-length: 0"]
+    if error.status == 503:
+        lines.append(b"retry-after: %.2f" % RETRY_AFTER_S)
     try:
-        sock.sendall(head % error.status)
+        sock.sendall(b"\r\n".join(lines) + b"\r\n\r\n")
     except OSError:
         return
     _close_in_order(sock)
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -95,6 +95,7 @@
         self._read_yielder = ReadYielder()
         self._connection_end = None
         self._ended = False
+        self._is_given_up = False
         self.sent = False
         self.aborted = False
 
@@ -153,6 +154,14 @@
     def abort(self):
         """End the call; the task that waits for its answer gets an `UpstreamError`."""
         self.aborted = True
+        self._shut_down()
+
+    def give_up(self):
+        """Read no more of an answer that may not be held; `receive` raises from now on."""
+        self._is_given_up = True
+        self._shut_down()
+
+    def _shut_down(self):
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
@@ -173,12 +182,12 @@
         :raises UpstreamBrokenError: if the connection breaks.
         """
         self.sent = True
-        data = head + body
-        if len(data) > SEND_INLINE_BYTES:
-            self._send_task = gevent.spawn(self._send_in_background, data)
+        if len(head) + len(body) > SEND_INLINE_BYTES:
+            # A long body is not copied: there may be many at a time.
+            self._send_task = gevent.spawn(self._send_in_background, head, body)
             return
         try:
-            self._sock.sendall(data)
+            self._sock.sendall(head + body)
         except OSError as error:
             raise UpstreamBrokenError(
                 f"sending to {self._address} failed: {error!r}"
@@ -195,7 +204,7 @@
         :param until_s: monotonic time until which to wait.
         :raises UpstreamSilentError: if there are none by then.
         :raises AnswerTooLargeError: if more than `FRAMING_MAX_BYTES` arrive without any
-            part of a body.
+            part of a body, or if the answer was given up.
         :raises UpstreamError: if the connection breaks or the answer is malformed.
         """
         # What has already arrived is read even if the time is over.
@@ -203,11 +212,13 @@
         try:
             data = self._sock.recv(READ_BLOCK_BYTES)
         except OSError as error:
+            self._check_given_up()
             if _means_not_ready(error):
                 raise UpstreamSilentError(
                     f"{self._address} sent nothing more before the deadline"
                 ) from None
             raise self._broken_error("reading from", error) from error
+        self._check_given_up()
         if not data:
             if self.aborted:
                 raise UpstreamBrokenError(f"call to {self._address} was aborted")
@@ -220,6 +231,12 @@
         self._check_framing(len(data))
         self._read_yielder.count_read(len(data))
 
+    def _check_given_up(self):
+        if self._is_given_up:
+            raise AnswerTooLargeError(
+                f"answer of {self._address} was given up to hold others"
+            )
+
     def _feed(self, data):
         try:
             self._parser.feed_data(data)
@@ -254,18 +271,10 @@
                 f"{self._address} closed the connection before the answer was complete"
             )
 
-    def _send_in_background(self, data):
-        left = memoryview(data)
+    def _send_in_background(self, *parts):
         try:
-            while left:
-                # The time limit of the socket is the one of the task that reads, so
-                # `send` must not wait.
-                socket.wait_write(self._sock.fileno())
-                try:
-                    left = left[self._sock.send(left) :]
-                except OSError as error:
-                    if not _means_not_ready(error):
-                        raise
+            for part in parts:
+                self._send_part(memoryview(part))
         except BrokenPipeError:
             # The instance closed the connection in order before it reset it.
             return
@@ -274,6 +283,17 @@
             # that reads gets what arrived before, and then an orderly end.
             self._send_error = error
 
+    def _send_part(self, left):
+        while left:
+            # The time limit of the socket is the one of the task that reads, so `send`
+            # must not wait.
+            socket.wait_write(self._sock.fileno())
+            try:
+                left = left[self._sock.send(left) :]
+            except OSError as error:
+                if not _means_not_ready(error):
+                    raise
+
     def _broken_error(self, action, error):
         self._connection_end = "reset"
         return UpstreamBrokenError(f"{action} {self._address} failed: {error!r}")
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -20,13 +20,14 @@
 from briarbeam.kernel.clock import SystemClock
 from briarbeam.kernel.network import Address
 from briarbeam.platform.store import Record
-from briarbeam.relay.admission import Admission
+from briarbeam.relay.admission import Admission, find_team_name
 from briarbeam.relay.crash_evidence import CrashEvidence
 from briarbeam.relay.crash_guard import CrashGuard
 from briarbeam.relay.delivery import Delivery
 from briarbeam.relay.dispatch import Dispatcher
 from briarbeam.relay.fleet import Fleet, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
+from briarbeam.relay.memory_budget import HeldMemory
 from briarbeam.relay.places import PlaceFinder
 from briarbeam.relay.quarantine import Quarantine
 from briarbeam.relay.server import CallerServer
@@ -35,6 +36,7 @@
 from briarbeam.telemetry.request_log import RequestLog
 
 SEAL = b"x-response-seal: s1\r\n"
+MEMORY_BYTES = 300_000_000
 NON_IDEMPOTENT = {"kind": RequestKind.NON_IDEMPOTENT}
 RESUMABLE_STREAM = {"kind": RequestKind.STREAMING, "resumable": True, "max_gap_s": 0.4}
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
@@ -216,6 +218,7 @@
             0.45,
         )
         request_log = RequestLog(lambda: self.age_s)
+        self.held = HeldMemory.divide(MEMORY_BYTES)
         self.grants = GrantClient(self.clock)
         self.evidence = CrashEvidence(self.clock)
         self.quarantine = Quarantine(self.clock, self.evidence)
@@ -228,12 +231,17 @@
             request_log,
             self.guard,
             PlaceFinder(selector, self.grants, self.clock),
+            self.held.answers,
         )
         self.dispatcher = Dispatcher(
             self.admission, self.budget, self.delivery, self.guard, request_log
         )
         self.server = CallerServer(
-            Address("127.0.0.1", 0), self.dispatcher, lambda: self.limits
+            Address("127.0.0.1", 0),
+            self.dispatcher,
+            lambda: self.limits,
+            self.held.requests,
+            lambda headers: find_team_name(self.in_force.state, headers),
         )
         self.server.start()
 
--- a/tests/test_kernel_endless.py
+++ b/tests/test_kernel_endless.py
@@ -39,6 +39,17 @@
     assert fake.sent_bytes < network.REPLY_MAX_BYTES + 8 * 2**20 < READ_ON_BYTES
 
 
+@cases(NO_BODY_END)
+def test_reply_above_the_limit_of_its_request_is_not_read_further(script):
+    """Several replies of 16 MiB at a time are more than a stager's memory bears."""
+    fake = FakeInstance(script)
+    with pytest.raises(ReplyTooLargeError):
+        call(fake.address, max_bytes=2**20)
+    gevent.sleep(0.05)
+    assert fake.closed_at_s
+    assert fake.sent_bytes < 2**20 + 8 * 2**20
+
+
 @cases(NO_BODY_END)
 def test_line_without_end_is_a_typed_error(script):
     fake = FakeInstance(script)
