Use no record that lacks a field of an instance's

An entry of another writer without `version` and `seq` lay in the list of instances and became a target.

Cause: `decode_instance` asked only for the fields that it uses.

Now a record needs all fields that an instance's has.

--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -74,6 +74,9 @@
     :raises MalformedRecordError: if a required field is missing or has the wrong type.
     """
     try:
+        # Not used, but a record without them is not one of an instance.
+        get_text(spec, "version")
+        get_integer(spec, "seq", 0)
         return Instance(
             id=name,
             service=get_text(spec, "service"),
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -57,6 +57,17 @@
     spec_text(slots="NaN"),
     spec_text(slots="9" * 400),
     spec_text(slots="0"),
+    *(
+        json.dumps({name: SPEC[name] for name in SPEC if name != missing})
+        for missing in SPEC
+        if missing != "born"
+    ),
+    spec_text(version="null"),
+    spec_text(version="1"),
+    spec_text(version='""'),
+    spec_text(seq="null"),
+    spec_text(seq='"4"'),
+    spec_text(seq="-1"),
     spec_text(slots="-1"),
     spec_text(slots="true"),
     spec_text(cold_left_ms="1e999"),
--- a/tests/test_relay_balance.py
+++ b/tests/test_relay_balance.py
@@ -90,7 +90,8 @@
     fleet = Fleet(Clock(), lambda: services)
     spec = {
         "service": "svc", "address": "10.0.0.1:80", "zone": "z1", "slots": 900,
-        "state": "ready", "cold_left_ms": 3000, "born": 1, "models": [],
+        "state": "ready", "cold_left_ms": 3000, "born": 1, "models": [], "version": "v1",
+        "seq": 1,
     }  # fmt: skip
     fleet.update({"i0": Record("i0", 1, spec)})
     services["svc"] = Service("svc", cold_start_s=3.0, cold_requests_per_s=22.0)
