Pass on no success without the proof of an instance

After a 2xx no caller repeats a request.

Cause: nothing looked for the proof of a success, though callers count none without it. A second net under the list of instances, whose entries other writers may make up completely.

Now such an answer is a broken one: it may have run, so it goes elsewhere where it may be repeated, and ends with 502 otherwise.

Tests: test_success_without_the_proof_of_an_instance_is_none, whole and as a stream, with 200, 201 and 204: all six fail before. In three tests instances answered a success without a proof; they send one now, so that these still test what they did.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -20,6 +20,7 @@
 _TOKENS = b"x-token-usage"
 _PROMPT_PARTS = b"x-prefix-hash"
 _PROMPT_PART = re.compile(rb"([0-9a-f]{1,16}):[0-9]{1,9}")
+_PROOF = b"x-response-seal"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
 _DECIMAL = re.compile(rb"[+-]?(\d+\.?\d*|\.\d+)")
@@ -103,6 +104,7 @@
         None.
     :param leaving: whether the instance states that it is about to stop.
     :param retry_after: the `RetryAfter` of a 503, or None if it has none.
+    :param unproven: whether it is a success without the proof that an instance made it.
     """
 
     status: int
@@ -114,6 +116,7 @@
     contradictory: bool = False
     leaving: bool = False
     retry_after: RetryAfter | None = None
+    unproven: bool = False
 
 
 def decode_request(headers):
@@ -203,6 +206,7 @@
         weights_version=_parse_int(value_by_name.get(b"x-weight-versions")),
         leaving=(_LEAVING, b"1") in headers,
         retry_after=_parse_retry_after(headers) if status == 503 else None,
+        unproven=200 <= status < 300 and _PROOF not in value_by_name,
     )
 
 
--- a/briarbeam/relay/answer_checks.py
+++ b/briarbeam/relay/answer_checks.py
@@ -21,6 +21,9 @@
         raise UpstreamError(
             f"{target.id} did not run the request, but answered {reply.status}"
         )
+    if reply.unproven:
+        # Another program may listen at the address, so that nothing has run.
+        raise UpstreamError(f"{target.id} answered {reply.status} without a proof")
 
 
 def check_unmarked_end(attempt):
--- a/tests/test_relay_broken_streams.py
+++ b/tests/test_relay_broken_streams.py
@@ -44,7 +44,7 @@
 
 
 def error(status, headers=b"", body=b"the error of an instance"):
-    head = b"HTTP/1.1 %b\r\nx-error: head\r\n%bcontent-length: %d\r\n\r\n"
+    head = b"HTTP/1.1 %b\r\nx-error: head\r\n" + SEAL + b"%bcontent-length: %d\r\n\r\n"
     return head % (status, headers, len(body)) + body
 
 
@@ -116,11 +116,11 @@
     "200_json": error(b"200 OK", b"content-type: application/json\r\n", b"{}"),
     "200_empty": ok(b""),
     "201_events": error(b"201 Made", EVENT_STREAM, text(3)),
-    "204": b"HTTP/1.1 204 None\r\nx-error: head\r\n\r\n",
-    "204_events": b"HTTP/1.1 204 None\r\n" + EVENT_STREAM + b"\r\n",
+    "204": b"HTTP/1.1 204 None\r\n" + SEAL + b"x-error: head\r\n\r\n",
+    "204_events": b"HTTP/1.1 204 None\r\n" + SEAL + EVENT_STREAM + b"\r\n",
     "304_events": b"HTTP/1.1 304 Same\r\n" + EVENT_STREAM + b"\r\n",
     "unframed_500": b"HTTP/1.1 500 Oops\r\nx-error: head\r\n\r\nthe error",
-    "unframed_200": b"HTTP/1.1 200 OK\r\n\r\nthe error",
+    "unframed_200": b"HTTP/1.1 200 OK\r\n" + SEAL + b"\r\nthe error",
     "unframed_empty": UNFRAMED_HEAD,
     "garbage": b"the error of an instance\r\n\r\n",
     "no_answer": b"",
--- a/tests/test_relay_requests.py
+++ b/tests/test_relay_requests.py
@@ -12,6 +12,7 @@
     NON_IDEMPOTENT,
     NOT_RUN,
     RESUMABLE_STREAM,
+    SEAL,
     Entry,
     FakeInstance,
     desired_state,
@@ -129,14 +130,31 @@
     )
 
 
+@pytest.mark.parametrize("status", [b"200 OK", b"201 Created", b"204 None"])
+@pytest.mark.parametrize("is_stream", [False, True])
+def test_success_without_the_proof_of_an_instance_is_none(status, is_stream):
+    """Another program at the address answered requests that nothing had run."""
+    kind = b"content-type: text/event-stream\r\n" if is_stream else b""
+    data = b"HTTP/1.1 " + status + b"\r\n" + kind + b"\r\nid: 1\ndata: up\n\n"
+    route = RESUMABLE_STREAM if is_stream else {}
+    stranger = FakeInstance(reply(data))
+    entry = Entry({"stranger": stranger}, **(route | NON_IDEMPOTENT))
+    answer = entry.ask(method=b"POST")
+    assert answer.startswith(b"HTTP/1.1 502") and b'"ran":"unknown"' in answer
+    sound = reply(stream_head() + event(1) + END) if is_stream else reply(ok())
+    entry = Entry({"stranger": stranger, "i1": FakeInstance(sound)}, **route)
+    entry.fleet.get("i1").outstanding = 12
+    assert entry.ask(method=b"POST").startswith(b"HTTP/1.1 200")
+
+
 def test_answer_without_length_ends_with_its_connection():
-    fake = FakeInstance(reply(b"HTTP/1.1 200 OK\r\n\r\nunframed"))
+    fake = FakeInstance(reply(b"HTTP/1.1 200 OK\r\n" + SEAL + b"\r\nunframed"))
     assert Entry({"i1": fake}).ask().endswith(b"\r\n\r\nunframed")
 
 
 def test_answer_without_length_that_is_reset_is_not_complete():
     def script(instance, sock, request):
-        sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nunfra")
+        sock.sendall(b"HTTP/1.1 200 OK\r\n" + SEAL + b"\r\nunfra")
         gevent.sleep(0.05)
         reset(sock)
 
