--- a/briarbeam/relay/memory_budget.py
+++ b/briarbeam/relay/memory_budget.py
@@ -70,11 +70,16 @@
         return size_bytes <= 0 or self._fits(group, size_bytes)
 
     def _fits(self, group, more_bytes):
-        return (
-            self.held_bytes + more_bytes <= self._limit_bytes
-            and self._bytes_by_group[group] + more_bytes <= self._group_limit_bytes
+        return self.held_bytes + more_bytes <= self._limit_bytes and self._fits_group(
+            group, more_bytes
         )
 
+    def _fits_group(self, group, more_bytes):
+        return self._group_bytes(group) + more_bytes <= self._group_limit_bytes
+
+    def _group_bytes(self, group):
+        return self._bytes_by_group.get(group, 0)
+
     def _make_room(self, holder, more_bytes):
         """Give up others until `more_bytes` fit; raise if that does not suffice."""
         while not self._fits(holder.group, more_bytes):
@@ -83,23 +88,28 @@
                 self._count("refused")
                 raise MemoryBudgetError(
                     f"{self.held_bytes} bytes of {self._limit_bytes:.0f} are held, "
-                    f"{self._bytes_by_group[holder.group]} for {holder.group!r}, "
+                    f"{self._group_bytes(holder.group)} for {holder.group!r}, "
                     f"{holder.size_bytes} by this one"
                 )
             self._count("given_up")
             victim.give_up_now()
 
     def _find_victim(self, holder, more_bytes):
+        """Return the holder to give up, `holder` itself, or None if there is none."""
         group = holder.group
-        if self._bytes_by_group[group] + more_bytes <= self._group_limit_bytes:
-            group = max(self._bytes_by_group, key=self._bytes_by_group.get)
-        candidates = [h for h in self._holders[group] if h.give_up is not None]
-        victim = max(candidates, key=lambda h: h.size_bytes, default=None)
-        if victim is not None and holder.group == group:
-            # Among those of one group, the one that asks is not smaller than it will be.
-            wanted_bytes = holder.size_bytes + more_bytes
-            return victim if victim.size_bytes > wanted_bytes else holder
-        return victim
+        if self._fits_group(group, more_bytes):
+            group = max(
+                self._bytes_by_group, key=self._bytes_by_group.get, default=group
+            )
+        candidates = [
+            other for other in self._holders.get(group, ()) if other.give_up is not None
+        ]
+        victim = max(candidates, key=lambda other: other.size_bytes, default=None)
+        if victim is None or holder.group != group:
+            return victim
+        # Within its own group, the one that asks counts with what it asks for.
+        wanted_bytes = holder.size_bytes + more_bytes
+        return victim if victim.size_bytes > wanted_bytes else holder
 
     def _count(self, result):
         _SPENT.labels(self._kind, result).inc()
