--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -135,10 +135,14 @@
     call.close()
 
 
-def ask(entry, **request):
-    """Return the head and the body that a caller gets, and whether it got a reset."""
+def ask(entry, version=b"1.1", **request):
+    """Return the head and the body that a caller gets, and whether it got a reset.
+
+    :param version: the version of HTTP that the caller states.
+    """
     sock = entry.connect()
-    sock.sendall(request_bytes(**request))
+    sent = request_bytes(**request)
+    sock.sendall(sent.replace(b" HTTP/1.1", b" HTTP/" + version, 1))
     data, was_reset = b"", False
     try:
         with gevent.Timeout(5.0):
@@ -395,24 +399,11 @@
     assert (body, was_reset) == (text(1), True)
 
 
-def as_http_1_0(data):
-    return data.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n", 1)
-
-
 @pytest.mark.parametrize("ends", [True, False])
 def test_caller_that_can_not_read_chunks_gets_the_stream_without_them(ends):
     """It took the sizes of the chunks for parts of the answer."""
     script = reply(stream_head() + event(1) + event(2) + (END if ends else b""))
     entry = Entry({"i1": FakeInstance(script)}, **PLAIN_STREAM)
-    sock = entry.connect()
-    sock.sendall(as_http_1_0(request_bytes(method=b"POST")))
-    data, was_reset = b"", False
-    try:
-        with gevent.Timeout(5.0):
-            while part := sock.recv(65536):
-                data += part
-    except ConnectionResetError:
-        was_reset = True
-    head, _, body = data.partition(b"\r\n\r\n")
-    assert_no_end_mark(head.lower())
+    head, body, was_reset = ask(entry, b"1.0", method=b"POST")
+    assert_no_end_mark(head)
     assert (body, was_reset) == (text(1) + text(2), not ends)
