Log how each load of an engine became known

The logs could not tell the three hypotheses on spoilt weights apart: a load that its order's answer told of, one that shows in a report only, and one that a stager finds at its start all looked alike, and nothing said whether chunks were written meanwhile.

A stager now logs load_seen whenever the engine's start or its number of accepted orders changes, with known_by and written. No decision depends on it. tests/test_distribution_stager.py, _staging_age, _manifests and test_docs pass.

--- a/briarbeam/distribution/load_proof.py
+++ b/briarbeam/distribution/load_proof.py
@@ -52,6 +52,37 @@
         self._pending = None
         # Start and number of accepted orders of the engine whose last load is doubtful.
         self._doubtful = None
+        self._seen_id = None
+        self._answered_id = None
+        self._writes_known = 0
+
+    def observe(self, report, writes_ended):
+        """Log each load as it shows in the engine's reports, and how it became known.
+
+        :param report: an `EngineReport`.
+        :param writes_ended: that of the staging area before the report was requested.
+        """
+        if report.load_id != self._seen_id:
+            self._log_load(report)
+            self._seen_id = report.load_id
+        self._writes_known = writes_ended
+
+    def _log_load(self, report):
+        if not report.accepted_orders:
+            known_by = "engine_start"
+        elif report.load_id == self._answered_id:
+            known_by = "answer"
+        else:
+            known_by = "found" if self._seen_id is None else "report"
+        _log.info(
+            "load_seen",
+            started_ms=report.started_ms,
+            orders=report.accepted_orders,
+            models=report.models,
+            busy=report.busy,
+            known_by=known_by,
+            written=self._staging_area.writes_begun - self._writes_known,
+        )
 
     def record_order(self, copy, report):
         """Record that an order to load `copy` is about to be sent.
@@ -76,6 +107,10 @@
         accepted orders.
         """
         self._pending.changed = False
+        self._answered_id = (
+            self._pending.started_ms,
+            self._pending.accepted_orders + 1,
+        )
         self._prove(self._pending.accepted_orders + 1)
 
     def settle(self, report):
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -232,7 +232,7 @@
     def _report_forever(self):
         while True:
             try:
-                self._report = engines.fetch_report(self._network, self._engine)
+                self._report = self._fetch_report()
                 load = self._current_load()
                 self._grant_server.observe(self._report)
                 _VERSION.set(load[1])
@@ -248,6 +248,12 @@
                 _log.exception("report_broke")
             gevent.sleep(self._reporter.interval_s(self._report))
 
+    def _fetch_report(self):
+        writes_ended = self._staging_area.writes_ended
+        report = engines.fetch_report(self._network, self._engine)
+        self._load_proof.observe(report, writes_ended)
+        return report
+
     def _current_load(self):
         """Return the engine's report, its version, and whether it accepts requests."""
         report = self._report
@@ -433,7 +439,7 @@
 
     def _order_load(self, copy, strategy):
         manifest = copy.manifest
-        report = engines.fetch_report(self._network, self._engine)
+        report = self._fetch_report()
         self._report, self._loading_weights = report, True
         self._announce_load()
         gevent.sleep(ANNOUNCE_DELAY_S)
@@ -477,7 +483,7 @@
         """Wait until the engine has loaded the weights, restarted or taken too long."""
         while time.monotonic() < ordered_s + LOAD_TIMEOUT_S:
             gevent.sleep(0.05)
-            report = engines.fetch_report(self._network, self._engine)
+            report = self._fetch_report()
             self._report = report
             if report.started_ms != report_before.started_ms:
                 _log.warning("engine_restarted", version=manifest.version)
--- a/briarbeam/distribution/staging_area.py
+++ b/briarbeam/distribution/staging_area.py
@@ -32,12 +32,16 @@
     :param network: the `Network`.
     :param clock: the `Clock`.
     :param engine: the engine's `Address`, on this machine.
+
+    `writes_begun` and `writes_ended` count the chunks whose write was begun, and those
+    whose write was answered.
     """
 
     def __init__(self, network, clock, engine):
         self._network = network
         self._clock = clock
         self._engine = engine
+        self.writes_begun = self.writes_ended = 0
 
     def reuse(self, copy):
         """Add the chunks that were staged before a restart of this process."""
@@ -76,9 +80,7 @@
                     continue
                 repaired += 1
                 checked_s = self._clock.boottime_s()
-            engines.write_staged(
-                self._network, self._engine, manifest.model, number, content
-            )
+            self._write(manifest, number, content)
             copy.record_staged(number, checked_s)
             written += 1
         _STAGED.inc(written)
@@ -119,5 +121,12 @@
             for number, content in copy.chunks.items()
         )
 
+    def _write(self, manifest, number, content):
+        self.writes_begun += 1
+        engines.write_staged(
+            self._network, self._engine, manifest.model, number, content
+        )
+        self.writes_ended += 1
+
     def _read(self, manifest, number):
         return engines.read_staged(self._network, self._engine, manifest.model, number)
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -52,6 +52,11 @@
     started_ms: int
     slowdown: float
 
+    @property
+    def load_id(self):
+        """What identifies its last load: its start, and the orders accepted since."""
+        return self.started_ms, self.accepted_orders
+
 
 @dataclass(frozen=True)
 class Manifest:
