Show that loads which nobody proved are served, and list the tests

Six tests of a stager beside a fake engine fail on this code, each with an engine that was reported as accepting requests while it held spoilt or mixed chunks, or that was never ordered to load:

- the stager is killed before it learns that its order was accepted; its successor takes what the engine holds for right (accepting, version 2);
- the order is accepted while the stager prepares to repeat it: the repeated order is recorded in place of the accepted one;
- the same while the next version is staged: chunks of two versions;
- a write without an answer lands after the next version was checked;
- an engine whose chunks take longer to read than a check is trusted gets "a staged chunk of version 2 was checked 2.400 s ago" for ever.

The fake engine now answers an order for the version that it holds with "in effect", as an engine does, refuses orders while it is busy, and can be left without weights.

--- a/tests/distribution_fakes.py
+++ b/tests/distribution_fakes.py
@@ -50,7 +50,10 @@
 
 
 class FakeEngine:
-    """An engine that loads staged chunks without verifying them."""
+    """An engine that loads staged chunks without verifying them.
+
+    An order for an empty range of layers leaves it without weights.
+    """
 
     def __init__(self, version=0):
         self.staged = {}
@@ -60,6 +63,7 @@
         self.accepted = 0
         self.loaded = None
         self.running = 0
+        self.busy = False
         # Called before and after each answer, for example to advance a clock.
         self.before = lambda method, path: None
         self.after = lambda method, path: None
@@ -87,18 +91,30 @@
             return Reply(404)
         return Reply(200, self.staged[number])
 
+    def is_whole(self):
+        """Return whether it holds no other chunks than those of its version."""
+        return self.loaded is None or self.loaded == {
+            number: chunk(self.version, number) for number in range(CHUNK_COUNT)
+        }
+
     def report(self):
         models = [{"name": MODEL, "version": self.version}] if self.version else []
         return {
-            "models": models, "busy": False, "seq": self.accepted, "queued": 0,
+            "models": models, "busy": self.busy, "seq": self.accepted, "queued": 0,
             "running": self.running, "born": self.started_ms,
         }  # fmt: skip
 
     def _order(self, order):
         self.orders.append(order)
-        if order["precondition"] != self.accepted:
+        if order["precondition"] != self.accepted or self.busy:
             return Reply(409)
+        is_empty = order.get("from") is not None and order["from"] == order["to"]
+        if order["version"] == self.version and not is_empty:
+            return Reply(200)
         self.accepted += 1
+        if is_empty:
+            self.version, self.loaded = 0, None
+            return Reply(202)
         self.loaded = dict(self.staged)
         self.version = order["version"]
         return Reply(202)
--- /dev/null
+++ b/tests/test_distribution_load_proofs.py
@@ -0,0 +1,189 @@
+"""Tests that no engine gets requests with weights that it took spoilt or mixed."""
+
+import gevent
+import pytest
+
+from briarbeam.kernel.clock import ManualClock
+
+from .distribution_fakes import CHUNK_COUNT, ENGINE, Reply, UnreachableError, chunk
+from .test_distribution_stager import StagerHarness
+
+FREEZE_S = 4.0
+LOAD_S = 0.1
+NAMED = ((1, 9.0, 1.0), (2, 1.0, 0.0))
+NEXT_NAMED = ((1, 99.0, 1.0), (2, 9.0, 0.0), (3, 1.0, 0.0))
+
+
+class ProofHarness(StagerHarness):
+    """A stager beside an engine whose answer to the first order is lost.
+
+    `unsound` has the versions that were reported as accepting requests while the engine
+    did not hold their chunks. `accept` makes the engine accept the lost order.
+    """
+
+    def __init__(self):
+        super().__init__(version=1, clock=ManualClock())
+        self.unsound = []
+        self.lost_order = None
+        self.network.handlers[ENGINE] = self._call_engine
+        self.on_call = lambda method, path: None
+
+    def _record_load(self, data, host):
+        known = len(self.sent)
+        super()._record_load(data, host)
+        for load in self.sent[known:]:
+            if load.accepting and load.version and not self.engine.is_whole():
+                self.unsound.append(load.version)
+
+    def _call_engine(self, request):
+        path = request.path.partition("?")[0]
+        self.on_call(request.method, request.path)
+        if path == "/-/order" and self.lost_order is None:
+            self.lost_order = request
+            self.stager._clock.suspend(FREEZE_S)
+            raise UnreachableError("no answer in time")
+        return self.engine(request)
+
+    def accept(self):
+        """Return the answer to the lost order, after which the engine loads for a while."""
+        self.on_call = lambda method, path: None
+        reply = self.engine(self.lost_order)
+        self.engine.busy = True
+        gevent.spawn_later(LOAD_S, setattr, self.engine, "busy", False)
+        return reply
+
+    def spoil(self, *numbers):
+        for number in numbers:
+            self.engine.staged[number] = b"rotten"
+
+    def restart_stager(self):
+        """Replace the stager by one that knows nothing."""
+        clock = self.stager._clock
+        self.stager = type(self.stager)(
+            self.network, clock, ENGINE, self.stager._address, "z1", 1e4
+        )
+        self.stager._send = self._record_load
+
+    def serves(self):
+        """Return whether the engine was reported last as accepting, and is whole."""
+        return self.sent[-1].accepting and self.engine.is_whole()
+
+
+def run_until_lost(harness):
+    harness.greet(*NAMED)
+    harness.run(0.4)
+    assert harness.lost_order is not None
+
+
+def test_engine_with_spoilt_weights_gets_no_requests_from_a_restarted_stager():
+    """The stager was killed before it learnt that its order was accepted."""
+    harness = ProofHarness()
+    harness.on_call = lambda method, path: (
+        gevent.sleep(60) if harness.lost_order is not None else None
+    )
+    run_until_lost(harness)
+    harness.spoil(0, 1)
+    harness.accept()
+    harness.restart_stager()
+    harness.greet(*NAMED)
+    harness.run(1.0)
+    assert not harness.unsound
+    assert harness.engine.version == 2 and harness.serves()
+
+
+def test_order_that_is_accepted_while_its_repetition_is_prepared_is_not_trusted():
+    harness = ProofHarness()
+    accepted = []
+
+    def accept_late(method, path):
+        if harness.lost_order is not None and path == "/-/stage-get/m":
+            accepted.append(harness.accept())
+
+    harness.on_call = accept_late
+    answer = harness.network.handlers[ENGINE]
+
+    def spoil_after_the_order(request):
+        try:
+            return answer(request)
+        except UnreachableError:
+            harness.spoil(0, 1)
+            raise
+
+    harness.network.handlers[ENGINE] = spoil_after_the_order
+    run_until_lost(harness)
+    harness.run(0.6)
+    assert accepted and not harness.unsound
+    assert harness.engine.version == 2 and harness.serves()
+
+
+def test_order_that_is_accepted_while_the_next_version_is_staged_is_not_trusted():
+    harness = ProofHarness()
+    accepted = []
+
+    def accept_late(method, path):
+        half_staged = chunk(3, CHUNK_COUNT // 2)
+        if harness.engine.staged.get(CHUNK_COUNT // 2) == half_staged:
+            accepted.append(harness.accept())
+
+    harness.on_call = accept_late
+    answer = harness.network.handlers[ENGINE]
+
+    def refuse_repetitions(request):
+        if request.path == "/-/order" and harness.lost_order and not accepted:
+            return Reply(409)
+        return answer(request)
+
+    harness.network.handlers[ENGINE] = refuse_repetitions
+    run_until_lost(harness)
+    harness.greet(*NEXT_NAMED)
+    harness.run(0.8)
+    assert accepted and not harness.unsound
+    assert harness.engine.version == 3 and harness.serves()
+
+
+def test_chunk_whose_write_had_no_answer_does_not_end_up_in_the_next_version():
+    harness = ProofHarness()
+    harness.lost_order = "none"
+    lost, answer = [], harness.network.handlers[ENGINE]
+
+    def delay_one_write(request):
+        if request.path.startswith("/-/stage-put/") and not lost:
+            lost.append(request)
+            name_next()
+            raise UnreachableError("no answer in time")
+        if request.path == "/-/order" and len(lost) == 1:
+            lost.append(harness.engine(lost[0]))
+        return answer(request)
+
+    def name_next():
+        harness.greet(*NEXT_NAMED)
+        copy = harness.stager._open_copy(3)
+        for number in range(CHUNK_COUNT):
+            copy.add(number, chunk(3, number))
+
+    harness.network.handlers[ENGINE] = delay_one_write
+    harness.greet(*NAMED)
+    harness.run(1.0)
+    assert len(lost) == 2 and not harness.unsound
+    assert harness.engine.version == 3 and harness.serves()
+
+
+@pytest.mark.parametrize("rotten", [(), (0, 1)])
+def test_engine_that_answers_slowly_loads_all_the_same(rotten):
+    """Reading all chunks took longer than a check is trusted, and no order followed."""
+    harness = ProofHarness()
+    harness.lost_order = "none"
+    spoilt = []
+
+    def be_slow(method, path):
+        if "?num=" in path and not spoilt:
+            harness.stager._clock.suspend(0.3)
+        if path == "/-/order" and not spoilt:
+            harness.spoil(*rotten)
+            spoilt.append(True)
+
+    harness.on_call = be_slow
+    harness.greet(*NAMED)
+    harness.run(1.5)
+    assert spoilt and not harness.unsound
+    assert harness.engine.version == 2 and harness.serves()
