Serve a load only with a proof of that very load

Callers got tokens that were made with spoilt or mixed chunks. The stager kept a doubt about an order in memory and took the absence of one for proof: after its restart nothing was doubted, and an order that was prepared while an earlier one was accepted took that one's place, with what was known of it.

A load is now identified by what the engine itself counts, its start and the orders accepted since, and the engine gets requests only once that load is proven: by the order's answer in time, by reading all chunks afterwards with no write since, or because the engine has accepted no order since its start. Writes are counted when they begin and end, so that one without an answer makes the chunks be read after the engine took them. While an order may still be accepted, the engine gets no requests either. The state of the engine is read again right before an order; if it changed, the order is not sent.

--- a/briarbeam/distribution/errors.py
+++ b/briarbeam/distribution/errors.py
@@ -33,6 +33,12 @@
     code = "stale_check"
 
 
+class EngineChangedError(NotRunError):
+    """An engine accepted an order, or restarted, while the next one was prepared."""
+
+    code = "engine_changed"
+
+
 class MalformedCopyError(BriarbeamError):
     """The bytes from another entry could not be decoded as a desired state."""
 
--- a/briarbeam/distribution/load_proof.py
+++ b/briarbeam/distribution/load_proof.py
@@ -1,12 +1,13 @@
 """Tells whether the weights that an engine holds were whole when it took them.
 
-An engine takes the staged chunks as they are when it accepts an order. The stager knows
-when it checked them and when it learnt of the acceptance, but may be stopped in between,
-and an order without an answer may be accepted later. Chunks that are corrupt do not
-become right again by themselves, so chunks that are right afterwards were right before.
-"""
+An engine takes the staged chunks as they are when it accepts an order. It need not be
+the last order, nor one of this process: an order without an answer may be accepted
+later, also after the process that sent it has ended. So each load is identified by what
+the engine counts, and it gets requests only once that very load is proven.
 
-from dataclasses import dataclass
+Chunks that are corrupt do not become right again by themselves, so chunks that are
+right afterwards were right before, unless they were written in between.
+"""
 
 import structlog
 from prometheus_client import Counter
@@ -21,145 +22,137 @@
 _log = structlog.get_logger()
 
 
-@dataclass
-class _PendingOrder:
-    """An order that may have been accepted.
-
-    `changed` is whether staged chunks were written since, for the same load or another.
-    """
-
-    copy: object
-    started_ms: int
-    accepted_orders: int
-    changed: bool = False
-
-    def matches(self, report):
-        """Return whether it is not accepted as of `report`, by the same process."""
-        return (self.started_ms, self.accepted_orders) == (
-            report.started_ms,
-            report.accepted_orders,
-        )
-
-
 class LoadProof:
-    """Follows the orders to one engine.
+    """Follows the loads of one engine.
 
     :param staging_area: the `StagingArea`.
     """
 
     def __init__(self, staging_area):
         self._staging_area = staging_area
-        self._pending = None
-        # Start and number of accepted orders of the engine whose last load is doubtful.
-        self._doubtful = None
         self._seen_id = None
-        self._answered_id = None
-        self._writes_known = 0
+        # How many writes are known to have ended before the engine took the chunks of
+        # its last load, and before those of the next one.
+        self._writes_before = self._writes_before_next = 0
+        self._proven_id = self._doubtful_id = None
+        # The load before an order that may still be accepted, and whether it was sent
+        # before the order that is under way.
+        self._open_id = None
+        self._was_open = False
+
+    # Reports
 
     def observe(self, report, writes_ended):
-        """Log each load as it shows in the engine's reports, and how it became known.
+        """Follow the engine's loads.
 
         :param report: an `EngineReport`.
         :param writes_ended: that of the staging area before the report was requested.
         """
         if report.load_id != self._seen_id:
+            self._writes_before = self._writes_before_next
             self._log_load(report)
             self._seen_id = report.load_id
-        self._writes_known = writes_ended
+        self._writes_before_next = writes_ended
+        if self._open_id != report.load_id:
+            self._open_id = None
 
-    def _log_load(self, report):
-        if not report.accepted_orders:
-            known_by = "engine_start"
-        elif report.load_id == self._answered_id:
-            known_by = "answer"
-        else:
-            known_by = "found" if self._seen_id is None else "report"
-        _log.info(
-            "load_seen",
-            started_ms=report.started_ms,
-            orders=report.accepted_orders,
-            models=report.models,
-            busy=report.busy,
-            known_by=known_by,
-            written=self._staging_area.writes_begun - self._writes_known,
-        )
+    def is_proven(self, report):
+        """Return whether all weights that the engine holds are known to be whole.
 
-    def record_order(self, copy, report):
-        """Record that an order to load `copy` is about to be sent.
-
-        :param report: the engine's `EngineReport` before the order.
+        Those of an engine that accepted no order are from its own start.
         """
-        pending = self._pending
-        changed = pending is not None and pending.matches(report) and pending.changed
-        self._pending = _PendingOrder(
-            copy, report.started_ms, report.accepted_orders, changed
+        return (
+            not report.models
+            or not report.accepted_orders
+            or report.load_id == self._proven_id
         )
 
-    def record_written(self, count):
-        """Record that `count` chunks were written to the staging area."""
-        if self._pending is not None and count:
-            self._pending.changed = True
-
-    def record_begun(self):
-        """Record that the engine states that it began the last order now.
+    def is_doubtful(self, report):
+        """Return whether what the engine holds can't be proven any more."""
+        return not self.is_proven(report) and report.load_id == self._doubtful_id
 
-        It can't have accepted an earlier one, as those require the same number of
-        accepted orders.
-        """
-        self._pending.changed = False
-        self._answered_id = (
-            self._pending.started_ms,
-            self._pending.accepted_orders + 1,
-        )
-        self._prove(self._pending.accepted_orders + 1)
+    def is_open(self, report):
+        """Return whether an order may still be accepted, or a load is not proven."""
+        return not self.is_proven(report) or self._open_id == report.load_id
 
-    def settle(self, report):
-        """Decide on an order without an answer, once `report` shows its outcome."""
-        pending = self._pending
-        if pending is None or pending.matches(report):
+    def decide(self, report, copy):
+        """Prove a load of `copy` that became known by `report`, or doubt it."""
+        if report.load_id != self._seen_id or self.is_doubtful(report):
             return
-        if report.started_ms == pending.started_ms:
-            self._prove(report.accepted_orders)
-        else:
-            # The engine restarted, so it holds no weights.
-            self._pending = None
+        is_whole = not self._may_be_changed() and self._staging_area.is_whole(copy)
+        # The engine may have accepted another order while the chunks were read.
+        if report.load_id == self._seen_id:
+            result = "verified" if is_whole else "doubtful"
+            self._conclude(report.load_id, copy, result)
 
-    def is_open(self, report):
-        """Return whether the weights that the engine holds are not known to be whole.
+    # Orders
 
-        :param report: its `EngineReport`.
+    def record_order(self, report):
+        """Record that an order is about to be sent.
+
+        :param report: the engine's `EngineReport` before the order.
         """
-        if self._doubtful == (report.started_ms, report.accepted_orders):
-            return True
-        pending = self._pending
-        return (
-            pending is not None
-            and pending.started_ms == report.started_ms
-            and not pending.matches(report)
-        )
+        self._was_open = self._open_id == report.load_id
+        self._open_id = report.load_id
 
-    def _prove(self, accepted_orders):
-        """Decide on the pending order, which the engine accepted.
+    def record_refused(self):
+        """Record that the last order will not be accepted."""
+        if not self._was_open:
+            self._open_id = None
 
-        :param accepted_orders: the number of accepted orders with it.
+    def record_begun(self, report, copy):
+        """Record that the engine states that it began the last order, to load `copy`.
+
+        It can't have accepted an earlier one, as those require the same number of
+        accepted orders.
+
+        :param report: the engine's `EngineReport` before the order.
         """
-        pending, copy = self._pending, self._pending.copy
-        age_s = self._staging_area.checked_age_s(copy)
-        if pending.changed:
-            result = "doubtful"
-        elif age_s <= TAKEN_AGE_MAX_S:
+        self._open_id = None
+        load_id = (report.started_ms, report.accepted_orders + 1)
+        area = self._staging_area
+        if (
+            area.checked_age_s(copy) <= TAKEN_AGE_MAX_S
+            and area.writes_ended == area.writes_begun
+        ):
             result = "in_time"
         else:
-            result = "verified" if self._staging_area.is_whole(copy) else "doubtful"
+            result = "verified" if area.is_whole(copy) else "doubtful"
+        self._conclude(load_id, copy, result)
+
+    def _may_be_changed(self):
+        """Return whether chunks may have been written since the last load took them."""
+        return self._staging_area.writes_begun > self._writes_before
+
+    def _conclude(self, load_id, copy, result):
         if result == "doubtful":
-            self._doubtful = pending.started_ms, accepted_orders
-        self._pending = None
+            self._doubtful_id = load_id
+        else:
+            self._proven_id = load_id
         _PROOFS.labels(result).inc()
         if result != "in_time":
             _log.warning(
                 "load_checked_late",
                 version=copy.manifest.version,
-                checked_age_s=round(age_s, 3),
-                changed=pending.changed,
+                orders=load_id[1],
+                checked_age_s=round(self._staging_area.checked_age_s(copy), 3),
+                changed=self._may_be_changed(),
                 result=result,
             )
+
+    def _log_load(self, report):
+        if not report.accepted_orders:
+            known_by = "engine_start"
+        elif report.load_id in (self._proven_id, self._doubtful_id):
+            known_by = "answer"
+        else:
+            known_by = "found" if self._seen_id is None else "report"
+        _log.info(
+            "load_seen",
+            started_ms=report.started_ms,
+            orders=report.accepted_orders,
+            models=report.models,
+            busy=report.busy,
+            known_by=known_by,
+            changed=self._may_be_changed(),
+        )
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -17,6 +17,7 @@
 from .errors import (
     ChunkUnavailableError,
     CorruptChunkError,
+    EngineChangedError,
     MalformedDatagramError,
 )
 from .fetch_order import FetchOrder
@@ -103,6 +104,7 @@
         self._overdue_detector = OverdueDetector(self._namings)
         self._manifest_retry_at_s = {}
         self._report = None
+        self._reports_requested = self._report_number = 0
         self._serve_lock = Semaphore()
         self._peer_server = PeerServer(address, self)
         self._loading_weights = False
@@ -232,7 +234,7 @@
     def _report_forever(self):
         while True:
             try:
-                self._report = self._fetch_report()
+                self._fetch_report()
                 load = self._current_load()
                 self._grant_server.observe(self._report)
                 _VERSION.set(load[1])
@@ -249,8 +251,17 @@
             gevent.sleep(self._reporter.interval_s(self._report))
 
     def _fetch_report(self):
+        """Return a fresh `EngineReport` and apply it.
+
+        If a report that was requested later has arrived meanwhile, that one is returned.
+        """
+        self._reports_requested += 1
+        number = self._reports_requested
         writes_ended = self._staging_area.writes_ended
         report = engines.fetch_report(self._network, self._engine)
+        if number < self._report_number and self._report is not None:
+            return self._report
+        self._report, self._report_number = report, number
         self._load_proof.observe(report, writes_ended)
         return report
 
@@ -339,7 +350,11 @@
         if report is None or greeting is None:
             return []
         held = self._held_version(report)
-        return self._fetch_order.rank(greeting, held, self._copies)
+        ranked = self._fetch_order.rank(greeting, held, self._copies)
+        if not self._load_proof.is_proven(report) and held not in self._copies:
+            # The chunks of a load that is not proven are compared with its manifest.
+            return [held, *ranked]
+        return ranked
 
     def _updated_share(self, version):
         """Return the share of the engines that hold `version` or a newer one."""
@@ -395,10 +410,11 @@
         report, greeting = self._report, self._greeting
         if report is None or greeting is None:
             return
-        self._load_proof.settle(report)
         if report.busy:
             return
         held = self._held_version(report)
+        if not self._load_proof.is_proven(report) and held in self._copies:
+            self._load_proof.decide(report, self._copies[held])
         version = max((v for v in self._copies if self._is_complete(v)), default=0)
         if version <= held:
             self._discard_older(held)
@@ -410,9 +426,9 @@
             strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
             return
-        self._load_proof.record_written(self._staging_area.stage(copy))
+        self._staging_area.stage(copy)
         self._staging_area.check_age(copy)
-        self._order_load(copy, strategy)
+        self._order_load(copy, strategy, report.load_id)
 
     def _discard_older(self, held):
         for version in [v for v in self._copies if v < held]:
@@ -437,10 +453,20 @@
             _log.info("drain_begun", version=incomplete[-1].manifest.version)
         return time.monotonic() - self._draining_since_s < DRAIN_MAX_S
 
-    def _order_load(self, copy, strategy):
+    def _order_load(self, copy, strategy, load_id):
+        """Order the engine to load `copy`, and wait until it has.
+
+        :param load_id: the engine's last load when `copy` was staged.
+        :raises EngineChangedError: if it has accepted another order since.
+        """
         manifest = copy.manifest
         report = self._fetch_report()
-        self._report, self._loading_weights = report, True
+        if report.load_id != load_id or report.busy:
+            raise EngineChangedError(
+                f"the engine has accepted {report.accepted_orders} orders, "
+                f"expected {load_id[1]}; busy: {report.busy}"
+            )
+        self._loading_weights = True
         self._announce_load()
         gevent.sleep(ANNOUNCE_DELAY_S)
         self._announce_load()
@@ -450,7 +476,7 @@
             nonlocal checked_age_s
             self._staging_area.check_age(copy)
             checked_age_s = self._staging_area.checked_age_s(copy)
-            self._load_proof.record_order(copy, report)
+            self._load_proof.record_order(report)
 
         result = engines.order_load(
             self._network,
@@ -462,7 +488,9 @@
             check_before_send,
         )
         if result is engines.OrderResult.BEGUN:
-            self._load_proof.record_begun()
+            self._load_proof.record_begun(report, copy)
+        else:
+            self._load_proof.record_refused()
         _ORDERS.labels(result.value).inc()
         _log.info(
             "load_ordered",
@@ -484,7 +512,6 @@
         while time.monotonic() < ordered_s + LOAD_TIMEOUT_S:
             gevent.sleep(0.05)
             report = self._fetch_report()
-            self._report = report
             if report.started_ms != report_before.started_ms:
                 _log.warning("engine_restarted", version=manifest.version)
                 return
--- a/briarbeam/distribution/staging_area.py
+++ b/briarbeam/distribution/staging_area.py
@@ -116,9 +116,10 @@
 
     def is_whole(self, copy):
         """Read all staged chunks; return whether they are those of `copy`."""
+        manifest = copy.manifest
         return all(
-            self._read(copy.manifest, number) == content
-            for number, content in copy.chunks.items()
+            copy.digests.accepts(number, self._read(manifest, number))
+            for number in range(len(manifest.digests))
         )
 
     def _write(self, manifest, number, content):
