Empty an engine whose weights can't be proven, so that it loads again

It answers an order for the version that it holds with "in effect", so the stager could not have it load again.

The stager now orders such an engine to give up all layers (an empty range of the version that it holds), unless a newer version can be loaded at once. It then loads as an engine without weights does.

Running requests are interrupted rather than finished with weights that may be spoilt.

Reading all chunks also records which of them are not those of the copy, so that they are staged anew; before, one that had been checked half a second ago was left as it was, and the second load took it again.

--- a/briarbeam/distribution/load_proof.py
+++ b/briarbeam/distribution/load_proof.py
@@ -95,6 +95,13 @@
         self._was_open = self._open_id == report.load_id
         self._open_id = report.load_id
 
+    def record_unloaded(self):
+        """Record that the engine states that it gives up its weights.
+
+        It can't accept an order any more that was sent before.
+        """
+        self._open_id = None
+
     def record_refused(self):
         """Record that the last order will not be accepted."""
         if not self._was_open:
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -58,6 +58,8 @@
 # A load that takes longer is no longer waited for. The next step then depends on what
 # the engine reports.
 LOAD_TIMEOUT_S = 12.0
+# An engine that did not give up its weights is not ordered to again before this.
+UNLOAD_RETRY_S = 1.0
 
 _ORDERS = Counter("briarbeam_orders", "Orders to the engine", ["result"])
 _VERSION = Gauge("briarbeam_engine_version", "Weights that the engine holds")
@@ -108,6 +110,7 @@
         self._serve_lock = Semaphore()
         self._peer_server = PeerServer(address, self)
         self._loading_weights = False
+        self._unload_at_s = 0.0
         self._draining_since_s = None
         self._copies = {}
         self._staging_area = StagingArea(network, clock, engine)
@@ -415,13 +418,16 @@
         held = self._held_version(report)
         if not self._load_proof.is_proven(report) and held in self._copies:
             self._load_proof.decide(report, self._copies[held])
+        is_doubtful = self._load_proof.is_doubtful(report)
         version = max((v for v in self._copies if self._is_complete(v)), default=0)
+        if version <= held and is_doubtful:
+            self._order_unload(report, held)
         if version <= held:
             self._discard_older(held)
             return
         copy = self._copies[version]
-        strategy = "queue"
-        if held:
+        strategy = "preempt" if is_doubtful else "queue"
+        if held and not is_doubtful:
             share = self._updated_share(version)
             strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
@@ -430,6 +436,39 @@
         self._staging_area.check_age(copy)
         self._order_load(copy, strategy, report.load_id)
 
+    def _order_unload(self, report, held):
+        """Order the engine to give up weights that can't be proven.
+
+        It answers an order for the version that it holds with "in effect", so it takes
+        the chunks again only once it holds none.
+        """
+        if time.monotonic() < self._unload_at_s:
+            return
+        self._unload_at_s = time.monotonic() + UNLOAD_RETRY_S
+        model = self._greeting.model
+        result = engines.order_unload(
+            self._network,
+            self._engine,
+            model,
+            held,
+            report.accepted_orders,
+            lambda: self._load_proof.record_order(report),
+        )
+        if result is engines.OrderResult.BEGUN:
+            self._load_proof.record_unloaded()
+        else:
+            self._load_proof.record_refused()
+        _ORDERS.labels(result.value).inc()
+        _log.warning(
+            "unload_ordered",
+            model=model,
+            held=held,
+            orders=report.accepted_orders,
+            running=report.running,
+            result=result.value,
+        )
+        self._fetch_report()
+
     def _discard_older(self, held):
         for version in [v for v in self._copies if v < held]:
             del self._copies[version]
--- a/briarbeam/distribution/staging_area.py
+++ b/briarbeam/distribution/staging_area.py
@@ -1,5 +1,7 @@
 """The staging area beside an engine, from which it loads weights."""
 
+import math
+
 import structlog
 from prometheus_client import Counter
 
@@ -117,10 +119,16 @@
     def is_whole(self, copy):
         """Read all staged chunks; return whether they are those of `copy`."""
         manifest = copy.manifest
-        return all(
-            copy.digests.accepts(number, self._read(manifest, number))
-            for number in range(len(manifest.digests))
-        )
+        is_whole = True
+        for number in range(len(manifest.digests)):
+            checked_s = self._clock.boottime_s()
+            content = self._read(manifest, number)
+            if copy.digests.accepts(number, content):
+                copy.record_staged(number, checked_s)
+            else:
+                copy.record_staged(number, -math.inf)
+                is_whole = False
+        return is_whole
 
     def _write(self, manifest, number, content):
         self.writes_begun += 1
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -107,8 +107,29 @@
     :raises BriarbeamError: if the engine does not answer; the order may still take
         effect.
     """
+    return _order(
+        network, address, model, version, accepted_orders, strategy, {}, before_send
+    )
+
+
+def order_unload(network, address, model, version, accepted_orders, before_send=None):
+    """Order the engine to give up all layers of a version; return an `OrderResult`.
+
+    Running requests are interrupted and go on after the next load. The parameters and
+    errors are those of `order_load`.
+    """
+    no_layers = {"from": 0, "to": 0}
+    return _order(
+        network, address, model, version, accepted_orders, "preempt", no_layers,
+        before_send,
+    )  # fmt: skip
+
+
+def _order(
+    network, address, model, version, accepted_orders, strategy, layers, before_send
+):
     body = {"op": "start", "model": model, "version": version, "strategy": strategy}
-    body["precondition"] = accepted_orders
+    body |= {"precondition": accepted_orders, **layers}
     request = HttpRequest(
         "POST",
         "/-/order",
--- a/tests/test_distribution_load_proofs.py
+++ b/tests/test_distribution_load_proofs.py
@@ -17,24 +17,15 @@
 class ProofHarness(StagerHarness):
     """A stager beside an engine whose answer to the first order is lost.
 
-    `unsound` has the versions that were reported as accepting requests while the engine
-    did not hold their chunks. `accept` makes the engine accept the lost order.
+    `accept` makes the engine accept the lost order.
     """
 
     def __init__(self):
         super().__init__(version=1, clock=ManualClock())
-        self.unsound = []
         self.lost_order = None
         self.network.handlers[ENGINE] = self._call_engine
         self.on_call = lambda method, path: None
 
-    def _record_load(self, data, host):
-        known = len(self.sent)
-        super()._record_load(data, host)
-        for load in self.sent[known:]:
-            if load.accepting and load.version and not self.engine.is_whole():
-                self.unsound.append(load.version)
-
     def _call_engine(self, request):
         path = request.path.partition("?")[0]
         self.on_call(request.method, request.path)
@@ -64,10 +55,6 @@
         )
         self.stager._send = self._record_load
 
-    def serves(self):
-        """Return whether the engine was reported last as accepting, and is whole."""
-        return self.sent[-1].accepting and self.engine.is_whole()
-
 
 def run_until_lost(harness):
     harness.greet(*NAMED)
--- a/tests/test_distribution_stager.py
+++ b/tests/test_distribution_stager.py
@@ -35,7 +35,11 @@
 
 
 class StagerHarness:
-    """A stager, its engine and one entry that has all versions."""
+    """A stager, its engine and one entry that has all versions.
+
+    `unsound` has the versions that were reported as accepting requests while the engine
+    did not hold their chunks.
+    """
 
     def __init__(self, version=0, clock=None):
         self.network = FakeNetwork()
@@ -51,6 +55,7 @@
             1e4,
         )
         self.sent = []
+        self.unsound = []
         self.stager._send = self._record_load
         self.stager._report = engines.fetch_report(self.network, ENGINE)
 
@@ -58,6 +63,12 @@
         message = decode(data)
         if isinstance(message, Load):
             self.sent.append(message)
+            if message.accepting and message.version and not self.engine.is_whole():
+                self.unsound.append(message.version)
+
+    def serves(self):
+        """Return whether the engine was reported last as accepting, and is whole."""
+        return self.sent[-1].accepting and self.engine.is_whole()
 
     def _answer(self, request):
         gevent.sleep(self.slow_s)
--- a/tests/test_distribution_staging_age.py
+++ b/tests/test_distribution_staging_age.py
@@ -97,16 +97,17 @@
     return path == "/-/order"
 
 
-def test_engine_that_may_have_loaded_corrupt_chunks_gets_no_requests():
+def test_engine_that_may_have_loaded_corrupt_chunks_reloads_before_it_gets_requests():
     """The stager was frozen with its order under way, and chunks became corrupt."""
+    taken = []
     harness = FreezingHarness(at_the_order, when="before")
+    harness.engine.after = lambda method, path: (
+        taken.append(harness.engine.is_whole()) if path == "/-/order" else None
+    )
     harness.load()
-    assert not is_whole(harness.engine)
-    assert harness.engine.version == 2 and not accepts(harness)
-    harness.engine.staged.clear()
-    harness.greet((2, 9.0, 1.0), (3, 1.0, 0.0), wave=0)
-    harness.run(0.6)
-    assert harness.engine.version == 3 and accepts(harness)
+    assert taken[0] is False
+    assert harness.engine.version == 2 and is_whole(harness.engine)
+    assert accepts(harness) and not harness.unsound
 
 
 def test_engine_whose_chunks_are_still_right_after_a_freeze_serves():
