Let entries tell a restarted stager which load was proven

A stager that is restarted knows no proof. It reads the staged chunks, but they may have turned bad, or been replaced by those of the next version, since the engine took them: it would empty an engine whose weights are right, and callers would lack it for a load.

What must last is kept by the entries. A stager states the engine's accepted orders with one of five reports and with each announcement; an entry keeps those of the last report that accepted requests, and repeats them in its greetings. They hold only for exactly that load. A load that no entry knows is proven by reading; if that fails, the stager waits 1.5 s for another entry before it empties the engine.

Entries that do not state a load yet are read as before.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -297,6 +297,7 @@
                 self._failure_domain,
                 silent_forwarder=silent,
                 state_revision=self._spread.revision,
+                proven_load=target.proven_load,
                 **version_fields,
             )
             self._send(encode(greeting), target.instance.address.host)
@@ -414,6 +415,7 @@
             running=load.running,
             waiting=load.waiting,
             slowdown=load.slowdown,
+            accepted_orders=load.accepted_orders,
         )
         self._fleet.apply_report(host, report)
 
--- a/briarbeam/distribution/load_proof.py
+++ b/briarbeam/distribution/load_proof.py
@@ -9,11 +9,17 @@
 right afterwards were right before, unless they were written in between.
 """
 
+from collections import deque
+
 import structlog
 from prometheus_client import Counter
 
 from .staging_area import TAKEN_AGE_MAX_S
 
+# Number of loads that are remembered because entries know them as proven. Entries may
+# have heard of different ones, but of few.
+VOUCHED_KEPT = 8
+
 _PROOFS = Counter(
     "briarbeam_load_proofs",
     "Loads by how their chunks are known to be right",
@@ -30,11 +36,12 @@
 
     def __init__(self, staging_area):
         self._staging_area = staging_area
-        self._seen_id = None
+        self._seen_id = self._found_id = None
         # How many writes are known to have ended before the engine took the chunks of
         # its last load, and before those of the next one.
         self._writes_before = self._writes_before_next = 0
         self._proven_id = self._doubtful_id = None
+        self._vouched_ids = deque(maxlen=VOUCHED_KEPT)
         # The load before an order that may still be accepted, and whether it was sent
         # before the order that is under way.
         self._open_id = None
@@ -51,6 +58,8 @@
         if report.load_id != self._seen_id:
             self._writes_before = self._writes_before_next
             self._log_load(report)
+            if self._seen_id is None:
+                self._found_id = report.load_id
             self._seen_id = report.load_id
         self._writes_before_next = writes_ended
         if self._open_id != report.load_id:
@@ -65,12 +74,17 @@
             not report.models
             or not report.accepted_orders
             or report.load_id == self._proven_id
+            or report.load_id in self._vouched_ids
         )
 
     def is_doubtful(self, report):
         """Return whether what the engine holds can't be proven any more."""
         return not self.is_proven(report) and report.load_id == self._doubtful_id
 
+    def was_found(self, report):
+        """Return whether the last load began before this process followed the engine."""
+        return report.load_id == self._found_id
+
     def is_open(self, report):
         """Return whether an order may still be accepted, or a load is not proven."""
         return not self.is_proven(report) or self._open_id == report.load_id
@@ -85,6 +99,17 @@
             result = "verified" if is_whole else "doubtful"
             self._conclude(report.load_id, copy, result)
 
+    def record_vouched(self, load_id):
+        """Record a load that an entry knows as proven, by this process or one before.
+
+        :param load_id: as in `EngineReport`.
+        """
+        if load_id in (self._proven_id, *self._vouched_ids):
+            return
+        self._vouched_ids.append(load_id)
+        _PROOFS.labels("vouched").inc()
+        _log.info("load_vouched", started_ms=load_id[0], orders=load_id[1])
+
     # Orders
 
     def record_order(self, report):
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -58,6 +58,9 @@
         None.
     :param state_revision: the store's revision of the desired state that the entry
         holds, 0 for none.
+    :param proven_load: the start and the number of accepted orders with which the
+        engine was last reported as accepting requests; empty if never. A stager that
+        was restarted learns from it what the one before it had proven.
     """
 
     host: str
@@ -69,6 +72,7 @@
     version_within_s: float = 0.0
     silent_forwarder: str | None = None
     state_revision: int = 0
+    proven_load: tuple = ()
 
 
 @dataclass(frozen=True)
@@ -84,6 +88,7 @@
         greeted the stager recently; empty in most datagrams, to keep them small.
     :param namings: for an entry that lacks them, what `NamingHistory.describe_certain`
         returned; empty in most datagrams.
+    :param accepted_orders: 0 in most datagrams, to keep them small.
     """
 
     started_ms: int
@@ -95,6 +100,7 @@
     forward: bool = False
     entries: tuple = ()
     namings: tuple = ()
+    accepted_orders: int = 0
 
 
 @dataclass(frozen=True)
@@ -280,6 +286,8 @@
     _check_rows(greeting.versions, (int, float, float, bool))
     counts = (greeting.wave, greeting.wave_count, greeting.state_revision)
     _check_row((*counts, greeting.version_within_s), (int, int, int, float))
+    if greeting.proven_load:
+        _check_rows([greeting.proven_load], (int, int))
 
 
 def _check_load(load):
@@ -292,6 +300,7 @@
         raise ValueError(f"slowdown is {load.slowdown!r}")
     _check_rows(load.entries, (Host, str))
     _check_rows(load.namings, (int, float, bool))
+    _check_row((load.accepted_orders,), (int,))
 
 
 def _check_batch(batch):
@@ -477,10 +486,13 @@
 
 
 def _forwarded_values(load):
-    return [
+    values = [
         load.started_ms, load.version, load.accepting, load.running, load.waiting,
         load.slowdown,
     ]  # fmt: skip
+    if load.accepted_orders:
+        values += [False, (), (), load.accepted_orders]
+    return values
 
 
 def _field_values(message):
--- a/briarbeam/distribution/reporter.py
+++ b/briarbeam/distribution/reporter.py
@@ -15,7 +15,7 @@
 # as datagrams between failure domains are billed.
 LOCAL_EVERY_N_REPORTS, LOCAL_EVERY_N_LOW_REPORTS = 1, 1
 REMOTE_EVERY_N_REPORTS, REMOTE_EVERY_N_LOW_REPORTS = 2, 2
-# Entries are listed with one of this many reports.
+# Entries are listed with one of this many reports, and accepted orders are stated.
 ENTRIES_EVERY_N_REPORTS = 5
 # From this number of running and waiting requests, an engine's load counts as high.
 HIGH_LOAD_REQUESTS = 6
@@ -63,7 +63,10 @@
         )
         entries_due = not self._report_count % ENTRIES_EVERY_N_REPORTS
         entries = self._roster.next_slice() if entries_due else ()
-        data = encode(_make_load(report, version, accepting, True, entries))
+        load = _make_load(
+            report, version, accepting, True, entries, with_orders=entries_due
+        )
+        data = encode(load)
         for host, domain in self._roster.forwarders():
             is_local = domain == self._failure_domain
             if entries or (local_due if is_local else remote_due):
@@ -74,8 +77,9 @@
         """Send the load to all entries at once."""
         forwarders = set(self._roster.forwarders())
         for entry in self._roster:
-            data = encode(_make_load(report, version, accepting, entry in forwarders))
-            self._send(data, entry[0])
+            forward = entry in forwarders
+            load = _make_load(report, version, accepting, forward, with_orders=True)
+            self._send(encode(load), entry[0])
 
     def send_entries(self, report, version, accepting, host):
         """Send the load and the list of all entries to the new entry at `host`."""
@@ -105,8 +109,11 @@
     return report is not None and report.running + report.waiting >= HIGH_LOAD_REQUESTS
 
 
-def _make_load(report, version, accepting, forward=False, entries=(), namings=()):
+def _make_load(
+    report, version, accepting, forward=False, entries=(), namings=(), with_orders=False
+):
     return Load(
         report.started_ms, version, accepting, report.running, report.waiting,
         report.slowdown, forward, entries, namings,
+        report.accepted_orders if with_orders else 0,
     )  # fmt: skip
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -61,6 +61,9 @@
 LOAD_TIMEOUT_S = 12.0
 # How often in a row the chunks may take longer to read than a check is trusted.
 STALE_CHECKS_MAX = 2
+# Time for the entries to tell a stager that was restarted which load was proven before;
+# they greet it once a second.
+VOUCH_WAIT_S = 1.5
 # An engine that did not give up its weights is not ordered to again before this.
 UNLOAD_RETRY_S = 1.0
 
@@ -113,6 +116,7 @@
         self._serve_lock = Semaphore()
         self._peer_server = PeerServer(address, self)
         self._loading_weights = False
+        self._vouched_by_s = time.monotonic() + VOUCH_WAIT_S
         self._unload_at_s = 0.0
         self._stale_checks = 0
         self._draining_since_s = None
@@ -201,6 +205,8 @@
         for version, age_s, _, certain in greeting.versions:
             self._namings.record(version, age_s, certain and not may_be_late)
         self._state_announcer.handle_greeting(greeting)
+        if greeting.proven_load:
+            self._load_proof.record_vouched(tuple(greeting.proven_load))
         namings = self._namings.describe_certain()
         if self._report is not None and is_new:
             self._reporter.send_entries(*self._current_load(), greeting.host)
@@ -461,9 +467,13 @@
         It answers an order for the version that it holds with "in effect", so it takes
         the chunks again only once it holds none.
         """
-        if time.monotonic() < self._unload_at_s:
+        now_s = time.monotonic()
+        may_be_vouched = (
+            self._load_proof.was_found(report) and now_s < self._vouched_by_s
+        )
+        if may_be_vouched or now_s < self._unload_at_s:
             return
-        self._unload_at_s = time.monotonic() + UNLOAD_RETRY_S
+        self._unload_at_s = now_s + UNLOAD_RETRY_S
         model = self._greeting.model
         result = engines.order_unload(
             self._network,
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -64,6 +64,7 @@
     :param running: the number of requests that run there.
     :param waiting: the number of requests that wait there.
     :param slowdown: how many times slower than usual the engine is.
+    :param accepted_orders: the number of orders that it has accepted, 0 if not stated.
     """
 
     received_s: float
@@ -73,6 +74,7 @@
     running: int
     waiting: int
     slowdown: float = 1.0
+    accepted_orders: int = 0
 
 
 @dataclass
@@ -97,6 +99,8 @@
     :param notices: its `Notices`.
     :param not_asked_until_s: monotonic time until which the daemon beside it is not asked
         for places, as it gave no answer.
+    :param proven_load: the start and the accepted orders with which the engine was last
+        reported as accepting requests; empty if never.
     """
 
     instance: object
@@ -115,6 +119,7 @@
     results: deque = field(default_factory=lambda: deque(maxlen=20))
     notices: Notices = field(default_factory=Notices)
     not_asked_until_s: float = 0.0
+    proven_load: tuple = ()
 
     @property
     def id(self):
@@ -344,6 +349,8 @@
                 )
             target.report = report
             target.sent_since_report = 0
+            if report.accepting and report.accepted_orders:
+                target.proven_load = report.started_ms, report.accepted_orders
 
     def _decode(self, name, record):
         if self._malformed_revisions.get(name) == record.revision:
