Doubt the first state of an entry if the store may just be restored

Cause: that answers of a restored store don't count for 2 s hung on the records that a mirror held. A first list was always taken as settled, though the process had seen its calls fail, or the era rise, before it. And a copy from a neighbour has the older records of the new era, without a sign that its sender doubts them.

Fix: the store's client, which all mirrors share, knows when the store may have been restored: its era rose, or calls got no answer before the first one that did. A first list of the state within 2 s of that is unsettled for 2 s, as after a restore that a process lives through; a copy carries the mark on. Until then keys get 503 and the entry isn't ready; the removed key can't be accepted, as no confirmation counts. No special case: settled_age_s has one more way to be unknown.

--- a/bench/state_model.py
+++ b/bench/state_model.py
@@ -355,7 +355,10 @@
         return state_copy.decode_copy(state_copy.encode_copy(packed, 0.0))
 
     def decode(data):
-        age, _, packed = data.partition(b"\n")
-        return dataclasses.replace(decode_packed(packed), age_s=float(age))
+        line, _, packed = data.partition(b"\n")
+        age, *mark = line.split()
+        return dataclasses.replace(
+            decode_packed(packed), age_s=float(age), is_settled=not mark
+        )
 
     return decode
--- a/briarbeam/distribution/state_copy.py
+++ b/briarbeam/distribution/state_copy.py
@@ -1,6 +1,7 @@
 """The format in which entries send each other a desired state.
 
-A copy has the age of the records in a line of text, then the compressed records. The
+A copy has the age of the records in a line of text, then the compressed records. After
+the age, the line says if the records may lack what a restored store has lost. The
 revisions of records contain the store's era, the one to watch from is the store's
 number, which builds that know no eras can use as well.
 """
@@ -18,6 +19,7 @@
 MAX_BYTES = 4 * 1024 * 1024
 # The fastest level compresses a state of 300 KB to a fifth in a few milliseconds.
 _COMPRESSION_LEVEL = 1
+_UNSETTLED = b" unsettled"
 
 
 @dataclass(frozen=True)
@@ -28,11 +30,14 @@
     :param store_revision: the revision from which a watch can continue.
     :param age_s: the seconds between the store's confirmation of the records and the
         sending of the copy.
+    :param is_settled: whether the sender knows that they don't lack what a restored
+        store has lost.
     """
 
     records: dict
     store_revision: int
     age_s: float
+    is_settled: bool = True
 
 
 def pack_records(records, store_revision):
@@ -43,13 +48,14 @@
     return zlib.compress(text.encode(), _COMPRESSION_LEVEL)
 
 
-def encode_copy(packed, age_s):
+def encode_copy(packed, age_s, is_settled=True):
     """Return the bytes of a copy.
 
     :param packed: as `pack_records` returns it.
     :param age_s: as in `StateCopy`.
+    :param is_settled: as in `StateCopy`.
     """
-    return b"%.3f\n" % age_s + packed
+    return b"%.3f%s\n" % (age_s, b"" if is_settled else _UNSETTLED) + packed
 
 
 def extract_packed(data):
@@ -67,7 +73,8 @@
         decompressed.
     """
     try:
-        age = data.partition(b"\n")[0]
+        line = data.partition(b"\n")[0]
+        age = line.removesuffix(_UNSETTLED)
         unpacker = zlib.decompressobj()
         text = unpacker.decompress(extract_packed(data), MAX_BYTES)
         if not unpacker.eof:
@@ -84,7 +91,8 @@
         if not 0 <= age_s < math.inf:
             raise ValueError(f"age is {age_s!r}, expected finite seconds from 0")
         era = era_of(max((r.revision for r in records.values()), default=0))
-        return StateCopy(records, join_revision(era, store_revision), age_s)
+        revision = join_revision(era, store_revision)
+        return StateCopy(records, revision, age_s, is_settled=age == line)
     except (ValueError, TypeError, RecursionError, zlib.error) as error:
         raise MalformedCopyError(
             f"copy of {len(data)} bytes can't be decoded: {error!r}"
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -7,6 +7,7 @@
 see `revisions`.
 """
 
+import math
 import time
 from dataclasses import dataclass
 from urllib.parse import urlencode
@@ -89,6 +90,9 @@
         self._unnamed_counts = {}
         # The latest era that is known, or None before the first answer.
         self._era = None
+        self._lost_first_calls = False
+        # Monotonic time at which a restore may have become known, see `restored_within`.
+        self._restored_at_s = -math.inf
         self._logged_odd_era = False
 
     def list(self, kind):
@@ -141,6 +145,13 @@
                 f"watch of {kind} is malformed: {error!r}"
             ) from error
 
+    def restored_within(self, within_s):
+        """Return whether the store may have been restored in the last `within_s`.
+
+        Its era rose at that time, or it first answered after calls without an answer.
+        """
+        return time.monotonic() - self._restored_at_s < within_s
+
     def _get(self, call, kind, query, wait_s=0.0, watched_era=None):
         """Return the decoded JSON of the store's answer, and the era of the answer.
 
@@ -171,6 +182,7 @@
             if isinstance(error.__cause__, RecheckError):
                 raise error.__cause__ from None
             _CALLS.labels(call, "none").inc()
+            self._lost_first_calls |= self._era is None
             raise StoreUnavailableError(f"GET {path} failed: {error}") from error
         _CALLS.labels(call, status).inc()
         self._observe_body(call, kind, len(content), time.monotonic() - sent_s)
@@ -227,6 +239,9 @@
     def _set_era(self, era):
         if self._era is not None:
             _log.warning("store_rewound", era=era, previous=self._era)
+        # A store without eras, or in era 0, was never restored.
+        if era and (self._era is not None or self._lost_first_calls):
+            self._restored_at_s = time.monotonic()
         self._era = era
         _ERA.set(era)
 
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -29,7 +29,7 @@
 from .follower import StoreFollower
 from .limits import RetryBudget
 from .memory_budget import HeldMemory
-from .mirror import Mirror
+from .mirror import REWRITE_GRACE_S, Mirror
 from .places import PlaceFinder
 from .quarantine import Quarantine
 from .record_copies import RecordCopies
@@ -194,6 +194,7 @@
             awaits_peer_copy=lambda: not self._first_read.is_due(),
             peer_copy_wait_s=self._state_copy_wait_s,
             lacks_writes=lambda: self._in_force.is_ahead_of_store,
+            may_be_restored=lambda: store.restored_within(REWRITE_GRACE_S),
             outage_detector=self._version_mirror,
         )
         watched_kinds = (
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -68,6 +68,8 @@
         may supply the records of a new era before this one lists them.
     :param lacks_writes: a function that returns whether the records are known to lack
         what was written before the store was restored.
+    :param may_be_restored: a function that returns whether the store may have been
+        restored within `REWRITE_GRACE_S`, as far as this process knows.
     :param outage_detector: a `Mirror` of the same store, or None. While that one can't
         reach the store, this one makes no calls; it resumes when that one reaches it
         again.
@@ -87,6 +89,7 @@
         awaits_peer_copy=None,
         peer_copy_wait_s=None,
         lacks_writes=None,
+        may_be_restored=None,
         outage_detector=None,
     ):
         self._store = store
@@ -101,6 +104,7 @@
         self._awaits_peer_copy = awaits_peer_copy or (lambda: False)
         self._peer_copy_wait_s = peer_copy_wait_s or (lambda: 0.0)
         self._lacks_writes = lacks_writes or (lambda: False)
+        self._may_be_restored = may_be_restored or (lambda: False)
         self._list_duration_s = 0.0
         self._history_pause_s = RETRY_MIN_S
         self._in_burst = False
@@ -121,7 +125,9 @@
         self.confirmed_s = None
         self.restored_s = None
         self.rewound_s = None
-        # When the records were last confirmed before the last restore of the store.
+        # Since when the records may lack what a restored store has lost, or None; and
+        # when they were last confirmed before that.
+        self._unsettled_since_s = None
         self._confirmed_before_s = None
         self.on_rewound = lambda era: None
 
@@ -187,16 +193,20 @@
         """Seconds since the records were last known to have all that was written.
 
         Like `age_s`, but after a restore of the store its answers don't count until
-        what it lost has been written again. None before the first list.
+        what it lost has been written again. None if the records were never known to
+        have it, also before the first list.
         """
-        if self._is_settled():
+        if self.is_settled():
             return self.age_s
+        if self._confirmed_before_s is None:
+            return None
         return self._clock.boottime_s() - self._confirmed_before_s
 
-    def _is_settled(self):
-        if self.rewound_s is None:
+    def is_settled(self):
+        """Return whether the records count as having all that was written."""
+        if self._unsettled_since_s is None:
             return True
-        if self._clock.boottime_s() - self.rewound_s < REWRITE_GRACE_S:
+        if self._clock.boottime_s() - self._unsettled_since_s < REWRITE_GRACE_S:
             return False
         return not self._lacks_writes()
 
@@ -230,17 +240,18 @@
         """Return the records by name, and the store's revision to watch from."""
         return dict(self._records), self.store_revision
 
-    def replace_if_newer(self, records, revision, at_s):
+    def replace_if_newer(self, records, revision, at_s, is_settled=True):
         """Replace the records by those of another entry if these are newer.
 
         :param revision: the store's revision to resume a watch from.
         :param at_s: when they matched the store, in boot time of this entry.
+        :param is_settled: whether the other entry counts them as settled.
         """
         newest = _newest_revision(records)
         if newest <= self.summary[0] or era_of(newest) < (self._era or 0):
             return
         confirmed_s = max(at_s, self.confirmed_s or -math.inf)
-        self._replace(dict(records), revision, confirmed_s)
+        self._replace(dict(records), revision, confirmed_s, is_settled)
 
     def replace_if_later(self, records, revision, at_s):
         """Replace the records by those that another entry read at a later revision.
@@ -373,9 +384,12 @@
                 records[change.record.name] = change.record
         return records
 
-    def _replace(self, records, revision, confirmed_s):
-        """Replace the records; restore the previous ones if `on_change` raises."""
-        self._update_era(era_of(revision))
+    def _replace(self, records, revision, confirmed_s, is_settled=True):
+        """Replace the records; restore the previous ones if `on_change` raises.
+
+        :param is_settled: whether the records count as settled if they are the first.
+        """
+        self._update_era(era_of(revision), is_settled)
         previous = self._records, self._revision, self.confirmed_s
         self._records, self._revision, self.confirmed_s = records, revision, confirmed_s
         try:
@@ -384,14 +398,18 @@
             self._records, self._revision, self.confirmed_s = previous
             raise
 
-    def _update_era(self, era):
+    def _update_era(self, era, is_settled):
         """Record the era of the records that are about to replace the present ones."""
         previous, self._era = self._era, era
+        if previous is None and not is_settled:
+            self._unsettled_since_s = self._clock.boottime_s()
+            _log.warning("first_records_unsettled", kind=self._kind, era=era)
         if previous is None or era <= previous:
             return
-        if self._is_settled():
+        if self.is_settled():
             self._confirmed_before_s = self.confirmed_s
         self.rewound_s = self.restored_s = self._clock.boottime_s()
+        self._unsettled_since_s = self.rewound_s
         _log.warning("records_rewound", kind=self._kind, era=era, before=previous)
         self.on_rewound(era)
 
@@ -411,7 +429,7 @@
             # the store was restored without the state, which will be written again.
             return True
         self._record_answer(answered_s)
-        self._replace(listed, revision, sent_s)
+        self._replace(listed, revision, sent_s, not self._may_be_restored())
         self._in_burst = self._in_burst and self.summary != previous
         return self._in_burst
 
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -193,7 +193,7 @@
         if self._packed[0] != current:
             records, store_revision = self._mirror.snapshot()
             self._packed = current, pack_records(records, store_revision)
-        return encode_copy(self._packed[1], age_s)
+        return encode_copy(self._packed[1], age_s, self._mirror.is_settled())
 
     def _handle_after_delay(self, announcement):
         """Fetch a state found by comparison, unless it arrives earlier."""
@@ -258,7 +258,10 @@
         self._packed = fetched, extract_packed(data)
         try:
             self._mirror.replace_if_newer(
-                copy.records, copy.store_revision, sent_s - copy.age_s
+                copy.records,
+                copy.store_revision,
+                sent_s - copy.age_s,
+                copy.is_settled,
             )
         finally:
             self._root = None
--- a/tests/test_rewind_processes.py
+++ b/tests/test_rewind_processes.py
@@ -1,5 +1,6 @@
 """Entries that run as processes while their store comes back from a copy."""
 
+import contextlib
 import json
 import time
 
@@ -10,7 +11,7 @@
 from standins.platform import desired_state
 
 from .test_node_processes import wait_until
-from .test_state_processes import start  # noqa: F401
+from .test_state_processes import StoreProxy, start  # noqa: F401
 
 
 def logged(node, event):
@@ -108,3 +109,56 @@
     assert 200 not in statuses
     assert 401 in statuses
     wait_until(lambda: ask_with_key(site, 0) == 401)
+
+
+def status_with_key(site, number):
+    """Return the status of a request with the key, None if the entry is not there."""
+    with contextlib.suppress(OSError, IndexError):
+        return ask_with_key(site, number)
+    return None
+
+
+@pytest.mark.parametrize("answers", [False, True])
+def test_key_whose_removal_the_store_lost_runs_nothing_at_an_entry_that_starts(
+    start,  # noqa: F811
+    answers,
+):
+    """The first list of an entry was trusted, though it came from the copy.
+
+    :param answers: whether the store that is away answers 503 to calls.
+    """
+    site = start(1)
+    address = site.proxies[0].address
+    assert ask_with_key(site, 0) == 200
+    removed_s = time.monotonic()
+    site.store.put("config", "main", desired_state(2, site.origin.address, keys=()))
+    wait_until(lambda: ask_with_key(site, 0) == 401)
+    gevent.sleep(removed_s + 2.8 - time.monotonic())
+    site.nodes[0].kill()
+    if answers:
+        site.store.down = True
+    else:
+        site.proxies[0].stop()
+    lines = site.nodes[0].log_path.read_text().count('"store_lost"')
+    site.nodes[0].start()
+    # It starts while the store is away, however busy the machine is.
+    wait_until(lambda: site.nodes[0].log_path.read_text().count('"store_lost"') > lines)
+    gevent.sleep(removed_s + 5.2 - time.monotonic())
+    site.store.rewind(time.monotonic() - removed_s + 0.2)
+    if answers:
+        site.store.down = False
+    else:
+        host, port = address.split(":")
+        site.proxies[0] = StoreProxy((host, int(port)), site.store)
+    back_s = time.monotonic()
+    statuses = []
+    while time.monotonic() < back_s + 2.0:
+        statuses.append(status_with_key(site, 0))
+        gevent.sleep(0.02)
+    site.store.write_lost_again()
+    while time.monotonic() < back_s + 3.0:
+        statuses.append(status_with_key(site, 0))
+        gevent.sleep(0.02)
+    assert 503 in statuses
+    assert 200 not in statuses
+    wait_until(lambda: status_with_key(site, 0) == 401)
