Send no requests to an engine that its stager has not reported

An entry that knew no report of a stager, as it had just started or the engine had, went by the store's record: that says which version an engine holds, not whether it took it whole. While the stager was silent or being restarted, such an entry sent requests to an engine with spoilt weights.

An engine is now used only after a report that it accepts requests.

--- a/briarbeam/relay/target_selector.py
+++ b/briarbeam/relay/target_selector.py
@@ -225,7 +225,7 @@
     def _has_required_weights(self, target, requirements):
         if requirements.model is None:
             return True
-        if target.report is not None and not target.report.accepting:
+        if target.report is None or not target.report.accepting:
             return False
         version = target.version_of(requirements.model)
         return version > 0 and version >= requirements.required_version
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -1,6 +1,7 @@
 """Fakes for the request path: scripted instances, an entry and a caller on loopback."""
 
 import contextlib
+import math
 import time
 
 import gevent
@@ -25,7 +26,7 @@
 from briarbeam.relay.crash_guard import CrashGuard
 from briarbeam.relay.delivery import Delivery
 from briarbeam.relay.dispatch import Dispatcher
-from briarbeam.relay.fleet import Fleet, Target
+from briarbeam.relay.fleet import Fleet, LoadReport, Target
 from briarbeam.relay.limits import EntryPosition, RetryBudget
 from briarbeam.relay.memory_budget import HeldMemory
 from briarbeam.relay.places import PlaceFinder
@@ -250,9 +251,15 @@
         return self.server._server.server_port
 
     def add(self, name, address, models=None, failure_domain="z1", cold_s=0.0):
-        """Add an instance to the fleet and return its `Target`."""
+        """Add an instance to the fleet and return its `Target`.
+
+        One with weights was reported as accepting requests, long ago.
+        """
         instance = Instance(name, "svc", address, failure_domain, 16, models=models)
         target = Target(instance, time.monotonic() + cold_s)
+        if models:
+            version = max(models.values())
+            target.report = LoadReport(-math.inf, 0, True, version, 0, 0)
         self.fleet._targets[name] = target
         return target
 
--- a/tests/test_relay_weights.py
+++ b/tests/test_relay_weights.py
@@ -114,6 +114,16 @@
     assert not empty.requests
 
 
+def test_engine_gets_no_requests_before_its_stager_has_reported_it():
+    """Its record says which weights it holds, not whether they are whole."""
+    service = Service("svc", models=("m",))
+    unproven = FakeInstance(reply(ok()))
+    entry = Entry({}, service=service)
+    entry.add("i1", unproven.address, models={"m": 1}).report = None
+    assert entry.ask(headers=b"x-model: m\r\n").split()[1] == b"503"
+    assert not unproven.requests
+
+
 def test_request_that_waits_on_superseded_weights_is_cancelled_in_time():
     service = Service("svc", models=("m",))
     old = FakeInstance(never_answer)
