Keep what is known of a load with the entries, its lack of a proof too

- A stager that had repaired chunks after the engine took them and was killed before the load ended left right chunks behind; its successor read them and served spoilt weights.
The doubt had died with the process again.
- An entry forgot a report, and what it vouched for, as soon as the store's record showed the restart that the report had told of.
- An unload without an answer kept an engine out of service for good, although an entry vouched for it.

Entries now also keep, and repeat to stagers, the load that an engine was last reported with as not accepting; a stager that finds such a load does not prove it by reading. Accepted orders are stated as proven only for an engine that holds weights. A target that is created anew keeps the report on its start. An unload is not followed as an open order, since it takes no chunks, and a load whose order may still be accepted is repeated without waiting for its wave.

A load of which no entry knows anything (all processes killed at once) is still proven by reading its chunks.

--- a/briarbeam/distribution/exchange.py
+++ b/briarbeam/distribution/exchange.py
@@ -298,6 +298,7 @@
                 silent_forwarder=silent,
                 state_revision=self._spread.revision,
                 proven_load=target.proven_load,
+                unproven_load=target.unproven_load,
                 **version_fields,
             )
             self._send(encode(greeting), target.instance.address.host)
--- a/briarbeam/distribution/load_proof.py
+++ b/briarbeam/distribution/load_proof.py
@@ -16,9 +16,9 @@
 
 from .staging_area import TAKEN_AGE_MAX_S
 
-# Number of loads that are remembered because entries know them as proven. Entries may
-# have heard of different ones, but of few.
-VOUCHED_KEPT = 8
+# Number of loads that are remembered because entries know of them. Entries may have
+# heard of different ones, but of few.
+LOADS_KEPT = 8
 
 _PROOFS = Counter(
     "briarbeam_load_proofs",
@@ -41,7 +41,8 @@
         # its last load, and before those of the next one.
         self._writes_before = self._writes_before_next = 0
         self._proven_id = self._doubtful_id = None
-        self._vouched_ids = deque(maxlen=VOUCHED_KEPT)
+        self._vouched_ids = deque(maxlen=LOADS_KEPT)
+        self._unproven_ids = deque(maxlen=LOADS_KEPT)
         # The load before an order that may still be accepted, and whether it was sent
         # before the order that is under way.
         self._open_id = None
@@ -73,13 +74,18 @@
         return (
             not report.models
             or not report.accepted_orders
-            or report.load_id == self._proven_id
             or report.load_id in self._vouched_ids
+            or (
+                report.load_id == self._proven_id
+                and report.load_id not in self._unproven_ids
+            )
         )
 
     def is_doubtful(self, report):
         """Return whether what the engine holds can't be proven any more."""
-        return not self.is_proven(report) and report.load_id == self._doubtful_id
+        return not self.is_proven(report) and (
+            report.load_id == self._doubtful_id or report.load_id in self._unproven_ids
+        )
 
     def was_found(self, report):
         """Return whether the last load began before this process followed the engine."""
@@ -87,7 +93,7 @@
 
     def is_open(self, report):
         """Return whether an order may still be accepted, or a load is not proven."""
-        return not self.is_proven(report) or self._open_id == report.load_id
+        return not self.is_proven(report) or self.has_open_order(report)
 
     def decide(self, report, copy):
         """Prove a load of `copy` that became known by `report`, or doubt it."""
@@ -110,6 +116,16 @@
         _PROOFS.labels("vouched").inc()
         _log.info("load_vouched", started_ms=load_id[0], orders=load_id[1])
 
+    def record_unproven(self, load_id):
+        """Record a load that an entry knows only as not accepting requests.
+
+        Of a load that a process before this one did not prove, chunks may have been
+        repaired after the engine took them, so that reading them proves nothing.
+        """
+        if load_id == self._found_id and load_id not in self._unproven_ids:
+            self._unproven_ids.append(load_id)
+            _log.info("load_not_vouched", started_ms=load_id[0], orders=load_id[1])
+
     # Orders
 
     def record_order(self, report):
@@ -120,12 +136,9 @@
         self._was_open = self._open_id == report.load_id
         self._open_id = report.load_id
 
-    def record_unloaded(self):
-        """Record that the engine states that it gives up its weights.
-
-        It can't accept an order any more that was sent before.
-        """
-        self._open_id = None
+    def has_open_order(self, report):
+        """Return whether an order that was sent may still be accepted."""
+        return self._open_id == report.load_id
 
     def record_refused(self):
         """Record that the last order will not be accepted."""
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -61,6 +61,8 @@
     :param proven_load: the start and the number of accepted orders with which the
         engine was last reported as accepting requests; empty if never. A stager that
         was restarted learns from it what the one before it had proven.
+    :param unproven_load: the same of the engine's last load that was only reported as
+        not accepting requests; empty if there is none.
     """
 
     host: str
@@ -73,6 +75,7 @@
     silent_forwarder: str | None = None
     state_revision: int = 0
     proven_load: tuple = ()
+    unproven_load: tuple = ()
 
 
 @dataclass(frozen=True)
@@ -88,7 +91,8 @@
         greeted the stager recently; empty in most datagrams, to keep them small.
     :param namings: for an entry that lacks them, what `NamingHistory.describe_certain`
         returned; empty in most datagrams.
-    :param accepted_orders: 0 in most datagrams, to keep them small.
+    :param accepted_orders: those with which the weights are proven, or while the engine
+        does not accept requests; 0 in most datagrams, to keep them small.
     """
 
     started_ms: int
@@ -286,8 +290,9 @@
     _check_rows(greeting.versions, (int, float, float, bool))
     counts = (greeting.wave, greeting.wave_count, greeting.state_revision)
     _check_row((*counts, greeting.version_within_s), (int, int, int, float))
-    if greeting.proven_load:
-        _check_rows([greeting.proven_load], (int, int))
+    for load_id in (greeting.proven_load, greeting.unproven_load):
+        if load_id != () and load_id != []:
+            _check_rows([load_id], (int, int))
 
 
 def _check_load(load):
--- a/briarbeam/distribution/reporter.py
+++ b/briarbeam/distribution/reporter.py
@@ -112,6 +112,8 @@
 def _make_load(
     report, version, accepting, forward=False, entries=(), namings=(), with_orders=False
 ):
+    # An engine without weights accepts requests, but has proven nothing.
+    with_orders = not accepting or (with_orders and version > 0)
     return Load(
         report.started_ms, version, accepting, report.running, report.waiting,
         report.slowdown, forward, entries, namings,
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -207,6 +207,8 @@
         self._state_announcer.handle_greeting(greeting)
         if greeting.proven_load:
             self._load_proof.record_vouched(tuple(greeting.proven_load))
+        if greeting.unproven_load:
+            self._load_proof.record_unproven(tuple(greeting.unproven_load))
         namings = self._namings.describe_certain()
         if self._report is not None and is_new:
             self._reporter.send_entries(*self._current_load(), greeting.host)
@@ -437,7 +439,8 @@
             return
         copy = self._copies[version]
         strategy = "preempt" if is_doubtful else "queue"
-        if held and not is_doubtful:
+        # An order that may still be accepted is repeated, so that its outcome is known.
+        if held and not self._load_proof.is_open(report):
             share = self._updated_share(version)
             strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
@@ -481,12 +484,7 @@
             model,
             held,
             report.accepted_orders,
-            lambda: self._load_proof.record_order(report),
         )
-        if result is engines.OrderResult.BEGUN:
-            self._load_proof.record_unloaded()
-        else:
-            self._load_proof.record_refused()
         _ORDERS.labels(result.value).inc()
         _log.warning(
             "unload_ordered",
--- a/briarbeam/platform/engines.py
+++ b/briarbeam/platform/engines.py
@@ -112,7 +112,7 @@
     )
 
 
-def order_unload(network, address, model, version, accepted_orders, before_send=None):
+def order_unload(network, address, model, version, accepted_orders):
     """Order the engine to give up all layers of a version; return an `OrderResult`.
 
     Running requests are interrupted and go on after the next load. The parameters and
@@ -120,9 +120,8 @@
     """
     no_layers = {"from": 0, "to": 0}
     return _order(
-        network, address, model, version, accepted_orders, "preempt", no_layers,
-        before_send,
-    )  # fmt: skip
+        network, address, model, version, accepted_orders, "preempt", no_layers, None
+    )
 
 
 def _order(
--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -101,6 +101,8 @@
         for places, as it gave no answer.
     :param proven_load: the start and the accepted orders with which the engine was last
         reported as accepting requests; empty if never.
+    :param unproven_load: the same of its last load that was only reported as not
+        accepting requests; empty if there is none.
     """
 
     instance: object
@@ -120,6 +122,7 @@
     notices: Notices = field(default_factory=Notices)
     not_asked_until_s: float = 0.0
     proven_load: tuple = ()
+    unproven_load: tuple = ()
 
     @property
     def id(self):
@@ -184,6 +187,17 @@
         """Count the end of a request that was sent, with or without an answer."""
         self.outstanding -= 1
 
+    def record_load(self):
+        """Keep what the last report says of the load that the engine holds."""
+        report = self.report
+        if not report.accepted_orders:
+            return
+        load_id = report.started_ms, report.accepted_orders
+        if not report.accepting:
+            self.unproven_load = () if load_id == self.proven_load else load_id
+        elif report.version:
+            self.proven_load, self.unproven_load = load_id, ()
+
     def record_answer_load(self, running, waiting, now_s):
         """Store the load that an answer states; it is newer than any report."""
         if self.report is not None:
@@ -349,8 +363,7 @@
                 )
             target.report = report
             target.sent_since_report = 0
-            if report.accepting and report.accepted_orders:
-                target.proven_load = report.started_ms, report.accepted_orders
+            target.record_load()
 
     def _decode(self, name, record):
         if self._malformed_revisions.get(name) == record.revision:
@@ -460,6 +473,11 @@
         if previous is not None:
             target.cold_limiter = previous.cold_limiter
             target.notices = previous.notices
+            target.proven_load = previous.proven_load
+            target.unproven_load = previous.unproven_load
+            report = previous.report
+            if report is not None and report.started_ms == instance.started_ms:
+                target.report = report
         return target
 
     def _schedule_removal(self, target, now_s):
--- a/tests/test_distribution_load_proofs.py
+++ b/tests/test_distribution_load_proofs.py
@@ -4,12 +4,20 @@
 import pytest
 
 from briarbeam.kernel.clock import ManualClock
+from briarbeam.platform.store import Record
+from briarbeam.relay.fleet import Fleet, LoadReport
 
 from .distribution_fakes import CHUNK_COUNT, ENGINE, Reply, UnreachableError, chunk
 from .test_distribution_stager import StagerHarness
 
 FREEZE_S = 4.0
 LOAD_S = 0.1
+LONG_LOAD_S = 0.8
+SPEC = {
+    "service": "svc", "address": "10.0.0.5:90", "zone": "z1", "slots": 12,
+    "state": "ready", "cold_left_ms": 0, "born": 1, "version": "v1", "seq": 1,
+    "models": [{"name": "m", "version": 1}],
+}  # fmt: skip
 NAMED = ((1, 9.0, 1.0), (2, 1.0, 0.0))
 NEXT_NAMED = ((1, 99.0, 1.0), (2, 9.0, 0.0), (3, 1.0, 0.0))
 
@@ -35,12 +43,12 @@
             raise UnreachableError("no answer in time")
         return self.engine(request)
 
-    def accept(self):
+    def accept(self, load_s=LOAD_S):
         """Return the answer to the lost order, after which the engine loads for a while."""
         self.on_call = lambda method, path: None
         reply = self.engine(self.lost_order)
         self.engine.busy = True
-        gevent.spawn_later(LOAD_S, setattr, self.engine, "busy", False)
+        gevent.spawn_later(load_s, setattr, self.engine, "busy", False)
         return reply
 
     def spoil(self, *numbers):
@@ -209,8 +217,93 @@
     assert harness.engine.accepted == accepted and harness.serves()
 
 
-def test_entries_are_told_of_a_proven_load_and_vouch_for_it():
+class EntryHarness(ProofHarness):
+    """A stager whose reports reach an entry's `Fleet`, which tells what it knows."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet(self.stager._clock, lambda: {})
+        self.fleet.update({"i1": Record("i1", 1, SPEC)})
+
+    def _record_load(self, data, host):
+        known = len(self.sent)
+        super()._record_load(data, host)
+        for load in self.sent[known:]:
+            report = LoadReport(
+                0.0, load.started_ms, load.accepting, load.version, 0, 0,
+                accepted_orders=load.accepted_orders,
+            )  # fmt: skip
+            self.fleet.apply_report("10.0.0.5", report)
+
+    def greet_forever(self, *versions):
+        while True:
+            (target,) = self.fleet.all()
+            self.greet(
+                *versions,
+                proven_load=target.proven_load,
+                unproven_load=target.unproven_load,
+            )
+            gevent.sleep(0.1)
+
+    def run(self, seconds, *versions):
+        task = gevent.spawn(self.greet_forever, *(versions or NAMED))
+        super().run(seconds)
+        task.kill()
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_engine_that_loads_without_holding_weights_is_not_vouched_for(restarts):
+    harness = EntryHarness()
+    engine = harness.engine
+    engine.version, report = 0, engine.report
+    engine.report = lambda: report() | ({"models": []} if engine.busy else {})
+    harness.run(0.4, (1, 9.0, 1.0))
+    assert harness.lost_order is not None
+    harness.on_call = lambda method, path: gevent.sleep(60)
+    harness.run(0.2, (1, 9.0, 1.0))
+    harness.spoil(0, 1)
+    harness.accept()
+    if restarts:
+        harness.restart_stager()
+    harness.run(3.0, (1, 9.0, 1.0))
+    assert not harness.unsound
+    assert engine.version == 1 and harness.serves()
+
+
+def test_doubt_of_a_load_outlives_the_stager_that_repaired_its_chunks():
+    harness = EntryHarness()
+
+    def accept_late(method, path):
+        if harness.lost_order is not None and path == "/-/stage-get/m":
+            harness.spoil(0, 1)
+            harness.accept(LONG_LOAD_S)
+
+    harness.on_call = accept_late
+    harness.run(0.5)
+    assert harness.engine.accepted == 1 and harness.engine.busy
+    harness.restart_stager()
+    harness.run(3.5)
+    assert not harness.unsound
+    assert harness.engine.version == 2 and harness.serves()
+
+
+def test_vouched_engine_serves_again_after_an_unload_without_an_answer():
     harness = proven_harness()
-    told = [load for load in harness.sent if load.accepted_orders and load.accepting]
-    assert told[-1].accepted_orders == harness.engine.accepted
-    assert not any(load.accepted_orders > harness.engine.accepted for load in told)
+    load_id = harness.stager._report.load_id
+    harness.spoil(0, 1)
+    harness.restart_stager()
+    answer, lost = harness.network.handlers[ENGINE], []
+
+    def lose_unload(request):
+        if request.path == "/-/order" and not lost:
+            lost.append(request)
+            raise UnreachableError("no answer in time")
+        return answer(request)
+
+    harness.network.handlers[ENGINE] = lose_unload
+    harness.greet(*NAMED)
+    harness.run(1.9)
+    assert len(lost) == 1
+    harness.greet(*NAMED, proven_load=load_id)
+    harness.run(0.5)
+    assert harness.serves()
