Ask whether a caller has gone without a watcher at the event loop

What callers saw: a target's daemon aborted in libev ("I/O watcher with invalid fd found in epoll_ctl"), so that all requests it held were cut.

Cause: Request.caller_disconnected polled the caller's connection through the event loop (select.poll, replaced by gevent's) and yielded meanwhile. If that happens in the turn of the loop in which the poll began, libev adds a closed descriptor to epoll and aborts. A handler closes without a wait in between if its request is refused and its caller has gone: writing the refusal fails, or the next read finds the end.

Fix: one read of the plain socket that neither waits nor consumes. Nothing can be closed during it, and no watcher exists. The answer is the same: poll reports a connection as readable if that read would return or fail. It also ends a wait that gevent's recv could begin if the handler had read the bytes between the poll and the look.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -2,7 +2,6 @@
 
 import json
 import re
-import select
 import socket
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
@@ -64,19 +63,21 @@
         return value
 
     def caller_disconnected(self):
-        """Return whether the caller has closed its side of the connection."""
+        """Return whether the caller has closed its side of the connection.
+
+        It does not wait and leaves no watcher at the event loop: the task that answers
+        the request may close the connection while another task asks, and libev ends a
+        process that watches a closed descriptor.
+        """
         if self.connection is None:
             return False
         try:
-            poll = select.poll()
-            poll.register(self.connection, select.POLLIN)
-            if not poll.poll(0):
-                return False
+            # The plain socket below gevent's, which would wait.
             flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            return self.connection.recv(1, flags) == b""
+            return self.connection._sock.recv(1, flags) == b""
         except BlockingIOError:
             return False
-        except (OSError, ValueError):
+        except OSError:
             return True
 
 
--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -1,6 +1,8 @@
 """HTTP client and server: connections, and complete and broken replies."""
 
 import socket
+import subprocess
+import sys
 import time
 
 import gevent
@@ -13,6 +15,44 @@
 from briarbeam.kernel.network import Address, HttpNetwork, HttpRequest, fetch
 from tests.thread_fakes import thread_pool_blocked
 
+# A task asks about a caller that has gone, in the turn of the event loop in which the
+# task that answers closes the connection. It prints what it learnt once both are done.
+ASK_WHILE_CLOSING = """
+from gevent import monkey
+
+monkey.patch_all()
+import socket
+import gevent
+from gevent.event import Event
+from briarbeam.kernel.http import HttpServer, Response, Router
+from briarbeam.kernel.network import Address
+
+with socket.socket() as probe:
+    probe.bind(("127.0.0.1", 0))
+    address = Address(*probe.getsockname())
+requests, may_answer, ended = [], Event(), Event()
+
+def answer(request):
+    requests.append(request)
+    may_answer.wait()
+    gevent.getcurrent().link(lambda task: ended.set())
+    return Response.of_json({})
+
+router = Router()
+router.add("GET", "/", answer)
+HttpServer(address, router).start()
+with socket.create_connection(tuple(address)) as caller:
+    caller.sendall(b"GET / HTTP/1.1\\r\\n\\r\\n")
+    while not requests:
+        gevent.sleep(0.01)
+gevent.sleep(0.05)
+may_answer.set()
+gone = requests[0].caller_disconnected()
+assert ended.wait(10)
+gevent.sleep(0.05)
+print(gone, requests[0].caller_disconnected())
+"""
+
 
 @pytest.fixture
 def address():
@@ -239,3 +279,10 @@
         for sock in spare:
             sock.close()
     assert seen == [False, True]
+
+
+def test_question_about_a_caller_does_not_end_the_process_that_closes_its_connection():
+    """libev ends a process that watches a closed descriptor."""
+    command = [sys.executable, "-c", ASK_WHILE_CLOSING]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert (result.returncode, result.stdout) == (0, "True True\n"), result.stderr
