Create a target without the report of the one before, as until now

It is not needed: a target without a report gets no requests, and what entries know of its loads is still carried over.

--- a/briarbeam/relay/fleet.py
+++ b/briarbeam/relay/fleet.py
@@ -475,9 +475,6 @@
             target.notices = previous.notices
             target.proven_load = previous.proven_load
             target.unproven_load = previous.unproven_load
-            report = previous.report
-            if report is not None and report.started_ms == instance.started_ms:
-                target.report = report
         return target
 
     def _schedule_removal(self, target, now_s):
