--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -1,5 +1,6 @@
 """Answers of instances with neither a length nor chunks, which end with the connection."""
 
+import contextlib
 import errno
 import time
 from dataclasses import replace
@@ -31,6 +32,7 @@
     stream_head,
 )
 
+LINE_WITHIN_S = 5.0
 PLAIN_STREAM = RESUMABLE_STREAM | {"resumable": False}
 WHOLE_HEAD = b"HTTP/1.1 200 OK\r\n" + SEAL + b"\r\n"
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\n" + SEAL + b"content-type: text/event-stream\r\n\r\n"
@@ -71,10 +73,12 @@
 def test_line_of_a_request_tells_how_its_answer_ended(script, fields):
     entry = Entry({"i1": FakeInstance(script)}, **PLAIN_STREAM)
     with capture_logs() as lines:
-        try:
+        with contextlib.suppress(ConnectionResetError):
             entry.ask(method=b"POST")
-        except ConnectionResetError:
-            gevent.sleep(0.05)
+        # The line is written after the caller's connection has ended.
+        with gevent.Timeout(LINE_WITHIN_S):
+            while not any(line["event"] == "request" for line in lines):
+                gevent.sleep(0.01)
     (line,) = [line for line in lines if line["event"] == "request"]
     names = (
         "answer_framing", "connection_end", "answer_events", "answer_left_bytes",
