Move an engine's orders, a cached version and crash messages to their modules

What orders an engine to load or unload is now engine_orders.py, the chunks of one version at an entry cached_version.py, and the encoding of reports of crashes crash_messages.py.

--- a/briarbeam/distribution/crash_reporter.py
+++ b/briarbeam/distribution/crash_reporter.py
@@ -4,7 +4,7 @@
 
 import gevent
 
-from .messages import encode_crashes, encode_runs
+from .crash_messages import encode_crashes, encode_runs
 from .ranking import first_in_rank
 
 # Pauses before each datagram about news, in case one is lost.
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -26,8 +26,6 @@
 # Longest id of a suspect, a run or a request in a report of crashes. Such a report has at
 # most 16 + 8 + 4 x 16 characters of ids and about 35 others a crash.
 CRASH_ID_MAX_CHARS = 16
-CRASHES_PER_DATAGRAM = 10
-RUNS_PER_DATAGRAM = 40
 # Times in milliseconds, revisions and counts are far smaller.
 NUMBER_MAX = 2**53
 # Number of addresses that are known to be valid. The loads of all engines arrive many
@@ -448,24 +446,6 @@
     return value
 
 
-def encode_runs(run_rows):
-    """Return the datagram that carries `RunRow` objects, not too many of them."""
-    items = [[row.name, round(row.age_s, 3), row.count] for row in run_rows]
-    return encode(CrashReport((), tuple(items[:RUNS_PER_DATAGRAM])))
-
-
-def encode_crashes(rows):
-    """Return the datagrams that carry `CrashRow` objects, none above `MAX_BYTES`."""
-    items = [
-        [row.suspect, row.run, round(row.age_s, 3), row.requests, row.excused]
-        for row in rows
-    ]
-    return [
-        encode(CrashReport(tuple(items[first : first + CRASHES_PER_DATAGRAM])))
-        for first in range(0, len(items), CRASHES_PER_DATAGRAM)
-    ]
-
-
 def encode_batches(loads, entries=()):
     """Return the datagrams that carry `loads`, none larger than `MAX_BYTES`.
 
--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -7,19 +7,18 @@
 import structlog
 from gevent import socket
 from gevent.lock import Semaphore
-from prometheus_client import Counter, Gauge
+from prometheus_client import Gauge
 
 from ..kernel.errors import BriarbeamError
 from ..kernel.pause import PauseDetector
 from ..platform import engines
 from .copies import Copy
 from .datagram_sender import DatagramSender
+from .engine_orders import EngineOrders
 from .errors import (
     ChunkUnavailableError,
     CorruptChunkError,
-    EngineChangedError,
     MalformedDatagramError,
-    StaleCheckError,
 )
 from .fetch_order import FetchOrder
 from .fetcher import ChunkFetcher
@@ -48,26 +47,12 @@
 # Pause after a failed fetch, or while all missing chunks have to wait. It is short, as
 # an entry that is still downloading a chunk waits for it before it answers.
 FETCH_PAUSE_S = 0.03
-# Time for the entries to receive the announcement that an engine stops accepting
-# requests, before the engine is ordered to load.
-ANNOUNCE_DELAY_S = 0.03
 # The approximate time that an engine takes to finish its running requests. Engines of
 # the first wave stop accepting requests this long before their copy is complete.
 DRAIN_S = 1.2
 # An engine of the first wave whose copy is late accepts requests again after this.
 DRAIN_MAX_S = 2.0
-# A load that takes longer is no longer waited for. The next step then depends on what
-# the engine reports.
-LOAD_TIMEOUT_S = 12.0
-# How often in a row the chunks may take longer to read than a check is trusted.
-STALE_CHECKS_MAX = 2
-# Time for the entries to tell a stager that was restarted which load was proven before;
-# they greet it once a second.
-VOUCH_WAIT_S = 1.5
-# An engine that did not give up its weights is not ordered to again before this.
-UNLOAD_RETRY_S = 1.0
-
-_ORDERS = Counter("briarbeam_orders", "Orders to the engine", ["result"])
+
 _VERSION = Gauge("briarbeam_engine_version", "Weights that the engine holds")
 _log = structlog.get_logger()
 
@@ -115,14 +100,18 @@
         self._reports_requested = self._report_number = 0
         self._serve_lock = Semaphore()
         self._peer_server = PeerServer(address, self)
-        self._loading_weights = False
-        self._vouched_by_s = time.monotonic() + VOUCH_WAIT_S
-        self._unload_at_s = 0.0
-        self._stale_checks = 0
         self._draining_since_s = None
         self._copies = {}
         self._staging_area = StagingArea(network, clock, engine)
         self._load_proof = LoadProof(self._staging_area)
+        self._orders = EngineOrders(
+            network,
+            engine,
+            self._staging_area,
+            self._load_proof,
+            self._fetch_report,
+            self._announce_load,
+        )
         self._fetcher = ChunkFetcher(
             network, self._roster, failure_domain, address.port
         )
@@ -289,7 +278,7 @@
         """Return whether the engine can be reached, is whole and accepts requests."""
         report = self._report
         return report is not None and not (
-            self._loading_weights
+            self._orders.is_loading
             or self._load_proof.is_open(report)
             or self._drains_early()
         )
@@ -413,7 +402,7 @@
                 _log.info("load_failed", error=str(error))
             except Exception:
                 _log.exception("load_broke")
-            self._loading_weights = False
+            self._orders.is_loading = False
             gevent.sleep(LOAD_POLL_S)
 
     def _load_newest(self):
@@ -433,7 +422,7 @@
         is_doubtful = self._load_proof.is_doubtful(report)
         version = max((v for v in self._copies if self._is_complete(v)), default=0)
         if version <= held and is_doubtful:
-            self._order_unload(report, held)
+            self._orders.unload(greeting.model, held, report)
         if version <= held:
             self._discard_older(held)
             return
@@ -445,56 +434,7 @@
             strategy = choose_strategy(greeting, self._namings.age_s(version), share)
         if strategy is None:
             return
-        self._staging_area.stage(copy)
-        try:
-            self._check_age(copy)
-            self._order_load(copy, strategy, report.load_id)
-        except StaleCheckError:
-            self._stale_checks += 1
-            raise
-
-    def _check_age(self, copy):
-        """Check that the chunks of `copy` were checked shortly before.
-
-        An engine that is too slow for that is ordered to load all the same; its chunks
-        are read once more when it has taken them.
-
-        :raises StaleCheckError: as `StagingArea.check_age`.
-        """
-        if self._stale_checks < STALE_CHECKS_MAX:
-            self._staging_area.check_age(copy)
-
-    def _order_unload(self, report, held):
-        """Order the engine to give up weights that can't be proven.
-
-        It answers an order for the version that it holds with "in effect", so it takes
-        the chunks again only once it holds none.
-        """
-        now_s = time.monotonic()
-        may_be_vouched = (
-            self._load_proof.was_found(report) and now_s < self._vouched_by_s
-        )
-        if may_be_vouched or now_s < self._unload_at_s:
-            return
-        self._unload_at_s = now_s + UNLOAD_RETRY_S
-        model = self._greeting.model
-        result = engines.order_unload(
-            self._network,
-            self._engine,
-            model,
-            held,
-            report.accepted_orders,
-        )
-        _ORDERS.labels(result.value).inc()
-        _log.warning(
-            "unload_ordered",
-            model=model,
-            held=held,
-            orders=report.accepted_orders,
-            running=report.running,
-            result=result.value,
-        )
-        self._fetch_report()
+        self._orders.load(copy, strategy, report, self._namings.age_s(version))
 
     def _discard_older(self, held):
         for version in [v for v in self._copies if v < held]:
@@ -518,80 +458,3 @@
             self._draining_since_s = time.monotonic()
             _log.info("drain_begun", version=incomplete[-1].manifest.version)
         return time.monotonic() - self._draining_since_s < DRAIN_MAX_S
-
-    def _order_load(self, copy, strategy, load_id):
-        """Order the engine to load `copy`, and wait until it has.
-
-        :param load_id: the engine's last load when `copy` was staged.
-        :raises EngineChangedError: if it has accepted another order since.
-        """
-        manifest = copy.manifest
-        report = self._fetch_report()
-        if report.load_id != load_id or report.busy:
-            raise EngineChangedError(
-                f"the engine has accepted {report.accepted_orders} orders, "
-                f"expected {load_id[1]}; busy: {report.busy}"
-            )
-        self._loading_weights = True
-        self._announce_load()
-        gevent.sleep(ANNOUNCE_DELAY_S)
-        self._announce_load()
-        ordered_s, checked_age_s = time.monotonic(), 0.0
-
-        def check_before_send():
-            nonlocal checked_age_s
-            self._check_age(copy)
-            checked_age_s = self._staging_area.checked_age_s(copy)
-            self._load_proof.record_order(report)
-
-        result = engines.order_load(
-            self._network,
-            self._engine,
-            manifest.model,
-            manifest.version,
-            report.accepted_orders,
-            strategy,
-            check_before_send,
-        )
-        if result is engines.OrderResult.BEGUN:
-            self._stale_checks = 0
-            self._load_proof.record_begun(report, copy)
-        else:
-            self._load_proof.record_refused()
-        _ORDERS.labels(result.value).inc()
-        _log.info(
-            "load_ordered",
-            model=manifest.model,
-            version=manifest.version,
-            held=self._held_version(report),
-            orders=report.accepted_orders,
-            running=report.running,
-            age_s=round(self._namings.age_s(manifest.version), 3),
-            strategy=strategy,
-            checked_age_s=round(checked_age_s, 3),
-            result=result.value,
-        )
-        if result is not engines.OrderResult.REFUSED:
-            self._await_load(manifest, report, ordered_s)
-
-    def _await_load(self, manifest, report_before, ordered_s):
-        """Wait until the engine has loaded the weights, restarted or taken too long."""
-        while time.monotonic() < ordered_s + LOAD_TIMEOUT_S:
-            gevent.sleep(0.05)
-            report = self._fetch_report()
-            if report.started_ms != report_before.started_ms:
-                _log.warning("engine_restarted", version=manifest.version)
-                return
-            if (
-                report.models.get(manifest.model) == manifest.version
-                and not report.busy
-            ):
-                self._loading_weights = False
-                self._announce_load()
-                _log.info(
-                    "load_ended",
-                    version=manifest.version,
-                    elapsed_s=round(time.monotonic() - ordered_s, 3),
-                )
-                return
-        _log.warning("load_timed_out", version=manifest.version)
--- a/tests/test_distribution_chunks.py
+++ b/tests/test_distribution_chunks.py
@@ -6,7 +6,8 @@
 import pytest
 
 from briarbeam.catalog import WeightOrigin
-from briarbeam.distribution.chunks import CachedVersion, ChunkCache
+from briarbeam.distribution.cached_version import CachedVersion
+from briarbeam.distribution.chunks import ChunkCache
 from briarbeam.distribution.errors import ChunkUnavailableError
 from briarbeam.distribution.peer_server import PeerServer
 from briarbeam.distribution.ranking import rank_entries
--- a/tests/test_distribution_crashes.py
+++ b/tests/test_distribution_crashes.py
@@ -6,16 +6,18 @@
 import pytest
 
 from briarbeam.distribution import crash_reporter
+from briarbeam.distribution.crash_messages import (
+    CRASHES_PER_DATAGRAM,
+    RUNS_PER_DATAGRAM,
+    encode_crashes,
+    encode_runs,
+)
 from briarbeam.distribution.crash_reporter import CRASHES_PER_SYNC, CrashReporter
 from briarbeam.distribution.errors import MalformedDatagramError
 from briarbeam.distribution.messages import (
-    CRASHES_PER_DATAGRAM,
     MAX_BYTES,
-    RUNS_PER_DATAGRAM,
     CrashReport,
     decode,
-    encode_crashes,
-    encode_runs,
 )
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.relay.crash_evidence import (
