Do not repeat a restarted stager's own lack of a proof as a doubt

A stager that had found a load said that it did not accept requests yet; entries kept that as a load that was never proven, and told it back to the same stager as a doubt of the one before it.

A stager states no accepted orders for a load that it found and has not proven.

--- a/briarbeam/distribution/stager.py
+++ b/briarbeam/distribution/stager.py
@@ -1,5 +1,6 @@
 """The daemon on an engine's machine: fetches, stages and loads the wanted weights."""
 
+import dataclasses
 import random
 import time
 
@@ -271,8 +272,12 @@
 
     def _current_load(self):
         """Return the engine's report, its version, and whether it accepts requests."""
-        report = self._report
-        return report, self._held_version(report), self._accepts()
+        report, accepts = self._report, self._accepts()
+        version = self._held_version(report)
+        if not accepts and self._load_proof.was_found(report):
+            # Entries would repeat it as a doubt that the process before had.
+            report = dataclasses.replace(report, accepted_orders=0)
+        return report, version, accepts
 
     def _accepts(self):
         """Return whether the engine can be reached, is whole and accepts requests."""
--- a/tests/test_distribution_load_proofs.py
+++ b/tests/test_distribution_load_proofs.py
@@ -8,7 +8,7 @@
 from briarbeam.relay.fleet import Fleet, LoadReport
 
 from .distribution_fakes import CHUNK_COUNT, ENGINE, Reply, UnreachableError, chunk
-from .test_distribution_stager import StagerHarness
+from .test_distribution_stager import PEER, StagerHarness
 
 FREEZE_S = 4.0
 LOAD_S = 0.1
@@ -222,6 +222,10 @@
 
     def __init__(self):
         super().__init__()
+        self.forget()
+
+    def forget(self):
+        """Replace the entry by one that knows nothing."""
         self.fleet = Fleet(self.stager._clock, lambda: {})
         self.fleet.update({"i1": Record("i1", 1, SPEC)})
 
@@ -287,6 +291,23 @@
     assert harness.engine.version == 2 and harness.serves()
 
 
+def test_sound_engine_is_not_emptied_after_all_processes_were_killed():
+    """The new stager's own report, that nothing is proven yet, came back as a doubt."""
+    harness = EntryHarness()
+    harness.lost_order = "none"
+    harness.run(0.5)
+    accepted = harness.engine.accepted
+    assert accepted and harness.serves()
+    harness.restart_stager()
+    harness.forget()
+    answer = harness.network.handlers[PEER]
+    harness.network.handlers[PEER] = lambda request: Reply(503)
+    harness.run(0.5)
+    harness.network.handlers[PEER] = answer
+    harness.run(2.5)
+    assert harness.engine.accepted == accepted and harness.serves()
+
+
 def test_vouched_engine_serves_again_after_an_unload_without_an_answer():
     harness = proven_harness()
     load_id = harness.stager._report.load_id
