--- a/review/sitekit.py
+++ b/review/sitekit.py
@@ -200,11 +200,18 @@
     """The platform's store: records by kind and name, with revisions and watches.
 
     `watches` has the host at which each watch arrived, by kind. `era` is None if answers
-    state none.
+    state none. `on_list` is called with the kind and the query of each list.
+
+    :param link_bytes_per_s: the rate of the link on which answers travel, or None.
     """
 
-    def __init__(self, host, more_hosts=()):
+    # A page of a list has about so many items at most.
+    PAGE_ITEMS = 500
+
+    def __init__(self, host, more_hosts=(), link_bytes_per_s=None):
         super().__init__(host, more_hosts)
+        self._link_bytes_per_s = link_bytes_per_s
+        self.on_list = lambda kind, query: None
         self.records = {}
         self.revision = 100
         self.era = None
@@ -254,7 +261,10 @@
         status, value = await self._answer(request)
         if self.era is not None:
             headers.append(("Store-Era", self.era))
-        return status, headers, json.dumps(value).encode()
+        body = json.dumps(value).encode()
+        if self._link_bytes_per_s is not None:
+            await asyncio.sleep(len(body) / self._link_bytes_per_s)
+        return status, headers, body
 
     async def _answer(self, request):
         if self.is_away:
@@ -262,10 +272,17 @@
         kind = request.path.rsplit("/", 1)[1]
         query = request.query
         if "watch" not in query:
-            items = [item for (k, _), item in sorted(self.records.items()) if k == kind]
+            self.on_list(kind, query)
+            items = [
+                item
+                for (k, name), item in sorted(self.records.items())
+                if k == kind and name > query.get("after", "")
+            ]
             return 200, {
-                "items": items, "more": False, "store_revision": self.revision
-            }  # fmt: skip
+                "items": items[: self.PAGE_ITEMS],
+                "more": len(items) > self.PAGE_ITEMS,
+                "store_revision": self.revision,
+            }
         self.watches.setdefault(kind, []).append(request.arrived_at)
         since, era = int(query["watch"]), self.era
         end_s = time.monotonic() + int(query["wait_ms"]) / 1000
