Add review case 6: broken streams of a drained runner end as if complete

A runner drains and its process is gone 2 s later. Its streams with neither a length nor chunks end in order, as the kernel closes them; the entry takes that for their end, because the runner is leaving, and their callers get a short answer that looks complete (ORDER).

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,178 +1,210 @@
-"""Connections to the store fall silent, and a server that drains still gets requests."""
+"""A runner that drains is gone, and its broken streams reach callers as complete."""
 
 import asyncio
+import json
+import subprocess
 import sys
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+REVIEW = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(REVIEW))
 
 from sitekit import (  # noqa: E402
     BROKEN,
     HELD,
     LIMITS,
-    CannotRunError,
-    Engine,
-    PlainServer,
     Process,
-    Proxy,
     Store,
-    call,
     main,
     model_service,
-    plain_service,
+    read_head,
     reserve_prefix,
     route,
+    split_address,
 )
+from streamer import EVENTS, event  # noqa: E402
 
-CONTACT_S = 3.0
-DRAIN_S = 2.0
-# How long a draining server goes on after the drain time before it exits.
-EXIT_AFTER_S = 1.6
-WORK_S = 0.4
-# After the entries are ready, they agree on which of them reads the store.
-SETTLE_S = 6.0
 ZONE, REGIONS = "hba-a", {"hba-a": "hobart"}
-SERVICE, MODELS, MODEL = "xano55b", "dele69a", "daka510000"
-
-
-class Site:
-    """Three entries of one zone, an engine with its daemon, and three plain servers."""
-
-    def __init__(self, record, folder):
-        self.record = record
-        self.prefix = prefix = reserve_prefix()
-        self.store = Store(f"{prefix}.0.1")
-        self.proxies = [
-            Proxy(f"{prefix}.0.{10 + n}", lambda: (self.store.host, self.store.port))
-            for n in (1, 2, 3, 4)
-        ]
-        self.servers = [
-            PlainServer(f"{prefix}.2.{n}", f"i-{n}", SERVICE, ZONE, record, WORK_S)
-            for n in (1, 2, 3)
-        ]
-        self.engine = Engine(f"{prefix}.3.1", "i-9", MODELS, MODEL, ZONE)
-        self.folder = folder
-        self.entries, self.side = [], None
-        self.sent_s = {}
-
-    async def start(self):
-        for server in (self.store, self.engine, *self.servers, *self.proxies):
-            await server.start()
-        for server in (self.engine, *self.servers):
-            await self.store.put("servers", server.name, server.entry())
-        await self.store.put("versions", MODEL, {"model": MODEL, "version": 1})
-        state = {
-            "version": 7,
-            "routes": [route("r-1", "/filo73/", "non_idempotent", SERVICE)],
-            "services": [plain_service(SERVICE), model_service(MODELS, MODEL)],
-            "limits": LIMITS,
-        }
-        await self.store.put("config", "main", state)
-        *proxies, side_proxy = self.proxies
-        self.entries = [
-            Process(
-                "entry", f"front-hba-a-{n}", f"{self.prefix}.1.{n}", ZONE,
-                proxy.address, self.folder, REGIONS,
-            )
-            for n, proxy in enumerate(proxies, start=1)
-        ]  # fmt: skip
+SERVICE, MODEL = "dele69a", "daka510000"
+PORT = 8740
+# How long after its notice the runner is gone.
+GONE_AFTER_S = 2.0
+# It lives for longer without the trouble.
+LIVES_FOR_S = 4.5
+RUNNERS = 7
+# Three of the runners send so much of their streams with neither a length nor chunks.
+UNFRAMED_SHARE = 0.05
+ROUNDS = 8
+SENT_BEFORE_S = 0.5
+REQUESTS = 98
+SHORT = "short, and ended as if complete"
+STATE = {
+    "models": [{"name": MODEL, "version": 1, "adapters": []}],
+    "layers": {"from": 0, "to": 16, "version": 1},
+}
+
+
+class Runner:
+    """A runner's process, and the daemon beside it."""
+
+    def __init__(self, prefix, number, store, folder):
+        # Each one that replaces another does as that one did.
+        self.is_unframed = number in (1, 2, 3) or number > RUNNERS
+        self.name, self.host = f"i-{number:02}", f"{prefix}.3.{number}"
+        self._state = STATE | {"born": int(time.time() * 1000)}
+        self.address = f"{self.host}:{PORT}"
+        self._log_path = Path(folder) / f"runner-{number}.log"
         self.side = Process(
-            "stager", "side-hba-a-1", self.engine.host, ZONE, side_proxy.address,
-            self.folder, REGIONS, self.engine.address,
-        )  # fmt: skip
-        for process in (*self.entries, self.side):
-            process.start()
-        for entry in self.entries:
-            await entry.wait_ready()
-
-    def stop(self):
-        for process in (*self.entries, self.side):
-            if process is not None:
-                process.end()
-        for server in (*self.proxies, *self.servers, self.engine, self.store):
-            server.stop()
-
-    async def send(self, entry, number):
-        """Send a settlement to `entry`; return its id and the answer."""
-        request_id = f"{number:016x}"
-        self.sent_s[request_id] = time.monotonic()
-        self.record.add(f"{request_id} is sent to {entry.name}")
-        answer = await call(
-            entry.callers, "POST", "/filo73/de11", "jepu9.example", request_id,
-            [("X-Deadline-Ms", "2500")], b"settle",
+            "stager", f"side-hba-a-{number}", self.host, ZONE, store.address, folder,
+            REGIONS, self.address,
         )  # fmt: skip
-        self.record.add(
-            f"{request_id} is answered {answer.status}, whole: {answer.complete}"
-        )
-        return request_id, answer
+        self.process = None
+
+    def start(self):
+        command = [
+            "python3", str(REVIEW / "streamer.py"), self.host, str(PORT), self.name,
+            json.dumps(self._state), str(UNFRAMED_SHARE if self.is_unframed else 0.0),
+        ]  # fmt: skip
+        with self._log_path.open("w") as log:
+            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+        self.side.start()
+
+    def entry(self, state="ready"):
+        return {
+            "service": SERVICE, "address": self.address, "zone": ZONE, "version": "v1",
+            "slots": 16, "state": state, "cold_left_ms": 0, "stage": "both", "seq": 1,
+            **self._state,
+        }  # fmt: skip
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def log(self):
+        return self._log_path.read_text()
 
 
 async def run(record, folder, has_trouble):
-    site = Site(record, folder)
+    prefix = reserve_prefix()
+    store = Store(f"{prefix}.0.1")
+    await store.start()
+    runners = []
+    entry = Process(
+        "entry", "front-hba-a-1", f"{prefix}.1.1", ZONE, store.address, folder, REGIONS
+    )
     try:
-        await site.start()
-        return await drain(site, has_trouble)
+        for _ in range(RUNNERS):
+            await add_runner(prefix, store, folder, runners)
+        await store.put("versions", MODEL, {"model": MODEL, "version": 1})
+        state = {
+            "version": 7,
+            "routes": [
+                route(
+                    "r-1", "/lepu270/", "streaming", SERVICE,
+                    timeout_ms=6000, gap_target_ms=400,
+                )
+            ],
+            "services": [model_service(SERVICE, MODEL)],
+            "limits": LIMITS,
+        }  # fmt: skip
+        await store.put("config", "main", state)
+        entry.start()
+        await entry.wait_ready()
+        await asyncio.sleep(4.0)
+        results = []
+        for _ in range(ROUNDS):
+            results += await drain(record, store, runners, entry, has_trouble)
+            await add_runner(prefix, store, folder, runners)
+            await asyncio.sleep(2.0)
+        record.add(
+            f"streams: { ({r: results.count(r) for r in sorted(set(results))}) }"
+        )
+        return BROKEN if SHORT in results else HELD
     finally:
-        site.stop()
-
-
-async def drain(site, has_trouble):
-    record, store = site.record, site.store
-    leaving = site.servers[0]
-    warm = [site.send(site.entries[n % 3], n) for n in range(1, 13)]
-    if any(answer.status != 200 for _, answer in await asyncio.gather(*warm)):
-        raise CannotRunError("requests fail before the trouble")
-    await asyncio.sleep(SETTLE_S)
-    # The connections fall silent shortly after a watch on the servers was sent.
-    count = len(store.watches["servers"])
-    while len(store.watches["servers"]) == count:
-        await asyncio.sleep(0.01)
-    await asyncio.sleep(0.2)
-    silent_s = time.monotonic()
-    if has_trouble:
-        silent = sum(proxy.silence() for proxy in site.proxies)
-        record.add(f"all {silent} open connections to the store fall silent")
-    await asyncio.sleep(0.1)
+        for process in (entry, *(runner.side for runner in runners)):
+            process.end()
+        for runner in runners:
+            if runner.process is not None:
+                runner.kill()
+        store.stop()
+
+
+async def add_runner(prefix, store, folder, runners):
+    """Start a runner, which registers itself."""
+    runner = Runner(prefix, len(runners) + 1, store, folder)
+    runners.append(runner)
+    runner.start()
+    await asyncio.sleep(0.3)
+    await store.put("servers", runner.name, runner.entry())
+
+
+async def drain(record, store, runners, entry, has_trouble):
+    """Have a runner drain, and be gone later, while streams run; return their results."""
+    leaving = next(r for r in runners if r.is_unframed and r.process.poll() is None)
+    first = 1000 * len(runners)
+    calls = []
+    for number in range(first, first + REQUESTS):
+        calls.append(asyncio.create_task(stream(record, entry, number)))
+        await asyncio.sleep(SENT_BEFORE_S / REQUESTS)
     await store.put("servers", leaving.name, leaving.entry("draining"))
-    acked_s = time.monotonic()
-    leaving.leaving = True
     record.add(f"the store accepts that {leaving.name} is draining")
-    exit_task = asyncio.create_task(exit_later(leaving, acked_s))
-    # From here on, all machines have been in touch for the whole contact time.
-    await asyncio.sleep(silent_s + CONTACT_S + 0.05 - time.monotonic())
-    calls = []
-    for number in range(100, 190):
-        entry = site.entries[number % 3]
-        calls.append(asyncio.create_task(site.send(entry, number)))
-        await asyncio.sleep(0.015)
-    answers = dict(await asyncio.gather(*calls))
-    await exit_task
-    return judge(record, leaving, acked_s, answers)
-
-
-async def exit_later(server, acked_s):
-    await asyncio.sleep(acked_s + DRAIN_S + EXIT_AFTER_S - time.monotonic())
-    server.exit()
-
-
-def judge(record, leaving, acked_s, answers):
-    """Record the requests that reached `leaving` too late; return the result."""
-    late = [
-        run
-        for run in leaving.runs
-        if run.request_id in answers and run.at_s > acked_s + DRAIN_S
-    ]
-    for run in late:
-        answer = answers[run.request_id]
-        record.add(
-            f"{run.request_id} reached {leaving.name} {run.at_s - acked_s:.3f} s after "
-            f"the ack, limit {DRAIN_S} s; run to its end: {run.ended}; "
-            f"answer: {answer.status}"
-        )
-    lost = [run for run in late if answers[run.request_id].status != 200]
-    record.add(f"{len(late)} requests came too late, {len(lost)} of them were lost")
-    return BROKEN if late else HELD
+    await asyncio.sleep(GONE_AFTER_S if has_trouble else LIVES_FOR_S)
+    leaving.kill()
+    leaving.side.end()
+    record.add(f"{leaving.name} is gone; it wrote:\n{leaving.log()}")
+    await store.remove("servers", leaving.name)
+    return await asyncio.gather(*calls)
+
+
+async def stream(record, entry, number):
+    """Ask for a stream; return what its requester has to make of it."""
+    request_id = f"{number:016x}"
+    record.add(f"{request_id} is sent to {entry.name}")
+    reader, writer = await asyncio.open_connection(*split_address(entry.callers))
+    lines = [
+        "POST /lepu270/2f HTTP/1.1", "Host: jepu9.example",
+        f"X-Request-Id: {request_id}", f"X-Model: {MODEL}", "X-Token-Usage: 1460,80",
+        "X-Prefix-Hash: 5c1e07a2:800,e4402b7d:660", "X-Deadline-Ms: 6000",
+        "Content-Length: 5",
+    ]  # fmt: skip
+    writer.write("\r\n".join(lines).encode() + b"\r\n\r\nhello")
+    head, body, is_whole_end = await read_head(reader), b"", False
+    try:
+        if head is not None and head.headers.get("transfer-encoding") == "chunked":
+            while size := int((await reader.readline()).split(b";")[0], 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+            is_whole_end = True
+        elif head is not None and "content-length" in head.headers:
+            length = int(head.headers["content-length"])
+            body = await reader.readexactly(length)
+            is_whole_end = True
+        elif head is not None:
+            # The end of the channel is that of the answer, unless it is reset.
+            while data := await reader.read(65536):
+                body += data
+            is_whole_end = True
+    except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+        is_whole_end = False
+    finally:
+        writer.transport.abort()
+    status = None if head is None else int(head.start[1])
+    expected = b"".join(event(request_id, n) for n in range(1, EVENTS + 1))
+    if status != 200:
+        result = f"answered {status}"
+    elif not is_whole_end:
+        result = "broken off"
+    elif body == expected:
+        result = "whole"
+    else:
+        result = SHORT
+    record.add(
+        f"{request_id}: {status}, seal "
+        f"{head.headers.get('x-response-seal') if head else None}, "
+        f"{body.count(b'data:')} of {EVENTS} events, orderly end: {is_whole_end}: {result}"
+    )
+    return result
 
 
 if __name__ == "__main__":
--- a/review/sitekit.py
+++ b/review/sitekit.py
@@ -200,18 +200,14 @@
     """The platform's store: records by kind and name, with revisions and watches.
 
     `watches` has the host at which each watch arrived, by kind. `era` is None if answers
-    state none. `on_list` is called with the kind and the query of each list.
-
-    :param link_bytes_per_s: the rate of the link on which answers travel, or None.
+    state none.
     """
 
     # A page of a list has about so many items at most.
     PAGE_ITEMS = 500
 
-    def __init__(self, host, more_hosts=(), link_bytes_per_s=None):
+    def __init__(self, host, more_hosts=()):
         super().__init__(host, more_hosts)
-        self._link_bytes_per_s = link_bytes_per_s
-        self.on_list = lambda kind, query: None
         self.records = {}
         self.revision = 100
         self.era = None
@@ -261,10 +257,7 @@
         status, value = await self._answer(request)
         if self.era is not None:
             headers.append(("Store-Era", self.era))
-        body = json.dumps(value).encode()
-        if self._link_bytes_per_s is not None:
-            await asyncio.sleep(len(body) / self._link_bytes_per_s)
-        return status, headers, body
+        return status, headers, json.dumps(value).encode()
 
     async def _answer(self, request):
         if self.is_away:
@@ -272,7 +265,6 @@
         kind = request.path.rsplit("/", 1)[1]
         query = request.query
         if "watch" not in query:
-            self.on_list(kind, query)
             items = [
                 item
                 for (k, name), item in sorted(self.records.items())
