--- a/review/sitekit.py
+++ b/review/sitekit.py
@@ -622,7 +622,7 @@
             result = asyncio.run(
                 asyncio.wait_for(case(record, temporary, has_trouble), 110)
             )
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:  # An uncaught one would end with status 1, BROKEN.
             record.add(f"the case could not run: {error!r}")
             result = NOT_RUN
     record.add({HELD: "held", BROKEN: "BROKEN", NOT_RUN: "not run"}[result])
