Log the status of answers that instances made

The log couldn't tell a failure that an instance answered from a success: both have `outcome` ok, and both share five lines a second.

The line of a request has `answer_status` now, and an answer of 400 or more shares the 25 lines a second of failures.

Tests: test_line_of_a_request_tells_the_status_that_its_instance_answered and test_failures_of_instances_are_not_left_out_for_successes, both failed before (no such field; no line).

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -26,12 +26,14 @@
 class AnswerEnd:
     """How far an instance's answer came.
 
+    :param status: its status.
     :param framing: the `Framing` of its body.
     :param connection_end: how the instance ended the connection, or None.
     :param event_count: the number of complete events.
     :param left_bytes: the number of bytes after the last event.
     """
 
+    status: int
     framing: Framing
     connection_end: str | None
     event_count: int
@@ -131,6 +133,7 @@
         if head is None:
             return None
         return AnswerEnd(
+            head.status,
             head.framing,
             call.connection_end,
             self.splitter.count,
--- a/briarbeam/telemetry/request_log.py
+++ b/briarbeam/telemetry/request_log.py
@@ -206,7 +206,8 @@
         if cut:
             kind = "cut"
         else:
-            kind = "unmarked" if error is None and is_unmarked else error is None
+            is_failure = error is not None or (end is not None and end.status >= 400)
+            kind = "unmarked" if error is None and is_unmarked else not is_failure
         if not self._allow_line(kind):
             self._omitted_count += 1
             _DROPPED.labels("rate").inc()
@@ -243,6 +244,7 @@
                 )
         if end is not None:
             fields.update(
+                answer_status=end.status,
                 answer_framing=str(end.framing),
                 connection_end=end.connection_end,
                 answer_events=end.event_count,
--- a/tests/test_relay_refusals.py
+++ b/tests/test_relay_refusals.py
@@ -3,8 +3,10 @@
 import gevent
 import pytest
 from gevent import socket
+from structlog.testing import capture_logs
 
 from briarbeam.kernel.network import Address
+from briarbeam.telemetry import request_log
 
 from .relay_fakes import (
     NON_IDEMPOTENT,
@@ -173,3 +175,23 @@
     answer = entry.ask(method=b"POST", body=b"x" * (32 * 2**20))
     assert answer.split()[1] == b"200"
     assert len(second.requests) == 1
+
+
+def test_line_of_a_request_tells_the_status_that_its_instance_answered():
+    """A failure that was passed on had the line of a success."""
+    head = b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"
+    entry = Entry({"i1": FakeInstance(reply(head))}, **NON_IDEMPOTENT)
+    with capture_logs() as lines:
+        entry.ask(method=b"POST", body=b"x")
+    (line,) = [line for line in lines if line["event"] == "request"]
+    assert (line["outcome"], line["answer_status"]) == ("ok", 500)
+
+
+def test_failures_of_instances_are_not_left_out_for_successes(monkeypatch):
+    """They shared the few lines of successes."""
+    monkeypatch.setattr(request_log, "SUCCESSES_PER_S", 0)
+    head = b"HTTP/1.1 500 Oops\r\ncontent-length: 0\r\n\r\n"
+    entry = Entry({"i1": FakeInstance(reply(head))}, **NON_IDEMPOTENT)
+    with capture_logs() as lines:
+        entry.ask(method=b"POST", body=b"x")
+    assert [line for line in lines if line["event"] == "request"]
