Pass no failure of an instance on that reads as a promise

What callers saw: a request that may run once had run, its server failed it with 503 and without X-Not-Run, and the entry passed that on.

Cause: `Delivery._accept` asked of a status only whether another attempt was possible. A word with one meaning between entry and server was copied to the caller, where it has another.

Now an answer 408, 429 or 503 that the instance did not mark as "not run" counts as a failure. The request goes elsewhere if it may be repeated, after a 408, too; otherwise its caller gets 502 `misleading_status`.

Two sentences of PROTOCOL.md are against each other here: "the runner's status, body and X-Response-Seal are returned unchanged", and of 408, 421, 429 and 503 "each means that the request has not run and never will run", which is said of every request. The promise goes first: who believes a false one runs a request twice; who gets 502 loses the text of a failure.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -25,6 +25,9 @@
 _PROOF = b"x-response-seal"
 _LEAVING = b"server-leaving"
 _RETRY_AFTER = b"retry-after"
+# Statuses that state to a caller that its request did not run. Of an instance, only 421
+# states that without a header.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _DECIMAL = re.compile(rb"[+-]?(\d+\.?\d*|\.\d+)")
 
 # Upper limit on the Retry-After of an instance, so that a wrong one can't exclude it
@@ -102,6 +105,8 @@
     """The decoded head of an instance's answer.
 
     :param not_run: whether the instance states that the request did not run.
+    :param misleading: whether its status would state that to the caller, although the
+        instance did not.
     :param contradictory: whether it states that, but with the status of a success.
     :param request_id: the id of the answered request, or None if not stated.
     :param running: the number of requests that the instance runs, or None if not
@@ -120,6 +125,7 @@
     status: int
     not_run: bool
     request_id: bytes | None
+    misleading: bool = False
     running: int | None = None
     waiting: int | None = None
     weights_version: int | None = None
@@ -211,10 +217,12 @@
     running, waiting, slowdown_value = _parse_load(stated_load)
     slowdown = _parse_slowdown(slowdown_value)
     states_not_run = b"x-not-run" in value_by_name
+    # An instance with another identity or other weights than expected answers 421.
+    not_run = (states_not_run and status >= 400) or status == 421
     return ReplyMeta(
         status=status,
-        # An instance with another identity or other weights than expected answers 421.
-        not_run=(states_not_run and status >= 400) or status == 421,
+        not_run=not_run,
+        misleading=status in _NOT_RUN_STATUSES and not not_run,
         contradictory=states_not_run and status < 400,
         request_id=_combine_ids(headers),
         running=running,
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -11,6 +11,7 @@
 from .errors import (
     CallerDisconnectedError,
     DeadlineError,
+    MisleadingStatusError,
     NoCapacityError,
     NotStartedError,
     UpstreamError,
@@ -52,7 +53,7 @@
 # tried. This many of them mean a network partition.
 UNSENT_ATTEMPTS_MAX = 4
 # Statuses after which a repeatable request is sent to another instance.
-_FAILED_STATUSES = frozenset({500, 502, 503, 504, 429})
+_FAILED_STATUSES = frozenset({408, 429, 500, 502, 503, 504})
 
 
 class Delivery:
@@ -310,7 +311,8 @@
     def _check_repeatable(self, job, stream, error):
         """Raise `error` if `job` must not be sent again after it may have run."""
         self._guard.check_repeat(job, error)
-        if not job.route.repeatable:
+        # `_accept` has looked for another target before it raised the last of these.
+        if not job.route.repeatable or isinstance(error, MisleadingStatusError):
             raise error
         if stream is not None and stream.begun and not stream.can_resume:
             raise error
@@ -417,6 +419,11 @@
             job, attempts, stream
         ):
             raise UpstreamError(f"{target.id} answered with status {head.status}")
+        if reply.misleading:
+            raise MisleadingStatusError(
+                f"{target.id} answered {head.status} without stating that the request "
+                "did not run"
+            )
         attempt.head = head
 
     def _has_alternative(self, job, attempts, stream):
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -189,6 +189,12 @@
     """The connection to the instance broke after the request was sent to it."""
 
 
+class MisleadingStatusError(UpstreamError):
+    """The status of the instance's answer would state falsely that nothing ran."""
+
+    code = "misleading_status"
+
+
 class AnswerTooLargeError(UpstreamError):
     """The answer of the instance exceeds a limit; the rest was not read."""
 
--- a/tests/test_relay_refusals.py
+++ b/tests/test_relay_refusals.py
@@ -1,5 +1,7 @@
 """Refusals of instances: which ones prove that a request did not run."""
 
+import time
+
 import gevent
 import pytest
 from gevent import socket
@@ -195,3 +197,90 @@
     with capture_logs() as lines:
         entry.ask(method=b"POST", body=b"x")
     assert [line for line in lines if line["event"] == "request"]
+
+
+MISLEADING = [b"408 Late", b"429 Full", b"503 Busy"]
+SEALED = b"x-response-seal: s1\r\nretry-after: 3\r\n"
+
+
+def failure(status, headers=SEALED, body=b"oops"):
+    """Return the bytes of an answer that doesn't state whether the request ran."""
+    head = b"HTTP/1.1 %b\r\n%bcontent-length: %d\r\n\r\n%b"
+    return head % (status, headers, len(body), body)
+
+
+def assert_promises_nothing(answer):
+    head = answer.partition(b"\r\n\r\n")[0]
+    assert head.split()[1] == b"502"
+    assert b"x-response-seal" not in head
+    assert b"retry-after" not in head
+    assert b'"ran":"unknown"' in answer
+    assert b"oops" not in answer
+
+
+@pytest.mark.parametrize("status", MISLEADING)
+@pytest.mark.parametrize(
+    "route",
+    [NON_IDEMPOTENT, RESUMABLE_STREAM | {"resumable": False}],
+    ids=["whole", "stream"],
+)
+def test_failure_of_a_request_that_ran_is_not_passed_on_as_a_promise(status, route):
+    """Callers took the instance's 503 for a promise and sent the request again."""
+    answer, second = ask_two(reply(failure(status)), **route)
+    assert_promises_nothing(answer)
+    assert not second.requests
+
+
+@pytest.mark.parametrize("status", MISLEADING)
+@pytest.mark.parametrize("route", [{}, RESUMABLE_STREAM], ids=["whole", "stream"])
+def test_last_failure_of_a_repeatable_request_promises_nothing(status, route):
+    fakes = [FakeInstance(reply(failure(status))) for _ in range(3)]
+    entry = Entry(dict(zip("abc", fakes, strict=True)), **route)
+    assert_promises_nothing(entry.ask(method=b"POST", body=b"x"))
+    assert sum(len(fake.requests) for fake in fakes) == 2
+
+
+@pytest.mark.parametrize("status", MISLEADING)
+def test_repeatable_request_goes_elsewhere_after_a_failure_that_promises(status):
+    answer, second = ask_two(reply(failure(status)), max_attempts=2)
+    assert answer.split()[1] == b"200"
+    assert len(second.requests) == 1
+
+
+def test_failure_that_promises_before_the_request_is_read_promises_nothing():
+    """An instance may answer before it has read a long body, and run it later."""
+    body = b"x" * 2**20
+    answer, second = ask_two(reply(failure(b"503 Busy")), body=body, **NON_IDEMPOTENT)
+    assert_promises_nothing(answer)
+    assert not second.requests
+
+
+def test_refusal_after_an_attempt_that_may_have_run_promises_nothing():
+    """The refusal of the second instance is no word on the first."""
+    instances = {
+        "i1": FakeInstance(reply(failure(b"503 Busy"))),
+        "i2": FakeInstance(reply(refusal())),
+    }
+    entry = Entry(instances)
+    entry.fleet.get("i2").outstanding = 12
+    assert_promises_nothing(entry.ask())
+    assert all(fake.requests for fake in instances.values())
+
+
+def test_instance_whose_failure_is_replaced_is_still_taken_at_its_word():
+    """It states its load and for how long it wants nothing."""
+    headers = SEALED + b"x-server-load: 5,2,8\r\n"
+    entry = Entry({"i1": FakeInstance(reply(failure(b"503 Busy", headers)))})
+    entry.ask()
+    target = entry.fleet.get("i1")
+    assert target.answer_load == 7
+    assert target.closed_until_s > time.monotonic()
+
+
+def test_line_of_a_replaced_failure_tells_what_the_instance_and_the_caller_said():
+    entry = Entry({"i1": FakeInstance(reply(failure(b"429 Full")))}, **NON_IDEMPOTENT)
+    with capture_logs() as lines:
+        entry.ask(method=b"POST", body=b"x")
+    (line,) = [line for line in lines if line["event"] == "request"]
+    names = "outcome", "answer_status", "status", "ran"
+    assert [line[name] for name in names] == ["misleading_status", 429, 502, "unknown"]
