Take no engine's 429 or 503 as "not run" in the gates

What callers of briarbeamd saw: an engine that answered 429 or 503 let the gate state `ran` "no", whether the engine had begun or not.

Cause: `REFUSED_STATUSES` listed both. What is known of engines is that 404 says a model is not loaded and 409 that another version is; nothing says what 429 and 503 mean for a request.

Now 408, 429 and 503 are an unknown outcome: the gate cancels the request at the engine before its slot is free, limits its sends as it did after a refusal for load, and the entry may repeat the completion as after any broken attempt.

Test: test_failure_of_an_engine_does_not_state_that_nothing_ran failed before in all three cases (OverloadedError twice, BackendError after 408); test_engine_without_the_requested_version_has_not_run_the_request holds the other side and passed before.

--- a/briarbeam/gate/backends.py
+++ b/briarbeam/gate/backends.py
@@ -9,7 +9,6 @@
     ExchangeError,
     OrderError,
     OutcomeUnknownError,
-    OverloadedError,
     UnavailableError,
 )
 from ..kernel.network import HttpRequest, fetch
@@ -19,13 +18,11 @@
 
 STATUS_TIMEOUT_S = 1.0
 ENGINE_SILENCE_TIMEOUT_S = 10.0
-# Status codes by which an engine reports that it did not accept a request.
-REFUSED_STATUSES = {
-    404: UnavailableError,
-    409: UnavailableError,
-    429: OverloadedError,
-    503: OverloadedError,
-}
+# Status codes by which an engine states that it did not accept a request: it lacks the
+# model, or has another version.
+REFUSED_STATUSES = frozenset({404, 409})
+# Status codes of failures that may come before or after a request has run.
+AMBIGUOUS_STATUSES = frozenset({408, 429, 503})
 
 
 @dataclass(frozen=True)
@@ -87,7 +84,6 @@
 
         :param before_send: function called right before the first byte is sent.
         :raises UnavailableError: if nothing was sent, or the engine did not accept it.
-        :raises OverloadedError: if the engine refused because of its load.
         :raises OutcomeUnknownError: if the engine may have started the request.
         :raises BackendError: if the engine answered with another error status.
         """
@@ -109,8 +105,14 @@
             return response
         response.close()
         if response.status in REFUSED_STATUSES:
-            refusal = f"the engine refused the request: status {response.status}"
-            raise REFUSED_STATUSES[response.status](refusal)
+            raise UnavailableError(
+                f"the engine refused the request: status {response.status}"
+            )
+        if response.status in AMBIGUOUS_STATUSES:
+            raise OutcomeUnknownError(
+                f"the engine answered {response.status}, which does not state that the "
+                "request did not run"
+            )
         raise BackendError(f"the engine failed the request: status {response.status}")
 
     def cancel(self, request_id):
