Complete an unmarked answer only if its process outlives it

Cause: an end that can't be told from a break counted as complete unless something spoke against it. An instance that is leaving was not asked at all; of others one question was asked of an address, later than the end, and every result but "refused" was taken for life.

Now the entry keeps one more connection to the instance while such answers of it run, and asks there after their end: an engine for its report, a plain instance with a health check that names another instance, which is refused at once. Only an answer shows life. Over a new connection the start in the report decides, or that the entry was not paused. Whatever can't be told has broken off.

--- a/briarbeam/catalog.py
+++ b/briarbeam/catalog.py
@@ -76,6 +76,7 @@
     :param engine_cost: the `EngineCost` of its engines, or None if it is not declared.
     :param chunk_count: the number of chunks of its models' weights, or None if it is
         not declared.
+    :param health_path: the path of health checks of its instances.
     """
 
     name: str
@@ -85,6 +86,7 @@
     origin: WeightOrigin | None = None
     engine_cost: EngineCost | None = None
     chunk_count: int | None = None
+    health_path: str = "/"
 
 
 @dataclass(frozen=True)
--- a/briarbeam/platform/records.py
+++ b/briarbeam/platform/records.py
@@ -7,6 +7,7 @@
 
 import ipaddress
 import math
+import re
 import reprlib
 from types import NoneType
 
@@ -42,6 +43,7 @@
 # The errors by which values of the wrong type, form or size show.
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError,
                   SettingsError)  # fmt: skip
+_PATH = re.compile(r"/[!-~]*")
 # Length of a malformed value's description in an error.
 _DESCRIPTION_MAX = 300
 
@@ -226,9 +228,16 @@
         origin=_decode_origin(item) if item.get("origin") else None,
         engine_cost=_decode_engine_cost(item["name"], engine) if engine else None,
         chunk_count=_get_chunk_count(item["name"], engine) if engine else None,
+        health_path=_get_health_path(item),
     )
 
 
+def _get_health_path(item):
+    """Return the path of a service's health checks, ``"/"`` without a valid one."""
+    path = item.get("health_path")
+    return path if isinstance(path, str) and _PATH.fullmatch(path) else "/"
+
+
 def _get_chunk_count(service, engine):
     """Return the declared number of chunks of the weights, or None without one."""
     if "chunks" not in engine:
--- a/briarbeam/relay/answer_checks.py
+++ b/briarbeam/relay/answer_checks.py
@@ -1,8 +1,6 @@
 """Checks of answers before they are passed on to callers."""
 
-from .engine_crashes import has_ended
-from .errors import UpstreamBrokenError, UpstreamError
-from .upstream_call import Framing
+from .errors import UpstreamError
 
 
 def check_attribution(job, target, call, reply):
@@ -24,15 +22,3 @@
     if reply.unproven:
         # Another program may listen at the address, so that nothing has run.
         raise UpstreamError(f"{target.id} answered {reply.status} without a proof")
-
-
-def check_unmarked_end(attempt):
-    """Check that an answer that ended with its connection did not end with its target.
-
-    The connections of a process that ends are closed in order.
-
-    :raises UpstreamBrokenError: if it did.
-    """
-    is_unmarked = attempt.head.framing is Framing.CONNECTION
-    if is_unmarked and has_ended(attempt.target):
-        raise UpstreamBrokenError(f"{attempt.target.id} ended with its connection")
--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -51,8 +51,10 @@
     :param budget: the `MemoryBudget` of what is received of answers.
 
     `begin_by_s` is the monotonic time by which the target must have made progress,
-    `head` is the accepted `ReplyHead`, or None before it has arrived, and `has_events`
-    is whether a complete event has arrived.
+    `target_started_ms` the start of its process as known at the send, 0 if unknown,
+    `head` is the accepted `ReplyHead`, or None before it has arrived, `has_events`
+    is whether a complete event has arrived, and `process_watch` is what watches the
+    target's process for it, or None.
     """
 
     def __init__(self, target, call, switch_at_s, on_closed, budget):
@@ -61,9 +63,11 @@
         self.switch_at_s = switch_at_s
         self.begin_by_s = math.inf
         self.started_s = time.monotonic()
+        self.target_started_ms = target.started_ms
         self.head = None
         self.has_events = False
         self.splitter = EventSplitter()
+        self.process_watch = None
         self._body = bytearray()
         self._on_closed = on_closed
         self._holder = budget.open(target.id, self._give_up)
@@ -142,6 +146,8 @@
 
     def close(self):
         """Close the connection, which cancels the request at the target."""
+        if self.process_watch is not None:
+            self.process_watch.forget(self)
         self.call.close()
         self._holder.release()
         self._on_closed(self.call)
--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -5,7 +5,7 @@
 
 from ..kernel.errors import BriarbeamError, NotRunError
 from ..platform import headers as wire
-from .answer_checks import check_attribution, check_unmarked_end
+from .answer_checks import check_attribution
 from .attempt import Attempt, OpenAttempts
 from .caller_stream import CallerStream
 from .errors import (
@@ -67,6 +67,7 @@
     :param guard: the `CrashGuard`.
     :param places: the `PlaceFinder`.
     :param held_answers: the `MemoryBudget` of answers.
+    :param process_watches: the `ProcessWatches`.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         guard,
         places,
         held_answers,
+        process_watches,
     ):
         self._admission = admission
         self._selector = selector
@@ -89,6 +91,7 @@
         self._guard = guard
         self._places = places
         self._held_answers = held_answers
+        self._process_watches = process_watches
 
     def deliver(self, job, writer):
         """Send `job` until it is answered through `writer`.
@@ -390,6 +393,8 @@
                 return False
             self._accept(job, attempt, attempts, stream)
         head = attempt.head
+        health_path = job.requirements.service.health_path
+        self._process_watches.observe(attempt, health_path)
         has_events = head.status == 200 and head.is_event_stream()
         if stream is not None and has_events and job.request.method != b"HEAD":
             return self._forward_events(job, attempt, attempts, stream)
@@ -482,7 +487,7 @@
         body = attempt.read_body()
         if body is None:
             return False
-        check_unmarked_end(attempt)
+        self._process_watches.check_end(attempt, job.deadline_s)
         attempts.keep_only(attempt)
         head = attempt.head
         headers = wire.returned_headers(head.headers)
@@ -507,7 +512,7 @@
         if not attempt.call.is_complete:
             return False
         attempt.check_stream_end()
-        check_unmarked_end(attempt)
+        self._process_watches.check_end(attempt, job.deadline_s)
         attempts.keep_only(attempt)
         if self._may_ask_for_rest(job, attempt, stream):
             by_s = time.monotonic() + REST_WAIT_S
--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -103,14 +103,6 @@
     return hashlib.blake2b(text.encode(), digest_size=4).hexdigest()
 
 
-def has_ended(target):
-    """Return whether the process of `target` has ended, and not as planned.
-
-    A target that is leaving may refuse connections while it completes its answers.
-    """
-    return not _is_leaving(target) and _refuses_connections(target.instance.address)
-
-
 def _refuses_connections(address):
     call = UpstreamCall(address)
     try:
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -35,6 +35,7 @@
 from .memory_budget import HeldMemory
 from .mirror import Mirror
 from .places import PlaceFinder
+from .process_watch import ProcessWatches
 from .quarantine import Quarantine
 from .record_copies import RecordCopies
 from .server import CallerServer, ReadinessServer
@@ -280,6 +281,7 @@
                 selector,
             ),
             held.answers,
+            ProcessWatches(self._pause_detector.max_read_delay_s),
         )
         dispatcher = Dispatcher(admission, budget, delivery, guard, request_log)
         self._callers = CallerServer(
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -94,7 +94,7 @@
         self._framing_bytes = 0
         self._read_yielder = ReadYielder()
         self._connection_end = None
-        self._ended = False
+        self._ended = self._stays_open = False
         self._is_given_up = False
         self.sent = False
         self.aborted = False
@@ -151,6 +151,23 @@
         if fault := find_early_fault(self._sock):
             raise ConnectFailedError(f"{self._address} {fault}")
 
+    def renew(self):
+        """Prepare for another request on the connection after a complete answer.
+
+        :returns: whether the connection stays open for one.
+        """
+        if not self._stays_open:
+            return False
+        self._parser = httptools.HttpResponseParser(self)
+        self._head = None
+        self._ended = self._stays_open = self.sent = False
+        self._framing_bytes = 0
+        return True
+
+    def is_quiet(self):
+        """Return whether the connection is open and has nothing to read."""
+        return find_early_fault(self._sock) is None
+
     def abort(self):
         """End the call; the task that waits for its answer gets an `UpstreamError`."""
         self.aborted = True
@@ -330,6 +347,8 @@
     def on_message_complete(self):
         if not self._interim and self._head is not None:
             self._ended = True
+            # The parser tells this during this call only.
+            self._stays_open = self._parser.should_keep_alive()
 
 
 def _means_not_ready(error):
--- a/tests/relay_fakes.py
+++ b/tests/relay_fakes.py
@@ -32,6 +32,7 @@
 from briarbeam.relay.limits import EntryPosition, RetryBudget
 from briarbeam.relay.memory_budget import HeldMemory
 from briarbeam.relay.places import PlaceFinder
+from briarbeam.relay.process_watch import ProcessWatches
 from briarbeam.relay.quarantine import Quarantine
 from briarbeam.relay.server import CallerServer
 from briarbeam.relay.state_in_force import NamedVersions, StateInForce
@@ -43,6 +44,9 @@
 MEMORY_BYTES = 300_000_000
 NON_IDEMPOTENT = {"kind": RequestKind.NON_IDEMPOTENT}
 RESUMABLE_STREAM = {"kind": RequestKind.STREAMING, "resumable": True, "max_gap_s": 0.4}
+PROBE_PATHS = (b"/health", b"/-/report")
+# The answer of a plain instance to a probe, which names another one.
+OTHER_INSTANCE = b"HTTP/1.1 421 Other\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 NOT_RUN = b"HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
 
 
@@ -76,12 +80,15 @@
 
     :param script: called with this object, the socket and the bytes of each request.
 
-    `requests` has the bytes of the requests, and `closed_at_s` the monotonic times at
-    which scripts noticed that the connection was closed.
+    `requests` has the bytes of the requests, `probes` those of the probes, which
+    `answer_probe` answers, and `closed_at_s` the monotonic times at which scripts noticed
+    that the connection was closed.
     """
 
     def __init__(self, script, host="127.0.0.1"):
         self.requests = []
+        self.probes = []
+        self.answer_probe = reply(OTHER_INSTANCE)
         self.closed_at_s = []
         self._open_socks = set()
         self._script = script
@@ -98,27 +105,50 @@
         for sock in list(self._open_socks):
             reset(sock)
 
+    def end_in_order(self):
+        """Close the listener and all connections, as the kernel does for a process."""
+        self._server.close()
+        for sock in list(self._open_socks):
+            sock.shutdown(socket.SHUT_WR)
+            sock.close()
+
+    def stop_listening(self):
+        """Refuse new connections and keep those that are open."""
+        self._server.close()
+
     def restart(self):
         """Listen on the same address again."""
         self._server = StreamServer(tuple(self.address), self._serve)
         self._server.start()
 
     def _serve(self, sock, _):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            part = sock.recv(65536)
-            if not part:
-                return
-            data += part
-        self.requests.append(data)
         self._open_socks.add(sock)
         try:
             with contextlib.suppress(OSError):
-                self._script(self, sock, data)
+                self._serve_request(sock)
         finally:
             self._open_socks.discard(sock)
         sock.close()
 
+    def _serve_request(self, sock):
+        while data := self._receive_head(sock):
+            if data.split()[1] not in PROBE_PATHS:
+                self.requests.append(data)
+                self._script(self, sock, data)
+                return
+            self.probes.append(data)
+            self.answer_probe(self, sock, data)
+
+    def _receive_head(self, sock):
+        """Return the bytes up to the end of a head, or none at the connection's end."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            part = sock.recv(65536)
+            if not part:
+                return b""
+            data += part
+        return data
+
     def header(self, name, index=-1):
         """Return the value of a header of a received request, or None."""
         for line in self.requests[index].split(b"\r\n"):
@@ -194,7 +224,8 @@
         self.limits = CallerLimits()
         self.age_s = self.versions_age_s = 0.1
         self.in_force = StateInForce(self.clock)
-        self.service = service or Service("svc")
+        self.service = service or Service("svc", health_path="/health")
+        self.paused_s = 0.0
         self.in_force.state = desired_state(self.service, **route)
         self.fleet = Fleet(self.clock, lambda: self.in_force.state.services)
         for name, fake in instances.items():
@@ -238,6 +269,7 @@
                 PlaceFinder(selector, self.grants, self.clock), selector
             ),
             self.held.answers,
+            ProcessWatches(lambda: self.paused_s),
         )
         self.dispatcher = Dispatcher(
             self.admission, self.budget, self.delivery, self.guard, request_log
--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -367,8 +367,8 @@
     call.close()
 
 
-def test_last_answer_of_an_instance_that_leaves_is_complete():
-    """It stops to listen before it has answered everything."""
+def test_last_answer_of_an_instance_that_nobody_can_ask_any_more_is_not_complete():
+    """An instance that leaves was believed although its process may have been killed."""
 
     def script(instance, sock, request):
         target = entry.fleet.get("i1")
@@ -376,7 +376,23 @@
         then_end(WHOLE_HEAD + b"last")(instance, sock, request)
 
     entry = Entry({"i1": FakeInstance(script)}, **NON_IDEMPOTENT)
-    assert ask(entry, method=b"POST")[1:] == (b"last", False)
+    assert ask(entry, method=b"POST")[0].split()[1] == b"502"
+
+
+@pytest.mark.parametrize("head", [WHOLE_HEAD, STREAM_HEAD], ids=["whole", "stream"])
+def test_last_answer_of_an_instance_that_leaves_is_complete(head):
+    """It stops to listen before it has answered everything, and then answers a probe."""
+
+    def script(instance, sock, request):
+        sock.sendall(head + text(1))
+        gevent.sleep(0.1)
+        target = entry.fleet.get("i1")
+        target.instance = replace(target.instance, draining=True)
+        then_end(text(2))(instance, sock, request)
+
+    route = NON_IDEMPOTENT if head == WHOLE_HEAD else PLAIN_STREAM
+    entry = Entry({"i1": FakeInstance(script)}, **route)
+    assert ask(entry, method=b"POST")[1:] == (text(1) + text(2), False)
 
 
 def fall_silent(data):
