Count a crash also if the ending engine accepts once more

What callers could see: a request that ends engines goes on to the next one, as the crash under it counted as "not confirmed".

Cause: an engine was taken to live on if one connection was accepted right after a break. A process that is ending accepts it until its listener is closed, and then resets it.

Now a connection that is accepted is asked, as after an unmarked answer. One that ends without an answer is tried again, within 0.15 s; an engine that accepts and says nothing is not counted, as before.

Tests: test_connection_that_an_ending_engine_accepts_does_not_hide_its_crash failed before (no evidence); test_engine_that_is_silent_does_not_delay_a_retry_for_long passed before, too.

--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import time
 
 import gevent
 import structlog
@@ -9,11 +10,12 @@
 from prometheus_client import Counter
 
 from .errors import UpstreamBrokenError
+from .process_watch import ASK_AGAIN_S, ask_identity
 from .upstream_call import ConnectFailedError, UpstreamCall
 
-# A live machine without a listener refuses a connection within one round trip. Retries
-# wait for this result.
-CONFIRM_TIMEOUT_S = 0.1
+# A live machine without a listener refuses a connection within one round trip, and a
+# live engine answers a probe within two. Retries wait for this result.
+CONFIRM_TIMEOUT_S = 0.15
 # Connections to a crashed engine break together. Later breaks of the same run use the
 # result of the first one for this long.
 RESULT_CACHE_S = 2.0
@@ -32,7 +34,8 @@
     """Finds out which requests an engine had not survived when it ended.
 
     A broken connection alone does not show that the engine ended. It is assumed to have
-    ended if a new connection is refused at once: its machine runs and nothing listens.
+    ended if a new connection is refused at once: its machine runs and nothing listens. A
+    connection that an ending engine still accepts breaks without an answer.
 
     :param clock: the `Clock`.
     :param on_crash: called with the job, a text that identifies the run of the engine,
@@ -54,22 +57,22 @@
             yield
         except UpstreamBrokenError:
             if not (job.survived or call.aborted or _is_leaving(target)):
-                self._handle_break(job, target)
+                self._handle_break(job, target, job.requirements.service.health_path)
             raise
 
-    def _handle_break(self, job, target):
+    def _handle_break(self, job, target, health_path):
         run = _describe_run(target)
         check = self._checks.get(run)
         if check is None:
             check = self._checks[run] = _Check(self._clock.boottime_s())
-            gevent.spawn(self._confirm, check, run, target)
+            gevent.spawn(self._confirm, check, run, target, health_path)
         check.jobs.append(job)
         if check.result.get():
             self._on_crash(job, run, check.at_s)
 
-    def _confirm(self, check, run, target):
+    def _confirm(self, check, run, target, health_path):
         try:
-            has_ended = _refuses_connections(target.instance.address)
+            has_ended = _has_ended(target.instance, health_path)
         except Exception as error:
             check.result.set_exception(error)
             raise
@@ -103,14 +106,19 @@
     return hashlib.blake2b(text.encode(), digest_size=4).hexdigest()
 
 
-def _refuses_connections(address):
-    call = UpstreamCall(address)
-    try:
-        call.connect(CONFIRM_TIMEOUT_S)
-    except ConnectFailedError as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
-    finally:
-        call.close()
+def _has_ended(instance, health_path):
+    until_s = time.monotonic() + CONFIRM_TIMEOUT_S
+    while (left_s := until_s - time.monotonic()) > 0:
+        call = UpstreamCall(instance.address)
+        try:
+            call.connect(left_s)
+            if ask_identity(call, instance, health_path, until_s) is not None:
+                return False
+        except ConnectFailedError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        finally:
+            call.close()
+        gevent.sleep(min(ASK_AGAIN_S, max(0.0, until_s - time.monotonic())))
     return False
 
 
--- a/tests/test_relay_engine_crashes.py
+++ b/tests/test_relay_engine_crashes.py
@@ -1,10 +1,12 @@
 """Engines that end under requests: what counts as a crash, and what is logged of it."""
 
+import time
 from dataclasses import replace
 
 import gevent
 import pytest
 from gevent import socket
+from gevent.server import StreamServer
 from structlog.testing import capture_logs
 
 from briarbeam.platform.headers import PROMPT_PARTS_MAX, decode_request
@@ -14,6 +16,7 @@
 from briarbeam.relay.suspects import is_request
 
 from .relay_fakes import (
+    END,
     RESUMABLE_STREAM,
     Entry,
     FakeInstance,
@@ -21,6 +24,7 @@
     event,
     never_answer,
     prompt,
+    reply,
     reset,
     stream_head,
 )
@@ -84,6 +88,38 @@
     assert not entry.evidence.unexcused()
 
 
+def accept_for_a_moment(address):
+    """Accept and reset connections for a moment, as a process that is ending does."""
+    server = StreamServer(tuple(address), lambda sock, _: reset(sock))
+    server.start()
+    gevent.spawn_later(0.03, server.close)
+    return []
+
+
+def test_connection_that_an_ending_engine_accepts_does_not_hide_its_crash():
+    """The request was sent on to the next engine, and ended that one, too."""
+    engine = FakeInstance(never_answer)
+    entry = Entry({"i1": engine}, **RESUMABLE_STREAM)
+    break_under_a_request(entry, engine, accept_for_a_moment)
+    assert "a1" in entry.evidence.unexcused()
+
+
+def test_engine_that_is_silent_does_not_delay_a_retry_for_long():
+    """Its answer to the probe is not needed for the retry."""
+
+    def stall(instance, sock, request):
+        instance.answer_probe = lambda *args: gevent.sleep(9.0)
+        reset(sock)
+
+    second = FakeInstance(reply(stream_head() + event(1) + END))
+    entry = Entry({"i1": FakeInstance(stall), "i2": second}, **RESUMABLE_STREAM)
+    entry.fleet.get("i2").outstanding = 12
+    started_s = time.monotonic()
+    assert entry.ask(method=b"POST").startswith(b"HTTP/1.1 200")
+    assert time.monotonic() - started_s < 1.0
+    assert not entry.evidence.unexcused()
+
+
 def start_draining(target):
     target.instance = replace(target.instance, draining=True)
 
