Split the record of targets' statements from the delivery

No change in what callers see. Four test files that cover it pass; three of their calls name the new place.

--- a/briarbeam/relay/delivery.py
+++ b/briarbeam/relay/delivery.py
@@ -17,6 +17,7 @@
     UpstreamError,
 )
 from .retry_hint import RetryHint
+from .target_statements import TargetStatements
 from .upstream_call import (
     ConnectFailedError,
     Framing,
@@ -84,6 +85,7 @@
     ):
         self._admission = admission
         self._selector = selector
+        self._statements = TargetStatements(selector)
         self._retry_hint = RetryHint(selector)
         self._budget = budget
         self._position = position
@@ -314,7 +316,7 @@
     def _check_repeatable(self, job, stream, error):
         """Raise `error` if `job` must not be sent again after it may have run."""
         self._guard.check_repeat(job, error)
-        # `_accept` has looked for another target before it raised the last of these.
+        # A `MisleadingStatusError` is raised only if no other target can be tried.
         if not job.route.repeatable or isinstance(error, MisleadingStatusError):
             raise error
         if stream is not None and stream.begun and not stream.can_resume:
@@ -414,8 +416,7 @@
         target, head = attempt.target, attempt.call.head
         reply = wire.decode_reply(head.status, head.headers)
         check_attribution(job, target, attempt.call, reply)
-        self._update_target(target, reply)
-        self._update_speed(target, reply, attempt.started_s)
+        self._statements.record(target, reply, attempt.started_s)
         if reply.not_run:
             if reply.status == 421:
                 target.mark_replaced(time.monotonic())
@@ -457,31 +458,6 @@
             return math.inf
         return time.monotonic() + left_s - SUPERSEDED_MARGIN_S
 
-    def _update_target(self, target, reply):
-        if reply.leaving:
-            self._selector.record_leaving(target)
-        if reply.retry_after is not None:
-            self._selector.record_refusal(target, reply.retry_after)
-        if reply.running is not None:
-            target.record_answer_load(
-                reply.running, reply.waiting or 0, time.monotonic()
-            )
-        if reply.weights_version is not None:
-            target.seen_version = reply.weights_version
-
-    def _update_speed(self, target, reply, started_s):
-        """Record the speed that an answer states, and the time that it took.
-
-        :param started_s: monotonic time at which the request was sent.
-        """
-        now_s = time.monotonic()
-        if reply.slowdown is not None:
-            self._selector.record_speed(target, reply.slowdown, now_s)
-            if 200 <= reply.status < 300:
-                target.record_answer_time(now_s - started_s, now_s)
-        elif reply.odd_slowdown is not None:
-            self._selector.record_odd_speed(target, reply.odd_slowdown, now_s)
-
     def _forward_whole(self, job, attempt, attempts, writer):
         attempt.switch_at_s = attempt.begin_by_s = math.inf
         body = attempt.read_body()
--- a/tests/test_relay_cut.py
+++ b/tests/test_relay_cut.py
@@ -101,7 +101,7 @@
 
 def test_request_may_have_run_if_an_unexpected_error_comes_after_its_send(lines):
     entry = Entry({"i1": FakeInstance(reply(ok()))}, **RESUMABLE_STREAM)
-    entry.delivery._update_target = fail
+    entry.delivery._statements.record = fail
     answer = entry.ask(method=b"POST")
     assert answer.split()[1] == b"502" and b'"ran":"unknown"' in answer
 
--- a/tests/test_relay_notices.py
+++ b/tests/test_relay_notices.py
@@ -128,8 +128,10 @@
 
     def connect_then_leave(call):
         connect(call)
-        entry.delivery._update_target(
-            entry.fleet.get("i1"), wire.decode_reply(200, [(b"server-leaving", b"1")])
+        entry.delivery._statements.record(
+            entry.fleet.get("i1"),
+            wire.decode_reply(200, [(b"server-leaving", b"1")]),
+            0.0,
         )
 
     entry.add("i2", stays.address, failure_domain="z2").outstanding = 15
@@ -273,8 +275,8 @@
 
     def connect_then_refuse(call):
         connect(call)
-        entry.delivery._update_target(
-            entry.fleet.get("i1"), wire.decode_reply(503, [(b"retry-after", b"2")])
+        entry.delivery._statements.record(
+            entry.fleet.get("i1"), wire.decode_reply(503, [(b"retry-after", b"2")]), 0.0
         )
 
     entry.add("i2", other.address, failure_domain="z2").outstanding = 15
