--- a/tests/test_relay_process_watch.py
+++ b/tests/test_relay_process_watch.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from briarbeam.platform.records import decode_desired_state
@@ -277,7 +278,7 @@
 
 def test_answers_that_end_together_share_a_question():
     """Each probe is billed, and takes a connection of the instance."""
-    together = gevent.event.Event()
+    together = Event()
 
     def script(instance, sock, request):
         sock.sendall(STREAM_HEAD + text(1))
