Log resets that a check saw, and what a probe showed of a process

Streams reached callers as complete although their instances had reset them. The line of such a request had connection_end closed like that of a sound answer, as the check whether the connection is quiet got the reset, and did not say that the process had been asked.

--- a/briarbeam/relay/attempt.py
+++ b/briarbeam/relay/attempt.py
@@ -31,6 +31,8 @@
     :param connection_end: how the instance ended the connection, or None.
     :param event_count: the number of complete events.
     :param left_bytes: the number of bytes after the last event.
+    :param process_state: the `ProcessState` that was found after an end without a mark,
+        or None if it was not asked for.
     """
 
     status: int
@@ -38,6 +40,7 @@
     connection_end: str | None
     event_count: int
     left_bytes: int
+    process_state: str | None = None
 
 
 class Attempt:
@@ -53,8 +56,9 @@
     `begin_by_s` is the monotonic time by which the target must have made progress,
     `target_started_ms` the start of its process as known at the send, 0 if unknown,
     `head` is the accepted `ReplyHead`, or None before it has arrived, `has_events`
-    is whether a complete event has arrived, and `process_watch` is what watches the
-    target's process for it, or None.
+    is whether a complete event has arrived, `process_watch` is what watches the
+    target's process for it, or None, and `process_state` the `ProcessState` that was
+    found after the end of the answer, or None.
     """
 
     def __init__(self, target, call, switch_at_s, on_closed, budget):
@@ -68,6 +72,7 @@
         self.has_events = False
         self.splitter = EventSplitter()
         self.process_watch = None
+        self.process_state = None
         self._body = bytearray()
         self._on_closed = on_closed
         self._holder = budget.open(target.id, self._give_up)
@@ -142,6 +147,7 @@
             call.connection_end,
             self.splitter.count,
             self.splitter.left_bytes,
+            self.process_state,
         )
 
     def close(self):
--- a/briarbeam/relay/process_watch.py
+++ b/briarbeam/relay/process_watch.py
@@ -82,6 +82,7 @@
         if attempt.process_watch is None:
             return
         state = attempt.process_watch.find_state(attempt, deadline_s)
+        attempt.process_state = state
         _UNMARKED_ENDS.labels(state.value).inc()
         if state is not ProcessState.RUNS:
             raise UpstreamBrokenError(
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -166,7 +166,14 @@
 
     def is_quiet(self):
         """Return whether the connection is open and has nothing to read."""
-        return find_early_fault(self._sock) is None
+        try:
+            # The plain socket below gevent's, which would wait.
+            self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            self._connection_end = "reset"
+        return False
 
     def abort(self):
         """End the call; the task that waits for its answer gets an `UpstreamError`."""
@@ -241,7 +248,7 @@
                 raise UpstreamBrokenError(f"call to {self._address} was aborted")
             if self._send_error is not None:
                 raise self._broken_error("sending to", self._send_error)
-            self._connection_end = "closed"
+            self._connection_end = self._connection_end or "closed"
             self._on_end()
             return
         self._feed(data)
--- a/briarbeam/telemetry/request_log.py
+++ b/briarbeam/telemetry/request_log.py
@@ -249,6 +249,7 @@
                 connection_end=end.connection_end,
                 answer_events=end.event_count,
                 answer_left_bytes=end.left_bytes,
+                process_state=end.process_state and str(end.process_state),
             )
         age_s = self._state_age_s()
         self._log.info(
