Show that a check of a connection takes its reset away

A stream with neither a length nor chunks that its instance resets reaches its caller as complete. Three tests fail on this code, each run: a read after the check gets an orderly end instead of the reset; a stream and a whole answer that are reset right behind their first bytes, beside another answer of the instance, end in order with status 200.

--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -216,6 +216,46 @@
     assert (body, was_reset) == (text(1), True)
 
 
+def test_reset_that_a_check_of_the_connection_saw_is_no_end_of_its_answer():
+    """The kernel reports an error once, and the check got it instead of the next read."""
+    engine = FakeInstance(then_reset(WHOLE_HEAD + b"part"))
+    call = UpstreamCall(engine.address)
+    call.connect()
+    call.send(b"GET / HTTP/1.1\r\n\r\n", b"")
+    while not call.take_part():
+        call.receive(time.monotonic() + 1.0)
+    gevent.sleep(0.2)
+    assert not call.is_quiet()
+    with pytest.raises(UpstreamBrokenError):
+        call.receive(time.monotonic() + 1.0)
+    assert (call.is_complete, call.connection_end) == (False, "reset")
+    call.close()
+
+
+@pytest.mark.parametrize("is_stream", [True, False], ids=["stream", "whole"])
+def test_answer_that_is_reset_at_once_beside_another_one_is_not_complete(is_stream):
+    """The check found its reset, and its process answered the probe afterwards."""
+    head = STREAM_HEAD if is_stream else WHOLE_HEAD
+
+    def script(instance, sock, request):
+        sock.sendall(head + text(1))
+        if len(instance.requests) > 1:
+            reset(sock)
+        else:
+            gevent.sleep(1.0)
+
+    route = PLAIN_STREAM if is_stream else NON_IDEMPOTENT
+    entry = Entry({"i1": FakeInstance(script)}, **route)
+    other = gevent.spawn(ask, entry, method=b"POST")
+    gevent.sleep(0.3)
+    answer_head, body, was_reset = ask(entry, method=b"POST")
+    if is_stream:
+        assert (body, was_reset) == (text(1), True)
+    else:
+        assert answer_head.split()[1] == b"502"
+    assert other.get()[1:] == (text(1), False)
+
+
 def test_whole_answer_whose_instance_ended_is_not_complete():
     """A process that ends closes its connections in order."""
     script = then_end(WHOLE_HEAD + b"part")
