Keep a reset that another call than a read got

Callers got streams and whole answers that their instances had reset as complete: status 200, a part of the events, an orderly end.

Cause: the kernel reports an error of a connection once. Since the connections of answers that go on are looked at with a peek; if the reset was there already, the peek got it, the next read returned an orderly end, and the probe afterwards was answered, as the process lives. An error that the sending task got was kept for the read; one that the check got was dropped.

UpstreamCall keeps each error that it got outside a read, whichever method got it, and the next read raises it.

--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -86,7 +86,9 @@
         self._head_only = head_only
         self._sock = None
         self._send_task = None
-        self._send_error = None
+        # The kernel reports an error of a connection once. If it was not a read that
+        # got it, the next read gets what arrived before, and then an orderly end.
+        self._unread_error = None
         self._parser = httptools.HttpResponseParser(self)
         self._head = None
         self._interim = False
@@ -171,8 +173,8 @@
             self._sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return True
-        except OSError:
-            self._connection_end = "reset"
+        except OSError as error:
+            self._unread_error = error
         return False
 
     def abort(self):
@@ -246,9 +248,9 @@
         if not data:
             if self.aborted:
                 raise UpstreamBrokenError(f"call to {self._address} was aborted")
-            if self._send_error is not None:
-                raise self._broken_error("sending to", self._send_error)
-            self._connection_end = self._connection_end or "closed"
+            if self._unread_error is not None:
+                raise self._broken_error("connection to", self._unread_error)
+            self._connection_end = "closed"
             self._on_end()
             return
         self._feed(data)
@@ -303,9 +305,7 @@
             # The instance closed the connection in order before it reset it.
             return
         except OSError as error:
-            # The kernel reports an error of a connection once. After this, the task
-            # that reads gets what arrived before, and then an orderly end.
-            self._send_error = error
+            self._unread_error = error
 
     def _send_part(self, left):
         while left:
