Let a test of a reset not pass by a late check

It now waits for that connection, lets the reset arrive before the entry reads, and keeps the other answer open.

The line of a request is also checked for process_state.

--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -7,6 +7,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 from structlog.testing import capture_logs
 
 from briarbeam.catalog import CallerLimits
@@ -58,15 +59,18 @@
     [
         (
             reply(STREAM_HEAD + text(1) + text(2)),
-            ("connection", "closed", 2, 0, "closed"),
+            ("connection", "closed", 2, 0, "runs", "closed"),
         ),
         (
             reply(STREAM_HEAD + text(1) + b"id:"),
-            ("connection", "closed", 1, 3, "reset"),
+            ("connection", "closed", 1, 3, None, "reset"),
         ),
-        (then_reset(STREAM_HEAD + text(1)), ("connection", "reset", 1, 0, "reset")),
-        (reply(stream_head() + event(1)), ("chunks", "closed", 1, 0, "reset")),
-        (reply(stream_head() + event(1) + END), ("chunks", None, 1, 0, "marked")),
+        (
+            then_reset(STREAM_HEAD + text(1)),
+            ("connection", "reset", 1, 0, None, "reset"),
+        ),
+        (reply(stream_head() + event(1)), ("chunks", "closed", 1, 0, None, "reset")),
+        (reply(stream_head() + event(1) + END), ("chunks", None, 1, 0, None, "marked")),
     ],
     ids=["closed", "closed in event", "reset", "chunks closed", "chunks"],
 )
@@ -82,7 +86,7 @@
     (line,) = [line for line in lines if line["event"] == "request"]
     names = (
         "answer_framing", "connection_end", "answer_events", "answer_left_bytes",
-        "caller_end",
+        "process_state", "caller_end",
     )  # fmt: skip
     assert tuple(line[name] for name in names) == fields
 
@@ -237,18 +241,26 @@
     """The check found its reset, and its process answered the probe afterwards."""
     head = STREAM_HEAD if is_stream else WHOLE_HEAD
 
+    is_checked = Event()
+
     def script(instance, sock, request):
         sock.sendall(head + text(1))
         if len(instance.requests) > 1:
             reset(sock)
+            # Not gevent's: the entry reads only once the reset has arrived.
+            time.sleep(0.05)
         else:
-            gevent.sleep(1.0)
+            is_checked.wait()
 
     route = PLAIN_STREAM if is_stream else NON_IDEMPOTENT
     entry = Entry({"i1": FakeInstance(script)}, **route)
     other = gevent.spawn(ask, entry, method=b"POST")
-    gevent.sleep(0.3)
+    with gevent.Timeout(5.0):
+        while not has_kept_connection(entry):
+            gevent.sleep(0.01)
     answer_head, body, was_reset = ask(entry, method=b"POST")
+    assert not other.ready()
+    is_checked.set()
     if is_stream:
         assert (body, was_reset) == (text(1), True)
     else:
@@ -256,6 +268,12 @@
     assert other.get()[1:] == (text(1), False)
 
 
+def has_kept_connection(entry):
+    """Return whether the entry has opened the connection for its next probe."""
+    watches = entry.delivery._process_watches._watches.values()
+    return any(watch._call is not None for watch in watches)
+
+
 def test_whole_answer_whose_instance_ended_is_not_complete():
     """A process that ends closes its connections in order."""
     script = then_end(WHOLE_HEAD + b"part")
