--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -194,7 +194,7 @@
     @property
     def connection_end(self):
         """How the instance ended the connection, ``"closed"``, ``"reset"`` or None."""
-        return self._connection_end
+        return "reset" if self._unread_error is not None else self._connection_end
 
     @property
     def is_sent(self):
--- a/tests/test_relay_unmarked_answers.py
+++ b/tests/test_relay_unmarked_answers.py
@@ -230,6 +230,7 @@
         call.receive(time.monotonic() + 1.0)
     gevent.sleep(0.2)
     assert not call.is_quiet()
+    assert call.connection_end == "reset"
     with pytest.raises(UpstreamBrokenError):
         call.receive(time.monotonic() + 1.0)
     assert (call.is_complete, call.connection_end) == (False, "reset")
