Keep a reset that a send of the HTTP client got

Whoever sends a long request by HttpNetwork got a part of a reply with neither a length nor chunks as the whole reply if its peer reset the connection meanwhile.

Cause: the kernel reports an error of a connection once. The library catches it in the send and reads the reply from the same socket, where the next read is an orderly end.

The socket keeps a reset that a send got, and raises it in place of the end. A broken pipe is not kept: the peer had closed in order then.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -385,13 +385,27 @@
 
 
 class _LimitedSocket(gevent.socket.socket):
-    """A socket whose reads are limited by a `_ReadLimit`."""
+    """A socket whose reads are limited by a `_ReadLimit`.
+
+    The library reads the reply also after a send failed.
+    """
 
     read_limit = None
+    _send_error = None
+
+    def send(self, *args, **options):
+        try:
+            return super().send(*args, **options)
+        except ConnectionResetError as error:
+            # The kernel reports it once: the next read would get an orderly end.
+            self._send_error = error
+            raise
 
     def recv(self, *args):
         self.read_limit.check()
         data = super().recv(*args)
+        if not data and self._send_error is not None:
+            raise self._send_error
         self.read_limit.count_read(len(data))
         return data
 
