Refuse CONNECT with one error and the end of the connection

A caller that asks for a tunnel got the answer of an instance, if a route fits its target, otherwise a 404, and what it sent through the tunnel was read as its next requests, with a 400 where it was none.

Cause: CONNECT was a method like any other. Its head ends the exchange of requests on the connection, so it can't be passed on like one.

Evidence: the test gets 200 and 400 on the code before, with a route for all paths. The connection preface of HTTP/2, which the same test sends, got one 400 before, too.

The head of a CONNECT is refused as malformed: a 400, after the answers to the requests before it, and the connection ends.

--- a/briarbeam/relay/callers.py
+++ b/briarbeam/relay/callers.py
@@ -425,6 +425,8 @@
         self._in_header = False
         request = self._request
         request.method = self._parser.get_method()
+        if request.method == b"CONNECT":
+            raise MalformedRequestError("tunnels by CONNECT are not served")
         request.target = b"".join(self._url)
         request.keep_alive = self._parser.should_keep_alive()
         request.reads_chunks = self._parser.get_http_version() != "1.0"
--- a/tests/test_relay_upgrade_offers.py
+++ b/tests/test_relay_upgrade_offers.py
@@ -1,5 +1,7 @@
 """Callers that offer an upgrade of their connection, which is ignored."""
 
+import re
+
 import gevent
 import pytest
 from hypothesis import given, settings
@@ -15,7 +17,7 @@
     TrailersTooLargeError,
 )
 
-from .relay_fakes import Entry, FakeInstance, ok, read_all, reply
+from .relay_fakes import Entry, FakeInstance, desired_state, ok, read_all, reply
 
 H2C = (
     b"connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\n"
@@ -196,3 +198,28 @@
     assert answer.count(b"HTTP/1.1 ") == answer.count(b"HTTP/1.1 200") == 1
     assert b"connection: close\r\n" in answer
     assert len(fake.requests) == 1
+
+
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0"
+CONNECT = b"CONNECT h.example:80 HTTP/1.1\r\nhost: h.example:80\r\n"
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        PREFACE,
+        CONNECT + b"authorization: Bearer k1\r\n\r\n",
+        CONNECT + b"authorization: Bearer k1\r\n" + H2C + b"\r\nbytes",
+    ],
+)
+@pytest.mark.parametrize("number", [0, 1])
+def test_other_protocols_get_one_error_and_the_end(data, number):
+    """CONNECT got an answer of an instance or a 404, and a 400 behind it."""
+    fake = FakeInstance(reply(ok()))
+    entry = Entry({"i1": fake})
+    entry.in_force.state = desired_state(entry.service, path_prefix="")
+    sock = entry.connect()
+    sock.sendall(message(b"GET", 1, b"") * number + data + message(b"GET", 2, b""))
+    statuses = re.findall(rb"HTTP/1.1 (\d+)", read_all(sock))
+    assert statuses == [b"200"] * number + [b"400"]
+    assert len(fake.requests) == number
