Keep HTTP2-Settings from instances if Connection does not name it

An instance got the HTTP2-Settings of a caller's offer if the caller had not named the header in Connection, as it should; one that is strict may refuse such a request as malformed.

Cause: headers of one connection are known by name or by Connection, and this one was not known by name.

Evidence: the test's case without Connection fails before.

The same file now guards what held before: the other offers are not passed on, an offer of an instance isn't either, and an instance that answers 101 unasked has not answered: the request goes to another or gets a 502.

--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -41,7 +41,7 @@
 _NOT_FORWARDED = {
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate",
     b"proxy-authorization", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"content-length", b"expect", b"authorization", b"path",
+    b"http2-settings", b"content-length", b"expect", b"authorization", b"path",
     _DEADLINE_MS, _LAST_EVENT_ID, _EXPECT_INSTANCE, _EXPECT_VERSION, _TEAM, _PRIORITY,
 }  # fmt: skip
 _NOT_RETURNED = {
--- a/tests/test_relay_upgrade_offers.py
+++ b/tests/test_relay_upgrade_offers.py
@@ -17,7 +17,15 @@
     TrailersTooLargeError,
 )
 
-from .relay_fakes import Entry, FakeInstance, desired_state, ok, read_all, reply
+from .relay_fakes import (
+    NON_IDEMPOTENT,
+    Entry,
+    FakeInstance,
+    desired_state,
+    ok,
+    read_all,
+    reply,
+)
 
 H2C = (
     b"connection: Upgrade, HTTP2-Settings\r\nupgrade: h2c\r\n"
@@ -223,3 +231,41 @@
     statuses = re.findall(rb"HTTP/1.1 (\d+)", read_all(sock))
     assert statuses == [b"200"] * number + [b"400"]
     assert len(fake.requests) == number
+
+
+@pytest.mark.parametrize("offer", [*OFFERS, b"http2-settings: AAMAAABkAAQ\r\n"])
+def test_request_that_is_passed_on_holds_no_offer(offer):
+    """HTTP2-Settings was passed on if Connection did not name it."""
+    fake = FakeInstance(reply(ok()))
+    sock = Entry({"i1": fake}).connect()
+    sock.sendall(message(b"POST", 1, offer, b"x"))
+    assert Answers(sock).read(b"POST") == (200, b"done")
+    assert fake.header(b"upgrade") is None
+    assert fake.header(b"http2-settings") is None
+    assert fake.header(b"connection") == b"close"
+
+
+SWITCH = b"HTTP/1.1 101 Switching\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n"
+BARE_SWITCH = b"HTTP/1.1 101 Switching\r\n\r\n"
+
+
+@pytest.mark.parametrize("switch", [SWITCH, BARE_SWITCH])
+@pytest.mark.parametrize("rest", [b"", b"\0\0\0\4", ok(b"another protocol")])
+def test_instance_that_switches_unasked_has_not_answered(switch, rest):
+    first, second = FakeInstance(reply(switch + rest)), FakeInstance(reply(ok()))
+    entry = Entry({"i1": first, "i2": second})
+    entry.fleet.get("i2").outstanding = 12
+    answer = entry.ask(headers=b"upgrade: h2c\r\nconnection: upgrade\r\n")
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert answer.endswith(b"\r\n\r\ndone")
+    assert len(first.requests) == len(second.requests) == 1
+    sole = Entry({"i1": FakeInstance(reply(switch + rest))}, **NON_IDEMPOTENT)
+    assert sole.ask(method=b"POST", body=b"x").startswith(b"HTTP/1.1 502 ")
+
+
+def test_offer_of_an_instance_is_not_passed_on():
+    offer = b"upgrade: h2c\r\nconnection: upgrade, keep-alive\r\n"
+    answer = Entry({"i1": FakeInstance(reply(ok(b"body", offer)))}).ask()
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert answer.endswith(b"\r\n\r\nbody")
+    assert b"upgrade" not in answer.lower()
