Read a body behind an offer of an upgrade once at a daemon's interface

A caller of the interface of operators, or of a daemon that takes requests, that offers a WebSocket (or has `Connection: Upgrade` alone) with a body got no answer to its next request, or a 400: its bytes were taken for the body.

Cause: gevent's server treats such an offer as accepted. The application gets the connection itself instead of a counted input, so the body it reads counts as unread, and the server reads as many bytes again before the next request.

Evidence: four cases of the test get no second answer within 5 s before. The case without an offer and the one of HTTP/2 passed before, too.

The handler always gives the application the counted input.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -260,6 +260,10 @@
     def get_environ(self):
         environ = super().get_environ()
         environ["briarbeam.socket"] = self.socket
+        # Behind an offer of an upgrade, gevent lets the application read from the
+        # connection itself, and reads the body once more before the next request.
+        environ["wsgi.input"] = self.wsgi_input
+        environ["wsgi.input_terminated"] = True
         return environ
 
 
--- /dev/null
+++ b/tests/test_kernel_series.py
@@ -0,0 +1,60 @@
+"""Requests in series on a connection to a daemon's own HTTP server."""
+
+import json
+import socket
+
+import pytest
+
+from briarbeam.kernel.http import HttpServer, Response, Router
+from briarbeam.kernel.network import Address
+
+WEBSOCKET = b"Connection: keep-alive, Upgrade\r\nUpgrade: websocket\r\n"
+H2C = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: A\r\n"
+OFFERS = [b"", WEBSOCKET, H2C, b"Connection: Upgrade\r\nUpgrade: h2c\r\n"]
+
+
+@pytest.fixture
+def connection():
+    """A connection to a server that answers with what it got."""
+
+    def answer(request, path):
+        return Response.of_json({"path": path, "body": request.body.decode()})
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = Address(*probe.getsockname())
+    router = Router()
+    router.add("GET", "/{path}", answer)
+    router.add("POST", "/{path}", answer)
+    server = HttpServer(address, router)
+    server.start()
+    with socket.create_connection(tuple(address), timeout=5) as sock:
+        yield sock
+    server.stop(timeout_s=0)
+
+
+def read_answer(file, method=b"GET"):
+    """Return the status, the headers and the body of the next answer."""
+    status, headers = int(file.readline().split()[1]), {}
+    while (line := file.readline()) != b"\r\n":
+        name, _, value = line.decode().partition(":")
+        headers[name.lower()] = value.strip()
+    size_bytes = 0 if method == b"HEAD" else int(headers["content-length"])
+    return status, headers, file.read(size_bytes)
+
+
+@pytest.mark.parametrize("offer", OFFERS)
+@pytest.mark.parametrize("path", [b"known", b"un/known"])
+def test_body_behind_an_offer_is_not_read_again(connection, offer, path):
+    """The next request was taken for the body, and the one behind it got a 400."""
+    head = b"POST /%b HTTP/1.1\r\nHost: h\r\n" % path + offer
+    with_body = head + b"Content-Length: 60\r\n\r\n" + b"b" * 60
+    connection.sendall(with_body + b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+    file = connection.makefile("rb")
+    status, _, body = read_answer(file)
+    assert status == (200 if path == b"known" else 404)
+    if status == 200:
+        assert json.loads(body) == {"path": "known", "body": "b" * 60}
+    status, _, body = read_answer(file)
+    assert status == 200
+    assert json.loads(body) == {"path": "next", "body": ""}
