Send no body with an answer to HEAD at a daemon's interface

A caller that sends HEAD to the interface of a daemon got a 404 with its body, and took that body for the beginning of the answer to its next request.

Cause: the router returns the body for any method, and gevent's server sends what it gets.

Evidence: the test reads the body of the 404 as the next status line before, with and without an offer of an upgrade.

The router drops the body and keeps its length in the head, as for GET.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -155,7 +155,7 @@
         self._idle.clear()
         try:
             response = self._respond(environ)
-            body = self._start_reply(response, start_response)
+            body = self._start_reply(environ, response, start_response)
         except BaseException:
             self._end_request()
             raise
@@ -185,12 +185,13 @@
             return Response.of_error(error)
         return self.handle(request)
 
-    def _start_reply(self, response, start_response):
+    def _start_reply(self, environ, response, start_response):
         headers = list(response.headers.items())
         body = response.body
         if isinstance(body, bytes):
             headers.append(("content-length", str(len(body))))
-            body = [body]
+            # Only the head of an answer to HEAD is sent.
+            body = [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
         if self.draining:
             headers.append(("connection", "close"))
         reason = _REASON_PHRASES.get(response.status, "Status")
--- a/tests/test_kernel_series.py
+++ b/tests/test_kernel_series.py
@@ -58,3 +58,17 @@
     status, _, body = read_answer(file)
     assert status == 200
     assert json.loads(body) == {"path": "next", "body": ""}
+
+
+@pytest.mark.parametrize("offer", OFFERS)
+def test_answer_to_head_has_no_body(connection, offer):
+    """The body of the 404 was taken for the answer to the next request."""
+    head = b"HEAD /head HTTP/1.1\r\nHost: h\r\n" + offer + b"\r\n"
+    connection.sendall(head + b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+    file = connection.makefile("rb")
+    status, headers, _ = read_answer(file, b"HEAD")
+    assert status == 404
+    assert int(headers["content-length"]) > 0
+    status, _, body = read_answer(file)
+    assert status == 200
+    assert json.loads(body)["path"] == "next"
