End the connection behind a CONNECT at a daemon's interface

A caller that asked a daemon for a tunnel got a 404, and what it sent behind that was read and run as requests.

Cause: the router answers CONNECT like any method without a route, and the connection stayed open.

Evidence: the test finds no `Connection: close` before, without and with an offer. The preface of HTTP/2 got one 400 and the end before, too.

The router closes the connection with the reply to CONNECT.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -116,7 +116,8 @@
     in ``{path...}``, the rest of the path. The matched values are passed to the handler
     as keyword arguments.
 
-    While `draining` is True, each reply closes its connection.
+    While `draining` is True, each reply closes its connection. The reply to CONNECT always
+    does.
     """
 
     def __init__(self):
@@ -187,12 +188,13 @@
 
     def _start_reply(self, environ, response, start_response):
         headers = list(response.headers.items())
-        body = response.body
+        body, method = response.body, environ["REQUEST_METHOD"]
         if isinstance(body, bytes):
             headers.append(("content-length", str(len(body))))
             # Only the head of an answer to HEAD is sent.
-            body = [] if environ["REQUEST_METHOD"] == "HEAD" else [body]
-        if self.draining:
+            body = [] if method == "HEAD" else [body]
+        # What follows a CONNECT is meant for a tunnel.
+        if self.draining or method == "CONNECT":
             headers.append(("connection", "close"))
         reason = _REASON_PHRASES.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
--- a/tests/test_kernel_series.py
+++ b/tests/test_kernel_series.py
@@ -72,3 +72,20 @@
     status, _, body = read_answer(file)
     assert status == 200
     assert json.loads(body)["path"] == "next"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n", 404),
+        (b"CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n" + H2C + b"\r\n", 404),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0", 400),
+    ],
+)
+def test_other_protocols_get_one_error_and_the_end(connection, data, status):
+    """What was sent through a tunnel that was refused ran as requests."""
+    connection.sendall(data + b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+    file = connection.makefile("rb")
+    found, headers, _ = read_answer(file)
+    assert (found, headers["connection"]) == (status, "close")
+    assert file.read() == b""
