Read bodies in chunks at a daemon's interface

A caller of a daemon's interface that sends its body in chunks was served as if it had sent none: a service was called with an empty body, and the answer was a success; a request for generated text got a 400.

Cause: only a body with a stated length was read. The server skipped the chunks before the next request.

Evidence: the test's handler gets an empty body before, with and without an offer of an upgrade; chunks above the limit and malformed ones got 200.

A body in chunks is read up to the limit of one with a length. Malformed chunks get gevent's 400.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -270,12 +270,28 @@
         return environ
 
 
-def _read_request(environ):
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+def _read_body(environ):
+    """Return the body of a request.
+
+    :raises InvalidRequestError: if it is larger than `BODY_MAX_BYTES`.
+    """
+    body_input = environ["wsgi.input"]
+    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+        body = body_input.read(BODY_MAX_BYTES + 1)
+        length = len(body)
+    else:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = body_input.read(length) if 0 < length <= BODY_MAX_BYTES else b""
     if length > BODY_MAX_BYTES:
         raise InvalidRequestError(
-            f"body of {length} bytes is above the limit of {BODY_MAX_BYTES} bytes"
+            f"body of at least {length} bytes is above the limit of {BODY_MAX_BYTES} "
+            "bytes"
         )
+    return body
+
+
+def _read_request(environ):
+    body = _read_body(environ)
     headers = {
         key[5:].replace("_", "-").lower(): value
         for key, value in environ.items()
@@ -290,7 +306,7 @@
         path=environ["PATH_INFO"],
         headers=headers,
         query={key: values[-1] for key, values in query.items()},
-        body=environ["wsgi.input"].read(length) if length else b"",
+        body=body,
         peer_host=environ.get("REMOTE_ADDR", ""),
         connection=environ.get("briarbeam.socket"),
         query_text=query_text,
--- a/tests/test_kernel_series.py
+++ b/tests/test_kernel_series.py
@@ -89,3 +89,28 @@
     found, headers, _ = read_answer(file)
     assert (found, headers["connection"]) == (status, "close")
     assert file.read() == b""
+
+
+@pytest.mark.parametrize("offer", OFFERS)
+def test_body_in_chunks_is_read(connection, offer):
+    """A handler got an empty body, which a service was called with."""
+    head = b"POST /known HTTP/1.1\r\nHost: h\r\n" + offer
+    chunks = b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    connection.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks)
+    connection.sendall(b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+    file = connection.makefile("rb")
+    assert json.loads(read_answer(file)[2]) == {"path": "known", "body": "abcde"}
+    assert json.loads(read_answer(file)[2])["path"] == "next"
+
+
+@pytest.mark.parametrize(
+    "chunks",
+    [
+        b"10000\r\n%b\r\n" % (b"b" * 65536) * 65 + b"0\r\n\r\n",
+        b"zz\r\nabc\r\n0\r\n\r\n",
+    ],
+)
+def test_too_large_or_malformed_chunks_are_refused(connection, chunks):
+    head = b"POST /known HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    connection.sendall(head + chunks)
+    assert read_answer(connection.makefile("rb"))[0] == 400
