--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -116,7 +116,8 @@
     in ``{path...}``, the rest of the path. The matched values are passed to the handler
     as keyword arguments.
 
-    While `draining` is True, each reply closes its connection.
+    While `draining` is True, each reply closes its connection. The reply to CONNECT always
+    does.
     """
 
     def __init__(self):
@@ -155,7 +156,7 @@
         self._idle.clear()
         try:
             response = self._respond(environ)
-            body = self._start_reply(response, start_response)
+            body = self._start_reply(environ, response, start_response)
         except BaseException:
             self._end_request()
             raise
@@ -185,13 +186,15 @@
             return Response.of_error(error)
         return self.handle(request)
 
-    def _start_reply(self, response, start_response):
+    def _start_reply(self, environ, response, start_response):
         headers = list(response.headers.items())
-        body = response.body
+        body, method = response.body, environ["REQUEST_METHOD"]
         if isinstance(body, bytes):
             headers.append(("content-length", str(len(body))))
-            body = [body]
-        if self.draining:
+            # Only the head of an answer to HEAD is sent.
+            body = [] if method == "HEAD" else [body]
+        # What follows a CONNECT is meant for a tunnel.
+        if self.draining or method == "CONNECT":
             headers.append(("connection", "close"))
         reason = _REASON_PHRASES.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
@@ -260,15 +263,35 @@
     def get_environ(self):
         environ = super().get_environ()
         environ["briarbeam.socket"] = self.socket
+        # Behind an offer of an upgrade, gevent lets the application read from the
+        # connection itself, and reads the body once more before the next request.
+        environ["wsgi.input"] = self.wsgi_input
+        environ["wsgi.input_terminated"] = True
         return environ
 
 
-def _read_request(environ):
-    length = int(environ.get("CONTENT_LENGTH") or 0)
+def _read_body(environ):
+    """Return the body of a request.
+
+    :raises InvalidRequestError: if it is larger than `BODY_MAX_BYTES`.
+    """
+    body_input = environ["wsgi.input"]
+    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
+        body = body_input.read(BODY_MAX_BYTES + 1)
+        length = len(body)
+    else:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = body_input.read(length) if 0 < length <= BODY_MAX_BYTES else b""
     if length > BODY_MAX_BYTES:
         raise InvalidRequestError(
-            f"body of {length} bytes is above the limit of {BODY_MAX_BYTES} bytes"
+            f"body of at least {length} bytes is above the limit of {BODY_MAX_BYTES} "
+            "bytes"
         )
+    return body
+
+
+def _read_request(environ):
+    body = _read_body(environ)
     headers = {
         key[5:].replace("_", "-").lower(): value
         for key, value in environ.items()
@@ -283,7 +306,7 @@
         path=environ["PATH_INFO"],
         headers=headers,
         query={key: values[-1] for key, values in query.items()},
-        body=environ["wsgi.input"].read(length) if length else b"",
+        body=body,
         peer_host=environ.get("REMOTE_ADDR", ""),
         connection=environ.get("briarbeam.socket"),
         query_text=query_text,
