Believe no new connection after one beside the answer broke

Streams and whole answers with neither a length nor chunks reached their callers as complete although the plain instance that wrote them had been killed and listened again at its address when it was asked.

Cause: if the connection that was open beside the answer broke without an answer, the question was repeated over a new one, up to 1.5 s, and a plain instance states no start, so the new process answered as the old one had. An entry whose event loop lags asks late without a measured pause.

Three tests of five cases failed before and pass now.

A new connection is believed for the first question only, and not for an answer beside which a connection broke. Short answers end before one can be opened: two cases stay red and are listed.

--- a/briarbeam/relay/process_watch.py
+++ b/briarbeam/relay/process_watch.py
@@ -34,10 +34,14 @@
 
 
 class ProcessState(enum.StrEnum):
-    """What is known of a process."""
+    """What is known of a process.
+
+    `UNPROVEN` means that one answers at the address that may be another one.
+    """
 
     RUNS = "runs"
     ENDED = "ended"
+    UNPROVEN = "unproven"
     UNKNOWN = "unknown"
 
 
@@ -111,6 +115,8 @@
         # The answers whose connections were open at a moment at which `_call` was, too.
         # Its process wrote them.
         self._beside = set()
+        # Those whose connection beside broke since: their process may have ended.
+        self._suspected = set()
         self._lock = RLock()
         self._shown_at_s = None
         self._shown_for = set()
@@ -121,6 +127,7 @@
         if self._is_asking:
             return
         if self._call is not None and not self._call.is_quiet():
+            self._suspected |= self._beside
             self._drop_call()
         if self._call is None:
             self._prepare()
@@ -131,6 +138,7 @@
         """Note that `attempt` has ended."""
         self._attempts.discard(attempt)
         self._beside.discard(attempt)
+        self._suspected.discard(attempt)
         self._shown_for.discard(attempt)
         if self._attempts:
             return
@@ -147,11 +155,13 @@
         """
         asked_s = time.monotonic()
         until_s = min(deadline_s, asked_s + CONFIRM_WITHIN_S)
+        is_first = True
         while True:
             with self._lock:
                 if self._has_shown(attempt, asked_s):
                     return ProcessState.RUNS
-                state = self._ask(attempt, until_s)
+                state = self._ask(attempt, until_s, is_first)
+            is_first = False
             if state is not ProcessState.UNKNOWN:
                 return state
             if time.monotonic() + ASK_AGAIN_S >= until_s:
@@ -198,12 +208,18 @@
     def _note_open(self, attempt):
         if attempt.call.is_quiet():
             self._beside.add(attempt)
+            self._suspected.discard(attempt)
+
+    def _ask(self, attempt, until_s, is_first):
+        """Return the `ProcessState` by one question, over the kept connection if any.
 
-    def _ask(self, attempt, until_s):
-        """Return the `ProcessState` by one question, over the kept connection if any."""
+        :param is_first: whether it is the first one after the end of the answer.
+        """
         self._is_asking = True
         try:
-            return self._find_connection() or self._ask_over_it(attempt, until_s)
+            return self._find_connection() or self._ask_over_it(
+                attempt, until_s, is_first
+            )
         finally:
             self._is_asking = False
 
@@ -222,25 +238,28 @@
         self._keep(call)
         return None
 
-    def _ask_over_it(self, attempt, until_s):
+    def _ask_over_it(self, attempt, until_s, is_first):
         sent_s = time.monotonic()
         call, identity = self._call, None
         try:
             identity = ask_identity(call, self._instance, self._health_path, until_s)
         finally:
             beside = set(self._beside)
+            if identity is None:
+                self._suspected |= beside
             if identity is None or not call.renew():
                 self._drop_call()
-        state = self._judge(identity, attempt, beside)
+        state = self._judge(identity, attempt, beside, is_first)
         if state is ProcessState.RUNS:
             self._shown_at_s, self._shown_for = sent_s, beside
         return state
 
-    def _judge(self, identity, attempt, beside):
+    def _judge(self, identity, attempt, beside, is_first):
         """Return the `ProcessState` that the answer to a question shows.
 
         :param identity: the `ProcessIdentity`, or None without an answer.
         :param beside: the attempts whose connections were open beside this one's.
+        :param is_first: whether the question was the first one after the end.
         """
         if identity is None:
             return ProcessState.UNKNOWN
@@ -250,10 +269,14 @@
         if identity.started_ms is not None and known_ms:
             same = identity.started_ms == known_ms
             return ProcessState.RUNS if same else ProcessState.ENDED
-        # Another process may have taken the address over during a pause of this one.
-        if attempt in beside or not self._max_read_delay_s():
+        if attempt in beside:
             return ProcessState.RUNS
-        return ProcessState.UNKNOWN
+        # Another process may have taken the address over, also during a pause of this
+        # one. Short answers end before a connection can be opened beside them.
+        is_doubtful = (
+            not is_first or attempt in self._suspected or self._max_read_delay_s()
+        )
+        return ProcessState.UNPROVEN if is_doubtful else ProcessState.RUNS
 
 
 def ask_identity(call, instance, health_path, until_s):
--- a/tests/test_relay_process_watch.py
+++ b/tests/test_relay_process_watch.py
@@ -369,3 +369,74 @@
     sock = entry.connect()
     sock.sendall(request_bytes(method=b"POST"))
     assert read_all(sock).endswith(b"\r\n\r\nunmarked")
+
+
+def restart_at_once(instance, sock):
+    """End a process and have it listen again under its id, without a stated start."""
+    instance.end_in_order()
+    instance.restart()
+
+
+@pytest.mark.parametrize("is_long", [True, False], ids=["two reads", "one read"])
+@pytest.mark.parametrize(
+    "route", [PLAIN_STREAM, NON_IDEMPOTENT], ids=["stream", "whole"]
+)
+def test_instance_that_restarted_did_not_write_the_answer_before(route, is_long):
+    """A new connection made after the end was believed to be one to the same process."""
+    head = STREAM_HEAD if route is PLAIN_STREAM else WHOLE_HEAD
+
+    def script(instance, sock, request):
+        # The server has begun to serve each connection that was opened by now.
+        gevent.sleep(0.05)
+        sock.sendall(head + text(1))
+        if len(instance.requests) > 1:
+            if is_long:
+                gevent.sleep(0.1)
+            restart_at_once(instance, sock)
+
+    entry, _ = make_entry(script, route)
+    assert ask(entry)[1:] == (text(1), False)
+    answer_head, body, was_reset = ask(entry)
+    if route is PLAIN_STREAM:
+        assert (body, was_reset) == (text(1), True)
+    else:
+        assert answer_head.split()[1] == b"502"
+
+
+def test_first_stream_of_an_instance_that_restarted_is_not_complete():
+    entry, _ = make_entry(begin(STREAM_HEAD + text(1), restart_at_once))
+    assert ask(entry)[1:] == (text(1), True)
+
+
+@pytest.mark.parametrize("renews", [True, False], ids=["kept", "closed"])
+def test_short_answers_of_a_plain_instance_stay_complete(renews):
+    """Their ends arrive with them, so that no connection can be opened after a read."""
+    entry, instance = make_entry(reply(WHOLE_HEAD + b"short"), NON_IDEMPOTENT)
+    if not renews:
+        refuse = b"HTTP/1.0 421 X\r\ncontent-length: 0\r\n\r\n"
+        instance.answer_probe = lambda _, sock, request: (
+            sock.sendall(refuse), sock.shutdown(2))  # fmt: skip
+    for _ in range(5):
+        tasks = [gevent.spawn(ask, entry) for _ in range(4)]
+        assert all(task.get()[1:] == (b"short", False) for task in tasks)
+    gevent.sleep(0.1)
+    assert not instance._open_socks
+
+
+def test_streams_that_end_close_together_stay_complete():
+    """The server closes the shared connection behind the first question."""
+    entry, instance = make_entry(begin(STREAM_HEAD + text(1), lambda *args: None))
+    refuse = b"HTTP/1.0 421 X\r\ncontent-length: 0\r\n\r\n"
+    instance.answer_probe = lambda _, sock, request: (
+        sock.sendall(refuse), sock.shutdown(2))  # fmt: skip
+    assert ask(entry)[1:] == (text(1), False)
+    tasks = [gevent.spawn_later(0.005 * n, ask, entry) for n in range(8)]
+    assert all(task.get()[1:] == (text(1), False) for task in tasks)
+
+
+def test_server_that_serves_one_after_the_other_is_not_kept_waiting():
+    """It would wait for a request on a connection that was opened before that of one."""
+    entry, instance = make_entry(reply(WHOLE_HEAD + b"short"), NON_IDEMPOTENT)
+    instance._server.set_spawn(1)
+    for _ in range(3):
+        assert ask(entry)[1:] == (b"short", False)
