Refuse answers whose status is outside 100 to 599

Cause: the parser accepts any three digits. Below 200 the entry took the answer for an interim one, but its body, which a real interim answer can't have, was kept and preceded the next one; above 599 nothing asked.

UpstreamCall raises InvalidStatusError where a head is complete, which stops the parser before what follows. It is a failure of the target like any malformed answer: a repeatable request goes elsewhere at once, any other one ends with 502 without the seal, the body and the Retry-After of the instance, and the cause in its line names the status. It is no broken connection, so no crash is searched for. Probes read heads in the same place: such an answer shows neither a crash nor that the process that wrote an answer lives; a head that is none is no witness of an answer's completeness. Valid interim answers stay bounded by FRAMING_MAX_BYTES (test).

--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -195,6 +195,12 @@
     code = "misleading_status"
 
 
+class InvalidStatusError(UpstreamError):
+    """The status of the instance's answer is outside 100 to 599."""
+
+    code = "invalid_status"
+
+
 class AnswerTooLargeError(UpstreamError):
     """The answer of the instance exceeds a limit; the rest was not read."""
 
--- a/briarbeam/relay/upstream_call.py
+++ b/briarbeam/relay/upstream_call.py
@@ -12,8 +12,14 @@
 from ..kernel.early_bytes import find_early_fault
 from ..kernel.errors import NotRunError
 from ..kernel.network import reset_on_close
+from ..kernel.statuses import is_valid_status
 from ..kernel.tasks import ReadYielder
-from .errors import AnswerTooLargeError, UpstreamBrokenError, UpstreamError
+from .errors import (
+    AnswerTooLargeError,
+    InvalidStatusError,
+    UpstreamBrokenError,
+    UpstreamError,
+)
 
 # Connecting takes one round trip of a few ms. The kernel sends a lost first packet
 # again only after a second, so a new connection attempt is faster.
@@ -231,6 +237,7 @@
         :raises UpstreamSilentError: if there are none by then.
         :raises AnswerTooLargeError: if more than `FRAMING_MAX_BYTES` arrive without any
             part of a body, or if the answer was given up.
+        :raises InvalidStatusError: if the status of the answer is invalid.
         :raises UpstreamError: if the connection breaks or the answer is malformed.
         """
         # What has already arrived is read even if the time is over.
@@ -268,6 +275,8 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             # Bytes after a complete answer belong to no request and are ignored.
+            if isinstance(error.__context__, InvalidStatusError):
+                raise error.__context__ from None
             if not self._ended:
                 raise UpstreamError(
                     f"answer from {self._address} is malformed: {error}"
@@ -334,6 +343,9 @@
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
+        if not (self._ended or is_valid_status(status)):
+            # The exception stops the parser before what follows on the connection.
+            raise InvalidStatusError(f"{self._address} answered status {status:03d}")
         self._interim = status < 200
         if self._interim or self._ended:
             return
