Refuse replies whose status is outside 100 to 599 in the shared client

What its users made of it: an engine's order answered 600 counted as refused, although it may have been accepted; a gate took it for a failure of a request that ran; a plain service's 600 was passed on; the store's answer could still state an era.

Cause: geventhttpclient checks that a status has three digits, and no more.

The library does not let the type of a reply be chosen, so CheckedClient has the library's way to send a request, reduced to bodies of bytes without Expect, and reads replies with a type that raises ExchangeError where a head is complete. All users handle that as the unknown outcome of any broken reply; a connection probe raises ConnectError, as nothing was sent.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -16,11 +16,11 @@
 
 import gevent
 import gevent.socket
-from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.header import Headers
 from opentelemetry import propagate, trace
 
+from .checked_client import CheckedClient
 from .early_bytes import find_early_fault
 from .errors import (
     ConnectError,
@@ -281,7 +281,7 @@
             client = self._acquire_idle(address)
             if client is not None:
                 return client
-        client = HTTPClient(
+        client = CheckedClient(
             address.host,
             address.port,
             concurrency=1,
