Refuse bodies that a daemon would read on without an end

What callers saw: a daemon (`briarbeamd`: entry, gate, operators) read what followed the head of a request for as long as it came, also behind a body that it had refused: announced bytes, chunks, trailers. Nothing counted the bytes, and no connection was closed.

Cause: gevent's server reads the rest of a body before the next request, however long it is, and reads trailers byte by byte without a limit. Chunked bodies were never passed to a handler: their length was taken as 0.

Now a request is refused by its head, before it runs: 413 above 4 MiB, 411 for a body without a stated length. Its body is not read; at most 1 MiB is discarded within 1 s, so that a reset does not overtake the answer, and the connection is closed. So chunk sizes, extensions and trailers are never parsed. An announced body above the limit got 400 before.

Evidence: 8 callers that offer 64 MiB each, bound 32 MiB for a connection.

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -60,6 +60,20 @@
     status = 400
 
 
+class BodyTooLargeError(NotRunError):
+    """The body of the request is above the limit; it was not read."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class LengthRequiredError(NotRunError):
+    """The request states no length of its body, as a chunked one; it was not read."""
+
+    code = "length_required"
+    status = 411
+
+
 class UnauthorizedError(NotRunError):
     """The request has no valid operator token or team API key."""
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -3,24 +3,36 @@
 import json
 import re
 import socket
+from contextlib import suppress
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
+import gevent
 import structlog
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from opentelemetry import propagate, trace
 from prometheus_client import Counter
 
-from .errors import BriarbeamError, InvalidRequestError, NotFoundError
+from .errors import (
+    BodyTooLargeError,
+    BriarbeamError,
+    InvalidRequestError,
+    LengthRequiredError,
+    NotFoundError,
+)
+from .tasks import ReadYielder
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
 SOCKET_TIMEOUT_S = 60.0
+# What is read behind a refused head, so that a reset does not overtake the answer.
+LINGER_MAX_BYTES = 1024 * 1024
+LINGER_S = 1.0
 _REASON_PHRASES = {
     200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
     304: "Not Modified",
     400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 409: "Conflict",
-    413: "Content Too Large",
+    411: "Length Required", 413: "Content Too Large",
     429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
@@ -182,7 +194,11 @@
         try:
             request = _read_request(environ)
         except BriarbeamError as error:
-            return Response.of_error(error)
+            response = Response.of_error(error)
+            _REQUESTS.labels("none", response.status).inc()
+            # What follows the head is not read, so no other request can.
+            response.headers["connection"] = "close"
+            return response
         return self.handle(request)
 
     def _start_reply(self, response, start_response):
@@ -191,7 +207,7 @@
         if isinstance(body, bytes):
             headers.append(("content-length", str(len(body))))
             body = [body]
-        if self.draining:
+        if self.draining and "connection" not in response.headers:
             headers.append(("connection", "close"))
         reason = _REASON_PHRASES.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
@@ -260,15 +276,48 @@
     def get_environ(self):
         environ = super().get_environ()
         environ["briarbeam.socket"] = self.socket
+        error = _find_refusal(self.headers, self.content_length)
+        if error is not None:
+            environ["briarbeam.refusal"] = error
+            # Otherwise the server reads the body to its end after the answer.
+            self.wsgi_input.content_length = 0
+            self.wsgi_input.chunked_input = False
         return environ
 
+    def handle_one_response(self):
+        super().handle_one_response()
+        if "briarbeam.refusal" in self.environ:
+            self._linger()
+
+    def _linger(self):
+        left_bytes = LINGER_MAX_BYTES
+        yielder = ReadYielder()
+        with suppress(OSError), gevent.Timeout(LINGER_S, False):
+            self.socket.shutdown(socket.SHUT_WR)
+            while left_bytes > 0 and (data := self.socket.recv(16384)):
+                left_bytes -= len(data)
+                yielder.count_read(len(data))
+
+
+def _find_refusal(headers, length):
+    """Return the error for a request whose body is not to be read, or None."""
+    coding = headers.get("transfer-encoding")
+    if coding is not None:
+        return LengthRequiredError(
+            f"Transfer-Encoding {coding[:40]!r}: a body needs a Content-Length"
+        )
+    if length is not None and length > BODY_MAX_BYTES:
+        return BodyTooLargeError(
+            f"body of {length} bytes is above the limit of {BODY_MAX_BYTES} bytes"
+        )
+    return None
+
 
 def _read_request(environ):
+    refusal = environ.get("briarbeam.refusal")
+    if refusal is not None:
+        raise refusal
     length = int(environ.get("CONTENT_LENGTH") or 0)
-    if length > BODY_MAX_BYTES:
-        raise InvalidRequestError(
-            f"body of {length} bytes is above the limit of {BODY_MAX_BYTES} bytes"
-        )
     headers = {
         key[5:].replace("_", "-").lower(): value
         for key, value in environ.items()
--- /dev/null
+++ b/tests/test_daemon_input_processes.py
@@ -0,0 +1,100 @@
+"""`briarbeamd` stays bounded, whatever callers send."""
+
+import json
+import re
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import socket
+
+from bench.layout import Domain
+from bench.site import Site
+
+DOMAINS = (Domain("hobart", "south", entries=1, engines=1, services=0),)
+CROWD = 8
+SENT_BYTES = 64 * 2**20
+# Above what the kernel holds for a connection on loopback.
+TAKEN_MAX_BYTES = 32 * 2**20
+BLOCK_BYTES = 65536
+HEAD = b"POST /gate/call HTTP/1.1\r\nHost: h\r\n%b\r\n"
+CHUNKED = HEAD % b"Transfer-Encoding: chunked\r\n"
+LINE = b"X-Line: " + b"t" * 1000 + b"\r\n"
+ENDLESS = {
+    "length": (HEAD % b"Content-Length: 99999999999\r\n", b"b"),
+    "chunk": (CHUNKED + b"fffffffff\r\n", b"b"),
+    "chunks": (CHUNKED, b"4000\r\n" + b"b" * 0x4000 + b"\r\n"),
+    "trailers": (CHUNKED + b"2\r\nhi\r\n0\r\n", LINE),
+}
+
+
+@pytest.fixture(scope="module")
+def site():
+    with Site(DOMAINS) as started:
+        yield started
+
+
+def send(address, begin, repeated):
+    """Send as much as the process takes; return its answer and the bytes taken."""
+    block = repeated * max(1, BLOCK_BYTES // len(repeated))
+    answer, taken_bytes = b"", 0
+    with socket.create_connection(tuple(address)) as sock:
+        sock.settimeout(30.0)
+        reader = gevent.spawn(receive, sock)
+        try:
+            sock.sendall(begin)
+            while taken_bytes < SENT_BYTES:
+                sock.sendall(block)
+                taken_bytes += len(block)
+                # A send that need not wait leaves no turn to the others.
+                gevent.sleep(0)
+        except OSError:
+            pass
+        answer = reader.get()
+    return answer, taken_bytes
+
+
+def receive(sock):
+    data = b""
+    try:
+        while part := sock.recv(65536):
+            data += part
+    except OSError:
+        pass
+    return data
+
+
+def run_crowd(instance, begin, repeated):
+    """Run `send` from all at once and check that the process bears it."""
+    address = instance.http
+    tasks = [gevent.spawn(send, address, begin, repeated) for _ in range(CROWD)]
+    gevent.joinall(tasks, raise_error=True)
+    assert instance.daemon.poll() is None
+    assert is_served(instance)
+    return [task.value for task in tasks]
+
+
+def is_served(instance):
+    with socket.create_connection(tuple(instance.http)) as sock:
+        sock.settimeout(30.0)
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        return receive(sock).startswith(b"HTTP/1.1 200")
+
+
+def peak_mb(instance):
+    status = Path(f"/proc/{instance.daemon.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1000
+
+
+@pytest.mark.parametrize("role", ["entry", "target"])
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_body_without_an_end_is_not_read_on(site, role, kind):
+    """The server read what was behind a refused head for as long as it came."""
+    instance = (site.entries() if role == "entry" else site.targets())[0]
+    results = run_crowd(instance, *ENDLESS[kind])
+    assert max(taken_bytes for _, taken_bytes in results) < TAKEN_MAX_BYTES
+    for answer, _ in results:
+        # The reset of a connection may overtake its answer.
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert not answer or head.split()[1] in (b"411", b"413")
+        assert not body or json.loads(body)["error"]["ran"] == "no"
