Refuse heads above 64 KiB in a daemon

What callers saw: a daemon (`briarbeamd`) held up to 100 header lines of 64 KB for each connection, 6.5 MB, while the head was incomplete; the number of lines was limited, and the size of a line, but not their sum.

Cause: gevent's server leaves heads to `http.client`, whose limits are meant for one reply, not for a crowd of callers.

The lines of a head are now counted as they are read; above 64 KiB the answer is 431 `header_too_large`. A head with too many lines gets a typed 400; it wrote a traceback to the log before, one for each such head.

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -60,6 +60,13 @@
     status = 400
 
 
+class HeaderTooLargeError(NotRunError):
+    """The head of the request is above the limit."""
+
+    code = "header_too_large"
+    status = 431
+
+
 class BodyTooLargeError(NotRunError):
     """The body of the request is above the limit; it was not read."""
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -5,6 +5,7 @@
 import socket
 from contextlib import suppress
 from dataclasses import dataclass, field
+from http.client import HTTPException
 from urllib.parse import parse_qs
 
 import gevent
@@ -17,6 +18,7 @@
 from .errors import (
     BodyTooLargeError,
     BriarbeamError,
+    HeaderTooLargeError,
     InvalidRequestError,
     LengthRequiredError,
     NotFoundError,
@@ -24,6 +26,7 @@
 from .tasks import ReadYielder
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
+HEAD_MAX_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 60.0
 # What is read behind a refused head, so that a reset does not overtake the answer.
 LINGER_MAX_BYTES = 1024 * 1024
@@ -33,7 +36,8 @@
     304: "Not Modified",
     400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 409: "Conflict",
     411: "Length Required", 413: "Content Too Large",
-    429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
+    429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 _REQUESTS = Counter("briarbeam_http_requests", "HTTP replies", ["route", "status"])
@@ -284,6 +288,30 @@
             self.wsgi_input.chunked_input = False
         return environ
 
+    def MessageClass(self, file, *args):
+        return super().MessageClass(_HeadReader(file), *args)
+
+    def _handle_client_error(self, ex):
+        if isinstance(ex, HTTPException):
+            ex = InvalidRequestError(f"invalid header: {ex!r}")
+        if not isinstance(ex, BriarbeamError):
+            return super()._handle_client_error(ex)
+        response = Response.of_error(ex)
+        _REQUESTS.labels("none", response.status).inc()
+        self._send_refusal(response)
+        return None
+
+    def _send_refusal(self, response):
+        """Send `response` outside of the router; the connection is closed next."""
+        headers = {**response.headers, "content-length": len(response.body)}
+        reason = _REASON_PHRASES.get(response.status, "Status")
+        lines = [f"HTTP/1.1 {response.status} {reason}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join([*lines, "connection: close", "", ""]).encode("latin-1")
+        with suppress(OSError):
+            self.socket.sendall(head + response.body)
+            self._linger()
+
     def handle_one_response(self):
         super().handle_one_response()
         if "briarbeam.refusal" in self.environ:
@@ -299,6 +327,25 @@
                 yielder.count_read(len(data))
 
 
+class _HeadReader:
+    """Lines of one head, at most `HEAD_MAX_BYTES` together."""
+
+    def __init__(self, file):
+        self._file = file
+        self._left_bytes = HEAD_MAX_BYTES
+
+    def readline(self, size_bytes):
+        """Return the next line.
+
+        :raises HeaderTooLargeError: if the head is larger than the limit.
+        """
+        line = self._file.readline(min(size_bytes, self._left_bytes + 1))
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise HeaderTooLargeError(f"head is above {HEAD_MAX_BYTES} bytes")
+        return line
+
+
 def _find_refusal(headers, length):
     """Return the error for a request whose body is not to be read, or None."""
     coding = headers.get("transfer-encoding")
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from contextlib import ExitStack
 from pathlib import Path
 
 import gevent
@@ -13,6 +14,9 @@
 
 DOMAINS = (Domain("hobart", "south", entries=1, engines=1, services=0),)
 CROWD = 8
+# For faults of which one connection holds a few megabytes only.
+LARGE_CROWD = 48
+MEMORY_MAX_MB = 160
 SENT_BYTES = 64 * 2**20
 # Above what the kernel holds for a connection on loopback.
 TAKEN_MAX_BYTES = 32 * 2**20
@@ -98,3 +102,27 @@
         head, _, body = answer.partition(b"\r\n\r\n")
         assert not answer or head.split()[1] in (b"411", b"413")
         assert not body or json.loads(body)["error"]["ran"] == "no"
+
+
+def hold(stack, instance, count, *parts):
+    """Open `count` connections, send `parts` on each and keep them open."""
+    for _ in range(count):
+        sock = stack.enter_context(socket.create_connection(tuple(instance.http)))
+        sock.settimeout(30.0)
+        try:
+            for part in parts:
+                sock.sendall(part)
+                gevent.sleep(0)
+        except OSError:
+            continue
+
+
+def test_long_heads_do_not_fill_the_memory(site):
+    """The server took 100 lines of 64 KB from each connection."""
+    entry = site.entries()[0]
+    line = b"X-Long: " + b"h" * 60_000 + b"\r\n"
+    with ExitStack() as stack:
+        hold(stack, entry, LARGE_CROWD, b"GET /healthz HTTP/1.1\r\n", *[line] * 80)
+        assert is_served(entry)
+        assert peak_mb(entry) < MEMORY_MAX_MB
+    assert entry.daemon.poll() is None
