Refuse a head that is cut off by the end of its connection

What callers saw: a request whose connection ended within its head ran in a daemon, without the header fields that were missing; a request without a body as a whole.

Cause: `http.client` takes the end of a connection for the end of a head.

The reader of the head now refuses it: 400, not run.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -338,11 +338,14 @@
         """Return the next line.
 
         :raises HeaderTooLargeError: if the head is larger than the limit.
+        :raises InvalidRequestError: if the connection ends before the head does.
         """
         line = self._file.readline(min(size_bytes, self._left_bytes + 1))
         self._left_bytes -= len(line)
         if self._left_bytes < 0:
             raise HeaderTooLargeError(f"head is above {HEAD_MAX_BYTES} bytes")
+        if not line:
+            raise InvalidRequestError("the connection ended within the head")
         return line
 
 
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -126,3 +126,12 @@
         assert is_served(entry)
         assert peak_mb(entry) < MEMORY_MAX_MB
     assert entry.daemon.poll() is None
+
+
+def test_head_that_is_cut_off_is_not_run(site):
+    """The server took the end of the connection for the end of the head."""
+    with socket.create_connection(tuple(site.entries()[0].http)) as sock:
+        sock.settimeout(30.0)
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\nX-Cut: ")
+        sock.shutdown(socket.SHUT_WR)
+        assert not receive(sock).startswith(b"HTTP/1.1 200")
