Bound the bodies that a daemon holds at a time

What callers saw: each connection to a daemon (`briarbeamd`) could hold a body of 4 MB, and nothing bounded their sum, so callers that announce bodies and don't finish them fill the memory.

Bodies above 64 KiB now share a budget of 64 MiB, from the end of the head to the end of the answer. A request above it is refused by its head: 503 `bodies_too_large`, not run. Smaller bodies are not counted, so that ordinary requests are served while large ones fill the budget.

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -74,6 +74,12 @@
     status = 413
 
 
+class BodiesTooLargeError(NotRunError):
+    """The bodies that are held at a time are above the limit; it was not read."""
+
+    code = "bodies_too_large"
+
+
 class LengthRequiredError(NotRunError):
     """The request states no length of its body, as a chunked one; it was not read."""
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -3,7 +3,7 @@
 import json
 import re
 import socket
-from contextlib import suppress
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from http.client import HTTPException
 from urllib.parse import parse_qs
@@ -16,6 +16,7 @@
 from prometheus_client import Counter
 
 from .errors import (
+    BodiesTooLargeError,
     BodyTooLargeError,
     BriarbeamError,
     HeaderTooLargeError,
@@ -26,6 +27,10 @@
 from .tasks import ReadYielder
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
+# Of all requests that are read or run at a time. Small bodies are not counted, so that
+# large ones don't keep them out.
+BODIES_MAX_BYTES = 64 * 1024 * 1024
+SMALL_BODY_MAX_BYTES = 64 * 1024
 HEAD_MAX_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 60.0
 # What is read behind a refused head, so that a reset does not overtake the answer.
@@ -256,6 +261,7 @@
         self._server = WSGIServer(
             tuple(address), router, handler_class=_Handler, log=None, error_log=None
         )
+        self._server.bodies = _BodyBudget()
 
     def start(self):
         """Bind the address and serve in the background."""
@@ -281,6 +287,7 @@
         environ = super().get_environ()
         environ["briarbeam.socket"] = self.socket
         error = _find_refusal(self.headers, self.content_length)
+        error = error or self.server.bodies.find_refusal(self.content_length)
         if error is not None:
             environ["briarbeam.refusal"] = error
             # Otherwise the server reads the body to its end after the answer.
@@ -313,9 +320,12 @@
             self._linger()
 
     def handle_one_response(self):
-        super().handle_one_response()
         if "briarbeam.refusal" in self.environ:
+            super().handle_one_response()
             self._linger()
+            return
+        with self.server.bodies.hold(self.content_length):
+            super().handle_one_response()
 
     def _linger(self):
         left_bytes = LINGER_MAX_BYTES
@@ -327,6 +337,37 @@
                 yielder.count_read(len(data))
 
 
+class _BodyBudget:
+    """The bodies of the requests of one server, at most `BODIES_MAX_BYTES`."""
+
+    def __init__(self):
+        self._held_bytes = 0
+
+    def find_refusal(self, length):
+        """Return the error for another body of `length` bytes, or None."""
+        held_bytes = self._held_bytes + _counted_bytes(length)
+        if held_bytes <= BODIES_MAX_BYTES or not _counted_bytes(length):
+            return None
+        return BodiesTooLargeError(
+            f"bodies of {held_bytes} bytes at a time are above the limit of "
+            f"{BODIES_MAX_BYTES} bytes",
+            retry_after_s=1.0,
+        )
+
+    @contextmanager
+    def hold(self, length):
+        """Count a body of `length` bytes while in this context."""
+        self._held_bytes += _counted_bytes(length)
+        try:
+            yield
+        finally:
+            self._held_bytes -= _counted_bytes(length)
+
+
+def _counted_bytes(length):
+    return 0 if length is None or length <= SMALL_BODY_MAX_BYTES else length
+
+
 class _HeadReader:
     """Lines of one head, at most `HEAD_MAX_BYTES` together."""
 
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -128,6 +128,17 @@
     assert entry.daemon.poll() is None
 
 
+def test_bodies_do_not_fill_the_memory(site):
+    """Each connection could hold a body of 4 MB."""
+    target = site.targets()[0]
+    head = HEAD % b"Content-Length: 4000000\r\n"
+    with ExitStack() as stack:
+        hold(stack, target, LARGE_CROWD, head, *[b"b" * 60_000] * 65)
+        assert is_served(target)
+        assert peak_mb(target) < MEMORY_MAX_MB
+    assert target.daemon.poll() is None
+
+
 def test_head_that_is_cut_off_is_not_run(site):
     """The server took the end of the connection for the end of the head."""
     with socket.create_connection(tuple(site.entries()[0].http)) as sock:
