Bound the open connections of a daemon

What callers saw: a daemon (`briarbeamd`) accepted connections until its descriptors were used up, and kept each one for 60 s without a byte. Without descriptors it reaches neither its back end nor the platform.

Cause: only the ports of `briarbeam.node` had a limit on their connections.

`OpenConnections` is moved to the kernel, unchanged, and the daemon's server uses it: at most 2,048 connections and a quarter of the descriptors. Above it the one that has waited longest for its peer is closed; if all are being answered, the new one gets 503 `too_many_connections`.

Evidence: 200 idle connections to an entry that may open 256 descriptors, bound 128: 213 open before, passes now.

--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -80,6 +80,12 @@
     code = "bodies_too_large"
 
 
+class TooManyConnectionsError(NotRunError):
+    """All connections that may be open have a request under way."""
+
+    code = "too_many_connections"
+
+
 class LengthRequiredError(NotRunError):
     """The request states no length of its body, as a chunked one; it was not read."""
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -5,6 +5,7 @@
 import socket
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
 from http.client import HTTPException
 from urllib.parse import parse_qs
 
@@ -15,6 +16,7 @@
 from opentelemetry import propagate, trace
 from prometheus_client import Counter
 
+from .connections import OpenConnections, callers_max
 from .errors import (
     BodiesTooLargeError,
     BodyTooLargeError,
@@ -23,6 +25,7 @@
     InvalidRequestError,
     LengthRequiredError,
     NotFoundError,
+    TooManyConnectionsError,
 )
 from .tasks import ReadYielder
 
@@ -31,6 +34,7 @@
 # large ones don't keep them out.
 BODIES_MAX_BYTES = 64 * 1024 * 1024
 SMALL_BODY_MAX_BYTES = 64 * 1024
+CONNECTIONS_MAX = 2048
 HEAD_MAX_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 60.0
 # What is read behind a refused head, so that a reset does not overtake the answer.
@@ -262,6 +266,9 @@
             tuple(address), router, handler_class=_Handler, log=None, error_log=None
         )
         self._server.bodies = _BodyBudget()
+        self._server.connections = OpenConnections(
+            "daemon", callers_max(CONNECTIONS_MAX)
+        )
 
     def start(self):
         """Bind the address and serve in the background."""
@@ -283,9 +290,36 @@
         sock.settimeout(SOCKET_TIMEOUT_S)
         super().__init__(sock, address, server, rfile)
 
+    def handle(self):
+        connections = self.server.connections
+        if not connections.admit(self):
+            error = TooManyConnectionsError(
+                f"all {connections.limit} connections are in use", retry_after_s=1.0
+            )
+            self._send_refusal(Response.of_error(error))
+            return
+        try:
+            super().handle()
+        finally:
+            connections.remove(self)
+
+    def close(self):
+        """End the connection; the task that reads from it closes it."""
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def read_requestline(self):
+        with self.server.connections.wait(self):
+            return super().read_requestline()
+
+    def read_request(self, raw_requestline):
+        with self.server.connections.wait(self):
+            return super().read_request(raw_requestline)
+
     def get_environ(self):
         environ = super().get_environ()
         environ["briarbeam.socket"] = self.socket
+        environ["briarbeam.wait"] = partial(self.server.connections.wait, self)
         error = _find_refusal(self.headers, self.content_length)
         error = error or self.server.bodies.find_refusal(self.content_length)
         if error is not None:
@@ -416,6 +450,8 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
+    with environ["briarbeam.wait"]():
+        body = environ["wsgi.input"].read(length) if length else b""
     query_text = environ.get("QUERY_STRING", "")
     query = parse_qs(query_text)
     return Request(
@@ -423,7 +459,7 @@
         path=environ["PATH_INFO"],
         headers=headers,
         query={key: values[-1] for key, values in query.items()},
-        body=environ["wsgi.input"].read(length) if length else b"",
+        body=body,
         peer_host=environ.get("REMOTE_ADDR", ""),
         connection=environ.get("briarbeam.socket"),
         query_text=query_text,
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 from prometheus_client import Counter, Gauge
 
+from ..kernel.connections import OpenConnections, callers_max
 from ..kernel.errors import BriarbeamError
 from ..kernel.network import reset_on_close
 from ..kernel.tasks import ReadYielder
@@ -16,7 +17,7 @@
 from .admission import RETRY_AFTER_S
 from .answer_writer import AnswerWriter
 from .callers import READ_BLOCK_BYTES, RequestReader
-from .connections import OpenConnections, PlainServer, callers_max
+from .connections import PlainServer
 from .errors import (
     CallerDisconnectedError,
     GraceEndedError,
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -1,7 +1,9 @@
 """`briarbeamd` stays bounded, whatever callers send."""
 
 import json
+import os
 import re
+import resource
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -17,6 +19,10 @@
 # For faults of which one connection holds a few megabytes only.
 LARGE_CROWD = 48
 MEMORY_MAX_MB = 160
+# Lowers the limit on connections below their number.
+DESCRIPTORS = 256
+IDLE_CROWD = 200
+DESCRIPTORS_MAX = 128
 SENT_BYTES = 64 * 2**20
 # Above what the kernel holds for a connection on loopback.
 TAKEN_MAX_BYTES = 32 * 2**20
@@ -34,7 +40,14 @@
 
 @pytest.fixture(scope="module")
 def site():
-    with Site(DOMAINS) as started:
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with ExitStack() as stack:
+        try:
+            # The processes inherit it.
+            resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, limits[1]))
+            started = stack.enter_context(Site(DOMAINS))
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
         yield started
 
 
@@ -139,6 +152,16 @@
     assert target.daemon.poll() is None
 
 
+def test_idle_connections_do_not_use_up_the_descriptors(site):
+    """Without descriptors, a daemon reaches neither its back end nor the platform."""
+    entry = site.entries()[0]
+    with ExitStack() as stack:
+        hold(stack, entry, IDLE_CROWD)
+        assert is_served(entry)
+        assert len(os.listdir(f"/proc/{entry.daemon.pid}/fd")) < DESCRIPTORS_MAX
+    assert entry.daemon.poll() is None
+
+
 def test_head_that_is_cut_off_is_not_run(site):
     """The server took the end of the connection for the end of the head."""
     with socket.create_connection(tuple(site.entries()[0].http)) as sock:
--- a/tests/test_relay_connections.py
+++ b/tests/test_relay_connections.py
@@ -4,8 +4,8 @@
 import pytest
 
 from briarbeam.catalog import CallerLimits
+from briarbeam.kernel.connections import OpenConnections
 from briarbeam.relay.callers import YIELD_AFTER_REQUESTS, RequestReader
-from briarbeam.relay.connections import OpenConnections
 from briarbeam.relay.errors import MalformedRequestError
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
