Yield between the requests that a daemon has already received

What callers saw: while a few callers sent requests faster than a daemon (`briarbeamd`) answered them, and read the answers, no other request was answered.

Cause: reads that find data and writes that find room don't yield in gevent, so such a connection kept its turn for as long as it was fed.

The connection now yields before every 16th request, as at the entry.

Evidence: 8 callers that pipeline GET /healthz.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -27,7 +27,7 @@
     NotFoundError,
     TooManyConnectionsError,
 )
-from .tasks import ReadYielder
+from .tasks import YIELD_SLEEP_S, ReadYielder
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
 # Of all requests that are read or run at a time. Small bodies are not counted, so that
@@ -40,6 +40,8 @@
 # What is read behind a refused head, so that a reset does not overtake the answer.
 LINGER_MAX_BYTES = 1024 * 1024
 LINGER_S = 1.0
+# A connection whose requests are already here never waits for a read.
+YIELD_AFTER_REQUESTS = 16
 _REASON_PHRASES = {
     200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
     304: "Not Modified",
@@ -288,6 +290,7 @@
     def __init__(self, sock, address, server, rfile=None):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(SOCKET_TIMEOUT_S)
+        self._request_count = 0
         super().__init__(sock, address, server, rfile)
 
     def handle(self):
@@ -303,6 +306,12 @@
         finally:
             connections.remove(self)
 
+    def handle_one_request(self):
+        self._request_count += 1
+        if self._request_count % YIELD_AFTER_REQUESTS == 0:
+            gevent.sleep(YIELD_SLEEP_S)
+        return super().handle_one_request()
+
     def close(self):
         """End the connection; the task that reads from it closes it."""
         with suppress(OSError):
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -4,6 +4,8 @@
 import os
 import re
 import resource
+import subprocess
+import sys
 from contextlib import ExitStack
 from pathlib import Path
 
@@ -37,6 +39,26 @@
     "trailers": (CHUNKED + b"2\r\nhi\r\n0\r\n", LINE),
 }
 
+# Sends requests as fast as they are read, and reads the answers.
+SENDER = """
+import socket, sys, threading
+
+def receive(sock):
+    while sock.recv(2**20):
+        pass
+
+def send(sock):
+    while True:
+        sock.sendall(b"GET /healthz HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n" * 2000)
+
+host, port, count = sys.argv[1:]
+for _ in range(int(count)):
+    sock = socket.create_connection((host, int(port)))
+    threading.Thread(target=receive, args=[sock], daemon=True).start()
+    threading.Thread(target=send, args=[sock]).start()
+print("sending", flush=True)
+"""
+
 
 @pytest.fixture(scope="module")
 def site():
@@ -169,3 +191,16 @@
         sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\nX-Cut: ")
         sock.shutdown(socket.SHUT_WR)
         assert not receive(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_pipelined_requests_leave_turns_to_other_connections(site):
+    """Their connections never waited, so no other one was accepted."""
+    entry = site.entries()[0]
+    command = [sys.executable, "-c", SENDER, *map(str, entry.http), str(CROWD)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as sender:
+        try:
+            assert sender.stdout.readline() == b"sending\n"
+            assert is_served(entry)
+        finally:
+            sender.kill()
+    assert entry.daemon.poll() is None
