--- a/briarbeam/kernel/errors.py
+++ b/briarbeam/kernel/errors.py
@@ -60,6 +60,39 @@
     status = 400
 
 
+class HeaderTooLargeError(NotRunError):
+    """The head of the request is above the limit."""
+
+    code = "header_too_large"
+    status = 431
+
+
+class BodyTooLargeError(NotRunError):
+    """The body of the request is above the limit; it was not read."""
+
+    code = "body_too_large"
+    status = 413
+
+
+class BodiesTooLargeError(NotRunError):
+    """The bodies that are held at a time are above the limit; it was not read."""
+
+    code = "bodies_too_large"
+
+
+class TooManyConnectionsError(NotRunError):
+    """All connections that may be open have a request under way."""
+
+    code = "too_many_connections"
+
+
+class LengthRequiredError(NotRunError):
+    """The request states no length of its body, as a chunked one; it was not read."""
+
+    code = "length_required"
+    status = 411
+
+
 class UnauthorizedError(NotRunError):
     """The request has no valid operator token or team API key."""
 
--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -3,25 +3,52 @@
 import json
 import re
 import socket
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
+from functools import partial
+from http.client import HTTPException
 from urllib.parse import parse_qs
 
+import gevent
 import structlog
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler, WSGIServer
 from opentelemetry import propagate, trace
 from prometheus_client import Counter
 
-from .errors import BriarbeamError, InvalidRequestError, NotFoundError
+from .connections import OpenConnections, callers_max
+from .errors import (
+    BodiesTooLargeError,
+    BodyTooLargeError,
+    BriarbeamError,
+    HeaderTooLargeError,
+    InvalidRequestError,
+    LengthRequiredError,
+    NotFoundError,
+    TooManyConnectionsError,
+)
+from .tasks import YIELD_SLEEP_S, ReadYielder
 
 BODY_MAX_BYTES = 4 * 1024 * 1024
+# Of all requests that are read or run at a time. Small bodies are not counted, so that
+# large ones don't keep them out.
+BODIES_MAX_BYTES = 64 * 1024 * 1024
+SMALL_BODY_MAX_BYTES = 64 * 1024
+CONNECTIONS_MAX = 2048
+HEAD_MAX_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 60.0
+# What is read behind a refused head, so that a reset does not overtake the answer.
+LINGER_MAX_BYTES = 1024 * 1024
+LINGER_S = 1.0
+# A connection whose requests are already here never waits for a read.
+YIELD_AFTER_REQUESTS = 16
 _REASON_PHRASES = {
     200: "OK", 201: "Created", 202: "Accepted", 204: "No Content",
     304: "Not Modified",
     400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 409: "Conflict",
-    413: "Content Too Large",
-    429: "Too Many Requests", 500: "Internal Server Error", 502: "Bad Gateway",
+    411: "Length Required", 413: "Content Too Large",
+    429: "Too Many Requests", 431: "Request Header Fields Too Large",
+    500: "Internal Server Error", 502: "Bad Gateway",
     503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 _REQUESTS = Counter("briarbeam_http_requests", "HTTP replies", ["route", "status"])
@@ -183,7 +210,11 @@
         try:
             request = _read_request(environ)
         except BriarbeamError as error:
-            return Response.of_error(error)
+            response = Response.of_error(error)
+            _REQUESTS.labels("none", response.status).inc()
+            # What follows the head is not read, so no other request can.
+            response.headers["connection"] = "close"
+            return response
         return self.handle(request)
 
     def _start_reply(self, environ, response, start_response):
@@ -194,7 +225,8 @@
             # Only the head of an answer to HEAD is sent.
             body = [] if method == "HEAD" else [body]
         # What follows a CONNECT is meant for a tunnel.
-        if self.draining or method == "CONNECT":
+        closes = self.draining or method == "CONNECT"
+        if closes and "connection" not in response.headers:
             headers.append(("connection", "close"))
         reason = _REASON_PHRASES.get(response.status, "Status")
         start_response(f"{response.status} {reason}", headers)
@@ -239,6 +271,10 @@
         self._server = WSGIServer(
             tuple(address), router, handler_class=_Handler, log=None, error_log=None
         )
+        self._server.bodies = _BodyBudget()
+        self._server.connections = OpenConnections(
+            "daemon", callers_max(CONNECTIONS_MAX)
+        )
 
     def start(self):
         """Bind the address and serve in the background."""
@@ -258,8 +294,41 @@
     def __init__(self, sock, address, server, rfile=None):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(SOCKET_TIMEOUT_S)
+        self._request_count = 0
         super().__init__(sock, address, server, rfile)
 
+    def handle(self):
+        connections = self.server.connections
+        if not connections.admit(self):
+            error = TooManyConnectionsError(
+                f"all {connections.limit} connections are in use", retry_after_s=1.0
+            )
+            self._send_refusal(Response.of_error(error))
+            return
+        try:
+            super().handle()
+        finally:
+            connections.remove(self)
+
+    def handle_one_request(self):
+        self._request_count += 1
+        if self._request_count % YIELD_AFTER_REQUESTS == 0:
+            gevent.sleep(YIELD_SLEEP_S)
+        return super().handle_one_request()
+
+    def close(self):
+        """End the connection; the task that reads from it closes it."""
+        with suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+
+    def read_requestline(self):
+        with self.server.connections.wait(self):
+            return super().read_requestline()
+
+    def read_request(self, raw_requestline):
+        with self.server.connections.wait(self):
+            return super().read_request(raw_requestline)
+
     def get_environ(self):
         environ = super().get_environ()
         environ["briarbeam.socket"] = self.socket
@@ -267,31 +336,130 @@
         # connection itself, and reads the body once more before the next request.
         environ["wsgi.input"] = self.wsgi_input
         environ["wsgi.input_terminated"] = True
+        environ["briarbeam.wait"] = partial(self.server.connections.wait, self)
+        error = _find_refusal(self.headers, self.content_length)
+        error = error or self.server.bodies.find_refusal(self.content_length)
+        if error is not None:
+            environ["briarbeam.refusal"] = error
+            # Otherwise the server reads the body to its end after the answer.
+            self.wsgi_input.content_length = 0
+            self.wsgi_input.chunked_input = False
         return environ
 
+    def MessageClass(self, file, *args):
+        return super().MessageClass(_HeadReader(file), *args)
+
+    def _handle_client_error(self, ex):
+        if isinstance(ex, HTTPException):
+            ex = InvalidRequestError(f"invalid header: {ex!r}")
+        if not isinstance(ex, BriarbeamError):
+            return super()._handle_client_error(ex)
+        response = Response.of_error(ex)
+        _REQUESTS.labels("none", response.status).inc()
+        self._send_refusal(response)
+        return None
+
+    def _send_refusal(self, response):
+        """Send `response` outside of the router; the connection is closed next."""
+        headers = {**response.headers, "content-length": len(response.body)}
+        reason = _REASON_PHRASES.get(response.status, "Status")
+        lines = [f"HTTP/1.1 {response.status} {reason}"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        head = "\r\n".join([*lines, "connection: close", "", ""]).encode("latin-1")
+        with suppress(OSError):
+            self.socket.sendall(head + response.body)
+            self._linger()
+
+    def handle_one_response(self):
+        if "briarbeam.refusal" in self.environ:
+            super().handle_one_response()
+            self._linger()
+            return
+        with self.server.bodies.hold(self.content_length):
+            super().handle_one_response()
 
-def _read_body(environ):
-    """Return the body of a request.
+    def _linger(self):
+        left_bytes = LINGER_MAX_BYTES
+        yielder = ReadYielder()
+        with suppress(OSError), gevent.Timeout(LINGER_S, False):
+            self.socket.shutdown(socket.SHUT_WR)
+            while left_bytes > 0 and (data := self.socket.recv(16384)):
+                left_bytes -= len(data)
+                yielder.count_read(len(data))
 
-    :raises InvalidRequestError: if it is larger than `BODY_MAX_BYTES`.
-    """
-    body_input = environ["wsgi.input"]
-    if environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked":
-        body = body_input.read(BODY_MAX_BYTES + 1)
-        length = len(body)
-    else:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = body_input.read(length) if 0 < length <= BODY_MAX_BYTES else b""
-    if length > BODY_MAX_BYTES:
-        raise InvalidRequestError(
-            f"body of at least {length} bytes is above the limit of {BODY_MAX_BYTES} "
-            "bytes"
+
+class _BodyBudget:
+    """The bodies of the requests of one server, at most `BODIES_MAX_BYTES`."""
+
+    def __init__(self):
+        self._held_bytes = 0
+
+    def find_refusal(self, length):
+        """Return the error for another body of `length` bytes, or None."""
+        held_bytes = self._held_bytes + _counted_bytes(length)
+        if held_bytes <= BODIES_MAX_BYTES or not _counted_bytes(length):
+            return None
+        return BodiesTooLargeError(
+            f"bodies of {held_bytes} bytes at a time are above the limit of "
+            f"{BODIES_MAX_BYTES} bytes",
+            retry_after_s=1.0,
+        )
+
+    @contextmanager
+    def hold(self, length):
+        """Count a body of `length` bytes while in this context."""
+        self._held_bytes += _counted_bytes(length)
+        try:
+            yield
+        finally:
+            self._held_bytes -= _counted_bytes(length)
+
+
+def _counted_bytes(length):
+    return 0 if length is None or length <= SMALL_BODY_MAX_BYTES else length
+
+
+class _HeadReader:
+    """Lines of one head, at most `HEAD_MAX_BYTES` together."""
+
+    def __init__(self, file):
+        self._file = file
+        self._left_bytes = HEAD_MAX_BYTES
+
+    def readline(self, size_bytes):
+        """Return the next line.
+
+        :raises HeaderTooLargeError: if the head is larger than the limit.
+        :raises InvalidRequestError: if the connection ends before the head does.
+        """
+        line = self._file.readline(min(size_bytes, self._left_bytes + 1))
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise HeaderTooLargeError(f"head is above {HEAD_MAX_BYTES} bytes")
+        if not line:
+            raise InvalidRequestError("the connection ended within the head")
+        return line
+
+
+def _find_refusal(headers, length):
+    """Return the error for a request whose body is not to be read, or None."""
+    coding = headers.get("transfer-encoding")
+    if coding is not None:
+        return LengthRequiredError(
+            f"Transfer-Encoding {coding[:40]!r}: a body needs a Content-Length"
+        )
+    if length is not None and length > BODY_MAX_BYTES:
+        return BodyTooLargeError(
+            f"body of {length} bytes is above the limit of {BODY_MAX_BYTES} bytes"
         )
-    return body
+    return None
 
 
 def _read_request(environ):
-    body = _read_body(environ)
+    refusal = environ.get("briarbeam.refusal")
+    if refusal is not None:
+        raise refusal
+    length = int(environ.get("CONTENT_LENGTH") or 0)
     headers = {
         key[5:].replace("_", "-").lower(): value
         for key, value in environ.items()
@@ -299,6 +467,8 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
+    with environ["briarbeam.wait"]():
+        body = environ["wsgi.input"].read(length) if length else b""
     query_text = environ.get("QUERY_STRING", "")
     query = parse_qs(query_text)
     return Request(
--- /dev/null
+++ b/tests/test_daemon_input_processes.py
@@ -0,0 +1,206 @@
+"""`briarbeamd` stays bounded, whatever callers send."""
+
+import json
+import os
+import re
+import resource
+import subprocess
+import sys
+from contextlib import ExitStack
+from pathlib import Path
+
+import gevent
+import pytest
+from gevent import socket
+
+from bench.layout import Domain
+from bench.site import Site
+
+DOMAINS = (Domain("hobart", "south", entries=1, engines=1, services=0),)
+CROWD = 8
+# For faults of which one connection holds a few megabytes only.
+LARGE_CROWD = 48
+MEMORY_MAX_MB = 160
+# Lowers the limit on connections below their number.
+DESCRIPTORS = 256
+IDLE_CROWD = 200
+DESCRIPTORS_MAX = 128
+SENT_BYTES = 64 * 2**20
+# Above what the kernel holds for a connection on loopback.
+TAKEN_MAX_BYTES = 32 * 2**20
+BLOCK_BYTES = 65536
+HEAD = b"POST /gate/call HTTP/1.1\r\nHost: h\r\n%b\r\n"
+CHUNKED = HEAD % b"Transfer-Encoding: chunked\r\n"
+LINE = b"X-Line: " + b"t" * 1000 + b"\r\n"
+ENDLESS = {
+    "length": (HEAD % b"Content-Length: 99999999999\r\n", b"b"),
+    "chunk": (CHUNKED + b"fffffffff\r\n", b"b"),
+    "chunks": (CHUNKED, b"4000\r\n" + b"b" * 0x4000 + b"\r\n"),
+    "trailers": (CHUNKED + b"2\r\nhi\r\n0\r\n", LINE),
+}
+
+# Sends requests as fast as they are read, and reads the answers.
+SENDER = """
+import socket, sys, threading
+
+def receive(sock):
+    while sock.recv(2**20):
+        pass
+
+def send(sock):
+    while True:
+        sock.sendall(b"GET /healthz HTTP/1.1\\r\\nHost: h\\r\\n\\r\\n" * 2000)
+
+host, port, count = sys.argv[1:]
+for _ in range(int(count)):
+    sock = socket.create_connection((host, int(port)))
+    threading.Thread(target=receive, args=[sock], daemon=True).start()
+    threading.Thread(target=send, args=[sock]).start()
+print("sending", flush=True)
+"""
+
+
+@pytest.fixture(scope="module")
+def site():
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with ExitStack() as stack:
+        try:
+            # The processes inherit it.
+            resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, limits[1]))
+            started = stack.enter_context(Site(DOMAINS))
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        yield started
+
+
+def send(address, begin, repeated):
+    """Send as much as the process takes; return its answer and the bytes taken."""
+    block = repeated * max(1, BLOCK_BYTES // len(repeated))
+    answer, taken_bytes = b"", 0
+    with socket.create_connection(tuple(address)) as sock:
+        sock.settimeout(30.0)
+        reader = gevent.spawn(receive, sock)
+        try:
+            sock.sendall(begin)
+            while taken_bytes < SENT_BYTES:
+                sock.sendall(block)
+                taken_bytes += len(block)
+                # A send that need not wait leaves no turn to the others.
+                gevent.sleep(0)
+        except OSError:
+            pass
+        answer = reader.get()
+    return answer, taken_bytes
+
+
+def receive(sock):
+    data = b""
+    try:
+        while part := sock.recv(65536):
+            data += part
+    except OSError:
+        pass
+    return data
+
+
+def run_crowd(instance, begin, repeated):
+    """Run `send` from all at once and check that the process bears it."""
+    address = instance.http
+    tasks = [gevent.spawn(send, address, begin, repeated) for _ in range(CROWD)]
+    gevent.joinall(tasks, raise_error=True)
+    assert instance.daemon.poll() is None
+    assert is_served(instance)
+    return [task.value for task in tasks]
+
+
+def is_served(instance):
+    with socket.create_connection(tuple(instance.http)) as sock:
+        sock.settimeout(30.0)
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        return receive(sock).startswith(b"HTTP/1.1 200")
+
+
+def peak_mb(instance):
+    status = Path(f"/proc/{instance.daemon.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1000
+
+
+@pytest.mark.parametrize("role", ["entry", "target"])
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_body_without_an_end_is_not_read_on(site, role, kind):
+    """The server read what was behind a refused head for as long as it came."""
+    instance = (site.entries() if role == "entry" else site.targets())[0]
+    results = run_crowd(instance, *ENDLESS[kind])
+    assert max(taken_bytes for _, taken_bytes in results) < TAKEN_MAX_BYTES
+    for answer, _ in results:
+        # The reset of a connection may overtake its answer.
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert not answer or head.split()[1] in (b"411", b"413")
+        assert not body or json.loads(body)["error"]["ran"] == "no"
+
+
+def hold(stack, instance, count, *parts):
+    """Open `count` connections, send `parts` on each and keep them open."""
+    for _ in range(count):
+        sock = stack.enter_context(socket.create_connection(tuple(instance.http)))
+        sock.settimeout(30.0)
+        try:
+            for part in parts:
+                sock.sendall(part)
+                gevent.sleep(0)
+        except OSError:
+            continue
+
+
+def test_long_heads_do_not_fill_the_memory(site):
+    """The server took 100 lines of 64 KB from each connection."""
+    entry = site.entries()[0]
+    line = b"X-Long: " + b"h" * 60_000 + b"\r\n"
+    with ExitStack() as stack:
+        hold(stack, entry, LARGE_CROWD, b"GET /healthz HTTP/1.1\r\n", *[line] * 80)
+        assert is_served(entry)
+        assert peak_mb(entry) < MEMORY_MAX_MB
+    assert entry.daemon.poll() is None
+
+
+def test_bodies_do_not_fill_the_memory(site):
+    """Each connection could hold a body of 4 MB."""
+    target = site.targets()[0]
+    head = HEAD % b"Content-Length: 4000000\r\n"
+    with ExitStack() as stack:
+        hold(stack, target, LARGE_CROWD, head, *[b"b" * 60_000] * 65)
+        assert is_served(target)
+        assert peak_mb(target) < MEMORY_MAX_MB
+    assert target.daemon.poll() is None
+
+
+def test_idle_connections_do_not_use_up_the_descriptors(site):
+    """Without descriptors, a daemon reaches neither its back end nor the platform."""
+    entry = site.entries()[0]
+    with ExitStack() as stack:
+        hold(stack, entry, IDLE_CROWD)
+        assert is_served(entry)
+        assert len(os.listdir(f"/proc/{entry.daemon.pid}/fd")) < DESCRIPTORS_MAX
+    assert entry.daemon.poll() is None
+
+
+def test_head_that_is_cut_off_is_not_run(site):
+    """The server took the end of the connection for the end of the head."""
+    with socket.create_connection(tuple(site.entries()[0].http)) as sock:
+        sock.settimeout(30.0)
+        sock.sendall(b"GET /healthz HTTP/1.1\r\nHost: h\r\nX-Cut: ")
+        sock.shutdown(socket.SHUT_WR)
+        assert not receive(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_pipelined_requests_leave_turns_to_other_connections(site):
+    """Their connections never waited, so no other one was accepted."""
+    entry = site.entries()[0]
+    command = [sys.executable, "-c", SENDER, *map(str, entry.http), str(CROWD)]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as sender:
+        try:
+            assert sender.stdout.readline() == b"sending\n"
+            assert is_served(entry)
+        finally:
+            sender.kill()
+    assert entry.daemon.poll() is None
