Bound the messages of control calls to a daemon

What callers saw: a control call (gRPC, `listen.control`) may announce a message of up to 4 GB, and a daemon collected it for as long as it came.

Cause: grpclib has windows of 4 MiB, but it acknowledges what a call has taken although the message is incomplete, and has no limit on messages.

A message above 4 MiB now fails its call with RESOURCE_EXHAUSTED before any of it is collected, and messages above 64 KiB share 64 MiB at a time. Documents have at most 900,000 bytes.

--- a/briarbeam/kernel/rpc.py
+++ b/briarbeam/kernel/rpc.py
@@ -6,11 +6,13 @@
 
 import asyncio
 from collections import Counter, OrderedDict
+from functools import partial
 
 import asyncio_gevent
 import gevent
 from gevent.event import AsyncResult
 from grpclib.client import Channel
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
@@ -18,6 +20,11 @@
 
 CALL_TIMEOUT_S = 2.0
 CHANNELS_MAX = 64
+# Documents have at most 900,000 bytes.
+MESSAGE_MAX_BYTES = 4 * 1024 * 1024
+# Of all messages that are received at a time. Small ones are not counted.
+MESSAGES_MAX_BYTES = 64 * 1024 * 1024
+SMALL_MESSAGE_MAX_BYTES = 64 * 1024
 
 
 class RpcLoop:
@@ -50,7 +57,9 @@
 
     def serve(self, address, services):
         """Start a server for `services` on `address`."""
-        server = Server(services, loop=self._loop)
+        budget = _MessageBudget()
+        bounded = [_BoundedService(service, budget) for service in services]
+        server = Server(bounded, loop=self._loop)
         self._servers.append(server)
         self.run_coroutine(server.start(address.host, address.port))
 
@@ -140,6 +149,58 @@
                     channel.close()
 
 
+class _MessageBudget:
+    """The messages that a server receives, at most `MESSAGES_MAX_BYTES` at a time."""
+
+    def __init__(self):
+        self._held_bytes = 0
+
+    async def receive(self, receive, size_bytes):
+        """Return what `receive` returns for `size_bytes`, which are held meanwhile.
+
+        :raises GRPCError: if that is above a limit; nothing is received.
+        """
+        counted_bytes = size_bytes if size_bytes > SMALL_MESSAGE_MAX_BYTES else 0
+        held_bytes = self._held_bytes + counted_bytes
+        if size_bytes > MESSAGE_MAX_BYTES or (
+            counted_bytes and held_bytes > MESSAGES_MAX_BYTES
+        ):
+            raise GRPCError(
+                Status.RESOURCE_EXHAUSTED,
+                f"message of {size_bytes} bytes, {held_bytes} bytes at a time, is "
+                f"above the limit of {MESSAGE_MAX_BYTES} or {MESSAGES_MAX_BYTES} bytes",
+            )
+        self._held_bytes += counted_bytes
+        try:
+            return await receive(size_bytes)
+        finally:
+            self._held_bytes -= counted_bytes
+
+
+class _BoundedService:
+    """A service whose streams receive messages within a `_MessageBudget`."""
+
+    def __init__(self, service, budget):
+        self._service = service
+        self._budget = budget
+
+    def __mapping__(self):
+        return {
+            path: handler._replace(func=partial(self._handle, handler.func))
+            for path, handler in self._service.__mapping__().items()
+        }
+
+    async def _handle(self, function, stream):
+        # The library has no limit of its own.
+        raw = stream._stream
+        raw.recv_data = partial(self._budget.receive, raw.recv_data)
+        try:
+            await function(stream)
+        finally:
+            # Leaves no cycle to the garbage collector.
+            del raw.recv_data
+
+
 class _SourceChannel(Channel):
     """A channel that connects from the local address `source_host`."""
 
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -12,8 +12,10 @@
 import gevent
 import pytest
 from gevent import socket
+from h2.connection import H2Connection
+from h2.exceptions import ProtocolError
 
-from bench.layout import Domain
+from bench.layout import CONTROL_PORT, Domain
 from bench.site import Site
 
 DOMAINS = (Domain("hobart", "south", entries=1, engines=1, services=0),)
@@ -204,3 +206,45 @@
         finally:
             sender.kill()
     assert entry.daemon.poll() is None
+
+
+def send_message(sock):
+    """Send a control call whose message is announced with 4 GB."""
+    sock.settimeout(30.0)
+    connection = H2Connection()
+    connection.initiate_connection()
+    call = {":method": "POST", ":scheme": "http", ":authority": "h"}
+    call |= {":path": "/briarbeam.Control/Offer", "te": "trailers"}
+    call["content-type"] = "application/grpc"
+    connection.send_headers(1, call.items())
+    connection.send_data(1, b"\0\xff\xff\xff\xff")
+    taken_bytes = 0
+    try:
+        while taken_bytes < SENT_BYTES:
+            window_bytes = connection.local_flow_control_window(1)
+            if window_bytes == 0:
+                data = sock.recv(65536)
+                if not data:
+                    return
+                connection.receive_data(data)
+                continue
+            size_bytes = min(window_bytes, connection.max_outbound_frame_size)
+            connection.send_data(1, b"x" * size_bytes)
+            taken_bytes += size_bytes
+            sock.sendall(connection.data_to_send())
+    except (OSError, ProtocolError):
+        return
+
+
+def test_long_control_messages_do_not_fill_the_memory(site):
+    """A message was collected up to the 4 GB that a call may announce."""
+    target = site.targets()[0]
+    address = target.host, CONTROL_PORT
+    with ExitStack() as stack:
+        socks = [
+            stack.enter_context(socket.create_connection(address)) for _ in range(CROWD)
+        ]
+        gevent.joinall([gevent.spawn(send_message, s) for s in socks], raise_error=True)
+        assert is_served(target)
+        assert peak_mb(target) < MEMORY_MAX_MB
+    assert target.daemon.poll() is None
