Refuse a body that is cut off without a traceback

What callers saw: a request whose connection ended within its body got an untyped 500 from a daemon (`briarbeamd`), which doesn't say whether it ran, and each one wrote a traceback to the log.

Cause: the error of reading the body left the router as one of the daemon.

It is now a typed 400, not run.

Evidence: the test got 500 before, and the traceback was in the log; passes now.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -459,8 +459,11 @@
     }
     if environ.get("CONTENT_TYPE"):
         headers["content-type"] = environ["CONTENT_TYPE"]
-    with environ["briarbeam.wait"]():
-        body = environ["wsgi.input"].read(length) if length else b""
+    try:
+        with environ["briarbeam.wait"]():
+            body = environ["wsgi.input"].read(length) if length else b""
+    except OSError as error:
+        raise InvalidRequestError(f"body of {length} bytes: {error}") from error
     query_text = environ.get("QUERY_STRING", "")
     query = parse_qs(query_text)
     return Request(
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -248,3 +248,14 @@
         assert is_served(target)
         assert peak_mb(target) < MEMORY_MAX_MB
     assert target.daemon.poll() is None
+
+
+def test_body_that_is_cut_off_leaves_no_traceback(site):
+    """Each one was logged as an error of the daemon and got an untyped 500."""
+    target = site.targets()[0]
+    with socket.create_connection(tuple(target.http)) as sock:
+        sock.settimeout(30.0)
+        sock.sendall(HEAD % b"Content-Length: 9\r\n" + b"cut")
+        sock.shutdown(socket.SHUT_WR)
+        assert receive(sock).startswith(b"HTTP/1.1 400")
+    assert "unexpected end of file" not in site.log_tails()
