Check the pages against the node's events in the kernel, too

The limit on connections has moved from `relay/` to `kernel/connections.py`; the tests of the operations page read only the former and failed, since `connections_bounded` was on the page and no longer in what they read. They now read that file as well, and the metrics of `node.py`, so they check at least what they did.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,21 +11,26 @@
 DOCS = {path.name: path.read_text() for path in (ROOT / "docs").glob("*.md")}
 CODE = "".join(path.read_text() for path in (ROOT / "briarbeam").rglob("*.py"))
 NODE_PARTS = ("relay", "distribution", "platform", "telemetry", "node.py")
+NODE_PARTS += ("kernel/connections.py",)
 LEVELS = {"debug", "info", "warning", "error", "exception"}
 
 
+def node_files():
+    for part in NODE_PARTS:
+        path = ROOT / "briarbeam" / part
+        yield from [path] if path.is_file() else path.rglob("*.py")
+
+
 def logged_events():
     """Return the fields of each event that `briarbeam.node` logs, by event."""
     # Written as bytes by `briarbeam.telemetry.decisions`, not through a logger.
     events = {"lines_dropped": {"count"}}
-    for part in NODE_PARTS:
-        path = ROOT / "briarbeam" / part
-        for file in [path] if path.is_file() else path.rglob("*.py"):
-            for node in ast.walk(ast.parse(file.read_text())):
-                if _is_log_call(node):
-                    event = ast.literal_eval(node.args[0])
-                    fields = {word.arg for word in node.keywords}
-                    events.setdefault(event, set()).update(fields)
+    for file in node_files():
+        for node in ast.walk(ast.parse(file.read_text())):
+            if _is_log_call(node):
+                event = ast.literal_eval(node.args[0])
+                fields = {word.arg for word in node.keywords}
+                events.setdefault(event, set()).update(fields)
     events["request"] |= _fields_added_to_requests()
     return events
 
@@ -99,11 +104,7 @@
 
 
 def test_each_metric_of_a_node_is_on_the_operations_page():
-    text = "".join(
-        file.read_text()
-        for part in NODE_PARTS[:-1]
-        for file in (ROOT / "briarbeam" / part).rglob("*.py")
-    )
+    text = "".join(file.read_text() for file in node_files())
     exposed = set(re.findall(r'"(briarbeam_[a-z_]+)"', text))
     named = set(re.findall(r"`(briarbeam_[a-z_]+)`", DOCS["OPERATIONS.md"]))
     assert exposed - named == set()
