Show two open faults of the control port of a daemon

Idle connections to it use up the descriptors, and an answer without an end to a control call is collected for as long as the call may last.

--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -12,7 +12,10 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.server import StreamServer
+from h2.config import H2Configuration
 from h2.connection import H2Connection
+from h2.events import RequestReceived
 from h2.exceptions import ProtocolError
 
 from bench.layout import CONTROL_PORT, Domain
@@ -259,3 +262,71 @@
         sock.shutdown(socket.SHUT_WR)
         assert receive(sock).startswith(b"HTTP/1.1 400")
     assert "unexpected end of file" not in site.log_tails()
+
+
+def test_idle_control_connections_do_not_use_up_the_descriptors(site):
+    """The control port has no limit on connections."""
+    target = site.targets()[0]
+    address = target.host, CONTROL_PORT
+    with ExitStack() as stack:
+        for _ in range(IDLE_CROWD):
+            stack.enter_context(socket.create_connection(address))
+        assert is_served(target)
+        assert len(os.listdir(f"/proc/{target.daemon.pid}/fd")) < DESCRIPTORS_MAX
+    assert target.daemon.poll() is None
+
+
+# Makes one control call and prints the most resident memory in kB.
+CALLER = """
+from gevent import monkey
+monkey.patch_all()
+import resource, sys
+from briarbeam.kernel.errors import ExchangeError
+from briarbeam.kernel.network import Address
+from briarbeam.kernel.rpc import RpcLoop
+from briarbeam.wire import control_grpc, control_pb2
+
+loop = RpcLoop()
+loop.start()
+address = Address("127.0.0.1", int(sys.argv[1]))
+request = control_pb2.DocumentRequest()
+try:
+    loop.call(address, control_grpc.ControlStub, "Fetch", request)
+except ExchangeError:
+    print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)
+"""
+
+
+def answer_without_end(sock, _):
+    """Answer a control call with a message announced with 4 GB."""
+    connection = H2Connection(H2Configuration(client_side=False))
+    connection.initiate_connection()
+    answered = False
+    try:
+        while data := sock.recv(65536):
+            for event in connection.receive_data(data):
+                if isinstance(event, RequestReceived):
+                    content_type = ("content-type", "application/grpc+proto")
+                    connection.send_headers(1, [(":status", "200"), content_type])
+                    connection.send_data(1, b"\0\xff\xff\xff\xff")
+                    answered = True
+            while answered and connection.local_flow_control_window(1):
+                window_bytes = connection.local_flow_control_window(1)
+                size_bytes = min(window_bytes, connection.max_outbound_frame_size)
+                connection.send_data(1, b"x" * size_bytes)
+            sock.sendall(connection.data_to_send())
+            gevent.sleep(0)
+    except (OSError, ProtocolError):
+        return
+
+
+def test_endless_answer_to_a_control_call_does_not_fill_the_memory():
+    """The caller collected it for the 2 s that a call may last."""
+    server = StreamServer(("127.0.0.1", 0), answer_without_end)
+    server.start()
+    try:
+        command = [sys.executable, "-c", CALLER, str(server.server_port)]
+        done = subprocess.run(command, capture_output=True, timeout=60, check=True)
+        assert int(done.stdout) < 100_000
+    finally:
+        server.stop()
