--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Tests that load one process with input outside the limits. They run alone, so that no
 # other load adds to what they measure.
-INPUT := tests/test_caller_input_processes.py
+INPUT := tests/test_caller_input_processes.py tests/test_daemon_input_processes.py
 
 test: lint
 	$(MAKE) test-input
