--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -3,7 +3,7 @@
 import json
 import re
 import socket
-from contextlib import contextmanager, suppress
+from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
 from http.client import HTTPException
@@ -18,24 +18,15 @@
 
 from .connections import OpenConnections, callers_max
 from .errors import (
-    BodiesTooLargeError,
-    BodyTooLargeError,
     BriarbeamError,
-    HeaderTooLargeError,
     InvalidRequestError,
-    LengthRequiredError,
     NotFoundError,
     TooManyConnectionsError,
 )
+from .http_input import BodyBudget, HeadReader, find_refusal
 from .tasks import YIELD_SLEEP_S, ReadYielder
 
-BODY_MAX_BYTES = 4 * 1024 * 1024
-# Of all requests that are read or run at a time. Small bodies are not counted, so that
-# large ones don't keep them out.
-BODIES_MAX_BYTES = 64 * 1024 * 1024
-SMALL_BODY_MAX_BYTES = 64 * 1024
 CONNECTIONS_MAX = 2048
-HEAD_MAX_BYTES = 64 * 1024
 SOCKET_TIMEOUT_S = 60.0
 # What is read behind a refused head, so that a reset does not overtake the answer.
 LINGER_MAX_BYTES = 1024 * 1024
@@ -271,7 +262,7 @@
         self._server = WSGIServer(
             tuple(address), router, handler_class=_Handler, log=None, error_log=None
         )
-        self._server.bodies = _BodyBudget()
+        self._server.bodies = BodyBudget()
         self._server.connections = OpenConnections(
             "daemon", callers_max(CONNECTIONS_MAX)
         )
@@ -337,7 +328,7 @@
         environ["wsgi.input"] = self.wsgi_input
         environ["wsgi.input_terminated"] = True
         environ["briarbeam.wait"] = partial(self.server.connections.wait, self)
-        error = _find_refusal(self.headers, self.content_length)
+        error = find_refusal(self.headers, self.content_length)
         error = error or self.server.bodies.find_refusal(self.content_length)
         if error is not None:
             environ["briarbeam.refusal"] = error
@@ -347,7 +338,7 @@
         return environ
 
     def MessageClass(self, file, *args):
-        return super().MessageClass(_HeadReader(file), *args)
+        return super().MessageClass(HeadReader(file), *args)
 
     def _handle_client_error(self, ex):
         if isinstance(ex, HTTPException):
@@ -388,73 +379,6 @@
                 yielder.count_read(len(data))
 
 
-class _BodyBudget:
-    """The bodies of the requests of one server, at most `BODIES_MAX_BYTES`."""
-
-    def __init__(self):
-        self._held_bytes = 0
-
-    def find_refusal(self, length):
-        """Return the error for another body of `length` bytes, or None."""
-        held_bytes = self._held_bytes + _counted_bytes(length)
-        if held_bytes <= BODIES_MAX_BYTES or not _counted_bytes(length):
-            return None
-        return BodiesTooLargeError(
-            f"bodies of {held_bytes} bytes at a time are above the limit of "
-            f"{BODIES_MAX_BYTES} bytes",
-            retry_after_s=1.0,
-        )
-
-    @contextmanager
-    def hold(self, length):
-        """Count a body of `length` bytes while in this context."""
-        self._held_bytes += _counted_bytes(length)
-        try:
-            yield
-        finally:
-            self._held_bytes -= _counted_bytes(length)
-
-
-def _counted_bytes(length):
-    return 0 if length is None or length <= SMALL_BODY_MAX_BYTES else length
-
-
-class _HeadReader:
-    """Lines of one head, at most `HEAD_MAX_BYTES` together."""
-
-    def __init__(self, file):
-        self._file = file
-        self._left_bytes = HEAD_MAX_BYTES
-
-    def readline(self, size_bytes):
-        """Return the next line.
-
-        :raises HeaderTooLargeError: if the head is larger than the limit.
-        :raises InvalidRequestError: if the connection ends before the head does.
-        """
-        line = self._file.readline(min(size_bytes, self._left_bytes + 1))
-        self._left_bytes -= len(line)
-        if self._left_bytes < 0:
-            raise HeaderTooLargeError(f"head is above {HEAD_MAX_BYTES} bytes")
-        if not line:
-            raise InvalidRequestError("the connection ended within the head")
-        return line
-
-
-def _find_refusal(headers, length):
-    """Return the error for a request whose body is not to be read, or None."""
-    coding = headers.get("transfer-encoding")
-    if coding is not None:
-        return LengthRequiredError(
-            f"Transfer-Encoding {coding[:40]!r}: a body needs a Content-Length"
-        )
-    if length is not None and length > BODY_MAX_BYTES:
-        return BodyTooLargeError(
-            f"body of {length} bytes is above the limit of {BODY_MAX_BYTES} bytes"
-        )
-    return None
-
-
 def _read_request(environ):
     refusal = environ.get("briarbeam.refusal")
     if refusal is not None:
