Accept one connection at a time in the daemon's HTTP server

Cause: gevent accepts up to 100 connections in one turn of the event loop and starts a task for each. Only the task counts its connection and closes another one. So a crowd that comes at once has up to 100 descriptors above the limit of the port.

Evidence: the new test freezes an entry that may have 96 descriptors while 100 connections are made. Crowd and bound of the older test are as they were.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -262,6 +262,8 @@
         self._server = WSGIServer(
             tuple(address), router, handler_class=_Handler, log=None, error_log=None
         )
+        # What is accepted is counted only once its task runs.
+        self._server.max_accept = 1
         self._server.bodies = BodyBudget()
         self._server.connections = OpenConnections(
             "daemon", callers_max(CONNECTIONS_MAX)
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -4,9 +4,10 @@
 import os
 import re
 import resource
+import signal
 import subprocess
 import sys
-from contextlib import ExitStack
+from contextlib import ExitStack, contextmanager
 from pathlib import Path
 
 import gevent
@@ -30,6 +31,9 @@
 DESCRIPTORS = 256
 IDLE_CROWD = 200
 DESCRIPTORS_MAX = 128
+# Fewer than are accepted at once, and for more than the limit on connections.
+FEW_DESCRIPTORS = 96
+AT_ONCE = 100
 SENT_BYTES = 64 * 2**20
 # Above what the kernel holds for a connection on loopback.
 TAKEN_MAX_BYTES = 32 * 2**20
@@ -65,19 +69,26 @@
 """
 
 
-@pytest.fixture(scope="module")
-def site():
+@contextmanager
+def start_site(descriptors):
+    """Start a site whose processes may have `descriptors` descriptors each."""
     limits = resource.getrlimit(resource.RLIMIT_NOFILE)
     with ExitStack() as stack:
         try:
             # The processes inherit it.
-            resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, limits[1]))
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, limits[1]))
             started = stack.enter_context(Site(DOMAINS))
         finally:
             resource.setrlimit(resource.RLIMIT_NOFILE, limits)
         yield started
 
 
+@pytest.fixture(scope="module")
+def site():
+    with start_site(DESCRIPTORS) as started:
+        yield started
+
+
 def send(address, begin, repeated):
     """Send as much as the process takes; return its answer and the bytes taken."""
     block = repeated * max(1, BLOCK_BYTES // len(repeated))
@@ -189,6 +200,21 @@
     assert entry.daemon.poll() is None
 
 
+def test_connections_that_come_at_once_do_not_use_up_the_descriptors():
+    """Up to 100 were accepted at a time, before any above the limit was closed."""
+    with start_site(FEW_DESCRIPTORS) as site, ExitStack() as stack:
+        entry = site.entries()[0]
+        os.kill(entry.daemon.pid, signal.SIGSTOP)
+        try:
+            # Below the backlog, where they wait to be accepted.
+            hold(stack, entry, AT_ONCE)
+        finally:
+            os.kill(entry.daemon.pid, signal.SIGCONT)
+        assert is_served(entry)
+        assert "Too many open files" not in site.log_tails()
+        assert entry.daemon.poll() is None
+
+
 def test_head_that_is_cut_off_is_not_run(site):
     """The server took the end of the connection for the end of the head."""
     with socket.create_connection(tuple(site.entries()[0].http)) as sock:
