Close a refused connection of the daemon's HTTP server at once

What callers saw: nothing yet.

Cause: a connection above the limit that found all others busy got its 503 and was then read for up to a second, so that a reset would not overtake the answer. It is counted nowhere meanwhile. A crowd that is refused held a descriptor for each, without a limit.

Now the answer is written and the connection closed, as the callers' port of briarbeam.node does. A peer that has sent more than was read may see a reset in place of the 503; its request was not read, so it did not run.

The test fails before (what the peer sends is still taken after the refusal, 1 of 1 run) and passes after.

--- a/briarbeam/kernel/http.py
+++ b/briarbeam/kernel/http.py
@@ -296,7 +296,9 @@
             error = TooManyConnectionsError(
                 f"all {connections.limit} connections are in use", retry_after_s=1.0
             )
-            self._send_refusal(Response.of_error(error))
+            # Waiting for what it sends would hold a descriptor.
+            with suppress(OSError):
+                self._send_response(Response.of_error(error))
             return
         try:
             super().handle()
@@ -353,15 +355,18 @@
         return None
 
     def _send_refusal(self, response):
+        with suppress(OSError):
+            self._send_response(response)
+            self._linger()
+
+    def _send_response(self, response):
         """Send `response` outside of the router; the connection is closed next."""
         headers = {**response.headers, "content-length": len(response.body)}
         reason = _REASON_PHRASES.get(response.status, "Status")
         lines = [f"HTTP/1.1 {response.status} {reason}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join([*lines, "connection: close", "", ""]).encode("latin-1")
-        with suppress(OSError):
-            self.socket.sendall(head + response.body)
-            self._linger()
+        self.socket.sendall(head + response.body)
 
     def handle_one_response(self):
         if "briarbeam.refusal" in self.environ:
--- a/tests/test_kernel_http.py
+++ b/tests/test_kernel_http.py
@@ -4,9 +4,11 @@
 import subprocess
 import sys
 import time
+from contextlib import ExitStack
 
 import gevent
 import pytest
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from briarbeam.kernel import http, network
@@ -196,6 +198,34 @@
             continue
 
 
+def test_refused_connection_is_closed_at_once(address, monkeypatch):
+    """Each one held a descriptor for a second more, without a limit on their number."""
+    monkeypatch.setattr(http, "CONNECTIONS_MAX", 1)
+    router, may_answer = Router(), Event()
+    router.add("GET", "/", lambda request: may_answer.wait() and Response.of_json({}))
+    server = HttpServer(address, router)
+    server.start()
+    try:
+        with ExitStack() as stack:
+            first = stack.enter_context(socket.create_connection(tuple(address)))
+            first.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+            while router.wait_idle(0):
+                gevent.sleep(0.01)
+            refused = stack.enter_context(socket.create_connection(tuple(address)))
+            refused.settimeout(10)
+            assert refused.recv(65536).startswith(b"HTTP/1.1 503")
+            refused.setblocking(False)
+            # A peer that is still read takes what is sent.
+            with pytest.raises(OSError, match="Broken pipe|reset"):
+                for _ in range(5):
+                    refused.send(b"x")
+                    gevent.sleep(0.05)
+            may_answer.set()
+            assert first.recv(65536).startswith(b"HTTP/1.1 200")
+    finally:
+        server.stop(timeout_s=0)
+
+
 def test_connection_idle_for_too_long_is_not_reused(address, router, monkeypatch):
     peers = set()
 
