Let entries take turns to read the desired state after an outage or a start

Cause: which entry reads the desired state for its failure domain follows from which one forwards loads. After an outage of the store, and after a start of many entries, that is not settled, and every entry falls back to a watch of its own at the same moment. A watch from an old revision returns every state since then: 1.16 MB for each of twelve entries over a link of 11.5 Mbit/s. The full link holds the closes of callers that give up.

Why it works: after an outage of more than 0.8 s, and after a start on a copy, the first in rank reads and the others wait as long as they do for a state that neighbours owe them. Who gets the state and a neighbour's confirmation meanwhile makes no call; the outage of its mirror ends with that of the detector of outages.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -37,6 +37,7 @@
 from .places import PlaceFinder
 from .process_watch import ProcessWatches
 from .quarantine import Quarantine
+from .read_turn import ReadTurn
 from .record_copies import RecordCopies
 from .server import CallerServer, ReadinessServer
 from .spread import StateSpread
@@ -122,6 +123,9 @@
             self._spread,
             lambda: self._version_mirror.restored_s,
         )
+        self._read_turn = ReadTurn(
+            clock, self._spread, lambda: self._version_mirror.last_outage_s
+        )
         self._evidence = CrashEvidence(clock)
         self._quarantine = Quarantine(clock, self._evidence)
         self._grants = GrantClient(clock)
@@ -203,6 +207,7 @@
             is_reader=lambda: not self._exchange.has_reader(),
             awaits_peer_copy=lambda: not self._first_read.is_due(),
             peer_copy_wait_s=self._state_copy_wait_s,
+            is_read_due=lambda: self._read_turn.is_due(),
             lacks_writes=lambda: self._in_force.is_ahead_of_store,
             era_age=self._era_age,
             outage_detector=self._version_mirror,
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -44,7 +44,8 @@
     `unseen_s` is the time in seconds, between the last two answers of the store, during
     which no call would have shown a change. `restored_s` is the boot time at which the
     store was last reached again or its records were replaced by those of a later era,
-    or None; `rewound_s` counts the latter only. `reachable` is an `Event` that is set
+    or None; `rewound_s` counts the latter only. `last_outage_s` are the boot times at
+    which the store was last lost and reached again, or None. `reachable` is an `Event` that is set
     while the store answers. `on_rewound` is called with the era when that has risen.
 
     :param store: the `StoreClient`.
@@ -64,6 +65,8 @@
         supply the records before the first list.
     :param peer_copy_wait_s: a function that returns for how many seconds other entries
         may supply the records of a new era before this one lists them.
+    :param is_read_due: a function that returns whether this entry calls the store now
+        for records that it has; otherwise other entries may supply what changed.
     :param lacks_writes: a function that returns whether the records are known to lack
         what was written before the store was restored.
     :param era_age: the `EraAge`, by which the first list is settled or not, or None if
@@ -86,6 +89,7 @@
         is_reader=None,
         awaits_peer_copy=None,
         peer_copy_wait_s=None,
+        is_read_due=None,
         lacks_writes=None,
         era_age=None,
         outage_detector=None,
@@ -101,6 +105,7 @@
         self._is_reader = is_reader or (lambda: True)
         self._awaits_peer_copy = awaits_peer_copy or (lambda: False)
         self._peer_copy_wait_s = peer_copy_wait_s or (lambda: 0.0)
+        self._is_read_due = is_read_due or (lambda: True)
         self._lacks_writes = lacks_writes or (lambda: False)
         self._era_age = era_age
         self._list_duration_s = 0.0
@@ -123,6 +128,7 @@
         self.confirmed_s = None
         # Boot time since which calls have failed, None while the store answers.
         self.lost_s = None
+        self.last_outage_s = None
         self.restored_s = None
         self.rewound_s = None
         # Since when the records may lack what a restored store has lost, or None; and
@@ -349,6 +355,8 @@
             gevent.sleep(PEER_POLL_S / 2)
         while self._revision is None and self._awaits_new_era():
             gevent.sleep(PEER_POLL_S / 2)
+        while self._awaits_missed_changes():
+            gevent.sleep(PEER_POLL_S / 2)
 
     def _awaits_new_era(self):
         if self._era is None or self._era >= self._known_era:
@@ -356,14 +364,23 @@
         waited_s = self._clock.monotonic_s() - self._known_era_at_s
         return waited_s < self._peer_copy_wait_s()
 
-    def _relies_on_peers(self):
-        # While the store is unreachable, other mirrors wait for this one to reach it.
+    def _awaits_missed_changes(self):
         return (
             self._revision is not None
-            and self.reachable.is_set()
-            and self._is_supplied_by_peers()
+            and not self._is_supplied_by_peers()
+            and not self._is_read_due()
         )
 
+    def _relies_on_peers(self):
+        if self._revision is None or not self._is_supplied_by_peers():
+            return False
+        if self._is_large and self._outage_detector is not None:
+            # The detector has reached the store. A watch of this mirror would return
+            # each state since the outage.
+            self._mark_reachable()
+        # While the store is unreachable, other mirrors wait for this one to reach it.
+        return self.reachable.is_set()
+
     def _needs_list(self):
         if self._in_burst or self._revision is None:
             return True
@@ -495,8 +512,9 @@
     def _mark_reachable(self):
         if not self.reachable.is_set():
             self.reachable.set()
-            self.lost_s = None
             self.restored_s = self._clock.boottime_s()
+            self.last_outage_s = self.lost_s, self.restored_s
+            self.lost_s = None
             _log.info("store_regained", kind=self._kind, revision=self._revision)
 
     def _mark_unreachable(self, error):
--- a/briarbeam/relay/spread.py
+++ b/briarbeam/relay/spread.py
@@ -75,7 +75,8 @@
     The `EntryExchange` sets three functions. `send` sends a `StateAnnouncement` to a
     host. `neighbours` returns the hosts of the other entries of the failure domain.
     `on_change` is called when a newer state has arrived, unless it came along the tree
-    of the failure domain.
+    of the failure domain. `first_copied_s` is the boot time at which another entry
+    supplied the first state, or None.
     """
 
     def __init__(self, network, address, clock, mirror, is_supplied_by_peers):
@@ -89,6 +90,7 @@
         self._pulling = None
         self._packed = (0, b"")
         self._last_contact_s = None
+        self.first_copied_s = None
         # The newest revision that was announced to neighbours.
         self._announced_revision = 0
         # The root of the tree that the copy being applied came along, or None.
@@ -253,6 +255,8 @@
             size_bytes=len(data),
             elapsed_s=round(time.monotonic() - started_s, 3),
         )
+        if not self.revision:
+            self.first_copied_s = self._clock.boottime_s()
         self._root = root
         fetched = max((r.revision for r in copy.records.values()), default=0)
         self._packed = fetched, extract_packed(data)
--- /dev/null
+++ b/tests/test_relay_read_turn.py
@@ -0,0 +1,59 @@
+"""Tests of which entry reads the desired state after an outage or a start on a copy."""
+
+import pytest
+
+from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.network import Address
+from briarbeam.relay.mirror import Mirror
+from briarbeam.relay.read_turn import ReadTurn
+from briarbeam.relay.spread import STORE_READ_MAX_S, StateSpread
+
+HOSTS = [f"10.0.0.{number}" for number in range(1, 13)]
+
+
+def new_turns(clock, outage_s=None, hosts=HOSTS):
+    """Return the `ReadTurn` of each of `hosts`, by the rank of its entry."""
+    turns = []
+    for host in hosts:
+        mirror = Mirror(None, "config", clock, lambda: 1.0, lambda records: None)
+        spread = StateSpread(None, Address(host, 77), clock, mirror, bool)
+        spread.neighbours = lambda host=host: [h for h in hosts if h != host]
+        turns.append((spread, ReadTurn(clock, spread, lambda: outage_s)))
+    return sorted(turns, key=lambda pair: pair[0].rank())
+
+
+def count_due(turns):
+    return sum(turn.is_due() for _, turn in turns)
+
+
+def test_entries_that_reach_the_store_again_do_not_read_at_the_same_time():
+    clock = ManualClock()
+    clock.advance(100.0)
+    turns = new_turns(clock, outage_s=(90.0, clock.boottime_s()))
+    assert count_due(turns) == 1
+    counts = []
+    for _ in range(33):
+        clock.advance(0.1)
+        counts.append(count_due(turns))
+    # A state takes about a second to arrive, so the others have time to get a copy.
+    assert counts[9] == 1 and counts == sorted(counts)
+    assert counts[-1] == len(turns)
+
+
+def test_reader_does_not_pause_after_a_failed_call():
+    """Its neighbours would all have stopped following it."""
+    clock = ManualClock()
+    clock.advance(100.0)
+    turns = new_turns(clock, outage_s=(99.5, clock.boottime_s()))
+    assert count_due(turns) == len(turns)
+
+
+@pytest.mark.parametrize("hosts", [HOSTS, HOSTS[:1]])
+def test_entry_that_started_on_a_copy_reads_if_no_neighbour_supplies_more(hosts):
+    clock = ManualClock()
+    turns = new_turns(clock, hosts=hosts)
+    for spread, _ in turns:
+        spread.first_copied_s = clock.boottime_s()
+    assert count_due(turns) == 0
+    clock.advance(STORE_READ_MAX_S)
+    assert count_due(turns) == len(turns)
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -336,6 +336,38 @@
         site.stop()
 
 
+def test_entries_that_reach_the_store_again_share_what_they_missed(start):
+    """Each read every state since the outage, and the link was full for seconds."""
+    site = start(6, routes=500)
+    for proxy in site.proxies:
+        proxy.refuses = True
+    gevent.sleep(5.0)
+    before = sum(proxy.large_answers for proxy in site.proxies)
+    site.put_state(2)
+    for proxy in site.proxies:
+        proxy.refuses = False
+    wait_until(lambda: site.all_have_state(2))
+    gevent.sleep(2.0)
+    assert sum(proxy.large_answers for proxy in site.proxies) - before <= 2
+
+
+def test_entries_that_restart_on_a_copy_share_the_next_state(start):
+    """Each of them read it before it had learnt which entry is the reader."""
+    site = start(6, routes=500)
+    others = [n for n in range(6) if n != reader_of(site)]
+    for number in others:
+        site.nodes[number].kill()
+        site.nodes[number].log_path.write_text("")
+    for number in others:
+        site.nodes[number].start()
+    wait_until(lambda: all(site.has_state(number, 1) for number in others))
+    before = sum(proxy.large_answers for proxy in site.proxies)
+    site.put_state(2)
+    wait_until(lambda: site.all_have_state(2))
+    gevent.sleep(2.0)
+    assert sum(proxy.large_answers for proxy in site.proxies) - before <= 2
+
+
 def test_entry_that_restarts_alone_does_not_wait_for_lost_entries(tmp_path):
     """It waited in turn for each entry that stagers remember for some seconds."""
     site = Site(tmp_path, 4)
