Show that a revoked key runs after a restore from era 0 to 1

What callers see: on a store that counts its eras from 0, a key that was taken away is accepted, later than `revoke_ms` after the ack, by an entry that starts after the first restore, until the operator has written again (CONFIG).

Cause: `EraAge` takes the eras 0 and 1 for those of a store that was never restored. `EraAge.describe` reports neither era, so a stager that has lived through the restore doesn't tell.

No fix: the answers of the store don't tell a lone entry whether era 1 is the first one or follows a restore.

The test: an entry is killed, the key's removal is lost in a restore from era 0 to 1, the entry starts; beside its stager and without one. The checks of the neighbouring test are moved unchanged into a function that both use, and `Site` takes the first era of its store; the default is 1, as before.

--- a/tests/test_rewind_processes.py
+++ b/tests/test_rewind_processes.py
@@ -192,16 +192,12 @@
     wait_until(lambda: '"desired_state_in_force"' in node.log_path.read_text())
 
 
-def test_key_whose_removal_the_store_lost_runs_nothing_at_an_entry_started_after_it(
-    start,  # noqa: F811
-):
-    """The entry saw no failed call and no rise of the era, and trusted its first list.
+def assert_key_runs_nothing_at_a_start(site):
+    """Start the only entry, and check answers with the key until it is removed again.
 
     The store is written again only after the entry has its first state, so that the
     fault does not depend on the speed of the machine.
     """
-    site = start(1)
-    remove_key_and_rewind(site)
     restart(site, 0)
     in_force_s = time.monotonic()
     statuses = []
@@ -215,6 +211,28 @@
     assert 503 in statuses
 
 
+def test_key_whose_removal_the_store_lost_runs_nothing_at_an_entry_started_after_it(
+    start,  # noqa: F811
+):
+    """The entry saw no failed call and no rise of the era, and trusted its first list."""
+    site = start(1)
+    remove_key_and_rewind(site)
+    assert_key_runs_nothing_at_a_start(site)
+
+
+@pytest.mark.parametrize("daemons", ["stager", "no stager"])
+def test_key_whose_removal_the_store_lost_runs_nothing_after_a_rise_from_era_0(
+    start,  # noqa: F811
+    daemons,
+):
+    """Review 9: era 1 was taken for that of a store that was never restored."""
+    site = start(1, first_era=0)
+    remove_key_and_rewind(site)
+    if daemons == "no stager":
+        site.stager.kill()
+    assert_key_runs_nothing_at_a_start(site)
+
+
 def test_entry_that_starts_beside_a_stager_learns_the_age_of_the_era(
     start,  # noqa: F811
 ):
--- a/tests/test_state_processes.py
+++ b/tests/test_state_processes.py
@@ -82,11 +82,13 @@
 
     :param routes: the number of routes that a desired state has in addition.
     :param large_answer_s: see `StoreProxy`.
+    :param first_era: the era of the store before its first restore.
     """
 
-    def __init__(self, folder, entry_count, routes=0, large_answer_s=0.0):
+    def __init__(self, folder, entry_count, routes=0, large_answer_s=0.0, first_era=1):
         self.folder, self.routes = folder, routes
         self.store = Store(("127.0.0.1", 0))
+        self.store.era = first_era
         self.origin = Origin(("127.0.0.1", 0))
         self.engine = Engine((STAGER_HOST, 0), "i-1")
         self.engine.staged = {n: chunk(1, n) for n in range(CHUNK_COUNT)}
@@ -199,8 +201,8 @@
     """Return a function that starts a `Site` whose entries serve."""
     sites = []
 
-    def start(entry_count, routes=0):
-        site = Site(tmp_path, entry_count, routes)
+    def start(entry_count, routes=0, first_era=1):
+        site = Site(tmp_path, entry_count, routes, first_era=first_era)
         sites.append(site)
         wait_until(site.is_serving)
         wait_until(site.all_follow)
