Bound the connections of the daemon's control port

What callers saw: 300 idle connections to the control port of `briarbeamd` used all 256 descriptors, and the daemon answered no request until they were closed.

Cause: the port is a grpclib server, which accepts every connection and keeps it for as long as its peer does.

Now the server has the limit of other ports: 128 connections, at most an eighth of the descriptors. Above it the connection that has been idle longest is closed. One with a call under way is closed only if none is idle; then it is the one whose calls began first, so that peers that begin calls and never send them keep no other out. It is aborted rather than closed, since a peer that does not read would hold its descriptor until it takes what was written. A daemon keeps at most 64 channels, so the daemons of a site stay below the limit.

asyncio accepts as many connections in a turn as the backlog that it is given, before the first of them is counted. So the loop gets a backlog of 1, and the kernel its own.

--- a/briarbeam/kernel/rpc.py
+++ b/briarbeam/kernel/rpc.py
@@ -14,9 +14,9 @@
 from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
-from grpclib.server import Server
 
 from .errors import ConnectError, ExchangeError
+from .rpc_server import BoundedServer
 
 CALL_TIMEOUT_S = 2.0
 CHANNELS_MAX = 64
@@ -59,9 +59,9 @@
         """Start a server for `services` on `address`."""
         budget = _MessageBudget()
         bounded = [_BoundedService(service, budget) for service in services]
-        server = Server(bounded, loop=self._loop)
+        server = BoundedServer(bounded, loop=self._loop)
         self._servers.append(server)
-        self.run_coroutine(server.start(address.host, address.port))
+        self.run_coroutine(server.listen(address))
 
     def call(self, address, stub, method, message, timeout_s=CALL_TIMEOUT_S):
         """Call ``stub.method`` at `address` with `message` and return the reply.
@@ -195,7 +195,8 @@
         raw = stream._stream
         raw.recv_data = partial(self._budget.receive, raw.recv_data)
         try:
-            await function(stream)
+            with raw._transport.get_protocol().call():
+                await function(stream)
         finally:
             # Leaves no cycle to the garbage collector.
             del raw.recv_data
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -302,6 +302,22 @@
     assert target.daemon.poll() is None
 
 
+def test_control_connections_at_once_do_not_use_up_the_descriptors():
+    """Up to 100 were accepted at a time, before any above the limit was closed."""
+    with start_site(FEW_DESCRIPTORS) as site, ExitStack() as stack:
+        target = site.targets()[0]
+        address = target.host, CONTROL_PORT
+        os.kill(target.daemon.pid, signal.SIGSTOP)
+        try:
+            for _ in range(AT_ONCE):
+                stack.enter_context(socket.create_connection(address))
+        finally:
+            os.kill(target.daemon.pid, signal.SIGCONT)
+        assert is_served(target)
+        assert "Too many open files" not in site.log_tails()
+        assert target.daemon.poll() is None
+
+
 # Makes one control call and prints the most resident memory in kB.
 CALLER = """
 from gevent import monkey
--- a/tests/test_kernel_rpc.py
+++ b/tests/test_kernel_rpc.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import socket
+from contextlib import ExitStack
 
 import gevent
 import pytest
+from gevent.event import Event
+from h2.connection import H2Connection
 
-from briarbeam.kernel import rpc
+from briarbeam.kernel import rpc, rpc_server
 from briarbeam.kernel.errors import ConnectError, ExchangeError
 from briarbeam.kernel.network import Address
 from briarbeam.kernel.rpc import RpcLoop
@@ -108,6 +111,65 @@
         assert not loop._active_calls[channel]
 
 
+def test_connection_of_a_call_is_closed_after_idle_ones_only(loop, monkeypatch):
+    """No call within the limits may fail for connections that carry none."""
+    monkeypatch.setattr(rpc_server, "OTHER_CONNECTIONS_MAX", 2)
+    service, may_answer, begun = _EchoService(), asyncio.Event(), Event()
+
+    async def answer_later(stream):
+        message = await stream.recv_message()
+        begun.set()
+        await may_answer.wait()
+        await stream.send_message(message)
+
+    monkeypatch.setattr(service, "Exchange", answer_later)
+    address = _free_address()
+    loop.serve(address, [service])
+    call = gevent.spawn(_exchange, loop, address)
+    assert begun.wait(5.0)
+    with ExitStack() as stack:
+        idle = [_connect(stack, address) for _ in range(3)]
+        _assert_closed(*idle[:2])
+        loop._loop.call_soon_threadsafe(may_answer.set)
+        assert call.get().sender == "a"
+        # The connection of the call is idle now, and is made again after its end.
+        idle += [_connect(stack, address) for _ in range(2)]
+        _assert_closed(idle[2])
+        assert _exchange(loop, address).sender == "a"
+
+
+def test_calls_that_wait_for_their_peers_do_not_refuse_others(loop, monkeypatch):
+    """A peer that begins calls and does not send them could hold all connections."""
+    monkeypatch.setattr(rpc_server, "OTHER_CONNECTIONS_MAX", 2)
+    address = _free_address()
+    loop.serve(address, [_EchoService()])
+    call = {":method": "POST", ":scheme": "http", ":authority": "h"}
+    call |= {":path": "/briarbeam.Control/Exchange", "te": "trailers"}
+    call["content-type"] = "application/grpc"
+    with ExitStack() as stack:
+        for _ in range(2):
+            sock = _connect(stack, address)
+            connection = H2Connection()
+            connection.initiate_connection()
+            connection.send_headers(1, call.items())
+            sock.sendall(connection.data_to_send())
+            gevent.sleep(0.05)
+        assert _exchange(loop, address).sender == "a"
+
+
+def _connect(stack, address):
+    sock = stack.enter_context(socket.create_connection(tuple(address)))
+    sock.settimeout(5.0)
+    gevent.sleep(0.05)
+    return sock
+
+
+def _assert_closed(*socks):
+    for sock in socks:
+        while sock.recv(4096):
+            pass
+
+
 def _exchange_or_error(loop, address, timeout_s):
     try:
         return _exchange(loop, address, timeout_s=timeout_s)
