Bound the reply to a control call

What callers saw: one control call whose peer announces an answer of 4 GB raised the memory of `briarbeamd` by hundreds of megabytes in the 2 s that a call may last.

Cause: grpclib's client collects a reply in a buffer up to its announced length and grants the peer its window again for each piece. The limits of the server's messages did not hold for replies.

Now the announced length is checked before anything of it is read: 4 MiB, and 64 MiB for all replies above 64 KiB that are being received. Above it the call fails like one that its peer refuses, and its channel is closed. Replies have a budget of their own, so that callers of the control port who use up that of messages fail no call of this daemon. Documents have at most 900,000 bytes, so no call within the limits meets it.

--- a/briarbeam/kernel/rpc.py
+++ b/briarbeam/kernel/rpc.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import Counter, OrderedDict
+from contextlib import contextmanager
 from functools import partial
 
 import asyncio_gevent
@@ -38,6 +39,7 @@
         self._source_host = source_host
         self._channels = OrderedDict()
         self._active_calls = Counter()
+        self._replies = _MessageBudget()
         self._servers = []
         self._greenlet = None
 
@@ -72,7 +74,7 @@
         """
         channel = self._get_channel(address)
         self._active_calls[channel] += 1
-        call = getattr(stub(channel), method)(message, timeout=timeout_s)
+        call = self._exchange(getattr(stub(channel), method), message, timeout_s)
         try:
             return self.run_coroutine(self._await_call(channel, call), timeout_s + 0.5)
         except ConnectionRefusedError as error:
@@ -131,6 +133,14 @@
         if channel is not None:
             self._loop.call_soon_threadsafe(channel.close)
 
+    async def _exchange(self, method, message, timeout_s):
+        async with method.open(timeout=timeout_s) as stream:
+            await stream.send_message(message, end=True)
+            with self._replies.bound(stream):
+                reply = await stream.recv_message()
+        assert reply is not None
+        return reply
+
     async def _await_call(self, channel, call):
         """Return the result of `call`; close a dropped channel after its last call.
 
@@ -150,12 +160,26 @@
 
 
 class _MessageBudget:
-    """The messages that a server receives, at most `MESSAGES_MAX_BYTES` at a time."""
+    """Messages that are being received, at most `MESSAGES_MAX_BYTES` at a time.
+
+    grpclib has no limit of its own.
+    """
 
     def __init__(self):
         self._held_bytes = 0
 
-    async def receive(self, receive, size_bytes):
+    @contextmanager
+    def bound(self, stream):
+        """While in this context, `stream` receives messages within the budget."""
+        raw = stream._stream
+        raw.recv_data = partial(self._receive, raw.recv_data)
+        try:
+            yield
+        finally:
+            # Leaves no cycle to the garbage collector.
+            del raw.recv_data
+
+    async def _receive(self, receive, size_bytes):
         """Return what `receive` returns for `size_bytes`, which are held meanwhile.
 
         :raises GRPCError: if that is above a limit; nothing is received.
@@ -191,15 +215,9 @@
         }
 
     async def _handle(self, function, stream):
-        # The library has no limit of its own.
-        raw = stream._stream
-        raw.recv_data = partial(self._budget.receive, raw.recv_data)
-        try:
-            with raw._transport.get_protocol().call():
-                await function(stream)
-        finally:
-            # Leaves no cycle to the garbage collector.
-            del raw.recv_data
+        connection = stream._stream._transport.get_protocol()
+        with self._budget.bound(stream), connection.call():
+            await function(stream)
 
 
 class _SourceChannel(Channel):
--- a/tests/test_kernel_rpc.py
+++ b/tests/test_kernel_rpc.py
@@ -157,6 +157,30 @@
         assert _exchange(loop, address).sender == "a"
 
 
+@pytest.mark.parametrize("size_bytes", [900_000, 5_000_000])
+def test_reply_is_held_up_to_a_limit(loop, monkeypatch, size_bytes):
+    """The 4 GB that a reply may announce were collected."""
+    # Room for one reply at a time.
+    monkeypatch.setattr(rpc, "MESSAGES_MAX_BYTES", 1_000_000)
+    service = _EchoService()
+
+    async def fetch(stream):
+        await stream.recv_message()
+        await stream.send_message(control_pb2.Document(body=b"b" * size_bytes))
+
+    monkeypatch.setattr(service, "Fetch", fetch)
+    address = _free_address()
+    loop.serve(address, [service])
+    request = control_pb2.DocumentRequest()
+    for _ in range(3):
+        if size_bytes > rpc.MESSAGE_MAX_BYTES:
+            with pytest.raises(ExchangeError, match="RESOURCE_EXHAUSTED"):
+                loop.call(address, control_grpc.ControlStub, "Fetch", request)
+        else:
+            reply = loop.call(address, control_grpc.ControlStub, "Fetch", request)
+            assert len(reply.body) == size_bytes
+
+
 def _connect(stack, address):
     sock = stack.enter_context(socket.create_connection(tuple(address)))
     sock.settimeout(5.0)
