Bound the size of a document that a peer sends

What callers saw: nothing yet. Found beside the control port's other limits: one call `Offer` with a body of 0.6 MB raised a target of `briarbeamd` from 56 to 1,228 MB, and had no answer within its 2 s. A message may have seven times that size.

Cause: the body is compressed, and was decompressed without a limit. The limit on a message counts compressed bytes only.

Now it is decompressed up to 4 MiB, and a larger one is refused like one that can't be decompressed. The resources have at most 900,000 bytes, and the list of a site with two instances has 193 bytes for each, so no document of a site comes near the limit.

--- a/briarbeam/configuration/documents.py
+++ b/briarbeam/configuration/documents.py
@@ -15,6 +15,8 @@
 CONFIGURATION = "configuration"
 INSTANCES = "instances"
 COMPRESSION_LEVEL = 3
+# The resources have at most 900,000 bytes.
+BODY_MAX_BYTES = 4 * 1024 * 1024
 
 _REFUSED = Counter(
     "briarbeam_document_refused", "Unreadable bodies refused", ["document"]
@@ -115,15 +117,16 @@
     def offer_compressed(self, name, revision, compressed, confirmed_age_s=math.inf):
         """Accept a newer revision whose compressed body a peer sent; see `offer`.
 
-        A body that can't be decompressed is refused. If the revision is the one held
-        already, its confirmation is not recorded either.
+        A body that can't be decompressed, or is larger than `BODY_MAX_BYTES` then, is
+        refused. If the revision is the one held already, its confirmation is not
+        recorded either.
         """
         held = self._documents.get(name)
         if held is None or revision <= held.revision:
             return False
         try:
-            body = zlib.decompress(compressed)
-        except zlib.error:
+            body = _decompress(compressed)
+        except (ValueError, zlib.error):
             _REFUSED.labels(name).inc()
             return False
         return self.offer(name, revision, body, confirmed_age_s, compressed)
@@ -155,3 +158,14 @@
 def canonical_json(value):
     """Return the JSON encoding of `value`, which is the same at every daemon."""
     return json.dumps(value, sort_keys=True, separators=(",", ":")).encode()
+
+
+def _decompress(compressed):
+    unpacker = zlib.decompressobj()
+    body = unpacker.decompress(compressed, BODY_MAX_BYTES)
+    if not unpacker.eof:
+        raise ValueError(
+            f"body of {len(compressed)} bytes is cut off, or above {BODY_MAX_BYTES} "
+            "bytes when decompressed"
+        )
+    return body
--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -7,7 +7,8 @@
 import signal
 import subprocess
 import sys
-from contextlib import ExitStack, contextmanager
+import zlib
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 
 import gevent
@@ -21,6 +22,10 @@
 
 from bench.layout import CONTROL_PORT, Domain
 from bench.site import Site
+from briarbeam.kernel.errors import ExchangeError
+from briarbeam.kernel.network import Address
+from briarbeam.kernel.rpc import RpcLoop
+from briarbeam.wire import control_grpc, control_pb2
 
 DOMAINS = (Domain("hobart", "south", entries=1, engines=1, services=0),)
 CROWD = 8
@@ -318,6 +323,27 @@
         assert target.daemon.poll() is None
 
 
+def test_offered_document_does_not_fill_the_memory(site):
+    """A body of 0.6 MB was decompressed to 600 MB."""
+    target = site.targets()[0]
+    packer = zlib.compressobj()
+    parts = [packer.compress(bytes(10**7)) for _ in range(60)]
+    body = b"".join(parts) + packer.flush()
+    document = control_pb2.Document(document="configuration", revision=2**50, body=body)
+    loop = RpcLoop()
+    loop.start()
+    try:
+        address = Address(target.host, CONTROL_PORT)
+        # The time that a call may last is no bound of this test.
+        with suppress(ExchangeError):
+            loop.call(address, control_grpc.ControlStub, "Offer", document)
+    finally:
+        loop.stop()
+    assert is_served(target)
+    assert peak_mb(target) < MEMORY_MAX_MB
+    assert target.daemon.poll() is None
+
+
 # Makes one control call and prints the most resident memory in kB.
 CALLER = """
 from gevent import monkey
