Show that connections that come at once use up an entry's descriptors

What callers saw: nothing known.

Cause: the listeners of briarbeam.node (callers, readiness, peers, metrics) accept up to 100 connections in one turn of the event loop. Only the task of a connection counts it, refuses it or closes another one.

Evidence: an entry that may have 96 descriptors is frozen while 100 connections are made, to one port and to all four.

--- a/tests/test_caller_input_processes.py
+++ b/tests/test_caller_input_processes.py
@@ -2,6 +2,7 @@
 
 import os
 import resource
+import signal
 
 import gevent
 import pytest
@@ -26,6 +27,10 @@
 IDLE_CROWD = 200
 # The process has about 30 descriptors without callers.
 DESCRIPTORS_MAX = 128
+# Fewer than are accepted at once, and for more than the limits on connections.
+FEW_DESCRIPTORS = 96
+AT_ONCE = 100
+PORTS = ["port", "readiness", "peer", "metrics"]
 BLOCK_BYTES = 65536
 SENT_BYTES = 16 * 2**20
 HEAD = (
@@ -337,3 +342,32 @@
         for sock in socks:
             sock.close()
         site.stop()
+
+
+@pytest.mark.parametrize("ports", [*([p] for p in PORTS), PORTS], ids="-".join)
+def test_connections_that_come_at_once_do_not_use_up_the_descriptors(
+    tmp_path, instance, ports
+):
+    """Up to 100 were accepted at a time, before any above the limit was closed."""
+    site = Site(tmp_path, instance.serve)
+    process = site.node.process
+    limits = FEW_DESCRIPTORS, FEW_DESCRIPTORS
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, limits)
+    socks = []
+    try:
+        wait_until(lambda: is_served(site))
+        os.kill(process.pid, signal.SIGSTOP)
+        try:
+            # Below the backlogs, where they wait to be accepted.
+            for port in ports:
+                address = HOST, getattr(site, port)
+                socks += [socket.create_connection(address) for _ in range(AT_ONCE)]
+        finally:
+            os.kill(process.pid, signal.SIGCONT)
+        assert is_served(site)
+        assert "Too many open files" not in site.node.log_path.read_text()
+        assert process.poll() is None
+    finally:
+        for sock in socks:
+            sock.close()
+        site.stop()
