Show that a later outage replaces the one that entries wait after

What callers saw: nothing known.

Cause: `last_outage_s` holds the last outage only, and `ReadTurn` counts its wait from it. A failed call just after an outage of 5 s replaces that one by an outage of 0.1 s, so that the wait ends and every entry may read at once. Outages of 0.9 s that follow each other begin the wait again each time, so that an entry of a low rank that no neighbour supplies doesn't read while its state grows older.

--- a/tests/test_relay_read_turn.py
+++ b/tests/test_relay_read_turn.py
@@ -4,6 +4,7 @@
 
 from briarbeam.kernel.clock import ManualClock
 from briarbeam.kernel.network import Address
+from briarbeam.relay.errors import StoreUnavailableError
 from briarbeam.relay.mirror import Mirror
 from briarbeam.relay.read_turn import ReadTurn
 from briarbeam.relay.spread import STORE_READ_MAX_S, StateSpread
@@ -57,3 +58,42 @@
     assert count_due(turns) == 0
     clock.advance(STORE_READ_MAX_S)
     assert count_due(turns) == len(turns)
+
+
+def new_lossy_turn(clock):
+    """Return the `ReadTurn` of the last in rank, and a function that loses the store."""
+    detector = Mirror(None, "versions", clock, lambda: 1.0, lambda records: None)
+    spread, _ = new_turns(clock)[-1]
+
+    def lose_store(duration_s):
+        detector._mark_unreachable(StoreUnavailableError("gone"))
+        clock.advance(duration_s)
+        detector._mark_reachable()
+
+    return ReadTurn(clock, spread, lambda: detector.last_outage_s), lose_store
+
+
+def test_failed_call_after_an_outage_does_not_end_the_wait():
+    """All entries whose first calls met it read the state at the same time."""
+    clock = ManualClock()
+    clock.advance(100.0)
+    turn, lose_store = new_lossy_turn(clock)
+    lose_store(5.0)
+    clock.advance(0.3)
+    assert not turn.is_due()
+    lose_store(0.1)
+    assert not turn.is_due()
+
+
+def test_outages_that_follow_each_other_do_not_begin_the_wait_again():
+    """An entry that no neighbour supplies then never reads the state."""
+    clock = ManualClock()
+    clock.advance(100.0)
+    turn, lose_store = new_lossy_turn(clock)
+    due = []
+    for _ in range(5):
+        lose_store(0.9)
+        for _ in range(20):
+            clock.advance(0.1)
+            due.append(turn.is_due())
+    assert any(due)
