Show that a store that was not reached counts as regained

What callers saw: nothing known.

Cause: a mirror of the desired state that a neighbour supplies marks the store as reached once its detector counts as reachable. The detector also does while it hasn't noticed the loss: its watch waits up to 25 s. So `lost_s` is cleared and `restored_s` set without an answer of the store, and `Fleet` takes `restored_s` for the store's return.

Not shown with processes.

--- a/tests/test_relay_read_turn.py
+++ b/tests/test_relay_read_turn.py
@@ -1,8 +1,9 @@
 """Tests of which entry reads the desired state after an outage or a start on a copy."""
 
+import gevent
 import pytest
 
-from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.clock import ManualClock, SystemClock
 from briarbeam.kernel.network import Address
 from briarbeam.relay.errors import StoreUnavailableError
 from briarbeam.relay.mirror import Mirror
@@ -61,7 +62,7 @@
 
 
 def new_lossy_turn(clock):
-    """Return the `ReadTurn` of the last in rank, and a function that loses the store."""
+    """Return the `ReadTurn` of the last in rank and a function that loses the store."""
     detector = Mirror(None, "versions", clock, lambda: 1.0, lambda records: None)
     spread, _ = new_turns(clock)[-1]
 
@@ -97,3 +98,19 @@
             clock.advance(0.1)
             due.append(turn.is_due())
     assert any(due)
+
+
+def test_store_that_was_not_reached_does_not_count_as_regained():
+    """Its detector still waits for a watch that was sent before the store was lost."""
+    clock = SystemClock()
+    detector = Mirror(None, "versions", clock, lambda: 25.0, lambda records: None)
+    mirror = Mirror(
+        None, "config", clock, lambda: 0.6, lambda records: None, is_large=True,
+        is_supplied_by_peers=lambda: True, outage_detector=detector,
+    )  # fmt: skip
+    mirror._revision = 1
+    mirror._mark_unreachable(StoreUnavailableError("gone"))
+    task = gevent.spawn(mirror.run)
+    gevent.sleep(0.1)
+    task.kill()
+    assert mirror.lost_s is not None and mirror.restored_s is None
