--- a/tests/test_relay_read_turn.py
+++ b/tests/test_relay_read_turn.py
@@ -1,9 +1,11 @@
 """Tests of which entry reads the desired state after an outage or a start on a copy."""
 
+import gevent
 import pytest
 
-from briarbeam.kernel.clock import ManualClock
+from briarbeam.kernel.clock import ManualClock, SystemClock
 from briarbeam.kernel.network import Address
+from briarbeam.relay.errors import StoreUnavailableError
 from briarbeam.relay.mirror import Mirror
 from briarbeam.relay.read_turn import ReadTurn
 from briarbeam.relay.spread import STORE_READ_MAX_S, StateSpread
@@ -57,3 +59,58 @@
     assert count_due(turns) == 0
     clock.advance(STORE_READ_MAX_S)
     assert count_due(turns) == len(turns)
+
+
+def new_lossy_turn(clock):
+    """Return the `ReadTurn` of the last in rank and a function that loses the store."""
+    detector = Mirror(None, "versions", clock, lambda: 1.0, lambda records: None)
+    spread, _ = new_turns(clock)[-1]
+
+    def lose_store(duration_s):
+        detector._mark_unreachable(StoreUnavailableError("gone"))
+        clock.advance(duration_s)
+        detector._mark_reachable()
+
+    return ReadTurn(clock, spread, lambda: detector.last_outage_s), lose_store
+
+
+def test_failed_call_after_an_outage_does_not_end_the_wait():
+    """All entries whose first calls met it read the state at the same time."""
+    clock = ManualClock()
+    clock.advance(100.0)
+    turn, lose_store = new_lossy_turn(clock)
+    lose_store(5.0)
+    clock.advance(0.3)
+    assert not turn.is_due()
+    lose_store(0.1)
+    assert not turn.is_due()
+
+
+def test_outages_that_follow_each_other_do_not_begin_the_wait_again():
+    """An entry that no neighbour supplies then never reads the state."""
+    clock = ManualClock()
+    clock.advance(100.0)
+    turn, lose_store = new_lossy_turn(clock)
+    due = []
+    for _ in range(5):
+        lose_store(0.9)
+        for _ in range(20):
+            clock.advance(0.1)
+            due.append(turn.is_due())
+    assert any(due)
+
+
+def test_store_that_was_not_reached_does_not_count_as_regained():
+    """Its detector still waits for a watch that was sent before the store was lost."""
+    clock = SystemClock()
+    detector = Mirror(None, "versions", clock, lambda: 25.0, lambda records: None)
+    mirror = Mirror(
+        None, "config", clock, lambda: 0.6, lambda records: None, is_large=True,
+        is_supplied_by_peers=lambda: True, outage_detector=detector,
+    )  # fmt: skip
+    mirror._revision = 1
+    mirror._mark_unreachable(StoreUnavailableError("gone"))
+    task = gevent.spawn(mirror.run)
+    gevent.sleep(0.1)
+    task.kill()
+    assert mirror.lost_s is not None and mirror.restored_s is None
