--- a/briarbeam/relay/connections.py
+++ b/briarbeam/relay/connections.py
@@ -28,6 +28,8 @@
         self._idle_timeout_s = idle_timeout_s
         self._connections = OpenConnections(port, others_max(max_connections))
         self._server = StreamServer(tuple(address), self._serve)
+        # What is accepted is counted only once its task runs.
+        self._server.max_accept = 1
 
     def start(self):
         """Listen, and serve connections in the background."""
--- a/briarbeam/relay/server.py
+++ b/briarbeam/relay/server.py
@@ -83,6 +83,8 @@
         self._closing = False
         self._refuse_after_s = math.inf
         self._server = StreamServer(tuple(address), self._serve, backlog=LISTEN_BACKLOG)
+        # What is accepted is counted only once its task runs.
+        self._server.max_accept = 1
 
     def start(self):
         """Start listening."""
