Count the store as regained only once its detector was answered

Cause: a mirror of the desired state that a neighbour supplies counted as having reached the store while its detector counted as reachable. The detector also does while its watch waits, up to 25 s, on a connection from before the loss. So the loss was forgotten, and the time of the store's return set, without an answer of the store.

Now the detector's last answer has to be later than the loss.

--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -374,13 +374,21 @@
     def _relies_on_peers(self):
         if self._revision is None or not self._is_supplied_by_peers():
             return False
-        if self._is_large and self._outage_detector is not None:
-            # The detector has reached the store. A watch of this mirror would return
-            # each state since the outage.
+        if self._is_large and self._detector_reached_store():
+            # A watch of this mirror would return each state since the outage.
             self._mark_reachable()
         # While the store is unreachable, other mirrors wait for this one to reach it.
         return self.reachable.is_set()
 
+    def _detector_reached_store(self):
+        """Return whether the detector of outages was answered since the loss."""
+        detector = self._outage_detector
+        return (
+            detector is not None
+            and self.lost_s is not None
+            and detector._answered_s > self.lost_s
+        )
+
     def _needs_list(self):
         if self._in_burst or self._revision is None:
             return True
