Let a later outage neither end nor prolong the wait for a turn

Cause: the wait for a turn to read the desired state counted from the last outage. A failed call of 0.1 s after an outage of 5 s took its place, so that every entry read at once; outages of 0.9 s every 2.9 s began the wait anew, so that the last in rank never read.

Now `ReadTurn` is told of the end of each outage, leaves out those of 0.8 s at most, and goes on with a wait that has begun.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -123,9 +123,8 @@
             self._spread,
             lambda: self._version_mirror.restored_s,
         )
-        self._read_turn = ReadTurn(
-            clock, self._spread, lambda: self._version_mirror.last_outage_s
-        )
+        self._read_turn = ReadTurn(clock, self._spread)
+        self._version_mirror.on_regained = self._read_turn.record_outage
         self._evidence = CrashEvidence(clock)
         self._quarantine = Quarantine(clock, self._evidence)
         self._grants = GrantClient(clock)
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -44,9 +44,10 @@
     `unseen_s` is the time in seconds, between the last two answers of the store, during
     which no call would have shown a change. `restored_s` is the boot time at which the
     store was last reached again or its records were replaced by those of a later era,
-    or None; `rewound_s` counts the latter only. `last_outage_s` are the boot times at
-    which the store was last lost and reached again, or None. `reachable` is an `Event` that is set
-    while the store answers. `on_rewound` is called with the era when that has risen.
+    or None; `rewound_s` counts the latter only. `reachable` is an `Event` that is set
+    while the store answers. `on_rewound` is called with the era when that has risen,
+    `on_regained` with the boot time at which the store was lost, when it is reached
+    again.
 
     :param store: the `StoreClient`.
     :param kind: the kind of the records, as in the store's paths.
@@ -128,7 +129,6 @@
         self.confirmed_s = None
         # Boot time since which calls have failed, None while the store answers.
         self.lost_s = None
-        self.last_outage_s = None
         self.restored_s = None
         self.rewound_s = None
         # Since when the records may lack what a restored store has lost, or None; and
@@ -138,6 +138,7 @@
         # Whether the records are unsettled only because the era may be young.
         self._awaits_era_age = False
         self.on_rewound = lambda era: None
+        self.on_regained = lambda lost_s: None
 
     @property
     def kind(self):
@@ -520,9 +521,9 @@
     def _mark_reachable(self):
         if not self.reachable.is_set():
             self.reachable.set()
+            lost_s, self.lost_s = self.lost_s, None
             self.restored_s = self._clock.boottime_s()
-            self.last_outage_s = self.lost_s, self.restored_s
-            self.lost_s = None
+            self.on_regained(lost_s)
             _log.info("store_regained", kind=self._kind, revision=self._revision)
 
     def _mark_unreachable(self, error):
--- a/briarbeam/relay/read_turn.py
+++ b/briarbeam/relay/read_turn.py
@@ -13,27 +13,28 @@
 
     :param clock: the `Clock`.
     :param spread: the `StateSpread`.
-    :param last_outage_s: a function that returns the boot times at which the store was
-        last lost and reached again, or None.
     """
 
-    def __init__(self, clock, spread, last_outage_s):
+    def __init__(self, clock, spread):
         self._clock = clock
         self._spread = spread
-        self._last_outage_s = last_outage_s
+        self._regained_s = None
+
+    def record_outage(self, lost_s):
+        """Record that the store, lost at the boot time `lost_s`, is reached again."""
+        now_s = self._clock.boottime_s()
+        # After a shorter outage, the reader is still the same.
+        if now_s - lost_s <= STORE_LOST_MAX_S:
+            return
+        # An outage during the wait does not prolong it.
+        if not self._is_within_wait(self._regained_s):
+            self._regained_s = now_s
 
     def is_due(self):
         """Return whether this entry may read the state now."""
         if self._is_within_wait(self._spread.first_copied_s):
             return False
-        outage_s = self._last_outage_s()
-        if outage_s is None or self._spread.rank() == 0:
-            return True
-        lost_s, regained_s = outage_s
-        # After a shorter outage, the reader is still the same.
-        if regained_s - lost_s <= STORE_LOST_MAX_S:
-            return True
-        return not self._is_within_wait(regained_s)
+        return self._spread.rank() == 0 or not self._is_within_wait(self._regained_s)
 
     def _is_within_wait(self, since_s):
         if since_s is None:
--- a/tests/test_relay_read_turn.py
+++ b/tests/test_relay_read_turn.py
@@ -13,14 +13,19 @@
 HOSTS = [f"10.0.0.{number}" for number in range(1, 13)]
 
 
-def new_turns(clock, outage_s=None, hosts=HOSTS):
-    """Return the `ReadTurn` of each of `hosts`, by the rank of its entry."""
+def new_turns(clock, lost_s=None, hosts=HOSTS):
+    """Return the `ReadTurn` of each of `hosts`, by the rank of its entry.
+
+    :param lost_s: when the store, which is reached again now, was lost.
+    """
     turns = []
     for host in hosts:
         mirror = Mirror(None, "config", clock, lambda: 1.0, lambda records: None)
         spread = StateSpread(None, Address(host, 77), clock, mirror, bool)
         spread.neighbours = lambda host=host: [h for h in hosts if h != host]
-        turns.append((spread, ReadTurn(clock, spread, lambda: outage_s)))
+        turns.append((spread, ReadTurn(clock, spread)))
+        if lost_s is not None:
+            turns[-1][1].record_outage(lost_s)
     return sorted(turns, key=lambda pair: pair[0].rank())
 
 
@@ -31,7 +36,7 @@
 def test_entries_that_reach_the_store_again_do_not_read_at_the_same_time():
     clock = ManualClock()
     clock.advance(100.0)
-    turns = new_turns(clock, outage_s=(90.0, clock.boottime_s()))
+    turns = new_turns(clock, lost_s=90.0)
     assert count_due(turns) == 1
     counts = []
     for _ in range(33):
@@ -46,7 +51,7 @@
     """Its neighbours would all have stopped following it."""
     clock = ManualClock()
     clock.advance(100.0)
-    turns = new_turns(clock, outage_s=(99.5, clock.boottime_s()))
+    turns = new_turns(clock, lost_s=99.5)
     assert count_due(turns) == len(turns)
 
 
@@ -64,14 +69,15 @@
 def new_lossy_turn(clock):
     """Return the `ReadTurn` of the last in rank and a function that loses the store."""
     detector = Mirror(None, "versions", clock, lambda: 1.0, lambda records: None)
-    spread, _ = new_turns(clock)[-1]
+    _, turn = new_turns(clock)[-1]
+    detector.on_regained = turn.record_outage
 
     def lose_store(duration_s):
         detector._mark_unreachable(StoreUnavailableError("gone"))
         clock.advance(duration_s)
         detector._mark_reachable()
 
-    return ReadTurn(clock, spread, lambda: detector.last_outage_s), lose_store
+    return turn, lose_store
 
 
 def test_failed_call_after_an_outage_does_not_end_the_wait():
