Don't let a state expire while its entry waits for its turn to read it

What callers would have seen: after outages of the store of 2 to 3 s without a change, entries whose state passes the bound on keys (4.4 s) are not ready and refuse requests, although the store answers.

Cause: the first in rank reads, but neighbours are confirmed by the one that forwards loads, which ranks by another subject and waits for its own turn. The others wait for neither.

Now an entry whose state would become too old within the duration of a read doesn't wait. One whose state is too old already waits as before.

--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -123,7 +123,12 @@
             self._spread,
             lambda: self._version_mirror.restored_s,
         )
-        self._read_turn = ReadTurn(clock, self._spread)
+        self._read_turn = ReadTurn(
+            clock,
+            self._spread,
+            lambda: self._state_mirror.age_s,
+            settings.bounds.key_revocation_s - KEY_MARGIN_S,
+        )
         self._version_mirror.on_regained = self._read_turn.record_outage
         self._evidence = CrashEvidence(clock)
         self._quarantine = Quarantine(clock, self._evidence)
--- a/tests/test_relay_read_turn.py
+++ b/tests/test_relay_read_turn.py
@@ -10,10 +10,11 @@
 from briarbeam.relay.read_turn import ReadTurn
 from briarbeam.relay.spread import STORE_READ_MAX_S, StateSpread
 
+AGE_MAX_S = 4.4
 HOSTS = [f"10.0.0.{number}" for number in range(1, 13)]
 
 
-def new_turns(clock, lost_s=None, hosts=HOSTS):
+def new_turns(clock, lost_s=None, hosts=HOSTS, age_s=lambda: 9.0):
     """Return the `ReadTurn` of each of `hosts`, by the rank of its entry.
 
     :param lost_s: when the store, which is reached again now, was lost.
@@ -23,7 +24,7 @@
         mirror = Mirror(None, "config", clock, lambda: 1.0, lambda records: None)
         spread = StateSpread(None, Address(host, 77), clock, mirror, bool)
         spread.neighbours = lambda host=host: [h for h in hosts if h != host]
-        turns.append((spread, ReadTurn(clock, spread)))
+        turns.append((spread, ReadTurn(clock, spread, age_s, AGE_MAX_S)))
         if lost_s is not None:
             turns[-1][1].record_outage(lost_s)
     return sorted(turns, key=lambda pair: pair[0].rank())
@@ -55,6 +56,20 @@
     assert count_due(turns) == len(turns)
 
 
+def test_state_does_not_expire_while_its_entry_waits_for_its_turn():
+    """After outages of 2 s without a change, entries refused requests for a second."""
+    clock = ManualClock()
+    clock.advance(100.0)
+    confirmed_s = clock.boottime_s() - 2.5
+    turns = new_turns(
+        clock, lost_s=98.0, age_s=lambda: clock.boottime_s() - confirmed_s
+    )
+    assert count_due(turns) == 1
+    # A watch takes 0.6 s at least.
+    clock.advance(AGE_MAX_S - 2.5 - 0.7)
+    assert count_due(turns) == len(turns)
+
+
 @pytest.mark.parametrize("hosts", [HOSTS, HOSTS[:1]])
 def test_entry_that_started_on_a_copy_reads_if_no_neighbour_supplies_more(hosts):
     clock = ManualClock()
