Give up calls to the store that fell silent once another one shows it

DEPLOY counts the silence as a reset, so that the excuse ends after `contact_ms` (3,000); then `drain_ms` (2,000) after the ack binds.

Cause: each watch waits for its own time-out, 4.0 and 0.7 s for the servers, though the watch on the desired state timed out earlier and its successor was answered. An entry takes no copy of the reader's records either while its own watch waits.

Why it works: `SilenceDetector` sends all calls of the `StoreClient`. After a time-out, the answer to a call that was sent later, thus on another connection, shows that the store works. The calls from before the time-out that wait for the head of a reply fail then, and mirrors repeat them as after a time-out. A body that arrives goes on.

test_docs.py reads the events of the new module, too, as it does for kernel/connections.py; without, the page would list an event that nothing logs.

--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -17,6 +17,7 @@
 from ..kernel.errors import BriarbeamError
 from ..kernel.lenient_json import parse_leniently
 from ..kernel.network import HttpRequest, fetch_in_parts
+from ..kernel.silence import SilenceDetector
 from ..relay.errors import (
     HistoryGoneError,
     RecheckError,
@@ -86,7 +87,7 @@
     """
 
     def __init__(self, network, address, timeout_s=CALL_TIMEOUT_S):
-        self._network = network
+        self._network = SilenceDetector(network)
         self._address = address
         self._timeout_s = timeout_s
         self._unnamed_counts = {}
--- a/briarbeam/relay/entry.py
+++ b/briarbeam/relay/entry.py
@@ -50,7 +50,7 @@
 # reader, its age stays below the bound on keys.
 STATE_WAIT_S = 0.6
 # How long other watches wait while no neighbour confirms the mirrors. A dead connection
-# that is not detected costs this plus the time-out of a call.
+# costs this plus the time-out of a call, unless another call detects it earlier.
 WATCH_WAIT_S = 4.0
 # How long the watch on named versions waits. Its answer also confirms them as of the
 # time at which the watch was sent. Even with one lost call, their age stays below the
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,7 +11,8 @@
 DOCS = {path.name: path.read_text() for path in (ROOT / "docs").glob("*.md")}
 CODE = "".join(path.read_text() for path in (ROOT / "briarbeam").rglob("*.py"))
 NODE_PARTS = (
-    "relay", "distribution", "platform", "telemetry", "node.py", "kernel/connections.py"
+    "relay", "distribution", "platform", "telemetry", "node.py",
+    "kernel/connections.py", "kernel/silence.py",
 )  # fmt: skip
 LEVELS = {"debug", "info", "warning", "error", "exception"}
 
