Leave the records of a new era out of the turns to read the state

Cause: after a restore of the store the former reader lists the state of the new era at once, and the others wait for its copy, by rules of their own. With turns, the former reader waited as well, unless it was the first in rank. By the logs of the failed run, the era was known at 39.69 s and the first entry read at 40.72.

--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -366,8 +366,10 @@
         return waited_s < self._peer_copy_wait_s()
 
     def _awaits_missed_changes(self):
+        # The wait for the records of a new era is another one.
         return (
             self._revision is not None
+            and self._era >= self._known_era
             and not self._is_supplied_by_peers()
             and not self._is_read_due()
         )
