--- a/review/kit3.py
+++ b/review/kit3.py
@@ -285,7 +285,8 @@
     return line.decode("latin-1").split(), headers
 
 
-def read_body(file, headers):
+def read_body(file, headers, is_answer=False):
+    """Return a body; that of an answer may end with the connection, but not by a reset."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while size := int(file.readline(1024).split(b";")[0], 16):
@@ -294,6 +295,8 @@
         while file.readline(65536) not in (b"\r\n", b"\n", b""):
             pass
         return body
+    if is_answer and "content-length" not in headers:
+        return file.read()
     return file.read(int(headers.get("content-length", 0)))
 
 
@@ -420,7 +423,7 @@
         self._server.stop(timeout=0)
         self._server.close()
         for sock in list(self._open):
-            _shut(sock)
+            shut(sock)
         self.running = 0
         gevent.spawn_later(self.down_s, self._come_back)
 
@@ -508,7 +511,7 @@
         sock.sendall(b"0\r\n\r\n")
 
 
-def _shut(sock):
+def shut(sock):
     try:
         sock.shutdown(socket.SHUT_RDWR)
     except OSError:
@@ -715,7 +718,7 @@
                     head = read_head(file)
                     if head is not None:
                         status = int(head[0][1])
-                        body = read_body(file, head[1])
+                        body = read_body(file, head[1], is_answer=True)
                 finally:
                     sock.close()
         except (OSError, ValueError, IndexError) as error:
