List a large state instead of reading all changes that were missed

Cause: a watch returns each state since its revision, and the mirror lists only in a burst that it has read two changes of. The second answer had ten states, 4.43 MB, and took 7.6 s. Meanwhile the reader's state was too old, and the entry that relieved it asked for the same states again: 15.7 MB over the link.

Fix: a watch of large records reads its answer up to 512 KB, or one and a half times the present records if these are larger. Above, the answer is closed, at its stated length if there is one, and the records are listed as in a burst. A single change costs what it did. The same holds for an entry that takes over as reader or reaches the store again.

The fake stores of test_relay_follower.py and test_store_eras.py take the new argument.

--- a/briarbeam/kernel/network.py
+++ b/briarbeam/kernel/network.py
@@ -153,10 +153,14 @@
     link that is already full.
 
     :param max_bytes: limit of the body.
-    :raises ReplyTooLargeError: if the body is larger than `max_bytes`.
+    :raises ReplyTooLargeError: if the body is larger than `max_bytes`; if its length is
+        stated, before any of it is read.
     """
     response = network.send(address, request)
     try:
+        length = response.headers.get("content-length", "")
+        if length.isdecimal() and int(length) > max_bytes:
+            raise ReplyTooLargeError(f"body of {length} bytes, above {max_bytes}")
         body = bytearray()
         while part := response.read(READ_BLOCK_BYTES):
             body += part
--- a/briarbeam/platform/store.py
+++ b/briarbeam/platform/store.py
@@ -14,11 +14,12 @@
 import structlog
 from prometheus_client import Counter, Gauge, Histogram
 
-from ..kernel.errors import BriarbeamError
+from ..kernel.errors import BriarbeamError, ReplyTooLargeError
 from ..kernel.lenient_json import parse_leniently
 from ..kernel.network import HttpRequest, fetch_in_parts
 from ..kernel.silence import SilenceDetector
 from ..relay.errors import (
+    ChangesTooLargeError,
     HistoryGoneError,
     RecheckError,
     StoreRewoundError,
@@ -126,17 +127,19 @@
             records |= listed
             query = {"after": next(reversed(listed))}
 
-    def watch(self, kind, revision, wait_s):
+    def watch(self, kind, revision, wait_s, max_bytes=BODY_MAX_BYTES):
         """Return changes of `kind` after `revision`, and the revision to continue from.
 
         :param wait_s: how long the store may wait for a first change, in seconds.
+        :param max_bytes: the largest answer that is read.
+        :raises ChangesTooLargeError: if the answer is larger than `max_bytes`.
         :raises HistoryGoneError: if the store no longer has the changes after
             `revision`, so that a new list is needed.
         :raises StoreRewoundError: if that is because the store was restored.
         :raises StoreUnavailableError: as for `list`.
         """
         query = {"watch": number_of(revision), "wait_ms": int(wait_s * 1000)}
-        page, era = self._get("watch", kind, query, wait_s, era_of(revision))
+        page, era = self._get("watch", kind, query, wait_s, era_of(revision), max_bytes)
         try:
             events = read_items(page, "events")
             changes = [_decode_change(event, era) for event in events]
@@ -146,7 +149,15 @@
                 f"watch of {kind} is malformed: {error!r}"
             ) from error
 
-    def _get(self, call, kind, query, wait_s=0.0, watched_era=None):
+    def _get(
+        self,
+        call,
+        kind,
+        query,
+        wait_s=0.0,
+        watched_era=None,
+        max_bytes=BODY_MAX_BYTES,
+    ):
         """Return the decoded JSON of the store's answer, and the era of the answer.
 
         :param call: ``list`` or ``watch``, for metrics and logs.
@@ -168,8 +179,13 @@
         era_when_sent = self._era
         try:
             status, headers, content = fetch_in_parts(
-                self._network, self._address, request, BODY_MAX_BYTES
+                self._network, self._address, request, max_bytes
             )
+        except ReplyTooLargeError as error:
+            _CALLS.labels(call, "too_large").inc()
+            if call == "watch":
+                raise ChangesTooLargeError(f"GET {path}: {error}") from error
+            raise StoreUnavailableError(f"GET {path} failed: {error}") from error
         except BriarbeamError as error:
             # The `Mirror` interrupted the watch; the network wraps the error as a
             # failure.
--- a/briarbeam/relay/errors.py
+++ b/briarbeam/relay/errors.py
@@ -34,6 +34,12 @@
     code = "history_gone"
 
 
+class ChangesTooLargeError(BriarbeamError):
+    """The changes since the requested revision are larger than a watch may return."""
+
+    code = "changes_too_large"
+
+
 class StoreRewoundError(HistoryGoneError):
     """The store was restored from an older copy since the requested revision.
 
--- a/briarbeam/relay/mirror.py
+++ b/briarbeam/relay/mirror.py
@@ -1,5 +1,6 @@
 """A local copy of the store's records of one kind, updated by a watch."""
 
+import json
 import math
 import random
 
@@ -10,6 +11,7 @@
 from ..platform.revisions import era_of
 from .era_age import REWRITE_GRACE_S
 from .errors import (
+    ChangesTooLargeError,
     HistoryGoneError,
     RecheckError,
     StoreRewoundError,
@@ -32,6 +34,11 @@
 # lists leave most of a link's capacity to other traffic.
 PAUSE_PER_LIST_DURATION = 2.0
 BURST_PAUSE_MAX_S = 1.4
+# A watch returns each state since its revision. Changes of large records that exceed the
+# first size, and are this many times as large as the records, are not read: a list
+# returns only the last state. The size takes 0.4 s on a link of 10 Mbit/s.
+CHANGES_READ_BYTES = 512 * 1024
+CHANGES_PER_RECORDS_MAX = 1.5
 # Interval between checks whether other entries still supply the records.
 PEER_POLL_S = 0.1
 
@@ -56,8 +63,8 @@
     :param on_change: called with the dictionary of records by name after each change.
     :param change_pause_s: the pause after a change, in seconds.
     :param is_large: whether the records are so large that they take up a considerable
-        part of a link. In a burst of changes they are listed with pauses in between,
-        because a watch would return each intermediate state.
+        part of a link. In a burst of changes, or after many missed ones, they are listed
+        with pauses in between, because a watch would return each intermediate state.
     :param is_supplied_by_peers: a function that returns whether other entries supply
         the records through `replace_if_newer`; then the store is not called.
     :param is_reader: a function that returns whether no other entry reads the records
@@ -113,6 +120,8 @@
         self._history_pause_s = RETRY_MIN_S
         self._in_burst = False
         self._changed_s = -math.inf
+        # The newest revision whose size is known, and the size in bytes.
+        self._measured = (0, 0)
         self._records = {}
         self._revision = None
         # The era of the records, None before the first ones; the latest era that is
@@ -169,6 +178,9 @@
                 raise
             except StoreRewoundError as error:
                 self._drop_history(error.era)
+            except ChangesTooLargeError as error:
+                _log.info("changes_not_read", kind=self._kind, error=str(error))
+                self._in_burst = True
             except HistoryGoneError:
                 _log.info("history_gone", kind=self._kind, revision=self._revision)
                 self._revision = None
@@ -341,12 +353,23 @@
             self._known_era, self._known_era_at_s = era, self._clock.monotonic_s()
 
     def _watch(self):
+        limits = {"max_bytes": self._changes_max_bytes()} if self._is_large else {}
         self._watch_task = gevent.getcurrent()
         try:
-            return self._store.watch(self._kind, self._revision, self._wait_s())
+            return self._store.watch(
+                self._kind, self._revision, self._wait_s(), **limits
+            )
         finally:
             self._watch_task = None
 
+    def _changes_max_bytes(self):
+        """Return the size up to which changes are read rather than a list."""
+        revision, size_bytes = self._measured
+        if revision != self.summary[0]:
+            size_bytes = sum(len(json.dumps(r.spec)) for r in self._records.values())
+            self._measured = self.summary[0], size_bytes
+        return max(CHANGES_READ_BYTES, int(CHANGES_PER_RECORDS_MAX * size_bytes))
+
     def _await_peer_copy(self):
         """Wait while other entries may supply the first records or those of a new era.
 
--- a/tests/test_relay_follower.py
+++ b/tests/test_relay_follower.py
@@ -185,7 +185,7 @@
             raise StoreUnavailableError("down")
         return [Record("m", 3, {})], 3
 
-    def watch(self, kind, revision, wait_s):
+    def watch(self, kind, revision, wait_s, max_bytes=None):
         self.calls.append("watch")
         gevent.sleep(wait_s)
         return [Change(Record("m", 3, {}), True)], 4
@@ -246,7 +246,7 @@
             self.changes_left -= 3
             return [Record("m", 100 - max(0, self.changes_left), {})], 100
 
-        def watch(self, kind, revision, wait_s):
+        def watch(self, kind, revision, wait_s, max_bytes=None):
             self.calls.append("watch")
             if self.changes_left <= 0:
                 gevent.sleep(wait_s)
@@ -267,7 +267,7 @@
     """A new entry paused, and sent requests to a draining instance for 0.9 s."""
 
     class DrainingStore(WaitingStore):
-        def watch(self, kind, revision, wait_s):
+        def watch(self, kind, revision, wait_s, max_bytes=None):
             self.calls.append("watch")
             return [Change(Record("m", 4, {"state": "draining"}), False)], 4
 
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -194,7 +194,7 @@
         self.calls.append("list")
         return list(state_records(2 * ERA_UNIT + 3).values()), 2 * ERA_UNIT + 3
 
-    def watch(self, kind, revision, wait_s):
+    def watch(self, kind, revision, wait_s, max_bytes=None):
         self.calls.append("watch")
         if era_of(revision) < 2:
             raise StoreRewoundError("rewound", era=2)
@@ -345,7 +345,7 @@
     """Each entry listed a large state ten times a second."""
 
     class ForgetfulStore(RewoundStore):
-        def watch(self, kind, revision, wait_s):
+        def watch(self, kind, revision, wait_s, max_bytes=None):
             self.calls.append("watch")
             raise HistoryGoneError("410")
 
