Watch all parts of a prompt that a head can name

Cause: the decoder of headers left out all parts behind the 16th, a bound from the time when the tables of suspects and the reports between entries were sized for two or three parts a prompt.

Fix: up to 4,096 parts are watched, more than a head of 16 KiB can name; what is beyond is counted. The tables hold more (4,096 suspects, 32,768 survivals), and what is forgotten is counted. Suspects with the same crash share a row in reports: 20 parts of one request take one datagram of less than 300 bytes. Parts with the same crashes are weighed once. Lines and errors name 16 suspects at the most.

Tests, failing on: test_part_of_a_long_prompt_that_ends_engines_reaches_few_of_them[16] and [1000] (16 ends, 5 allowed), test_all_parts_that_a_head_can_name_are_tracked, test_line_of_a_crash_under_a_long_prompt_names_some_parts_only. In test_reports_fit_into_datagrams the rows have different runs now, as equal ones would share a row; it also checks that each arrives. The limit of a synchronization is one of datagrams, three as before.

--- a/briarbeam/distribution/crash_reporter.py
+++ b/briarbeam/distribution/crash_reporter.py
@@ -12,7 +12,9 @@
 # How often an entry sends what it knows to another one, for those that have just
 # started or were cut off.
 SYNC_INTERVAL_S = 0.5
-CRASHES_PER_SYNC = 20
+CRASHES_PER_SYNC = 400
+# Limit on the datagrams with these crashes.
+DATAGRAMS_PER_SYNC = 2
 # Several entries may be able to excuse a crash. Each waits for a random part of this
 # time, and sends nothing if another one was faster.
 EXCUSE_DELAY_MAX_S = 0.02
@@ -55,7 +57,8 @@
             # The receiver needs the other crashes to weigh those in the rows.
             run_rows = self._evidence.run_rows(self._evidence.last_runs())
             self._send(encode_runs(run_rows), host)
-            self._send_rows(keys, [host])
+            for data in encode_crashes(self._evidence.rows(keys))[:DATAGRAMS_PER_SYNC]:
+                self._send(data, host)
 
     def handle_report(self, host, report):
         """Merge a `CrashReport` from `host`."""
--- a/briarbeam/distribution/messages.py
+++ b/briarbeam/distribution/messages.py
@@ -29,8 +29,7 @@
 MAX_BYTES = 1400
 # Number of entries listed in one datagram, at about 22 bytes each.
 ENTRIES_PER_DATAGRAM = 40
-# Longest id of a suspect, a run or a request in a report of crashes. Such a report has at
-# most 16 + 8 + 4 x 16 characters of ids and about 40 others a crash.
+# Longest id of a suspect, a run or a request in a report of crashes.
 CRASH_ID_MAX_CHARS = 16
 # Longest name of a team in a question; the count of each team is kept for seconds.
 TEAM_MAX_CHARS = 100
@@ -198,7 +197,8 @@
 class CrashReport:
     """Crashes that are held against suspects.
 
-    :param rows: the fields of `CrashRow` objects.
+    :param rows: the fields of `CrashRow` objects; the suspects that share the other
+        fields are one list.
     :param run_rows: the fields of `RunRow` objects.
     """
 
@@ -295,8 +295,9 @@
 
 def _decode_crash_report(report):
     rows = [
-        CrashRow(part, run, age_s, tuple(requests), *flags)
-        for part, run, age_s, requests, *flags in report.rows
+        CrashRow(suspect, run, age_s, tuple(requests), *flags)
+        for shared, run, age_s, requests, *flags in report.rows
+        for suspect in (shared if isinstance(shared, list) else [shared])
     ]
     run_rows = [RunRow(*fields) for fields in report.run_rows]
     return CrashReport(tuple(rows), tuple(run_rows))
--- a/briarbeam/platform/headers.py
+++ b/briarbeam/platform/headers.py
@@ -6,6 +6,8 @@
 import re
 from dataclasses import dataclass, field
 
+from prometheus_client import Counter
+
 REQUEST_ID = b"x-request-id"
 READY_PATH = b"/-/ready"
 _DEADLINE_MS = b"x-deadline-ms"
@@ -51,8 +53,13 @@
 MAX_PRIORITY = 9
 # Upper limit on the stated duration of work, in percent of the usual.
 SLOWDOWN_PERCENT_MAX = 10_000
-# Later parts of longer prompts are ignored.
-PROMPT_PARTS_MAX = 16
+# Later parts of longer prompts are ignored. A head of 16 KiB names at most 2,778 different
+# ones.
+PROMPT_PARTS_MAX = 4096
+_PARTS_IGNORED = Counter(
+    "briarbeam_prompt_parts_ignored",
+    "Parts of prompts that are not watched because a prompt has too many",
+)
 # Prompts are far shorter; a longer one is treated as if its length were not stated.
 TOKENS_MAX = 10_000_000
 
@@ -280,6 +287,7 @@
     if not all(matches):
         return ()
     *shared, _ = [match[1].decode() for match in matches]
+    _PARTS_IGNORED.inc(max(0, len(shared) - PROMPT_PARTS_MAX))
     return tuple(dict.fromkeys(shared[:PROMPT_PARTS_MAX]))
 
 
--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -12,6 +12,8 @@
 import math
 from dataclasses import dataclass, field, replace
 
+from prometheus_client import Counter
+
 from .suspects import is_request, request_suspect
 
 # How long before a crash the survival of an engine still excuses it.
@@ -20,17 +22,22 @@
 MOMENT_S = 0.05
 # How long a crash is remembered, unless requests with the suspect are quarantined longer.
 CRASH_EXPIRY_S = 600.0
-SUSPECTS_MAX = 512
+SUSPECTS_MAX = 4096
 # How many suspects are forgotten when there are too many.
-FORGOTTEN_AT_ONCE = 64
+FORGOTTEN_AT_ONCE = 512
 CRASHES_PER_SUSPECT_MAX = 16
 REQUESTS_PER_CRASH_MAX = 4
 RUNS_MAX = 128
 # Number of suspects of which the last survival is remembered.
-SURVIVED_SUSPECTS_MAX = 8192
+SURVIVED_SUSPECTS_MAX = 32768
 
+_FORGOTTEN = Counter(
+    "briarbeam_suspects_forgotten",
+    "Suspects of crashes that were forgotten because there were too many",
+)
 
-@dataclass
+
+@dataclass(slots=True)
 class Crash:
     """The end of one run of an engine under requests with a suspect.
 
@@ -305,6 +312,7 @@
         if len(self._crashes) > SUSPECTS_MAX:
             for name in heapq.nsmallest(FORGOTTEN_AT_ONCE, self._crashes, self._rank):
                 del self._crashes[name]
+            _FORGOTTEN.inc(FORGOTTEN_AT_ONCE)
         return self._crashes.get(suspect, {}).get(run)
 
     def _add_run(self, name, at_s):
--- a/briarbeam/relay/crash_guard.py
+++ b/briarbeam/relay/crash_guard.py
@@ -6,6 +6,7 @@
 
 from .engine_crashes import EngineCrashes, WatchedSend
 from .errors import QuarantinedError, QuarantinedSentError, UpstreamError
+from .suspects import name_some
 
 # A request whose engine ended is not sent again if one of its suspects was at this many
 # other crashes without an excuse.
@@ -54,7 +55,7 @@
             return
         retry_after_s = min(RETRY_AFTER_MAX_S, max(RETRY_AFTER_MIN_S, left_s))
         raise QuarantinedError(
-            f"engines ended under one of {job.suspects}",
+            f"engines ended under one of {name_some(job.suspects)}",
             retry_after_s=retry_after_s * random.uniform(0.8, 1.2),
         )
 
--- a/briarbeam/relay/culprits.py
+++ b/briarbeam/relay/culprits.py
@@ -62,10 +62,7 @@
         rule = make_rule(crashes_by_suspect, held)
         while rule.suspects:
             ends = [(name, end) for name, end in ordered if name not in explained]
-            weight_by_suspect = {
-                suspect: _weigh(rule, crashes, explained, ends, suspect in held)
-                for suspect, crashes in rule.suspects.items()
-            }
+            weight_by_suspect = _weigh_all(rule, explained, ends, held)
             highest = max(weight_by_suspect.values())
             if highest == NO_EVIDENCE:
                 break
@@ -82,6 +79,27 @@
     return culprits
 
 
+def _weigh_all(rule, explained, ends, held):
+    """Return the weights of the suspects of `rule`, as `_weigh` does for each.
+
+    The parts of a long prompt mostly have the same crashes, which are weighed once.
+    """
+    weights, weight_by_suspect = {}, {}
+    for suspect, crashes in rule.suspects.items():
+        is_held = suspect in held
+        key = (
+            is_held,
+            frozenset(
+                (name, crash.begun, *sorted(crash.requests))
+                for name, crash in crashes.items()
+            ),
+        )
+        if key not in weights:
+            weights[key] = _weigh(rule, crashes, explained, ends, is_held)
+        weight_by_suspect[suspect] = weights[key]
+    return weight_by_suspect
+
+
 def _weigh(rule, crashes, explained, ends, is_held):
     """Return the number of crashes and the evidence against a suspect in bits.
 
--- a/briarbeam/relay/engine_crashes.py
+++ b/briarbeam/relay/engine_crashes.py
@@ -12,6 +12,7 @@
 
 from .errors import UpstreamBrokenError
 from .process_watch import ASK_AGAIN_S, ask_identity
+from .suspects import name_some
 from .upstream_call import ConnectFailedError, UpstreamCall
 
 # A live machine without a listener refuses a connection within one round trip, and a
@@ -153,5 +154,5 @@
         instance=target.id,
         requests=[job.meta.request_id.decode("latin-1") for job in check.jobs],
         contents=[job.content_id for job in check.jobs],
-        parts=[job.meta.prompt_parts for job in check.jobs],
+        parts=[name_some(job.meta.prompt_parts) for job in check.jobs],
     )
--- a/briarbeam/relay/quarantine.py
+++ b/briarbeam/relay/quarantine.py
@@ -7,6 +7,7 @@
 from prometheus_client import Gauge
 
 from .culprits import SUSPECT_CRASHES_MIN, find_culprits
+from .suspects import name_some
 
 # Other entries can excuse a suspect within this time before it is quarantined.
 SETTLE_S = 0.05
@@ -93,7 +94,7 @@
             cases[group] = case
         for group in self._cases.keys() - cases.keys():
             if self._cases[group].is_effective(now_s):
-                _log.info("suspect_released", suspects=sorted(group))
+                _log.info("suspect_released", suspects=name_some(sorted(group)))
         self._cases = cases
         _QUARANTINED.set(len(cases))
 
@@ -116,7 +117,7 @@
             return False
         for group, case in cases:
             case.trial_s = now_s
-            _log.info("suspect_tried", suspects=sorted(group))
+            _log.info("suspect_tried", suspects=name_some(sorted(group)))
         return True
 
     def _is_due(self, group, case, now_s):
@@ -131,11 +132,11 @@
     def _effective_cases(self, suspects):
         if not self._cases:
             return []
-        now_s = self._clock.boottime_s()
+        now_s, present = self._clock.boottime_s(), frozenset(suspects)
         return [
             (group, case)
             for group, case in self._cases.items()
-            if group <= set(suspects) and case.is_effective(now_s)
+            if group <= present and case.is_effective(now_s)
         ]
 
     def _apply(self, group, case, crash_count):
@@ -145,7 +146,7 @@
         if group in self._cases:
             _log.info(
                 "suspect_quarantined",
-                suspects=sorted(group),
+                suspects=name_some(sorted(group)),
                 crashes=crash_count,
                 trial_after_s=case.trial_after_s,
             )
--- a/tests/test_distribution_crashes.py
+++ b/tests/test_distribution_crashes.py
@@ -7,12 +7,12 @@
 
 from briarbeam.distribution import crash_reporter
 from briarbeam.distribution.crash_messages import (
-    CRASHES_PER_DATAGRAM,
     RUNS_PER_DATAGRAM,
+    SUSPECTS_PER_ROW,
     encode_crashes,
     encode_runs,
 )
-from briarbeam.distribution.crash_reporter import CRASHES_PER_SYNC, CrashReporter
+from briarbeam.distribution.crash_reporter import DATAGRAMS_PER_SYNC, CrashReporter
 from briarbeam.distribution.errors import MalformedDatagramError
 from briarbeam.distribution.messages import (
     MAX_BYTES,
@@ -64,17 +64,38 @@
 
 def test_reports_fit_into_datagrams():
     requests = (LONG_ID,) * REQUESTS_PER_CRASH_MAX
-    row = CrashRow(LONG_ID, "12345678", 123456.789, requests, False, False)
-    datagrams = encode_crashes([row] * (2 * CRASHES_PER_DATAGRAM + 1))
+    rows = [
+        CrashRow(LONG_ID, f"{number:08}", 123456.789, requests, False, False)
+        for number in range(21)
+    ]
+    datagrams = encode_crashes(rows)
     assert len(datagrams) == 3
     assert max(map(len, datagrams)) <= MAX_BYTES
-    assert decode(datagrams[2]) == CrashReport((row,))
+    assert [row for data in datagrams for row in decode(data).rows] == rows
     run = RunRow("12345678", 123456.789, 100, 100)
     datagram = encode_runs([run] * 100)
     assert len(datagram) <= MAX_BYTES
     assert decode(datagram) == CrashReport((), (run,) * RUNS_PER_DATAGRAM)
 
 
+def test_suspects_with_the_same_crash_share_rows():
+    """Each part of a long prompt had a row of its own, in five times as many bytes."""
+    requests = (LONG_ID,) * REQUESTS_PER_CRASH_MAX
+    longest = [
+        CrashRow(f"{number:016x}", "12345678", 123456.789, requests, False, False)
+        for number in range(3 * SUSPECTS_PER_ROW + 1)
+    ]
+    datagrams = encode_crashes(longest)
+    assert max(map(len, datagrams)) <= MAX_BYTES
+    assert [row for data in datagrams for row in decode(data).rows] == longest
+    prompt = [
+        CrashRow(f"{number:08x}", "12345678", 0.123, ("0123456789abcde",), False)
+        for number in range(20)
+    ]
+    (datagram,) = encode_crashes(prompt)
+    assert len(datagram) <= 20 * 15
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -86,6 +107,9 @@
         b'["x",[["p","r",Infinity,["q"],false]]]',
         b'["x",[["p","r",1.0,["q"],1]]]',
         b'["x",[["p","r",1.0,["q"],false,1]]]',
+        b'["x",[[["p",1],"r",1.0,["q"],false]]]',
+        b'["x",[[[["p"]],"r",1.0,["q"],false]]]',
+        b'["x",[[{"p":1},"r",1.0,["q"],false]]]',
         b'["x",[["p","r",1.0,["q"],false,false,false]]]',
         b'["x",[[1,"r",1.0,["q"],false]]]',
         b'["x",[["p","r",1.0,[2],false]]]',
@@ -155,4 +179,19 @@
     ]
     evidence.merge(rows)
     group.reporters[HOSTS[0]].synchronize()
-    assert len(group.sent) <= 1 + CRASHES_PER_SYNC // CRASHES_PER_DATAGRAM
+    assert len(group.sent) <= 1 + DATAGRAMS_PER_SYNC
+
+
+def test_entry_that_starts_learns_of_all_parts_of_a_long_prompt():
+    """Of several parts with the same crashes it learned some, and not the deadly one."""
+    group = Group()
+    parts = [f"a0{number:06x}" for number in range(40)]
+    rows = [
+        CrashRow(part, f"run{number}", 1.0 + number, (f"r{number}",), False)
+        for part in parts
+        for number in range(4)
+    ]
+    group.evidence[HOSTS[0]].merge(rows)
+    for _ in range(60):
+        group.reporters[HOSTS[0]].synchronize()
+    assert group.unexcused() == [set(parts)] * len(HOSTS)
--- a/tests/test_relay_engine_crashes.py
+++ b/tests/test_relay_engine_crashes.py
@@ -9,6 +9,7 @@
 from gevent.server import StreamServer
 from structlog.testing import capture_logs
 
+from briarbeam.catalog import CallerLimits
 from briarbeam.platform.headers import PROMPT_PARTS_MAX, decode_request
 from briarbeam.relay.crash_guard import SURVIVED_AFTER_S
 from briarbeam.relay.engine_crashes import LOG_DELAY_S
@@ -186,6 +187,25 @@
 
 
 def test_long_prompt_is_truncated_to_its_first_parts():
-    value = b",".join(b"%x:1" % number for number in range(1, 100))
+    numbers = range(1, PROMPT_PARTS_MAX + 100)
+    value = b",".join(b"%x:1" % number for number in numbers)
     meta = decode_request([(b"x-prefix-hash", value)])
     assert len(meta.prompt_parts) == PROMPT_PARTS_MAX
+
+
+def test_line_of_a_crash_under_a_long_prompt_names_some_parts_only():
+    engine = FakeInstance(lambda instance, sock, request: instance.crash())
+    entry = Entry({"i1": engine}, **RESUMABLE_STREAM)
+    parts = [b"%x" % number for number in range(1000)]
+    (line,) = crashes_logged(entry, prompt(*parts))
+    assert line["parts"] == [(*(f"{number:x}" for number in range(16)), "and 983 more")]
+
+
+def test_all_parts_that_a_head_can_name_are_tracked():
+    """Those behind the 16th were ignored, so that one of them was never found."""
+    value = b""
+    for number in range(0x1000):
+        if len(value) < CallerLimits().max_header_bytes:
+            value += b"%x:1," % number
+    meta = decode_request([(b"x-prefix-hash", value + b"fff:1")])
+    assert len(meta.prompt_parts) == value.count(b",")
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -133,6 +133,24 @@
     assert served >= 10
 
 
+@pytest.mark.parametrize("parts_before", [16, 1000])
+def test_part_of_a_long_prompt_that_ends_engines_reaches_few_of_them(parts_before):
+    """Parts behind the 16th were ignored, and 24 to 40 requests reached engines."""
+    engines = add_engines(8)
+    entry = Entry(engines, **RESUMABLE_STREAM)
+    watch_starts([entry], engines)
+    shared = [b"a0%06x" % number for number in range(parts_before)]
+    served = 0
+    for number in range(1, 9):
+        ask(entry, *shared, b"bad", b"%x" % number)
+        sound = ask(entry, *shared, b"cc", b"%x" % (100 + number))
+        served += sound.endswith(END)
+        gevent.sleep(0.25)
+    assert count_crashes(engines) <= 5
+    assert served >= 6
+    assert entry.quarantine.suspects == {"bad"}
+
+
 def test_part_that_ends_engines_after_their_first_event_reaches_few_of_them():
     """41 to 48 engines ended in 40 s: the first event excused the part."""
     engines = add_engines(8)
