Test that answers beside plain crashes hold no part responsible

Since parts are excused by survival, an engine that ends by itself takes along answers that it had begun and not survived. The model of plain crashes had full batches of requests that all count alike, and excuses at a steady rate. The new one has answers that wait, run and are sent again.

--- a/tests/test_relay_crash_evidence.py
+++ b/tests/test_relay_crash_evidence.py
@@ -19,6 +19,7 @@
     CrashEvidence,
     CrashRow,
 )
+from briarbeam.relay.crash_guard import SURVIVED_AFTER_S
 from briarbeam.relay.culprits import CRASHES_MIN, find_culprits
 from briarbeam.relay.quarantine import (
     SETTLE_S,
@@ -309,6 +310,79 @@
         serve(clock, evidence, traffic, interval_s, 100, share)
 
 
+class RunningFleet:
+    """Engines that end by themselves, with requests that wait and answers that run."""
+
+    WAIT_S, LENGTH_S, DOWN_S = (0.05, 0.3), (0.6, 1.6), 3.0
+
+    def __init__(self, seed, engines):
+        self.random = random.Random(seed)
+        self.clock, self.evidence, self.quarantine = new_evidence()
+        self.traffic = Traffic(seed)
+        self.engines = engines
+        self.up_from_s = [0.0] * engines
+        # The begin and the end of each answer, its engine and the prompt.
+        self.answers = []
+        self.survived = set()
+        self.crashes = 0
+
+    def send(self, prompt):
+        now_s = self.clock.boottime_s()
+        up = [n for n in range(self.engines) if self.up_from_s[n] <= now_s]
+        if up:
+            begin_s = now_s + self.random.uniform(*self.WAIT_S)
+            end_s = begin_s + self.random.uniform(*self.LENGTH_S)
+            self.answers.append((begin_s, end_s, self.random.choice(up), prompt))
+
+    def step(self, requests):
+        self.clock.advance(0.05)
+        for _ in range(requests):
+            self.send(self.traffic.prompt())
+        now_s = self.clock.boottime_s()
+        for answer in self.answers:
+            if answer not in self.survived and now_s >= answer[0] + SURVIVED_AFTER_S:
+                self.survived.add(answer)
+                survive(self.evidence, *answer[3][:-1])
+        self.answers = [answer for answer in self.answers if answer[1] > now_s]
+
+    def end(self, engine):
+        now_s = self.clock.boottime_s()
+        self.crashes += 1
+        self.up_from_s[engine] = now_s + self.DOWN_S
+        cut = [answer for answer in self.answers if answer[2] == engine]
+        self.answers = [answer for answer in self.answers if answer[2] != engine]
+        run = f"run{self.crashes}"
+        for answer in cut:
+            if answer not in self.survived:
+                begun = now_s >= answer[0]
+                crash(self.clock, self.evidence, run, answer[3], begun=begun)
+            self.send(answer[3])
+
+
+@pytest.mark.parametrize(
+    ("engines", "requests_per_step", "interval_s", "at_once"),
+    [(8, 5, 1.0, 1), (8, 5, 0.5, 1), (8, 5, 6.0, 7), (18, 10, 0.5, 1)],
+)
+@pytest.mark.parametrize("seed", range(2))
+def test_answers_that_run_beside_plain_crashes_hold_no_part_responsible(
+    engines, requests_per_step, interval_s, at_once, seed
+):
+    """An engine that ends takes answers along that it had begun and not survived."""
+    fleet = RunningFleet(seed, engines)
+    for step in range(400):
+        fleet.step(requests_per_step)
+        if step % round(interval_s / 0.05) == 0:
+            for engine in fleet.random.sample(range(engines), at_once):
+                fleet.end(engine)
+            fleet.clock.advance(SETTLE_S)
+            assert not any(map(is_part, fleet.quarantine.suspects))
+    assert fleet.crashes >= 20 / interval_s
+
+
+def is_part(suspect):
+    return not is_request(suspect)
+
+
 def test_hot_part_during_plain_crashes_is_not_held_responsible():
     clock, evidence, quarantine = new_evidence()
     for number in range(20):
