--- a/briarbeam/relay/crash_evidence.py
+++ b/briarbeam/relay/crash_evidence.py
@@ -83,10 +83,11 @@
         """The number of requests that it had begun to answer, and not survived."""
         return max(len(self.begun), self.reported_begun_count)
 
-    def count_alike(self, crash):
-        """Return how many requests may have ended the engine like those of a `Crash`.
+    def count_candidates(self, crash):
+        """Return how many requests may have caused a `Crash` at this run.
 
-        An engine that ends before its first event had begun none of them.
+        If the engine had begun none of the requests with the suspect, these are held to
+        end engines before the first event, and those that it had begun are left out.
         """
         return self.waiting_count + (self.begun_count if crash.begun else 0)
 
--- a/briarbeam/relay/culprits.py
+++ b/briarbeam/relay/culprits.py
@@ -187,7 +187,7 @@
             if requests <= seen:
                 bits += REPEAT_BITS
             else:
-                count = end.count_alike(crashes[name])
+                count = end.count_candidates(crashes[name])
                 bits += max(CRASH_MIN_BITS, math.log2(REQUESTS_PER_PART / count))
             seen |= requests
         return bits if len(seen) >= REQUESTS_MIN else 0.0
