Wait for the control port before the daemon is stopped in its test

The site waits until the daemon's HTTP port answers; the control port opens right after it. In the failing run the log of the daemon had no line yet, not even `started`, when the test stopped it. So the test was wrong: a process that is stopped before it listens refuses all connections. It waits now until the port accepts one; what it checks is the same.

--- a/tests/test_daemon_input_processes.py
+++ b/tests/test_daemon_input_processes.py
@@ -141,6 +141,14 @@
         return receive(sock).startswith(b"HTTP/1.1 200")
 
 
+def accepts_connections(address):
+    try:
+        socket.create_connection(address).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
 def peak_mb(instance):
     status = Path(f"/proc/{instance.daemon.pid}/status").read_text()
     return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1000
@@ -312,6 +320,8 @@
     with start_site(FEW_DESCRIPTORS) as site, ExitStack() as stack:
         target = site.targets()[0]
         address = target.host, CONTROL_PORT
+        # A process that is stopped before it listens refuses them all.
+        site.wait_for(lambda: accepts_connections(address))
         os.kill(target.daemon.pid, signal.SIGSTOP)
         try:
             for _ in range(AT_ONCE):
