--- a/tests/test_relay_deadly_requests.py
+++ b/tests/test_relay_deadly_requests.py
@@ -1,7 +1,6 @@
 """Requests that end engines, whatever their prompts: how few engines end."""
 
 import contextlib
-import functools
 import math
 import random
 
@@ -27,7 +26,13 @@
     prompt,
     stream_head,
 )
-from .test_relay_quarantine import Network, add_engines, count_crashes, watch_starts
+from .test_relay_quarantine import (
+    Network,
+    add_engines,
+    count_crashes,
+    send_event_before_end,
+    watch_starts,
+)
 
 DEADLY = b"bad-request"
 
@@ -72,16 +77,7 @@
 def test_request_that_ends_engines_after_its_first_event_reaches_few_of_them():
     """Its begin excused it."""
     engines = add_engines(8)
-
-    def begin_and_end(crash, instance, sock, request):
-        if b"bad" in request:
-            sock.sendall(stream_head() + event(1))
-            gevent.sleep(0.05)
-        crash(instance, sock, request)
-
-    for engine in engines.values():
-        crash = engine._script
-        engine._script = lambda *args, crash=crash: begin_and_end(crash, *args)
+    send_event_before_end(engines)
     entry = Entry(engines, **RESUMABLE_STREAM)
     watch_starts([entry], engines)
     for _ in range(8):
@@ -94,16 +90,7 @@
 def test_request_that_ends_the_engine_it_is_resumed_at_reaches_few_of_them():
     """30 to 34 engines ended in 40 s: the second one's first event counted as survival."""
     engines = add_engines(8)
-
-    def begin_late_and_end(crash, instance, sock, request):
-        if b"bad" in request:
-            gevent.sleep(SURVIVED_AFTER_S - 0.1)
-            sock.sendall(stream_head() + event(1))
-            gevent.sleep(0.15)
-        crash(instance, sock, request)
-
-    for engine in engines.values():
-        engine._script = functools.partial(begin_late_and_end, engine._script)
+    send_event_before_end(engines, SURVIVED_AFTER_S - 0.1, ends_after_s=0.15)
     entry = Entry(engines, **RESUMABLE_STREAM)
     watch_starts([entry], engines)
     for number in range(5):
--- a/tests/test_relay_quarantine.py
+++ b/tests/test_relay_quarantine.py
@@ -63,6 +63,20 @@
     return engines
 
 
+def send_event_before_end(engines, begins_after_s=0.0, ends_after_s=0.05):
+    """Let engines send the first event of an answer before they end."""
+
+    def begin_and_end(crash, instance, sock, request):
+        if b"bad" in request:
+            gevent.sleep(begins_after_s)
+            sock.sendall(stream_head() + event(1))
+            gevent.sleep(ends_after_s)
+        crash(instance, sock, request)
+
+    for engine in engines.values():
+        engine._script = functools.partial(begin_and_end, engine._script)
+
+
 def count_crashes(engines):
     return sum(engine.crashes for engine in engines.values())
 
@@ -154,15 +168,7 @@
 def test_part_that_ends_engines_after_their_first_event_reaches_few_of_them():
     """41 to 48 engines ended in 40 s: the first event excused the part."""
     engines = add_engines(8)
-
-    def begin_and_end(crash, instance, sock, request):
-        if b"bad" in request:
-            sock.sendall(stream_head() + event(1))
-            gevent.sleep(0.04)
-        crash(instance, sock, request)
-
-    for engine in engines.values():
-        engine._script = functools.partial(begin_and_end, engine._script)
+    send_event_before_end(engines, ends_after_s=0.04)
     entry = Entry(engines, **RESUMABLE_STREAM)
     watch_starts([entry], engines)
     served = 0
