--- a/tests/test_relay_missed_changes.py
+++ b/tests/test_relay_missed_changes.py
@@ -48,6 +48,7 @@
     """A mirror of the state at a `LinkedStore`, with what it had and when."""
 
     def __init__(self, store):
+        self._store = store
         self.versions = []
         self.seen_s = {}
         self.client = StoreClient(HttpNetwork(), Address.parse(store.address))
@@ -75,6 +76,7 @@
 
     def stop(self):
         self._task.kill()
+        self._store.stop()
 
 
 def test_quick_changes_of_a_large_state_are_not_read_one_by_one():
